--- a/state/cataloger/cataloger.go
+++ b/state/cataloger/cataloger.go
@@ -92,6 +92,16 @@
 	KindService Kind = "service"
 )
 
+// Role tells which steps of a generation an engine takes.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
 // Endpoint is one engine worker or one instance of a plain service.
 type Endpoint struct {
 	Name         string
@@ -100,6 +110,7 @@
 	Addr         string // IP address and port.
 	Service      string // For KindService.
 	Models       []Placement
+	Role         Role // For KindEngine.
 	MemoryTokens int  // Token capacity of the engine's memory; for KindEngine.
 	BlockTokens  int  // Allocation unit of that memory, in tokens.
 	MaxBatch     int  // Largest number of sequences decoded together.
