--- /dev/null
+++ b/coordination/router/cacheindex_test.go
@@ -0,0 +1,66 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"monsoonspar.example/coordination/router"
+)
+
+func ExampleCacheIndex() {
+	var x router.CacheIndex
+	x.Apply("b1", []router.CacheEvent{{Seq: 1, Hash: 7}, {Seq: 3, Hash: 8}})
+	fmt.Println(x.Stale(), x.Has(7))
+	x.Apply("b1", []router.CacheEvent{{Seq: 1, Hash: 7}, {Seq: 2, Type: router.CacheEvicted, Hash: 7}, {Seq: 3, Hash: 8}})
+	fmt.Println(x.Stale(), x.Has(7), x.Has(8))
+	// Output:
+	// true false
+	// false false true
+}
+
+func TestCacheIndexClearingRebuilds(t *testing.T) {
+	var x router.CacheIndex
+	x.Apply("b1", []router.CacheEvent{{Seq: 5, Hash: 7}})
+	assert.Assert(t, x.Stale())
+	x.Apply("b1", []router.CacheEvent{{Seq: 9, Type: router.CacheCleared}, {Seq: 10, Hash: 8}})
+	assert.Assert(t, !x.Stale())
+	assert.Assert(t, x.Has(8))
+	x.Apply("b2", nil)
+	assert.Assert(t, !x.Has(8), "a new boot holds nothing")
+}
+
+// TestCacheIndexNeverClaimsAnEvictedPrefix feeds a true history with losses,
+// repeats and replays, and compares with the engine's own set.
+func TestCacheIndexNeverClaimsAnEvictedPrefix(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var x router.CacheIndex
+		var history []router.CacheEvent
+		held := map[uint64]bool{}
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			ev := router.CacheEvent{
+				Seq:  uint64(len(history) + 1),
+				Type: router.CacheEventType(rapid.IntRange(0, 1).Draw(rt, "type")),
+				Hash: rapid.Uint64Range(0, 5).Draw(rt, "hash"),
+			}
+			history = append(history, ev)
+			held[ev.Hash] = ev.Type == router.CacheStored
+			switch rapid.IntRange(0, 5).Draw(rt, "delivery") {
+			case 0: // Lost.
+				continue
+			case 1: // Replayed from the start.
+				x.Apply("b1", history)
+			default:
+				x.Apply("b1", history[len(history)-1:])
+			}
+			if x.Stale() {
+				continue
+			}
+			for hash, want := range held {
+				assert.Equal(rt, x.Has(hash), want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/coordination/router/owner.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// OwnersOf returns the daemons in the order in which they own the admission of
+// an endpoint: the first one does, and the next ones follow when it is lost.
+// daemons are the live ones of the endpoint's failure domain, in any order. The
+// loss of a daemon moves only the endpoints that it owned.
+func OwnersOf(endpoint string, daemons []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	key := xxhash.Sum64String(endpoint)
+	order := make([]scored, 0, len(daemons))
+	for _, d := range daemons {
+		order = append(order, scored{d, mix(xxhash.Sum64String(d) ^ key)})
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, len(order))
+	for i, o := range order {
+		names[i] = o.name
+	}
+	return names
+}
+
+// OwnerOf returns the first of OwnersOf, and false if there is no daemon. It
+// does not allocate.
+func OwnerOf(endpoint string, daemons []string) (string, bool) {
+	key := xxhash.Sum64String(endpoint)
+	var best string
+	var bestScore uint64
+	for i, d := range daemons {
+		score := mix(xxhash.Sum64String(d) ^ key)
+		if i == 0 || score > bestScore || (score == bestScore && d < best) {
+			best, bestScore = d, score
+		}
+	}
+	return best, len(daemons) > 0
+}
+
+// mix is a bijection of 64-bit values that spreads every input bit over the
+// output: the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/coordination/router/router_test.go
@@ -0,0 +1,310 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/state/cataloger"
+)
+
+var (
+	placement = cataloger.Placement{Model: "redattore", Version: "1"}
+	target    = router.Target{Placement: placement}
+	start     = time.Unix(0, 0).UTC()
+)
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+func declared(n, domains int) []cataloger.Endpoint {
+	es := make([]cataloger.Endpoint, n)
+	for i := range es {
+		es[i] = cataloger.Endpoint{
+			Name:   fmt.Sprintf("e%03d", i),
+			Domain: fmt.Sprintf("d%d", i%domains),
+			Models: []cataloger.Placement{placement},
+		}
+	}
+	return es
+}
+
+func newRouter(n, domains int) *router.Router {
+	r := router.New(router.Config{Domain: "d0"})
+	r.SetEndpoints(declared(n, domains))
+	return r
+}
+
+func names(cs []router.Candidate) []string {
+	var ns []string
+	for _, c := range cs {
+		ns = append(ns, c.Endpoint)
+	}
+	return ns
+}
+
+func ExampleRouter() {
+	r := router.New(router.Config{Domain: "milano-a"})
+	r.SetEndpoints([]cataloger.Endpoint{
+		{Name: "e1", Domain: "milano-a", Models: []cataloger.Placement{placement}},
+		{Name: "e2", Domain: "milano-a", Models: []cataloger.Placement{placement}},
+	})
+	now := time.Unix(0, 0)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	cs, err := r.Candidates(router.Request{Target: target, PrefixHash: 7}, rnd, now)
+	if err != nil {
+		panic(err)
+	}
+	quotes := []router.Quote{
+		{Candidate: cs[0], Wait: 80 * time.Millisecond, CachedTokens: 600},
+		{Candidate: cs[1], Wait: 40 * time.Millisecond},
+	}
+	i, _ := r.Best(quotes)
+	fmt.Println(len(cs), "candidates, the cached prefix wins:", i == 0)
+	// Output: 2 candidates, the cached prefix wins: true
+}
+
+func TestOwnDomainFirst(t *testing.T) {
+	r := newRouter(30, 3)
+	rnd := newRand(1)
+	for i := range 200 {
+		cs, err := r.Candidates(router.Request{Target: target, PrefixHash: uint64(i)}, rnd, start)
+		assert.NilError(t, err)
+		assert.Equal(t, len(cs), 2)
+		assert.Assert(t, cs[0].Endpoint != cs[1].Endpoint)
+		assert.Equal(t, cs[0].Domain, "d0")
+		assert.Equal(t, cs[1].Domain, "d0")
+	}
+}
+
+func TestOtherDomainWhenItsWaitIsShorter(t *testing.T) {
+	r := newRouter(4, 2) // e000 and e002 are our own.
+	r.ObserveWait("e000", time.Second, start)
+	r.ObserveWait("e002", time.Second, start)
+	req := router.Request{Target: target, PrefixHash: 3}
+	cs, err := r.Candidates(req, newRand(1), start)
+	assert.NilError(t, err)
+	assert.Equal(t, cs[0].Domain, "d0")
+	assert.Equal(t, cs[1].Domain, "d1")
+
+	later := start.Add(time.Second) // The waits have passed.
+	cs, err = r.Candidates(req, newRand(1), later)
+	assert.NilError(t, err)
+	assert.Equal(t, cs[1].Domain, "d0")
+}
+
+func TestAffinityIsStableAndLossMovesOnlyItsOwn(t *testing.T) {
+	r := newRouter(12, 1)
+	first := func(key uint64) string {
+		cs, err := r.Candidates(router.Request{Target: target, PrefixHash: key}, newRand(key), start)
+		assert.NilError(t, err)
+		return cs[0].Endpoint
+	}
+	before := map[uint64]string{}
+	for key := uint64(1); key <= 500; key++ {
+		before[key] = first(key)
+	}
+	r.MarkLeaving("e004", "")
+	for key, was := range before {
+		if was == "e004" {
+			assert.Assert(t, first(key) != "e004")
+			continue
+		}
+		assert.Equal(t, first(key), was)
+	}
+}
+
+func TestNoCandidate(t *testing.T) {
+	r := newRouter(1, 1)
+	rnd := newRand(1)
+	other := router.Target{Placement: cataloger.Placement{Model: "altro"}}
+	for _, req := range []router.Request{
+		{Target: other},
+		{Target: target, Exclude: []string{"e000"}},
+	} {
+		_, err := r.Candidates(req, rnd, start)
+		assert.ErrorIs(t, err, router.ErrNoCandidate)
+	}
+	r.MarkNotReady("e000", target)
+	_, err := r.Candidates(router.Request{Target: target}, rnd, start)
+	assert.ErrorIs(t, err, router.ErrNoCandidate)
+	r.Observe(router.Report{Endpoint: "e000", BootID: "b1", Ready: []cataloger.Placement{placement}})
+	_, err = r.Candidates(router.Request{Target: target}, rnd, start)
+	assert.NilError(t, err)
+}
+
+func TestLeavingLastsAsLongAsTheBoot(t *testing.T) {
+	ready := []cataloger.Placement{placement}
+	tests := []struct {
+		name    string
+		apply   func(r *router.Router)
+		leaving bool
+	}{
+		{"VM list", func(r *router.Router) { r.MarkLeaving("e000", "") }, true},
+		{"refusal naming the boot", func(r *router.Router) { r.MarkLeaving("e000", "b1") }, true},
+		{"later report of the same boot", func(r *router.Router) {
+			r.MarkLeaving("e000", "b1")
+			r.Observe(router.Report{Endpoint: "e000", BootID: "b1", Ready: ready})
+		}, true},
+		{"new boot", func(r *router.Router) {
+			r.MarkLeaving("e000", "b1")
+			r.Observe(router.Report{Endpoint: "e000", BootID: "b2", Ready: ready})
+		}, false},
+		{"late news of the old boot", func(r *router.Router) {
+			r.Observe(router.Report{Endpoint: "e000", BootID: "b2", Ready: ready})
+			r.MarkLeaving("e000", "b1")
+		}, false},
+		{"late report of the old boot", func(r *router.Router) {
+			r.Observe(router.Report{Endpoint: "e000", BootID: "b2", Ready: ready})
+			r.Observe(router.Report{Endpoint: "e000", BootID: "b1", Leaving: true})
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRouter(1, 1)
+			r.Observe(router.Report{Endpoint: "e000", BootID: "b1", Ready: ready})
+			tt.apply(r)
+			assert.Equal(t, r.Leaving("e000"), tt.leaving)
+			_, err := r.Candidates(router.Request{Target: target}, newRand(1), start)
+			assert.Equal(t, err != nil, tt.leaving)
+		})
+	}
+}
+
+func TestEjectionAndSingleProbe(t *testing.T) {
+	r := newRouter(3, 1)
+	for range 3 {
+		r.ReportFailure("e000", start)
+		r.ReportFailure("e001", start)
+	}
+	assert.Assert(t, r.Ejected("e000"))
+	assert.Assert(t, !r.Ejected("e001"), "more than half of three")
+
+	due := start.Add(5 * time.Second)
+	probes := func(now time.Time) (n int) {
+		for key := range uint64(20) {
+			cs, err := r.Candidates(router.Request{Target: target, PrefixHash: key}, newRand(key), now)
+			assert.NilError(t, err)
+			for _, c := range cs {
+				if c.Probe {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	assert.Equal(t, probes(due.Add(-time.Millisecond)), 0)
+	assert.Equal(t, probes(due), 1)
+	r.ReportFailure("e000", due)
+	assert.Equal(t, probes(due.Add(9*time.Second)), 0, "the ejection time doubles")
+	assert.Equal(t, probes(due.Add(10*time.Second)), 1)
+	r.ReportSuccess("e000")
+	assert.Assert(t, !r.Ejected("e000"))
+}
+
+func TestProbeIsPreferredUnlessRefused(t *testing.T) {
+	r := newRouter(2, 1)
+	quotes := []router.Quote{
+		{Candidate: router.Candidate{Endpoint: "e000", Domain: "d0"}},
+		{Candidate: router.Candidate{Endpoint: "e001", Domain: "d0", Probe: true}, Wait: time.Second},
+	}
+	i, ok := r.Best(quotes)
+	assert.Assert(t, ok)
+	assert.Equal(t, i, 1)
+	quotes[1].Refused = true
+	i, ok = r.Best(quotes)
+	assert.Assert(t, ok)
+	assert.Equal(t, i, 0)
+	quotes[0].Refused = true
+	_, ok = r.Best(quotes)
+	assert.Assert(t, !ok)
+}
+
+// TestRandomHistories checks after random events that no leaving, cut off or
+// excluded endpoint is chosen and that at most half of a set is ejected.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(rt, "endpoints")
+		r := newRouter(n, 3)
+		rnd := newRand(rapid.Uint64().Draw(rt, "seed"))
+		now := start
+		cut := map[string]bool{}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			name := fmt.Sprintf("e%03d", rapid.IntRange(0, n-1).Draw(rt, "endpoint"))
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			case 0:
+				r.MarkLeaving(name, "")
+			case 1:
+				boot := fmt.Sprint(rapid.IntRange(0, 9).Draw(rt, "boot"))
+				r.Observe(router.Report{Endpoint: name, BootID: boot, Ready: []cataloger.Placement{placement}})
+			case 2:
+				cut[name] = !cut[name]
+				r.SetReachable(name, !cut[name])
+			case 3:
+				r.ReportSuccess(name)
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(rt, "ms")) * time.Millisecond)
+			default:
+				r.ReportFailure(name, now)
+			}
+			live, ejected := 0, 0
+			for _, d := range declared(n, 3) {
+				if r.Leaving(d.Name) || cut[d.Name] {
+					continue
+				}
+				live++
+				if r.Ejected(d.Name) {
+					ejected++
+				}
+			}
+			assert.Assert(rt, 2*ejected <= live)
+			cs, err := r.Candidates(router.Request{Target: target, Exclude: []string{"e000"}}, rnd, now)
+			if err != nil {
+				continue
+			}
+			for _, c := range cs {
+				assert.Assert(rt, !r.Leaving(c.Endpoint) && !cut[c.Endpoint] && c.Endpoint != "e000")
+				assert.Assert(rt, c.Probe == r.Ejected(c.Endpoint))
+				r.Sent(c.Endpoint)
+			}
+		}
+	})
+}
+
+func TestSentToLeavingEndpointIsAViolation(t *testing.T) {
+	r := newRouter(1, 1)
+	r.MarkLeaving("e000", "")
+	defer func() { assert.Assert(t, recover() != nil) }()
+	r.Sent("e000")
+}
+
+func TestCandidatesAreServices(t *testing.T) {
+	r := router.New(router.Config{Domain: "d0"})
+	r.SetEndpoints([]cataloger.Endpoint{{Name: "s1", Domain: "d0", Service: "registro-app"}})
+	r.Observe(router.Report{Endpoint: "s1", BootID: "b1"})
+	cs, err := r.Candidates(router.Request{Target: router.Target{Service: "registro-app"}}, newRand(1), start)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, names(cs), []string{"s1"})
+	r.SetEndpoints(nil)
+	_, err = r.Candidates(router.Request{Target: router.Target{Service: "registro-app"}}, newRand(1), start)
+	assert.ErrorIs(t, err, router.ErrNoCandidate)
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, bm := range []struct{ endpoints, domains int }{{12, 3}, {100, 10}, {830, 10}, {830, 1}} {
+		b.Run(fmt.Sprintf("endpoints=%d/domains=%d", bm.endpoints, bm.domains), func(b *testing.B) {
+			r := newRouter(bm.endpoints, bm.domains)
+			rnd := newRand(1)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, err := r.Candidates(router.Request{Target: target, PrefixHash: uint64(i)}, rnd, start); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
