--- a/deps.go
+++ b/deps.go
@@ -5,14 +5,9 @@
 import (
 	// These keep libraries in go.mod until the packages that use them land.
 	_ "github.com/HdrHistogram/hdrhistogram-go"
-	_ "github.com/alecthomas/kong"
 	_ "github.com/cenkalti/backoff/v5"
-	_ "github.com/cespare/xxhash/v2"
 	_ "github.com/gofiber/fiber/v2"
-	_ "github.com/pkg/errors"
 	_ "github.com/rs/zerolog"
-	_ "github.com/sourcegraph/conc"
-	_ "github.com/valyala/fasthttp"
 	_ "github.com/vmihailenco/msgpack/v5"
 	_ "go.opentelemetry.io/otel"
 	_ "go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -23,7 +18,6 @@
 	_ "golang.org/x/time/rate"
 	_ "gonum.org/v1/gonum/stat"
 	_ "gopkg.in/ini.v1"
-	_ "gotest.tools/v3/assert"
 	_ "gotest.tools/v3/golden"
 	_ "pgregory.net/rapid"
 )
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"monsoonspar.example/standin/listener"
+)
+
+type order struct {
+	OrderID string `json:"order_id"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter"`
+	Role    string `json:"role"`
+	Fence   uint64 `json:"fence"`
+}
+
+// orderRecord is an order that arrived, for tests to read.
+type orderRecord struct {
+	order
+	Accepted bool  `json:"accepted"`
+	AtUnixMS int64 `json:"at_unix_ms"`
+}
+
+type orderReport struct {
+	Fence  uint64        `json:"fence"`
+	Role   string        `json:"role"`
+	Orders []orderRecord `json:"orders"`
+}
+
+// orderBook keeps what the orders led to.
+type orderBook struct {
+	ready   []Model
+	role    string
+	fence   uint64 // The highest seen.
+	history []orderRecord
+}
+
+func (b *orderBook) holds(m Model) bool { return slices.Contains(b.ready, m) }
+
+func (b *orderBook) add(m Model) {
+	if !b.holds(m) {
+		b.ready = append(b.ready, m)
+	}
+}
+
+func (b *orderBook) remove(m Model) {
+	b.ready = slices.DeleteFunc(b.ready, func(other Model) bool { return other == m })
+}
+
+func (s *Server) serveOrders(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.IsGet() {
+		r := orderReport{Fence: s.orders.fence, Role: s.orders.role, Orders: s.orders.history}
+		listener.WriteJSON(ctx, fasthttp.StatusOK, r)
+		return
+	}
+	var o order
+	if json.Unmarshal(ctx.PostBody(), &o) != nil || o.OrderID == "" {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request")
+		return
+	}
+	stale := s.cfg.ChecksFence && o.Fence < s.orders.fence
+	record := orderRecord{order: o, Accepted: !stale, AtUnixMS: time.Now().UnixMilli()}
+	s.orders.history = append(s.orders.history, record)
+	if stale {
+		writeError(ctx, fasthttp.StatusConflict, "stale_fence")
+		return
+	}
+	s.orders.fence = max(s.orders.fence, o.Fence)
+	if !s.carryOut(o) {
+		writeError(ctx, fasthttp.StatusBadRequest, "unknown_kind")
+		return
+	}
+	listener.WriteJSON(ctx, fasthttp.StatusOK, struct{}{})
+}
+
+// carryOut reports false if the kind of order is unknown. The caller holds the
+// lock.
+func (s *Server) carryOut(o order) bool {
+	m := Model{Model: o.Model, Version: o.Version, Adapter: o.Adapter}
+	switch o.Kind {
+	case "load":
+		if !take(&s.faults.FailLoads) {
+			s.startLoad(m)
+		}
+	case "unload":
+		s.orders.remove(m)
+	case "role":
+		s.orders.role = o.Role
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) startLoad(m Model) {
+	if s.cfg.LoadTime == 0 {
+		s.orders.add(m)
+		return
+	}
+	s.group.Go(func() {
+		if s.wait(s.cfg.LoadTime) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.orders.add(m)
+		}
+	})
+}
