--- a/coordination/attempter/attempter.go
+++ b/coordination/attempter/attempter.go
@@ -49,7 +49,8 @@
 // Decision is the answer to a failure.
 type Decision struct {
 	Step    Step
-	Outcome Outcome // Set for GiveUp.
+	Outcome Outcome       // Set for GiveUp.
+	Delay   time.Duration // Wait before the next attempt, for Again.
 }
 
 // Config describes one request.
@@ -64,8 +65,9 @@
 
 // Budget limits retries across requests. It is a policy of the caller.
 type Budget interface {
-	// Allow takes one retry out of the budget and reports whether there was one.
-	Allow(now time.Time) bool
+	// Retry takes one retry out of the budget. It returns the delay before the
+	// next attempt, or false if there is no retry left.
+	Retry(now time.Time, attempt int, deadline time.Time) (time.Duration, bool)
 }
 
 // Attempter follows the attempts of one request. It is not safe for concurrent
@@ -138,10 +140,11 @@
 	if a.attempts >= a.cfg.MaxAttempts || !now.Before(a.cfg.Deadline) {
 		return a.giveUp()
 	}
-	if !a.budget.Allow(now) {
+	delay, ok := a.budget.Retry(now, a.attempts, a.cfg.Deadline)
+	if !ok {
 		return a.giveUp()
 	}
-	return Decision{Step: Again}
+	return Decision{Step: Again, Delay: delay}
 }
 
 // giveUp ends the request with the strongest outcome that is true.
--- a/coordination/attempter/attempter_test.go
+++ b/coordination/attempter/attempter_test.go
@@ -16,7 +16,7 @@
 // unlimited allows every retry.
 type unlimited struct{}
 
-func (unlimited) Allow(time.Time) bool { return true }
+func (unlimited) Retry(time.Time, int, time.Time) (time.Duration, bool) { return 0, true }
 
 var epoch = time.Unix(0, 0)
 
--- /dev/null
+++ b/protocol/generator/generator_test.go
@@ -0,0 +1,119 @@
+package generator
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonspar.example/coordination/attempter"
+	"monsoonspar.example/protocol/exchanger"
+
+	"gotest.tools/v3/assert"
+)
+
+// fakeDoer answers each exchange with a fixed response.
+type fakeDoer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (d fakeDoer) Do(context.Context, exchanger.Request) (exchanger.Response, error) {
+	if d.err != nil {
+		return exchanger.Response{}, d.err
+	}
+	return exchanger.Response{Status: d.status, Body: io.NopCloser(strings.NewReader(d.body))}, nil
+}
+
+const wholeStream = `id: 0
+data: {"attempt_id":"a","index":0,"choices":[{"index":0,"text":"x","finish_reason":null}]}
+
+: keep-alive
+
+id: 1
+data: {"attempt_id":"a","index":1,"choices":[{"index":0,"text":"y","finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2}}
+
+data: [DONE]
+
+`
+
+func TestStartReadsAWholeStream(t *testing.T) {
+	c := NewClient(fakeDoer{status: 200, body: wholeStream}, Config{})
+	s, err := c.Start(t.Context(), "", Request{Attempt: "a"}, nil)
+	assert.NilError(t, err)
+	var text string
+	for {
+		ev, err := s.Next()
+		if err != nil {
+			assert.ErrorIs(t, err, io.EOF)
+			break
+		}
+		text += ev.Token.Text
+	}
+	assert.Equal(t, text, "xy")
+}
+
+func TestFailures(t *testing.T) {
+	tests := []struct {
+		name string
+		doer fakeDoer
+		want attempter.Failure
+	}{
+		{"not sent", fakeDoer{err: exchanger.ErrNotSent}, attempter.NotSent},
+		{"lost", fakeDoer{err: exchanger.ErrUnknown}, attempter.Broken},
+		{"leaving", fakeDoer{status: 503, body: `{"error":{"code":"leaving"}}`}, attempter.Refused},
+		{"503 without a code", fakeDoer{status: 503}, attempter.Broken},
+		{"unknown stream", fakeDoer{status: 404}, attempter.Gone},
+		{"error after running", fakeDoer{status: 500}, attempter.Broken},
+		{"cut", fakeDoer{status: 200, body: wholeStream[:90]}, attempter.Cut},
+		{"done too early", fakeDoer{status: 200, body: "data: [DONE]\n\n"}, attempter.Cut},
+		{"no JSON", fakeDoer{status: 200, body: "data: {\n\n"}, attempter.Cut},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, err := NewClient(tt.doer, Config{}).Start(t.Context(), "", Request{Attempt: "a"}, nil)
+			if err == nil {
+				_, err = s.Next()
+			}
+			assert.Equal(t, FailureOf(err), tt.want)
+		})
+	}
+}
+
+func TestLoadRefusesNonsense(t *testing.T) {
+	c := NewClient(fakeDoer{status: 200, body: `{"age_ms":-5}`}, Config{CallTimeout: time.Second})
+	_, err := c.Load(t.Context(), "", time.Unix(9, 0))
+	assert.ErrorIs(t, err, ErrMalformed)
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add(wholeStream)
+	f.Add("data: {}\n\n")
+	f.Add(": x\n\ndata: [DONE]\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		s := newStream(io.NopCloser(strings.NewReader(body)), "a")
+		for {
+			ev, err := s.Next()
+			if err != nil {
+				return
+			}
+			if ev.Token.Index < 0 {
+				t.Fatal("negative index")
+			}
+		}
+	})
+}
+
+func BenchmarkStreamNext(b *testing.B) {
+	event := "id: 0\n" + `data: {"attempt_id":"a","index":0,"choices":[{"index":0,"text":"token","finish_reason":null}]}` + "\n\n"
+	s := newStream(io.NopCloser(strings.NewReader(strings.Repeat(event, b.N))), "a")
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := s.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
