Add the platform client, and requests as plain data

A lost answer to a write is resolved by reading back the writer id of the spec; where that proves nothing the client says that the outcome is unknown.

--- a/deps.go
+++ b/deps.go
@@ -15,7 +15,6 @@
 	_ "go.opentelemetry.io/otel/sdk/trace"
 	_ "go.uber.org/goleak"
 	_ "golang.org/x/sync/semaphore"
-	_ "golang.org/x/time/rate"
 	_ "gonum.org/v1/gonum/stat"
 	_ "gopkg.in/ini.v1"
 	_ "gotest.tools/v3/golden"
--- /dev/null
+++ b/protocol/requester/requester_test.go
@@ -0,0 +1,21 @@
+package requester_test
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"monsoonspar.example/protocol/requester"
+)
+
+func ExampleFailureError() {
+	var err error = requester.FailureError{Kind: requester.ErrUnknown, Cause: requester.ErrSilent}
+	fmt.Println(errors.Is(err, requester.ErrUnknown), errors.Is(err, requester.ErrSilent), errors.Is(err, requester.ErrNotSent))
+	// Output: true true false
+}
+
+func ExampleResponse_Get() {
+	r := requester.Response{Header: []requester.Header{{Name: "Retry-After", Value: "2"}}}
+	fmt.Println(r.Get("retry-after"))
+	// Output: 2
+}
--- /dev/null
+++ b/protocol/storer/codec.go
@@ -0,0 +1,113 @@
+package storer
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// The wire types follow the platform's conventions, hence the camel case.
+type wireMetadata struct {
+	Name            string            `json:"name,omitempty"`
+	ResourceVersion string            `json:"resourceVersion,omitempty"`
+	Labels          map[string]string `json:"labels,omitempty"`
+	Continue        string            `json:"continue,omitempty"`
+}
+
+type wireObject struct {
+	Metadata wireMetadata    `json:"metadata"`
+	Spec     json.RawMessage `json:"spec,omitempty"`
+}
+
+type wireList struct {
+	Metadata wireMetadata `json:"metadata"`
+	Items    []wireObject `json:"items"`
+}
+
+type wireStatus struct {
+	Code    int    `json:"code"`
+	Reason  string `json:"reason"`
+	Message string `json:"message"`
+}
+
+type wireDelete struct {
+	Preconditions wireMetadata `json:"preconditions"`
+}
+
+func encodeObject(o Object) ([]byte, error) {
+	if o.Name == "" || o.Resource == "" {
+		return nil, errors.Wrap(ErrRejected, "object without name or resource")
+	}
+	w := wireObject{Metadata: wireMetadata{Name: o.Name, Labels: o.Labels}, Spec: o.Spec}
+	if o.Version != 0 {
+		w.Metadata.ResourceVersion = strconv.FormatUint(o.Version, 10)
+	}
+	body, err := json.Marshal(w)
+	if err != nil {
+		return nil, errors.Wrapf(ErrRejected, "spec is no JSON: %v", err)
+	}
+	return body, nil
+}
+
+func encodeDelete(version uint64) ([]byte, error) {
+	if version == 0 {
+		return nil, nil
+	}
+	w := wireDelete{Preconditions: wireMetadata{ResourceVersion: strconv.FormatUint(version, 10)}}
+	body, err := json.Marshal(w)
+	return body, errors.Wrap(err, "encode options")
+}
+
+// decodeObject reads an object; a body that is none gives an error of kind.
+func decodeObject(resource string, body []byte, kind error) (Object, error) {
+	var w wireObject
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Object{}, CallError{Kind: kind, Detail: "malformed object: " + err.Error()}
+	}
+	return w.object(resource, kind)
+}
+
+func (w wireObject) object(resource string, kind error) (Object, error) {
+	version, err := strconv.ParseUint(w.Metadata.ResourceVersion, 10, 64)
+	if err != nil {
+		return Object{}, CallError{Kind: kind, Detail: "malformed version: " + err.Error()}
+	}
+	return Object{
+		Resource: resource,
+		Name:     w.Metadata.Name,
+		Version:  version,
+		Labels:   w.Metadata.Labels,
+		Spec:     w.Spec,
+	}, nil
+}
+
+// decodeList reads one page and the token of the next, empty on the last.
+func decodeList(resource string, body []byte) (List, string, error) {
+	var w wireList
+	if err := json.Unmarshal(body, &w); err != nil {
+		return List{}, "", CallError{Kind: ErrUnavailable, Detail: "malformed list: " + err.Error()}
+	}
+	version, err := strconv.ParseUint(w.Metadata.ResourceVersion, 10, 64)
+	if err != nil {
+		return List{}, "", CallError{Kind: ErrUnavailable, Detail: "malformed version: " + err.Error()}
+	}
+	list := List{Version: version}
+	for _, item := range w.Items {
+		o, err := item.object(resource, ErrUnavailable)
+		if err != nil {
+			return List{}, "", err
+		}
+		list.Items = append(list.Items, o)
+	}
+	return list, w.Metadata.Continue, nil
+}
+
+// decodeStatus returns the zero status for a body that is none.
+func decodeStatus(body []byte) wireStatus {
+	var w wireStatus
+	if json.Unmarshal(body, &w) != nil {
+		return wireStatus{}
+	}
+	return w
+}
--- /dev/null
+++ b/protocol/storer/storer_test.go
@@ -0,0 +1,251 @@
+package storer_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/protocol/storer"
+	"monsoonspar.example/state/timekeeper"
+)
+
+// sleeper is a clock that sleeps without waiting.
+type sleeper struct{ timekeeper.Manual }
+
+func (s *sleeper) Sleep(_ context.Context, d time.Duration) error {
+	s.Advance(d)
+	return nil
+}
+
+// reply is what the platform does with one call.
+type reply struct {
+	status int
+	body   string
+	header []requester.Header
+	err    error
+}
+
+// script is a Doer that gives one reply after the other.
+type script struct {
+	replies []reply
+	calls   []requester.Request
+}
+
+func (s *script) Do(_ context.Context, req requester.Request) (requester.Response, error) {
+	s.calls = append(s.calls, req)
+	if len(s.replies) == 0 {
+		return requester.Response{}, errors.New("a call too many")
+	}
+	r := s.replies[0]
+	s.replies = s.replies[1:]
+	if r.err != nil {
+		return requester.Response{}, r.err
+	}
+	body := io.NopCloser(strings.NewReader(r.body))
+	return requester.Response{Status: r.status, Header: r.header, Body: body}, nil
+}
+
+func newClient(replies ...reply) (*storer.Client, *script) {
+	doer := &script{replies: replies}
+	cfg := storer.Config{Addr: "127.0.0.1:1", Deployment: "d"}
+	return storer.New(cfg, doer, &sleeper{}, rand.New(rand.NewPCG(1, 2))), doer
+}
+
+const (
+	ours   = `{"metadata":{"name":"a","resourceVersion":"7"},"spec":{"writer_id":"w1"}}`
+	theirs = `{"metadata":{"name":"a","resourceVersion":"8"},"spec":{"writer_id":"w2"}}`
+)
+
+var (
+	lost    = reply{err: requester.FailureError{Kind: requester.ErrUnknown, Cause: io.EOF}}
+	notSent = reply{err: requester.FailureError{Kind: requester.ErrNotSent, Cause: io.EOF}}
+	outage  = reply{status: 503, header: []requester.Header{{Name: "Retry-After", Value: "30"}}}
+	exists  = reply{status: 409, body: `{"reason":"AlreadyExists"}`}
+	moved   = reply{status: 409, body: `{"reason":"Conflict"}`}
+	missing = reply{status: 404}
+	found   = reply{status: 200, body: ours}
+	other   = reply{status: 200, body: theirs}
+)
+
+func TestCreateSaysWhatIsKnown(t *testing.T) {
+	owned := storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{"writer_id":"w1"}`)}
+	plain := storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{}`)}
+	for _, c := range []struct {
+		name    string
+		object  storer.Object
+		replies []reply
+		want    error
+	}{
+		{"created", owned, []reply{{status: 201, body: ours}}, nil},
+		{"taken", owned, []reply{exists}, storer.ErrExists},
+		{"outage is not retried into the wait it asks for", owned, []reply{outage}, storer.ErrUnavailable},
+		{"not sent, then created", plain, []reply{notSent, found}, nil},
+		{"lost without a writer", plain, []reply{lost}, storer.ErrUnknown},
+		{"lost after its effect", owned, []reply{lost, exists, found}, nil},
+		{"lost before another's", owned, []reply{lost, exists, other}, storer.ErrExists},
+		{"lost, then an outage", owned, []reply{lost, outage, outage}, storer.ErrUnknown},
+		{"lost, read back missing", owned, []reply{lost, lost, lost, missing}, storer.ErrUnknown},
+		{"lost, read back ours", owned, []reply{lost, lost, lost, found}, nil},
+		{"malformed answer, read back ours", owned, []reply{{status: 201, body: "{"}, found}, nil},
+		{"malformed answer without a writer", plain, []reply{{status: 201, body: "{"}}, storer.ErrUnknown},
+		{"server error", plain, []reply{{status: 500}}, storer.ErrUnknown},
+		{"refused", plain, []reply{{status: 403}}, storer.ErrRejected},
+		{"limited", plain, []reply{{status: 429, header: outage.header}}, storer.ErrLimited},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client, doer := newClient(c.replies...)
+			_, err := client.Create(t.Context(), c.object)
+			if c.want == nil {
+				assert.NilError(t, err)
+			} else {
+				assert.ErrorIs(t, err, c.want)
+			}
+			assert.Equal(t, len(doer.replies), 0)
+			for _, call := range doer.calls {
+				assert.Equal(t, call.NonIdempotent, call.Method != "GET")
+			}
+		})
+	}
+}
+
+func TestUpdateResolvesLostAnswers(t *testing.T) {
+	object := storer.Object{Resource: "leases", Name: "a", Version: 3, Spec: json.RawMessage(`{"writer_id":"w1"}`)}
+	for _, c := range []struct {
+		name    string
+		replies []reply
+		want    error
+	}{
+		{"conflict", []reply{moved}, storer.ErrConflict},
+		{"took effect", []reply{lost, moved, found}, nil},
+		{"another's write stands now", []reply{lost, moved, other}, storer.ErrUnknown},
+		{"stale read-back", []reply{lost, moved, {status: 200, body: `{"metadata":{"resourceVersion":"3"},"spec":{}}`}}, storer.ErrUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client, doer := newClient(c.replies...)
+			o, err := client.Update(t.Context(), object)
+			if c.want == nil {
+				assert.NilError(t, err)
+				assert.Equal(t, o.Version, uint64(7))
+			} else {
+				assert.ErrorIs(t, err, c.want)
+			}
+			assert.Equal(t, len(doer.replies), 0)
+		})
+	}
+}
+
+func TestDeleteAfterLostAnswer(t *testing.T) {
+	client, _ := newClient(lost, missing)
+	assert.NilError(t, client.Delete(t.Context(), "claims", "a", 7))
+	client, _ = newClient(missing)
+	assert.ErrorIs(t, client.Delete(t.Context(), "claims", "a", 7), storer.ErrNotFound)
+	client, _ = newClient(lost, outage)
+	assert.ErrorIs(t, client.Delete(t.Context(), "claims", "a", 7), storer.ErrUnknown)
+}
+
+func TestRetryAfterIsPassedOn(t *testing.T) {
+	client, _ := newClient(outage)
+	_, err := client.Get(t.Context(), "claims", "a")
+	assert.ErrorIs(t, err, storer.ErrUnavailable)
+	assert.Equal(t, storer.RetryAfter(err), 30*time.Second)
+}
+
+func TestListFollowsPages(t *testing.T) {
+	client, doer := newClient(
+		reply{status: 200, body: `{"metadata":{"resourceVersion":"9","continue":"a"},"items":[` + ours + `]}`},
+		reply{status: 200, body: `{"metadata":{"resourceVersion":"12"},"items":[` + theirs + `]}`},
+	)
+	list, err := client.List(t.Context(), "claims", map[string]string{"k": "v"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Items), 2)
+	assert.Equal(t, list.Version, uint64(9))
+	assert.Assert(t, strings.Contains(doer.calls[1].Path, "continue=a"))
+	assert.Assert(t, strings.Contains(doer.calls[1].Path, "labelSelector=k%3Dv"))
+}
+
+func TestWatch(t *testing.T) {
+	lines := `{"type":"ADDED","object":` + ours + "}\n" +
+		`{"type":"BOOKMARK","object":{"metadata":{"resourceVersion":"9"}}}` + "\n"
+	for _, c := range []struct {
+		name  string
+		reply reply
+		seen  int
+		want  error
+	}{
+		{"ends", reply{status: 200, body: lines}, 2, storer.ErrUnavailable},
+		{"too old", reply{status: 410}, 0, storer.ErrGone},
+		{"too old later", reply{status: 200, body: lines + `{"type":"ERROR","object":{"code":410}}`}, 2, storer.ErrGone},
+		{"half a line", reply{status: 200, body: lines + `{"type":"ADDED","obj`}, 2, storer.ErrUnavailable},
+		{"unknown type", reply{status: 200, body: `{"type":"MOVED","object":{}}`}, 0, storer.ErrUnavailable},
+		{"silent", reply{err: requester.FailureError{Kind: requester.ErrUnknown, Cause: requester.ErrSilent}}, 0, storer.ErrUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client, doer := newClient(c.reply)
+			seen := 0
+			err := client.Watch(t.Context(), "manifests", 3, func(storer.Event) error {
+				seen++
+				return nil
+			})
+			assert.ErrorIs(t, err, c.want)
+			assert.Equal(t, seen, c.seen)
+			assert.Equal(t, doer.calls[0].Silence, 4*time.Second)
+		})
+	}
+}
+
+func TestOwnRateLimitHoldsACallBackOrRefusesIt(t *testing.T) {
+	replies := make([]reply, 10)
+	for i := range replies {
+		replies[i] = found
+	}
+	doer := &script{replies: replies}
+	clock := &sleeper{}
+	cfg := storer.Config{Deployment: "d", CallsPerSecond: 1}
+	client := storer.New(cfg, doer, clock, rand.New(rand.NewPCG(1, 2)))
+	_, err := client.Get(t.Context(), "claims", "a")
+	assert.NilError(t, err)
+	_, err = client.Get(t.Context(), "claims", "a")
+	assert.ErrorIs(t, err, storer.ErrLimited)
+	assert.Assert(t, storer.RetryAfter(err) > 0)
+	clock.Advance(900 * time.Millisecond)
+	_, err = client.Get(t.Context(), "claims", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, len(doer.calls), 2)
+}
+
+func FuzzWatch(f *testing.F) {
+	f.Add(`{"type":"ADDED","object":` + ours + `}`)
+	f.Add(`{"type":"ERROR","object":{"code":410}}`)
+	f.Add("\n\n[]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		client, _ := newClient(reply{status: 200, body: text})
+		err := client.Watch(t.Context(), "manifests", 3, func(e storer.Event) error {
+			switch e.Type {
+			case storer.Added, storer.Modified, storer.Deleted, storer.Bookmark:
+				return nil
+			}
+			return errors.New("event of unknown type")
+		})
+		assert.Assert(t, errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrGone), "%v", err)
+	})
+}
+
+func FuzzGet(f *testing.F) {
+	f.Add(200, ours)
+	f.Add(409, `{"reason":"Conflict"}`)
+	f.Add(200, `{"metadata":{"resourceVersion":"-1"}}`)
+	f.Fuzz(func(t *testing.T, status int, text string) {
+		client, _ := newClient(reply{status: status, body: text}, reply{status: status, body: text}, reply{status: status, body: text})
+		o, err := client.Get(t.Context(), "manifests", "current")
+		assert.Assert(t, err != nil || o.Resource == "manifests")
+		assert.Assert(t, !errors.Is(err, storer.ErrUnknown))
+	})
+}
