Add the HTTP API of callers

Cause: callers reach the system over the usual completions API. Ruled out: matching non-idempotent paths against the raw path; an encoded spelling would avoid the mark, so the decoded path is matched and forwarded.

--- /dev/null
+++ b/protocol/responder/completion.go
@@ -0,0 +1,222 @@
+package responder
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"monsoonspar.example/state/cataloger"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// completionRequest is the wire form of a request for a completion. Fields that
+// are not listed are ignored, as clients send many.
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens *int          `json:"max_tokens"`
+	MaxOutput *int          `json:"max_completion_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (r *Responder) completions(c *fiber.Ctx) error { return r.generate(c, false) }
+
+func (r *Responder) chat(c *fiber.Ctx) error { return r.generate(c, true) }
+
+// generate serves a completion of either kind, new or resumed.
+func (r *Responder) generate(c *fiber.Ctx, chat bool) error {
+	customer, err := r.customer(c)
+	if err != nil {
+		return err
+	}
+	if c.Get(HeaderLastEvent) != "" {
+		return r.resume(c, customer, chat)
+	}
+	g, err := r.parseGeneration(c, customer, chat)
+	if err != nil {
+		return err
+	}
+	c.Set(HeaderRequestID, g.ID)
+	s, err := r.backend.Generate(c.UserContext(), g)
+	if err != nil {
+		return err
+	}
+	a := answer{id: g.ID, model: g.Model, chat: chat, created: r.clock.Now().Unix()}
+	if g.Stream {
+		return r.stream(c, s, a)
+	}
+	return r.whole(c, s, a)
+}
+
+// resumeOnly serves GET, which event sources use to reconnect.
+func (r *Responder) resumeOnly(c *fiber.Ctx) error {
+	customer, err := r.customer(c)
+	if err != nil {
+		return err
+	}
+	if c.Get(HeaderLastEvent) == "" {
+		return &RequestError{Status: fiber.StatusMethodNotAllowed, Code: "method_not_allowed", Message: "GET only resumes a stream and needs Last-Event-ID"}
+	}
+	return r.resume(c, customer, strings.Contains(c.Path(), "/chat/"))
+}
+
+// resume continues a stream after the event that the caller received last.
+func (r *Responder) resume(c *fiber.Ctx, customer cataloger.Customer, chat bool) error {
+	s, err := r.backend.Resume(c.UserContext(), customer, c.Get(HeaderLastEvent))
+	if err != nil {
+		return err
+	}
+	return r.stream(c, s, answer{id: r.cfg.RequestID(), chat: chat, created: r.clock.Now().Unix()})
+}
+
+// parseGeneration checks the body and header of a request for a generation.
+func (r *Responder) parseGeneration(c *fiber.Ctx, customer cataloger.Customer, chat bool) (Generation, error) {
+	body := c.Body()
+	req, err := decodeCompletion(body, chat)
+	if err != nil {
+		return Generation{}, err
+	}
+	m := r.backend.Manifest()
+	model, err := findModel(m, req.Model)
+	if err != nil {
+		return Generation{}, err
+	}
+	g := Generation{
+		ID: r.cfg.RequestID(), Customer: customer, Model: req.Model, Prompt: req.Prompt,
+		Stream: req.Stream, Fingerprint: fingerprint(c.Path(), body),
+	}
+	if g.MaxTokens, err = maxTokens(req, model); err != nil {
+		return Generation{}, err
+	}
+	if g.Timeout, err = timeout(c, m.Defaults); err != nil {
+		return Generation{}, err
+	}
+	if g.Key, err = idempotencyKey(c); err != nil {
+		return Generation{}, err
+	}
+	if g.Kind, err = jobKind(c); err != nil {
+		return Generation{}, err
+	}
+	g.NonIdempotent = c.Get(HeaderNonIdempotent) == "true"
+	return g, nil
+}
+
+// decodeCompletion decodes and checks a body.
+func decodeCompletion(body []byte, chat bool) (completionRequest, error) {
+	var req completionRequest
+	if !utf8.Valid(body) {
+		return req, badRequest("not_utf8", "the body is not valid UTF-8")
+	}
+	if err := json.Unmarshal(body, &req); err != nil {
+		return req, badRequest("malformed_json", "the body is not a valid request: %s", err)
+	}
+	if chat {
+		if len(req.Messages) == 0 {
+			return req, badRequest("no_messages", "messages must not be empty")
+		}
+		req.Prompt = renderMessages(req.Messages)
+	}
+	if req.Prompt == "" {
+		return req, badRequest("no_prompt", "prompt must not be empty")
+	}
+	return req, nil
+}
+
+// renderMessages joins the messages of a chat into one prompt.
+func renderMessages(ms []chatMessage) string {
+	var b strings.Builder
+	for _, m := range ms {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteString("\n")
+	}
+	b.WriteString("assistant: ")
+	return b.String()
+}
+
+// findModel returns the model with the base name of "model", "model@version" or
+// "model:adapter".
+func findModel(m *cataloger.Manifest, name string) (cataloger.Model, error) {
+	base := ParseModel(name).Model
+	for _, model := range m.Models {
+		if model.Name == base {
+			return model, nil
+		}
+	}
+	return cataloger.Model{}, &RequestError{Status: fiber.StatusNotFound, Code: "model_not_found", Message: "no model is called " + strconv.Quote(name)}
+}
+
+// ParseModel splits "model@version:adapter" into its parts; version and adapter
+// may be absent.
+func ParseModel(name string) cataloger.Placement {
+	name, adapter, _ := strings.Cut(name, ":")
+	model, version, _ := strings.Cut(name, "@")
+	return cataloger.Placement{Model: model, Version: version, Adapter: adapter}
+}
+
+// maxTokens returns the bound on the output that the caller names.
+func maxTokens(req completionRequest, m cataloger.Model) (int, error) {
+	n := req.MaxTokens
+	if n == nil {
+		n = req.MaxOutput
+	}
+	if n == nil {
+		return 0, nil
+	}
+	if *n < 1 || (m.MaxTokens > 0 && *n > m.MaxTokens) {
+		return 0, badRequest("max_tokens_out_of_range", "max_tokens must be between 1 and %d", m.MaxTokens)
+	}
+	return *n, nil
+}
+
+// timeout returns the time that the caller gives.
+func timeout(c *fiber.Ctx, d cataloger.Defaults) (time.Duration, error) {
+	value := c.Get(HeaderTimeout)
+	if value == "" {
+		return d.Timeout, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 32)
+	if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > d.MaxTimeout {
+		return 0, badRequest("timeout_out_of_range", "%s must be between 1 and %d", HeaderTimeout, d.MaxTimeout.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// idempotencyKey returns the key that the caller sent, without quotes.
+func idempotencyKey(c *fiber.Ctx) (string, error) {
+	key := strings.Trim(c.Get(HeaderKey), `"`)
+	if len(key) > maxKeyBytes || !utf8.ValidString(key) {
+		return "", badRequest("idempotency_key_invalid", "%s must be valid UTF-8 of at most %d bytes", HeaderKey, maxKeyBytes)
+	}
+	return key, nil
+}
+
+// jobKind returns the kind of job that the caller named.
+func jobKind(c *fiber.Ctx) (string, error) {
+	kind := c.Get(HeaderKind)
+	if len(kind) > maxKindBytes || !utf8.ValidString(kind) {
+		return "", badRequest("job_kind_invalid", "%s must be valid UTF-8 of at most %d bytes", HeaderKind, maxKindBytes)
+	}
+	return kind, nil
+}
+
+// fingerprint identifies the content of a request.
+func fingerprint(path string, body []byte) string {
+	h := sha256.New()
+	h.Write([]byte(path))
+	h.Write([]byte{0})
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/protocol/responder/service.go
@@ -0,0 +1,139 @@
+package responder
+
+import (
+	"net/url"
+	"strings"
+
+	"monsoonspar.example/state/cataloger"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// modelList is the wire form of the list of models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that may be asked for, adapters included.
+func (r *Responder) models(c *fiber.Ctx) error {
+	if _, err := r.customer(c); err != nil {
+		return err
+	}
+	m := r.backend.Manifest()
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, model := range m.Models {
+		list.Data = append(list.Data, modelItem{ID: model.Name, Object: "model", OwnedBy: m.Deployment})
+		for _, a := range model.Adapters {
+			list.Data = append(list.Data, modelItem{ID: model.Name + ":" + a, Object: "model", OwnedBy: m.Deployment})
+		}
+	}
+	return c.JSON(list)
+}
+
+// service forwards a call to a plain service.
+func (r *Responder) service(c *fiber.Ctx) error {
+	customer, err := r.customer(c)
+	if err != nil {
+		return err
+	}
+	call, err := r.parseCall(c, customer)
+	if err != nil {
+		return err
+	}
+	c.Set(HeaderRequestID, call.ID)
+	reply, err := r.backend.Call(c.UserContext(), call)
+	if err != nil {
+		return err
+	}
+	c.Set(HeaderOutcome, "ran")
+	if reply.Replayed {
+		c.Set(HeaderReplayed, "true")
+	}
+	if reply.ContentType != "" {
+		c.Set(fiber.HeaderContentType, reply.ContentType)
+	}
+	return c.Status(reply.Status).Send(reply.Body)
+}
+
+// parseCall checks a call to a plain service.
+func (r *Responder) parseCall(c *fiber.Ctx, customer cataloger.Customer) (Call, error) {
+	m := r.backend.Manifest()
+	service, err := findService(m, c.Params("name"))
+	if err != nil {
+		return Call{}, err
+	}
+	path, err := servicePath(c, service.Name)
+	if err != nil {
+		return Call{}, err
+	}
+	call := Call{
+		ID: r.cfg.RequestID(), Customer: customer, Service: service.Name,
+		Method: c.Method(), Path: (&url.URL{Path: path}).EscapedPath(), ContentType: c.Get(fiber.HeaderContentType),
+		Body: c.Body(), Fingerprint: fingerprint(c.Method()+" "+c.OriginalURL(), c.Body()),
+	}
+	if q := c.Context().URI().QueryString(); len(q) > 0 {
+		call.Path += "?" + string(q)
+	}
+	if call.Timeout, err = timeout(c, m.Defaults); err != nil {
+		return Call{}, err
+	}
+	if service.Timeout > 0 && c.Get(HeaderTimeout) == "" {
+		call.Timeout = service.Timeout
+	}
+	if call.Key, err = idempotencyKey(c); err != nil {
+		return Call{}, err
+	}
+	call.Safe = isSafe(call.Method)
+	call.NonIdempotent = c.Get(HeaderNonIdempotent) == "true" || (!call.Safe && marked(service, path))
+	return call, nil
+}
+
+// findService returns the declared service called name.
+func findService(m *cataloger.Manifest, name string) (cataloger.Service, error) {
+	for _, s := range m.Services {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return cataloger.Service{}, &RequestError{Status: fiber.StatusNotFound, Code: "service_not_found", Message: "no such service"}
+}
+
+// servicePath returns the decoded and cleaned path below the service, so that
+// no spelling of a path avoids the marks of the manifest.
+func servicePath(c *fiber.Ctx, service string) (string, error) {
+	whole := string(c.Context().URI().Path())
+	rest, ok := strings.CutPrefix(whole, "/services/"+service)
+	if !ok || (rest != "" && rest[0] != '/') {
+		return "", badRequest("path_invalid", "the path leaves the service")
+	}
+	if rest == "" {
+		return "/", nil
+	}
+	return rest, nil
+}
+
+// isSafe reports whether calls of a method change nothing.
+func isSafe(method string) bool {
+	switch method {
+	case fiber.MethodGet, fiber.MethodHead, fiber.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// marked reports whether calls below path may not be repeated.
+func marked(s cataloger.Service, path string) bool {
+	for _, prefix := range s.NonIdempotent {
+		if path == prefix || strings.HasPrefix(path, strings.TrimSuffix(prefix, "/")+"/") {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/protocol/responder/stream.go
@@ -0,0 +1,244 @@
+package responder
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+
+	"monsoonspar.example/coordination/sequencer"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/pkg/errors"
+)
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Chunk is one piece of an answer, or a sign of life.
+type Chunk struct {
+	KeepAlive bool
+	Token     sequencer.Token
+	Resume    string // What follows the index in the event id.
+	Usage     *Usage // With the last token.
+	More      bool   // The next chunk is there already.
+}
+
+// Stream is an answer that is being generated.
+type Stream interface {
+	// Next returns the next chunk, and io.EOF after the last. It returns a
+	// KeepAlive chunk at least every few seconds.
+	Next() (Chunk, error)
+	// First returns the index of the first token that Next will return.
+	First() (sequencer.AttemptID, int)
+	// Close ends the reading. Unless the answer is complete, the caller may
+	// resume it for the grace time.
+	Close()
+}
+
+// answer holds what all chunks of an answer share.
+type answer struct {
+	id      string
+	model   string
+	chat    bool
+	created int64
+}
+
+// completionBody is the wire form of a whole answer or a chunk.
+type completionBody struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model,omitempty"`
+	Choices []choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int         `json:"index"`
+	Text         *string     `json:"text,omitempty"`
+	Delta        *chatDelta  `json:"delta,omitempty"`
+	Message      *chatAnswer `json:"message,omitempty"`
+	FinishReason *string     `json:"finish_reason"`
+}
+
+type chatDelta struct {
+	Content string `json:"content"`
+}
+
+type chatAnswer struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// finishReason returns the wire form of a reason that may be empty.
+func finishReason(reason string) *string {
+	if reason == "" {
+		return nil
+	}
+	return &reason
+}
+
+// chunk returns the wire form of one token.
+func (a answer) chunk(t sequencer.Token, u *Usage) completionBody {
+	ch := choice{FinishReason: finishReason(t.Finish)}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion.chunk"
+		ch.Delta = &chatDelta{Content: t.Text}
+	} else {
+		ch.Text = &t.Text
+	}
+	return completionBody{ID: a.id, Object: object, Created: a.created, Model: a.model, Choices: []choice{ch}, Usage: u}
+}
+
+// whole returns the wire form of a complete answer.
+func (a answer) whole(text, finish string, u *Usage) completionBody {
+	ch := choice{FinishReason: finishReason(finish)}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion"
+		ch.Message = &chatAnswer{Role: "assistant", Content: text}
+	} else {
+		ch.Text = &text
+	}
+	return completionBody{ID: a.id, Object: object, Created: a.created, Model: a.model, Choices: []choice{ch}, Usage: u}
+}
+
+// whole collects an answer and sends it at once.
+func (r *Responder) whole(c *fiber.Ctx, s Stream, a answer) error {
+	defer s.Close()
+	var text strings.Builder
+	var last Chunk
+	var ledger sequencer.Ledger
+	for {
+		ch, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if ch.KeepAlive {
+			continue
+		}
+		ledger.Write(ch.Token)
+		text.WriteString(ch.Token.Text)
+		last = ch
+	}
+	c.Set(HeaderOutcome, string("ran"))
+	return c.JSON(a.whole(text.String(), last.Token.Finish, last.Usage))
+}
+
+// stream sends an answer as server-sent events. The status waits for the first
+// token, for a failure, or for a few signs of life, whichever is first.
+func (r *Responder) stream(c *fiber.Ctx, s Stream, a answer) error {
+	first, err := r.firstChunk(s)
+	if err != nil {
+		s.Close()
+		return err
+	}
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	c.Set(fiber.HeaderCacheControl, "no-cache")
+	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer s.Close()
+		e := newEventWriter(w, a, s)
+		if err := e.run(first); err != nil {
+			r.log.Debug().Err(err).Str("request", a.id).Msg("responder: caller went away")
+		}
+	})
+	return nil
+}
+
+// firstChunk returns the first token, or a sign of life if none comes soon.
+func (r *Responder) firstChunk(s Stream) (Chunk, error) {
+	var ch Chunk
+	var err error
+	for range keepAlives {
+		ch, err = s.Next()
+		if err != nil || !ch.KeepAlive {
+			break
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return Chunk{KeepAlive: true}, nil
+	}
+	return ch, err
+}
+
+// eventWriter writes one answer as server-sent events.
+type eventWriter struct {
+	w      *bufio.Writer
+	a      answer
+	s      Stream
+	ledger *sequencer.Ledger
+	buf    []byte
+}
+
+// newEventWriter returns a writer that checks each token against the start of s.
+func newEventWriter(w *bufio.Writer, a answer, s Stream) *eventWriter {
+	attempt, next := s.First()
+	return &eventWriter{w: w, a: a, s: s, ledger: sequencer.NewLedger(attempt, next)}
+}
+
+// run writes chunks until the answer or the caller ends. An error means that
+// the caller is gone.
+func (e *eventWriter) run(ch Chunk) error {
+	for {
+		if err := e.write(ch); err != nil {
+			return err
+		}
+		var err error
+		ch, err = e.s.Next()
+		if errors.Is(err, io.EOF) {
+			_, _ = e.w.WriteString("data: [DONE]\n\n")
+			return e.w.Flush()
+		}
+		if err != nil {
+			return e.fail(err)
+		}
+	}
+}
+
+// write writes one chunk, and flushes unless more is there already.
+func (e *eventWriter) write(ch Chunk) error {
+	if ch.KeepAlive {
+		_, _ = e.w.WriteString(": keep-alive\n\n")
+		return e.w.Flush()
+	}
+	e.ledger.Write(ch.Token)
+	body, err := json.Marshal(e.a.chunk(ch.Token, ch.Usage))
+	if err != nil {
+		return errors.Wrap(err, "encode chunk")
+	}
+	e.buf = append(e.buf[:0], "id: "...)
+	e.buf = strconv.AppendInt(e.buf, int64(ch.Token.Index), 10)
+	e.buf = append(e.buf, ch.Resume...)
+	e.buf = append(e.buf, "\ndata: "...)
+	e.buf = append(e.buf, body...)
+	e.buf = append(e.buf, "\n\n"...)
+	if _, err := e.w.Write(e.buf); err != nil {
+		return err
+	}
+	if ch.More {
+		return nil
+	}
+	return e.w.Flush()
+}
+
+// fail ends the stream with an error event.
+func (e *eventWriter) fail(err error) error {
+	body, encodeErr := json.Marshal(newErrorBody(asRequestError(err)))
+	if encodeErr != nil {
+		return errors.Wrap(encodeErr, "encode error event")
+	}
+	_, _ = e.w.WriteString("event: error\ndata: ")
+	_, _ = e.w.Write(body)
+	_, _ = e.w.WriteString("\n\n")
+	return e.w.Flush()
+}
