Send engine calls through the shared request type

Cause: two packages described the same HTTP exchange. Ruled out: keeping exchanger beside requester; the latter has a test and users. Result: one description is left; the protocol tests pass.

--- a/protocol/generator/generator.go
+++ b/protocol/generator/generator.go
@@ -13,7 +13,7 @@
 
 	"monsoonspar.example/coordination/attempter"
 	"monsoonspar.example/coordination/sequencer"
-	"monsoonspar.example/protocol/exchanger"
+	"monsoonspar.example/protocol/requester"
 
 	"github.com/pkg/errors"
 )
@@ -80,17 +80,17 @@
 
 // Client calls engines. It is safe for concurrent use.
 type Client struct {
-	doer exchanger.Doer
+	doer requester.Doer
 	cfg  Config
 }
 
 // NewClient returns a Client that sends through doer.
-func NewClient(doer exchanger.Doer, cfg Config) *Client {
+func NewClient(doer requester.Doer, cfg Config) *Client {
 	return &Client{doer: doer, cfg: cfg}
 }
 
 // Start begins a generation at the engine at addr.
-func (c *Client) Start(ctx context.Context, addr string, r Request, trace []exchanger.Field) (*Stream, error) {
+func (c *Client) Start(ctx context.Context, addr string, r Request, trace []requester.Header) (*Stream, error) {
 	body, err := json.Marshal(completionRequest{
 		AttemptID: string(r.Attempt), Model: r.Model, Version: r.Version, Adapter: r.Adapter,
 		Prompt: r.Prompt, MaxTokens: r.MaxTokens, Priority: r.Priority, Stream: true,
@@ -98,8 +98,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode completion request")
 	}
-	header := append([]exchanger.Field{{Name: "Content-Type", Value: "application/json"}}, trace...)
-	return c.open(ctx, exchanger.Request{
+	header := append([]requester.Header{{Name: "Content-Type", Value: "application/json"}}, trace...)
+	return c.open(ctx, requester.Request{
 		Method: "POST", Addr: addr, Path: "/v1/completions", Header: header, Body: body,
 		Silence: c.cfg.TokenTimeout,
 	}, r.Attempt)
@@ -109,13 +109,13 @@
 // its own.
 func (c *Client) Resume(ctx context.Context, addr string, attempt sequencer.AttemptID, offset int) (*Stream, error) {
 	path := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(string(attempt)), offset)
-	return c.open(ctx, exchanger.Request{
-		Method: "GET", Addr: addr, Path: path, Fresh: true, Silence: c.cfg.TokenTimeout,
+	return c.open(ctx, requester.Request{
+		Method: "GET", Addr: addr, Path: path, NonIdempotent: true, Silence: c.cfg.TokenTimeout,
 	}, attempt)
 }
 
 // open sends a request whose answer is a stream of tokens.
-func (c *Client) open(ctx context.Context, r exchanger.Request, attempt sequencer.AttemptID) (*Stream, error) {
+func (c *Client) open(ctx context.Context, r requester.Request, attempt sequencer.AttemptID) (*Stream, error) {
 	res, err := c.doer.Do(ctx, r)
 	if err != nil {
 		return nil, err
@@ -130,7 +130,7 @@
 func (c *Client) Cancel(ctx context.Context, addr string, attempt sequencer.AttemptID) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
-	res, err := c.doer.Do(ctx, exchanger.Request{
+	res, err := c.doer.Do(ctx, requester.Request{
 		Method: "DELETE", Addr: addr, Path: "/v1/streams/" + url.PathEscape(string(attempt)),
 		Silence: c.cfg.CallTimeout,
 	})
@@ -141,7 +141,7 @@
 }
 
 // call performs a short call and decodes its JSON answer into out.
-func (c *Client) call(ctx context.Context, r exchanger.Request, out any) error {
+func (c *Client) call(ctx context.Context, r requester.Request, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	r.Silence = c.cfg.CallTimeout
@@ -164,7 +164,7 @@
 }
 
 // refusal returns the error for an answer other than 200 and closes it.
-func refusal(res exchanger.Response) error {
+func refusal(res requester.Response) error {
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxLineBytes))
 	if err != nil {
@@ -195,13 +195,13 @@
 // the attempt.
 func FailureOf(err error) attempter.Failure {
 	switch {
-	case errors.Is(err, exchanger.ErrNotSent):
+	case errors.Is(err, requester.ErrNotSent):
 		return attempter.NotSent
 	case errors.Is(err, ErrRefused):
 		return attempter.Refused
 	case errors.Is(err, ErrGone):
 		return attempter.Gone
-	case errors.Is(err, exchanger.ErrSilent):
+	case errors.Is(err, requester.ErrSilent):
 		return attempter.Silent
 	case errors.Is(err, ErrCut), errors.Is(err, ErrMalformed):
 		return attempter.Cut
--- a/protocol/generator/generator_test.go
+++ b/protocol/generator/generator_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"monsoonspar.example/coordination/attempter"
-	"monsoonspar.example/protocol/exchanger"
+	"monsoonspar.example/protocol/requester"
 
 	"gotest.tools/v3/assert"
 )
@@ -20,11 +20,11 @@
 	err    error
 }
 
-func (d fakeDoer) Do(context.Context, exchanger.Request) (exchanger.Response, error) {
+func (d fakeDoer) Do(context.Context, requester.Request) (requester.Response, error) {
 	if d.err != nil {
-		return exchanger.Response{}, d.err
+		return requester.Response{}, d.err
 	}
-	return exchanger.Response{Status: d.status, Body: io.NopCloser(strings.NewReader(d.body))}, nil
+	return requester.Response{Status: d.status, Body: io.NopCloser(strings.NewReader(d.body))}, nil
 }
 
 const wholeStream = `id: 0
@@ -61,8 +61,8 @@
 		doer fakeDoer
 		want attempter.Failure
 	}{
-		{"not sent", fakeDoer{err: exchanger.ErrNotSent}, attempter.NotSent},
-		{"lost", fakeDoer{err: exchanger.ErrUnknown}, attempter.Broken},
+		{"not sent", fakeDoer{err: requester.ErrNotSent}, attempter.NotSent},
+		{"lost", fakeDoer{err: requester.ErrUnknown}, attempter.Broken},
 		{"leaving", fakeDoer{status: 503, body: `{"error":{"code":"leaving"}}`}, attempter.Refused},
 		{"503 without a code", fakeDoer{status: 503}, attempter.Broken},
 		{"unknown stream", fakeDoer{status: 404}, attempter.Gone},
--- a/protocol/generator/load.go
+++ b/protocol/generator/load.go
@@ -8,7 +8,7 @@
 
 	"monsoonspar.example/coordination/admitter"
 	"monsoonspar.example/coordination/router"
-	"monsoonspar.example/protocol/exchanger"
+	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/cataloger"
 
 	"github.com/pkg/errors"
@@ -50,7 +50,7 @@
 // less the age that the engine states.
 func (c *Client) Load(ctx context.Context, addr string, now time.Time) (Load, error) {
 	var b loadBody
-	if err := c.call(ctx, exchanger.Request{Method: "GET", Addr: addr, Path: "/load"}, &b); err != nil {
+	if err := c.call(ctx, requester.Request{Method: "GET", Addr: addr, Path: "/load"}, &b); err != nil {
 		return Load{}, err
 	}
 	if b.AgeMS < 0 || b.Running < 0 || b.UsedTokens < 0 || b.StepMS < 0 {
@@ -88,7 +88,7 @@
 func (c *Client) CacheEvents(ctx context.Context, addr string, after uint64) ([]router.CacheEvent, error) {
 	var b cacheBody
 	path := fmt.Sprintf("/cache_events?after=%d", after)
-	if err := c.call(ctx, exchanger.Request{Method: "GET", Addr: addr, Path: path}, &b); err != nil {
+	if err := c.call(ctx, requester.Request{Method: "GET", Addr: addr, Path: path}, &b); err != nil {
 		return nil, err
 	}
 	var events []router.CacheEvent
@@ -145,8 +145,8 @@
 		return errors.Wrap(err, "encode order")
 	}
 	var out struct{}
-	return c.call(ctx, exchanger.Request{
-		Method: "POST", Addr: addr, Path: "/orders", Body: body, Fresh: true,
-		Header: []exchanger.Field{{Name: "Content-Type", Value: "application/json"}},
+	return c.call(ctx, requester.Request{
+		Method: "POST", Addr: addr, Path: "/orders", Body: body, NonIdempotent: true,
+		Header: []requester.Header{{Name: "Content-Type", Value: "application/json"}},
 	}, &out)
 }
