Measure admission policies on an engine model in virtual time

cmd/measure plays the requests of a deployment against engines of package emulator with several daemons, each with its own view: fixed concurrency, memory free now, reserved max_tokens, every daemon alone, each with its part, the admission owner, and the owner told the true lengths.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,103 @@
+// Measure compares admission policies on modelled deployments and prints a
+// table. The same flags give the same output, byte for byte.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"monsoonspar.example/experimenter"
+)
+
+// flags is the command line.
+type flags struct {
+	Deployment  string        `default:"registro" enum:"registro,carpati,tiny" help:"Deployment: ${enum}."`
+	Policy      []string      `default:"all" help:"Policies by name, or all: fixed, free, reserve, alone, split, ours, oracle."`
+	Load        []string      `default:"0.9" help:"Loads by name: 0.7, 0.9, 1.1, burst3."`
+	Fault       string        `default:"none" help:"Fault: none, engine_lost, engine_reclaimed, owner_lost, late_reports, domain_cut."`
+	Seeds       int           `default:"20" help:"Number of seeds."`
+	Seed        uint64        `default:"1" help:"First seed."`
+	Concurrency int           `help:"Limit of the policy fixed for each engine; by default the tuned one of the deployment."`
+	Duration    time.Duration `default:"360s" help:"Virtual time of the last arrival."`
+	WarmUp      time.Duration `default:"120s" help:"Requests that arrive before are not counted."`
+	Parallel    int           `default:"4" help:"Runs at once."`
+	JSON        bool          `name:"json" negatable:"" help:"Write JSON."`
+}
+
+func main() {
+	var f flags
+	ctx := kong.Parse(&f, kong.Description("Compares admission policies on virtual time."))
+	ctx.FatalIfErrorf(f.run(os.Stdout))
+}
+
+func (f *flags) run(w io.Writer) error {
+	d, err := experimenter.DeploymentNamed(f.Deployment)
+	if err != nil {
+		return err
+	}
+	policies, err := f.policies()
+	if err != nil {
+		return err
+	}
+	fault, err := experimenter.FaultNamed(f.Fault)
+	if err != nil {
+		return err
+	}
+	for _, name := range f.Load {
+		load, err := experimenter.LoadNamed(name)
+		if err != nil {
+			return err
+		}
+		t := experimenter.Measure(experimenter.Options{
+			Deployment:  d,
+			Load:        load,
+			Fault:       fault,
+			Seed:        f.Seed,
+			Concurrency: f.concurrency(d),
+			WarmUp:      f.WarmUp,
+			Duration:    f.Duration,
+		}, policies, max(f.Seeds, 1), max(f.Parallel, 1))
+		if err := f.write(w, t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *flags) write(w io.Writer, t experimenter.Table) error {
+	if f.JSON {
+		return t.WriteJSON(w)
+	}
+	if err := t.WriteText(w); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
+
+func (f *flags) concurrency(d experimenter.Deployment) int {
+	if f.Concurrency > 0 {
+		return f.Concurrency
+	}
+	return d.Concurrency
+}
+
+func (f *flags) policies() ([]experimenter.Policy, error) {
+	if slices.Contains(f.Policy, "all") {
+		return experimenter.Policies, nil
+	}
+	var ps []experimenter.Policy
+	for _, name := range f.Policy {
+		p, err := experimenter.PolicyNamed(name)
+		if err != nil {
+			return nil, err
+		}
+		ps = append(ps, p)
+	}
+	return ps, nil
+}
--- /dev/null
+++ b/emulator/loop.go
@@ -0,0 +1,68 @@
+package emulator
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Loop runs functions in the order of their virtual times. Functions of the
+// same time run in the order in which they were added. The zero value stands
+// at time zero.
+type Loop struct {
+	now    time.Duration
+	added  uint64
+	events eventHeap
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// Now returns the virtual time since the start.
+func (l *Loop) Now() time.Duration { return l.now }
+
+// At runs fn at time t, or as soon as possible if t has passed.
+func (l *Loop) At(t time.Duration, fn func()) {
+	l.added++
+	heap.Push(&l.events, event{at: max(t, l.now), order: l.added, run: fn})
+}
+
+// After runs fn when d has passed.
+func (l *Loop) After(d time.Duration, fn func()) { l.At(l.now+d, fn) }
+
+// Run runs all functions due up to end and leaves the clock there.
+func (l *Loop) Run(end time.Duration) {
+	for len(l.events) > 0 && l.events[0].at <= end {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.run()
+	}
+	l.now = end
+}
+
+// eventHeap implements heap.Interface.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := len(old) - 1
+	e := old[last]
+	old[last] = event{}
+	*h = old[:last]
+	return e
+}
