--- a/state/estimator/distribution.go
+++ b/state/estimator/distribution.go
@@ -58,6 +58,9 @@
 // Survival returns the probability of a length of at least n.
 func (d *Distribution) Survival(n int) float64 {
 	i := bucketOf(n)
+	if i < subCount {
+		return d.survival[i]
+	}
 	s0, s1 := d.survival[i], 0.0
 	if i+1 < bucketCount {
 		s1 = d.survival[i+1]
@@ -101,6 +104,23 @@
 	return b.Dist.Survival(produced+further+1) / now
 }
 
+// AliveAt sets out[i] to Alive(produced, further[i]). The slices have the same
+// length; further ascends.
+func (b Bounded) AliveAt(produced int, further []int, out []float64) {
+	clear(out)
+	now := b.Dist.Survival(produced + 1)
+	if now <= 0 {
+		return
+	}
+	scale := 1 / now
+	for i, n := range further {
+		if b.Limit > 0 && produced+n >= b.Limit {
+			return
+		}
+		out[i] = b.Dist.Survival(produced+n+1) * scale
+	}
+}
+
 // Residual returns the mean and the variance of the tokens still to come after
 // produced ones.
 func (b Bounded) Residual(produced int) (mean, variance float64) {
