Order, forecast and refuse at the admission owner

Queue: levels, weighted virtual tokens, due jobs, lanes for short and long jobs that hold each other back past one largest request. Owner: dead-reckoned lengths, forecast admission, batch and prefill bounds, early refusal with a time to return, orphans, cautious take-over.

Found by tests: StepsUntil looked at the first horizon only and ignored the variance of the job, so a full engine was forecast to have room at once; the lanes let a customer get two largest requests ahead.

--- a/coordination/admitter/message.go
+++ b/coordination/admitter/message.go
@@ -24,8 +24,9 @@
 	Weight float64 // Share of the customer; one if zero.
 
 	PromptTokens int
-	CachedTokens int // Tokens of the prompt that the prefix cache should hold.
-	MaxTokens    int // Upper bound of the output; none if zero.
+	CachedTokens int    // Tokens of the prompt that the prefix cache should hold.
+	Prefix       uint64 // Hash of the cached part; zero if it is not known to be shared.
+	MaxTokens    int    // Upper bound of the output; none if zero.
 
 	Arrived  time.Time // Arrival at the entry daemon; the time of Enqueue if zero.
 	Deadline time.Time // End of the whole answer; none if zero.
--- a/coordination/admitter/owner.go
+++ b/coordination/admitter/owner.go
@@ -3,138 +3,224 @@
 // An Owner is the admission owner of one endpoint. It takes events and the time,
 // and returns the actions that the daemon has to carry out. It does no I/O,
 // starts no goroutine, reads no clock, and is not safe for concurrent use.
+//
+// A request is granted when the forecast of the engine's memory, at a quantile
+// that adapts to the preemptions seen, leaves room for it, and when the batch
+// and the prompt tokens in flight keep the time between tokens within its
+// target. Lengths of running generations are dead-reckoned from the step rate
+// and corrected by load reports, each compared at the time it was made.
 package admitter
 
 import (
+	"fmt"
 	"time"
 
+	"monsoonspar.example/coordination/forecaster"
+	"monsoonspar.example/coordination/scheduler"
+	"monsoonspar.example/state/asserter"
 	"monsoonspar.example/state/estimator"
 )
 
 // Owner queues, grants and refuses requests for one endpoint.
 type Owner struct {
-	cfg     Config
-	est     *estimator.Estimator
-	queue   []Request
-	running map[PermitID]Request
-	answers map[PermitID]Action
-	leaving bool
+	cfg Config
+	est *estimator.Estimator
+
+	live    map[PermitID]*permit
+	ended   ledger
+	queue   *scheduler.Queue[*permit]
+	granted []*permit // In no order.
+	counts  [2]int    // Granted permits that the engine seems to hold, by lane.
+
+	clock    stepCounter
+	fit      stepFit
+	prefill  prefill
+	margin   margin
+	prefixes map[uint64]prefix
+	shared   int // Tokens of shared prefixes.
+
+	total     forecaster.Forecast
+	lanes     [2]forecaster.Forecast
+	refreshed time.Time
+
+	report   LoadReport // The latest one; At is zero before the first.
+	foreign  []foreign
+	wait     [2]correction // Of the forecast wait, by lane.
+	booked   time.Time     // Until when returning requests are expected to fill the engine.
+	arrivals arrivals
+
+	awaited  map[string]bool // Daemons not heard from since a change of owner.
+	cautious time.Time       // End of the cautious time.
+	leaving  bool
+
+	now  time.Time                            // Of the event in hand.
+	fits func(*scheduler.Entry[*permit]) bool // The method hasRoom.
 }
 
-// NewOwner returns an Owner that knows of no sequence at the endpoint.
+// NewOwner returns an Owner that knows of no sequence at the endpoint. Several
+// owners under one lock may share est.
 func NewOwner(cfg Config, est *estimator.Estimator) *Owner {
-	return &Owner{
-		cfg:     cfg.withDefaults(),
-		est:     est,
-		running: make(map[PermitID]Request),
-		answers: make(map[PermitID]Action),
+	cfg = cfg.withDefaults()
+	o := &Owner{
+		cfg:      cfg,
+		est:      est,
+		live:     make(map[PermitID]*permit),
+		ended:    newLedger(),
+		queue:    scheduler.NewQueue[*permit](),
+		fit:      newStepFit(cfg.Step),
+		margin:   newMargin(cfg.Quantile),
+		prefixes: make(map[uint64]prefix),
+	}
+	o.clock.step = o.fit.step(0)
+	o.fits = o.hasRoom
+	return o
+}
+
+// advance brings the owner's clock up to now.
+func (o *Owner) advance(now time.Time) {
+	if now.Before(o.now) {
+		now = o.now
 	}
+	o.now = now
+	o.clock.step = o.fit.step(o.batch())
+	o.clock.advance(now)
 }
 
-// Enqueue asks for a permit. It is idempotent: a repeat returns the answer
-// again, if there is one.
+// Enqueue asks for a permit. It is idempotent: a repeat for a queued request
+// returns nothing, any other repeat the first answer. A repeat for a granted
+// one makes its daemon the holder of the permit.
 func (o *Owner) Enqueue(now time.Time, r Request) []Action {
-	if a, ok := o.answers[r.ID]; ok {
-		return []Action{a}
+	o.advance(now)
+	if p, ok := o.live[r.ID]; ok {
+		return o.repeat(p, r.Daemon)
 	}
-	for _, q := range o.queue {
-		if q.ID == r.ID {
-			return nil
-		}
+	if e, ok := o.ended.find(r.ID); ok {
+		return []Action{e.action}
 	}
-	if o.leaving {
-		return []Action{o.answer(Action{Kind: Refuse, ID: r.ID, Reason: ReasonLeaving})}
+	if r.Arrived.IsZero() {
+		r.Arrived = now
 	}
-	o.queue = append(o.queue, r)
-	return o.schedule()
+	p := o.newPermit(r)
+	item := o.item(p)
+	o.arrivals.add(o.now, item.Work)
+	if a, ok := o.refuseAtOnce(p, item); ok {
+		return []Action{a}
+	}
+	p.entry = o.queue.Push(o.now, item)
+	o.live[r.ID] = p
+	return o.finish(o.schedule(nil))
 }
 
-// Observe takes a load report of the engine.
-func (o *Owner) Observe(now time.Time, r LoadReport) []Action {
-	if r.Leaving {
-		return o.Leave(now)
+// repeat answers a repeated Enqueue of a live permit.
+func (o *Owner) repeat(p *permit, daemon string) []Action {
+	p.req.Daemon = daemon
+	if p.state == queued {
+		return nil
 	}
-	return o.schedule()
+	p.state = running
+	return []Action{{Kind: Grant, ID: p.req.ID, EnginePriority: p.priority}}
 }
 
 // Release ends a permit, or gives up a request that is still queued.
-func (o *Owner) Release(_ time.Time, id PermitID, res Result) []Action {
-	r, ok := o.running[id]
-	if ok && res.Finished {
-		o.est.Record(estimator.Class{Model: r.Model, Customer: r.Customer, Kind: r.Kind}, res.Produced)
-	}
-	delete(o.running, id)
-	for i, q := range o.queue {
-		if q.ID == id {
-			o.queue = append(o.queue[:i], o.queue[i+1:]...)
-			break
+func (o *Owner) Release(now time.Time, id PermitID, res Result) []Action {
+	o.advance(now)
+	p, ok := o.live[id]
+	if !ok {
+		if _, ended := o.ended.find(id); !ended {
+			o.ended.add(o.now, Action{Kind: Refuse, ID: id, Reason: ReasonEnded})
 		}
+		return nil
+	}
+	if p.state == queued {
+		o.queue.Remove(p.entry)
+	} else {
+		o.learn(p, res)
+		o.remove(p, res.Produced)
 	}
-	o.answer(Action{Kind: Refuse, ID: id, Reason: ReasonEnded})
-	return o.schedule()
+	o.end(p, Action{Kind: Refuse, ID: id, Reason: ReasonEnded})
+	return o.finish(o.schedule(nil))
 }
 
-// Expect starts a cautious time: the named daemons may hold permits that a
-// former owner gave. It ends when Restore was called for each of them or after
-// Config.RestoreWait.
-func (o *Owner) Expect(_ time.Time, _ []string) {}
-
-// Restore takes the permits that a daemon holds from a former owner.
-func (o *Owner) Restore(_ time.Time, _ string, held []Held) []Action {
-	for _, h := range held {
-		o.running[h.Request.ID] = h.Request
-		o.answer(Action{Kind: Grant, ID: h.Request.ID})
+// learn records the length of a generation that has ended.
+func (o *Owner) learn(p *permit, res Result) {
+	atLimit := p.req.MaxTokens > 0 && res.Produced >= p.req.MaxTokens
+	switch {
+	case res.Finished && !atLimit:
+		o.est.Record(p.class, res.Produced)
+	case res.Produced > 0:
+		o.est.RecordCensored(p.class, res.Produced)
 	}
-	return nil
 }
 
-// Lose tells that a daemon is gone with the permits that it held.
-func (o *Owner) Lose(_ time.Time, _ string) []Action { return nil }
-
-// Leave stops all grants: queued and later requests are refused.
-func (o *Owner) Leave(_ time.Time) []Action {
+// Leave stops all grants: queued and later requests are refused. Generations
+// that run go on.
+func (o *Owner) Leave(now time.Time) []Action {
+	o.advance(now)
 	o.leaving = true
 	var actions []Action
-	for _, r := range o.queue {
-		actions = append(actions, o.answer(Action{Kind: Refuse, ID: r.ID, Reason: ReasonLeaving}))
+	for _, e := range o.queue.Drain() {
+		actions = append(actions, o.end(e.Value, Action{Kind: Refuse, ID: e.Value.req.ID, Reason: ReasonLeaving}))
 	}
-	o.queue = nil
-	return actions
+	return o.finish(actions)
 }
 
 // Tick does what is due by the time. Call it at NextWake.
-func (o *Owner) Tick(_ time.Time) []Action { return o.schedule() }
+func (o *Owner) Tick(now time.Time) []Action {
+	o.advance(now)
+	o.queue.Tick(o.now)
+	o.margin.tick(o.now)
+	o.arrivals.tick(o.now)
+	if !o.cautious.IsZero() && !o.now.Before(o.cautious) {
+		o.awaited, o.cautious = nil, time.Time{}
+	}
+	actions := o.cancelOrphans(nil)
+	actions = o.refuseLate(actions)
+	o.refresh()
+	return o.finish(o.schedule(actions))
+}
 
 // NextWake returns when to call Tick, however nothing else happens before.
-func (o *Owner) NextWake(now time.Time) time.Time { return now.Add(o.cfg.TickEvery) }
+func (o *Owner) NextWake(now time.Time) time.Time {
+	if len(o.live) == 0 {
+		return now.Add(10 * o.cfg.TickEvery)
+	}
+	wake := now.Add(o.cfg.TickEvery)
+	if o.queue.Len() == 0 {
+		return wake
+	}
+	if t := o.prefill.freeAt(now, &o.clock); t.After(now) && t.Before(wake) {
+		wake = t
+	}
+	for _, next := range []func() (time.Time, bool){o.queue.NextFree, o.queue.NextExpiry} {
+		if t, ok := next(); ok && t.Before(wake) {
+			wake = t
+		}
+	}
+	return later(wake, now.Add(time.Millisecond))
+}
 
-// Quote forecasts the wait of a request without queueing it.
-func (o *Owner) Quote(_ time.Time, _ Request) Quote {
-	return Quote{Wait: time.Duration(len(o.queue)) * o.cfg.Step.Base, Feasible: true, Available: !o.leaving}
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
-// answer notes a and returns it.
-func (o *Owner) answer(a Action) Action {
-	o.answers[a.ID] = a
+// end removes a permit from the live ones and notes its final answer.
+func (o *Owner) end(p *permit, a Action) Action {
+	delete(o.live, p.req.ID)
+	o.ended.add(o.now, a)
 	return a
 }
 
-// schedule grants what fits.
-func (o *Owner) schedule() []Action {
-	var actions []Action
-	used := 0
-	for _, r := range o.running {
-		used += r.PromptTokens + r.MaxTokens
-	}
-	for len(o.queue) > 0 && len(o.running) < o.cfg.MaxBatch {
-		r := o.queue[0]
-		used += r.PromptTokens + r.MaxTokens
-		if len(o.running) > 0 && used > o.cfg.MemoryTokens {
-			break
-		}
-		o.queue = o.queue[1:]
-		o.running[r.ID] = r
-		actions = append(actions, o.answer(Action{Kind: Grant, ID: r.ID}))
+// finish checks the invariants after an event and returns its actions.
+func (o *Owner) finish(actions []Action) []Action {
+	consistent := len(o.live) == o.queue.Len()+len(o.granted)
+	if !consistent {
+		asserter.That(false, asserter.PermitsConsistent,
+			fmt.Sprintf("%d live, %d queued, %d granted", len(o.live), o.queue.Len(), len(o.granted)))
 	}
+	asserter.That(!o.leaving || o.queue.Len() == 0, asserter.NoWorkWhileLeaving, "a leaving endpoint has a queue")
 	return actions
 }
--- a/coordination/forecaster/forecaster.go
+++ b/coordination/forecaster/forecaster.go
@@ -93,17 +93,18 @@
 func (f *Forecast) Peak(m *Moments, deviations float64) float64 {
 	peak := 0.0
 	for i := range horizons {
-		peak = max(peak, f.at(i, m, deviations))
+		peak = max(peak, f.at(i, m, i, deviations))
 	}
 	return peak
 }
 
-// at returns the tokens held at horizon i.
-func (f *Forecast) at(i int, m *Moments, deviations float64) float64 {
+// at returns the tokens held at horizon i, with those that a sequence with
+// moments m would hold at horizon age.
+func (f *Forecast) at(i int, m *Moments, age int, deviations float64) float64 {
 	mean, variance := f.sum.mean[i], f.sum.variance[i]
 	if m != nil {
-		mean += m.mean[i]
-		variance += m.variance[i]
+		mean += m.mean[age]
+		variance += m.variance[age]
 	}
 	if i > 0 {
 		variance += sharedError * sharedError * mean * mean
@@ -111,32 +112,36 @@
 	return mean + deviations*math.Sqrt(variance)
 }
 
-// StepsUntil returns after how many steps the sequence with moments m fits into
-// memory, if no other joins. It interpolates between horizons.
+// StepsUntil returns after how many steps the sequence with moments m can start
+// and fit into memory until its end, if no other joins. It interpolates between
+// horizons.
 func (f *Forecast) StepsUntil(m *Moments, deviations, memory float64) float64 {
-	need := m.peak()
 	before := 0.0
-	for i, h := range horizons {
-		over := f.at(i, nil, deviations) + need - memory
+	for i, start := range horizons {
+		over := f.excess(i, m, deviations) - memory
 		if over <= 0 && i == 0 {
 			return 0
 		}
 		if over <= 0 {
-			start := float64(horizons[i-1])
-			return start + (float64(h)-start)*before/(before-over)
+			last := float64(horizons[i-1])
+			return last + (float64(start)-last)*before/(before-over)
 		}
 		before = over
 	}
 	return float64(horizons[len(horizons)-1])
 }
 
-// peak returns the largest mean.
-func (m *Moments) peak() float64 {
-	peak := 0.0
-	for _, mean := range m.mean {
-		peak = max(peak, mean)
+// excess returns the largest number of tokens held from horizon start on, if the
+// sequence with moments m starts there.
+func (f *Forecast) excess(start int, m *Moments, deviations float64) float64 {
+	largest, age := 0.0, 0
+	for i := start; i < len(horizons); i++ {
+		for age+1 < len(horizons) && horizons[age+1] <= horizons[i]-horizons[start] {
+			age++
+		}
+		largest = max(largest, f.at(i, m, age, deviations))
 	}
-	return peak
+	return largest
 }
 
 // Deviations returns the number of standard deviations above the mean at which
--- /dev/null
+++ b/coordination/scheduler/item.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import "time"
+
+// Lane separates jobs by their expected output, so that neither kind fills the
+// engine while the other waits.
+type Lane int
+
+// The lanes.
+const (
+	Short Lane = iota
+	Long
+	laneCount
+)
+
+// Item is a queued job with what decides its place.
+type Item[T any] struct {
+	Value T
+
+	Customer string
+	Level    int
+	Weight   float64 // Share of the customer; one if zero.
+	Lane     Lane
+
+	Cost float64 // Expected service in tokens; at least one.
+	Work float64 // Expected load on the engine, in steps of the whole engine.
+
+	Arrived time.Time
+	Order   time.Time // Place among the jobs of the customer in the lane; earlier goes first.
+	Due     time.Time // From then on no later arrival of the customer goes first.
+	Expires time.Time // Latest start; never if zero.
+
+	MaxRunning      int     // Limit of the customer; none if zero.
+	TokensPerSecond float64 // Limit of the customer; none if zero.
+}
+
+// Entry is an Item in a Queue.
+type Entry[T any] struct {
+	Item[T]
+
+	account *account[T]
+	serial  uint64 // Order of Push.
+
+	orderIndex  int
+	dueIndex    int
+	expiryIndex int
+}
+
+// Queued reports whether e is still in its Queue.
+func (e *Entry[T]) Queued() bool { return e.orderIndex >= 0 }
+
+// share returns the virtual tokens that e costs its customer.
+func (e *Entry[T]) share() float64 { return e.Cost / e.account.weight }
+
+// before orders entries by the times a and b, then by Push.
+func (e *Entry[T]) before(other *Entry[T], a, b time.Time) bool {
+	if !a.Equal(b) {
+		return a.Before(b)
+	}
+	return e.serial < other.serial
+}
+
+// lane holds the queued jobs of one customer in one lane.
+type lane[T any] struct {
+	account *account[T]
+	kind    Lane
+	byOrder *Heap[*Entry[T]]
+	byDue   *Heap[*Entry[T]]
+	work    float64 // Sum of Work.
+	index   int     // In the heap of the level; -1 if none is queued or the customer is held.
+}
+
+// newLane returns an empty lane of a.
+func newLane[T any](a *account[T], kind Lane) *lane[T] {
+	return &lane[T]{
+		account: a,
+		kind:    kind,
+		index:   -1,
+		byOrder: NewHeap(
+			func(x, y *Entry[T]) bool { return x.before(y, x.Order, y.Order) },
+			func(e *Entry[T], i int) { e.orderIndex = i },
+		),
+		byDue: NewHeap(
+			func(x, y *Entry[T]) bool { return x.before(y, x.Due, y.Due) },
+			func(e *Entry[T], i int) { e.dueIndex = i },
+		),
+	}
+}
+
+// push adds e.
+func (l *lane[T]) push(e *Entry[T]) {
+	l.byOrder.Push(e)
+	l.byDue.Push(e)
+	l.work += e.Work
+}
+
+// remove takes out e.
+func (l *lane[T]) remove(e *Entry[T]) {
+	l.byOrder.Remove(e.orderIndex)
+	l.byDue.Remove(e.dueIndex)
+	l.work = max(l.work-e.Work, 0)
+}
+
+// head returns the entry to go first: the earliest due if its time has come,
+// otherwise the first by Order.
+func (l *lane[T]) head(now time.Time) *Entry[T] {
+	if e := l.byDue.Min(); !e.Due.After(now) {
+		return e
+	}
+	return l.byOrder.Min()
+}
+
+// aged reports whether an entry of the lane is due.
+func (l *lane[T]) aged(now time.Time) bool {
+	return l.byDue.Len() > 0 && !l.byDue.Min().Due.After(now)
+}
