Let measurements run on until the latest return has ended

TestAllRequestsEnd failed for split and oracle with 0.985 to 0.9988 of the requests ended once owners refuse with times of up to 5 minutes: callers that came back near the end of the run were counted as arrived and never ended. With the drain time longer by that bound all cases pass; the check is unchanged.

--- a/experimenter/fleet.go
+++ b/experimenter/fleet.go
@@ -27,6 +27,7 @@
 	reclaimNotice  = 30 * time.Second
 	reconnectAfter = 200 * time.Millisecond
 	sampleEvery    = 250 * time.Millisecond
+	longestRetry   = 5 * time.Minute // Longest RetryAfter of an admission owner.
 )
 
 // epoch is the wall-clock time at which virtual time begins.
@@ -236,7 +237,7 @@
 	for _, k := range f.d.Kinds {
 		longest = max(longest, k.Slack+k.SlackSpread)
 	}
-	return 2*longest + time.Minute
+	return 2*longest + longestRetry + time.Minute
 }
 
 func (f *fleet) every(d time.Duration, fn func()) {
