--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/standin/caller"
+	"monsoonspar.example/standin/pacer"
+	"monsoonspar.example/state/timekeeper"
+	"monsoonspar.example/transport/dialer"
+)
+
+type loadCommand struct {
+	Addrs        []string      `arg:"" help:"Addresses of the daemons." name:"addr"`
+	Key          []string      `help:"API key of a customer." required:""`
+	Model        []string      `help:"Model to ask for." required:""`
+	Rate         float64       `help:"Requests a second." default:"10"`
+	Duration     time.Duration `help:"Time in which requests begin." default:"10s"`
+	Seed         uint64        `help:"Seed of times, lengths and texts." default:"1"`
+	Timeout      time.Duration `help:"Deadline of each request." default:"30s"`
+	Silence      time.Duration `help:"Silence after which a caller gives a connection up." default:"10s"`
+	MedianTokens int           `help:"Median of the output." default:"60"`
+	Spread       float64       `help:"Standard deviation of the logarithm of the output." default:"1"`
+	MaxTokens    int           `help:"Bound of the output." default:"1024"`
+	PromptBytes  int           `help:"Length of the prompts." default:"400"`
+	ChatShare    float64       `help:"Part of the generations that are chats." default:"0.5"`
+	WholeShare   float64       `help:"Part of the generations that are not streamed." default:"0"`
+	FilingShare  float64       `help:"Part of the requests that file at a service." default:"0"`
+	FilingPath   string        `help:"Path of the filings." default:"/services/registro-app/corrections"`
+	Runs         []string      `help:"Addresses of the service stand-ins, to check that each filing ran at most once."`
+	Resumes      int           `help:"Attempts to resume a stream that was cut." default:"10"`
+	Returns      int           `help:"Times that a caller comes back after a refusal." default:"3"`
+	JSON         bool          `help:"Report in JSON." name:"json"`
+}
+
+// Run sends the load and writes the report. It fails if a promise was broken.
+func (c loadCommand) Run() error {
+	if c.Rate <= 0 || c.MaxTokens < 1 || c.MedianTokens < 1 || c.PromptBytes < 0 {
+		return errors.New("rate, median-tokens and max-tokens must be positive")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	d := dialer.New(dialer.Config{MaxIdle: 1}, timekeeper.System{})
+	defer d.Close()
+	report := pacer.Run(ctx, c.config(), caller.New(d, c.Silence))
+	var runs []pacer.RunCount
+	for _, addr := range c.Runs {
+		more, err := readRuns(d, addr)
+		if err != nil {
+			return err
+		}
+		runs = append(runs, more...)
+	}
+	report.AddRuns(runs)
+	if err := c.write(report); err != nil {
+		return err
+	}
+	if report.BrokenCount > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func (c loadCommand) config() pacer.Config {
+	return pacer.Config{
+		Addrs: c.Addrs, Keys: c.Key, Models: c.Model,
+		Rate: c.Rate, Duration: c.Duration, Seed: c.Seed, Timeout: c.Timeout,
+		MedianTokens: c.MedianTokens, Spread: c.Spread, MaxTokens: c.MaxTokens, PromptBytes: c.PromptBytes,
+		ChatShare: c.ChatShare, WholeShare: c.WholeShare,
+		FilingShare: c.FilingShare, FilingPath: c.FilingPath,
+		Resumes: c.Resumes, Returns: c.Returns,
+	}
+}
+
+func (c loadCommand) write(report pacer.Report) error {
+	if !c.JSON {
+		return report.WriteTable(os.Stdout)
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+// readRuns asks a service stand-in what it ran.
+func readRuns(d requester.Doer, addr string) ([]pacer.RunCount, error) {
+	res, err := d.Do(context.Background(), requester.Request{Method: "GET", Addr: addr, Path: "/runs"})
+	if err != nil {
+		return nil, errors.Wrap(err, "runs of the service")
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "runs of the service")
+	}
+	var answer struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, errors.Wrap(err, "runs of the service")
+	}
+	var runs []pacer.RunCount
+	for id, n := range answer.Runs {
+		runs = append(runs, pacer.RunCount{ID: id, Count: n})
+	}
+	return runs, nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 
 	"monsoonspar.example/standin/engine"
 	"monsoonspar.example/standin/platform"
+	"monsoonspar.example/standin/relay"
 	"monsoonspar.example/standin/service"
 )
 
@@ -21,8 +23,13 @@
 	Platform platformCommand `cmd:"" help:"Run the platform's object API."`
 	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+	Relay    relayCommand    `cmd:"" help:"Run a network between two processes."`
+	Load     loadCommand     `cmd:"" help:"Run paced callers and report what came of them."`
 }
 
+// errBroken ends the program with an error after its report is out.
+var errBroken = errors.New("promises were broken")
+
 // runner is a stand-in.
 type runner interface {
 	Start(addr string) (string, error)
@@ -45,13 +52,19 @@
 type platformCommand struct {
 	Addr            string        `help:"Address to listen on." default:"127.0.0.1:0"`
 	WritesPerSecond float64       `help:"Limit of writes; 0 for none." default:"0"`
+	Faults          string        `help:"Faults from the start, as POST /faults takes them." default:"{}"`
 	ReadsPerSecond  float64       `help:"Limit of reads; 0 for none." default:"0"`
 	VMLag           time.Duration `help:"Time until a change of the VM list can be read." default:"0s" name:"vm-lag"`
 }
 
 // Run serves the platform.
 func (c platformCommand) Run() error {
+	var faults platform.Faults
+	if err := json.Unmarshal([]byte(c.Faults), &faults); err != nil {
+		return errors.Wrap(err, "faults")
+	}
 	return run(platform.New(platform.Config{
+		Faults:          faults,
 		WritesPerSecond: c.WritesPerSecond,
 		ReadsPerSecond:  c.ReadsPerSecond,
 		VMLag:           c.VMLag,
@@ -69,6 +82,7 @@
 	PrefillTime  time.Duration `help:"Time that a prompt token adds to a step." default:"0s"`
 	LoadTime     time.Duration `help:"Time to load a model." default:"0s"`
 	KeepAlive    time.Duration `help:"Longest silence of a stream." default:"500ms"`
+	Faults       string        `help:"Faults from the start, as POST /faults takes them." default:"{}"`
 	ChecksFence  bool          `help:"Refuse orders with an old fencing number."`
 }
 
@@ -78,7 +92,12 @@
 	if err != nil {
 		return err
 	}
+	var faults engine.Faults
+	if err := json.Unmarshal([]byte(c.Faults), &faults); err != nil {
+		return errors.Wrap(err, "faults")
+	}
 	return run(engine.New(engine.Config{
+		Faults:       faults,
 		Models:       models,
 		MemoryTokens: c.MemoryTokens,
 		BlockTokens:  c.BlockTokens,
@@ -94,11 +113,35 @@
 }
 
 type serviceCommand struct {
-	Addr string `help:"Address to listen on." default:"127.0.0.1:0"`
+	Addr   string `help:"Address to listen on." default:"127.0.0.1:0"`
+	Faults string `help:"Faults from the start, as POST /faults takes them." default:"{}"`
 }
 
 // Run serves a plain service.
-func (c serviceCommand) Run() error { return run(service.New(service.Config{Exit: exit}), c.Addr) }
+func (c serviceCommand) Run() error {
+	var faults service.Faults
+	if err := json.Unmarshal([]byte(c.Faults), &faults); err != nil {
+		return errors.Wrap(err, "faults")
+	}
+	return run(service.New(service.Config{Faults: faults, Exit: exit}), c.Addr)
+}
+
+type relayCommand struct {
+	Addr    string `help:"Address to listen on." default:"127.0.0.1:0"`
+	Control string `help:"Address for POST /faults." default:"127.0.0.1:0"`
+	Target  string `help:"Address to pass connections on to." required:""`
+}
+
+// Run passes connections on.
+func (c relayCommand) Run() error {
+	r := relay.New(c.Target)
+	control, err := r.StartControl(c.Control)
+	if err != nil {
+		return err
+	}
+	fmt.Println("control on", control)
+	return run(r, c.Addr)
+}
 
 // exit ends the process as a reclaimed VM ends.
 func exit() { os.Exit(0) }
--- a/deps.go
+++ b/deps.go
@@ -4,7 +4,6 @@
 
 import (
 	// These keep libraries in go.mod until the packages that use them land.
-	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/cenkalti/backoff/v5"
 	_ "github.com/gofiber/fiber/v2"
 	_ "github.com/rs/zerolog"
