--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -60,8 +60,8 @@
 }
 
 const (
-	ours   = `{"metadata":{"name":"a","resourceVersion":"7"},"spec":{"writer_id":"w1"}}`
-	theirs = `{"metadata":{"name":"a","resourceVersion":"8"},"spec":{"writer_id":"w2"}}`
+	ours   = `{"metadata":{"name":"a","resourceVersion":"7"},"spec":{"writer":"w1"}}`
+	theirs = `{"metadata":{"name":"a","resourceVersion":"8"},"spec":{"writer":"w2"}}`
 )
 
 var (
@@ -76,7 +76,7 @@
 )
 
 func TestCreateSaysWhatIsKnown(t *testing.T) {
-	owned := storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{"writer_id":"w1"}`)}
+	owned := storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{"writer":"w1"}`)}
 	plain := storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{}`)}
 	for _, c := range []struct {
 		name    string
@@ -117,7 +117,7 @@
 }
 
 func TestUpdateResolvesLostAnswers(t *testing.T) {
-	object := storer.Object{Resource: "leases", Name: "a", Version: 3, Spec: json.RawMessage(`{"writer_id":"w1"}`)}
+	object := storer.Object{Resource: "leases", Name: "a", Version: 3, Spec: json.RawMessage(`{"writer":"w1"}`)}
 	for _, c := range []struct {
 		name    string
 		replies []reply
--- a/protocol/storer/write.go
+++ b/protocol/storer/write.go
@@ -14,11 +14,11 @@
 	object Object
 }
 
-// WriterID returns the field writer_id of a spec, empty if there is none. A
+// WriterID returns the field writer of a spec, empty if there is none. A
 // spec that holds a value unique to the write makes lost answers resolvable.
 func WriterID(spec json.RawMessage) string {
 	var owner struct {
-		WriterID string `json:"writer_id"`
+		WriterID string `json:"writer"`
 	}
 	if json.Unmarshal(spec, &owner) != nil {
 		return ""
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -100,6 +100,7 @@
 	cache     cache
 	reports   []loadReport // Oldest first.
 	orders    orderBook
+	counts    counts
 	opened    int // Streams opened so far.
 	mutedUpTo int // Streams up to this number are silent.
 }
@@ -161,11 +162,22 @@
 		s.serveCacheEvents(ctx)
 	case path == "/orders":
 		s.serveOrders(ctx)
+	case path == "/counts":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		listener.WriteJSON(ctx, fasthttp.StatusOK, s.counts)
 	default:
 		writeError(ctx, fasthttp.StatusNotFound, "not_found")
 	}
 }
 
+// counts tells tests what the engine was asked to do.
+type counts struct {
+	Started int `json:"started"` // Completions that began.
+	Refused int `json:"refused"` // Completions that were refused while leaving.
+	Resumed int `json:"resumed"` // Streams opened again.
+}
+
 type errorAnswer struct {
 	Error errorDetail `json:"error"`
 }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -55,37 +55,24 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request")
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := Model{Model: req.Model, Version: req.Version, Adapter: req.Adapter}
-	switch {
-	case s.faults.Silent:
-		s.mu.Unlock()
+	if s.current().Silent {
 		<-s.ctx.Done()
-		s.mu.Lock()
 		return
-	case take(&s.faults.DropCalls):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if take(&s.faults.DropCalls) {
 		listener.DropAnswer(ctx)
 		return
-	case s.faults.Leaving:
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "leaving")
-		return
-	case s.faults.Refuse != "":
-		writeError(ctx, fasthttp.StatusServiceUnavailable, s.faults.Refuse)
-		return
-	case !s.orders.holds(m):
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "not_loaded")
-		return
-	case s.scheduler.sequences[req.AttemptID] != nil:
-		writeError(ctx, fasthttp.StatusConflict, "duplicate_attempt")
-		return
 	}
+	m := Model{Model: req.Model, Version: req.Version, Adapter: req.Adapter}
 	q := s.newSequence(req, m)
-	if s.scheduler.blocks(q.promptTokens+q.length) > s.cfg.MemoryTokens {
-		writeError(ctx, fasthttp.StatusServiceUnavailable, "overloaded")
+	if status, code := s.refusal(q); status != 0 {
+		writeError(ctx, status, code)
 		return
 	}
 	s.scheduler.add(q)
+	s.counts.Started++
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -97,6 +84,25 @@
 	s.openStream(ctx, q, 0, true)
 }
 
+// refusal returns the status and code with which a new sequence is refused, a
+// status of zero if it is not. The caller holds the lock.
+func (s *Server) refusal(q *sequence) (int, string) {
+	switch {
+	case s.faults.Leaving:
+		s.counts.Refused++
+		return fasthttp.StatusServiceUnavailable, "leaving"
+	case s.faults.Refuse != "":
+		return fasthttp.StatusServiceUnavailable, s.faults.Refuse
+	case !s.orders.holds(q.model):
+		return fasthttp.StatusServiceUnavailable, "not_loaded"
+	case s.scheduler.sequences[q.attemptID] != nil:
+		return fasthttp.StatusConflict, "duplicate_attempt"
+	case s.scheduler.blocks(q.promptTokens+q.length) > s.cfg.MemoryTokens:
+		return fasthttp.StatusServiceUnavailable, "overloaded"
+	}
+	return 0, ""
+}
+
 func (s *Server) newSequence(req completionRequest, m Model) *sequence {
 	marks := marker.Parse(req.Prompt)
 	limit := req.MaxTokens
@@ -146,6 +152,7 @@
 		writeError(ctx, fasthttp.StatusNotFound, "unknown_stream")
 		return
 	}
+	s.counts.Resumed++
 	s.openStream(ctx, q, ctx.QueryArgs().GetUintOrZero("offset"), false)
 }
 
--- a/standin/platform/storer_test.go
+++ b/standin/platform/storer_test.go
@@ -28,7 +28,7 @@
 }
 
 func claim(name, writer string) storer.Object {
-	spec := json.RawMessage(`{"writer_id":"` + writer + `"}`)
+	spec := json.RawMessage(`{"writer":"` + writer + `"}`)
 	return storer.Object{Resource: "claims", Name: name, Labels: map[string]string{"k": "v"}, Spec: spec}
 }
 
