--- a/coordination/configurer/configurer.go
+++ b/coordination/configurer/configurer.go
@@ -124,6 +124,7 @@
 		rng:      rng,
 		rejected: make(map[version]bool),
 		staged:   make(map[partitioner.Digest]string),
+		watch:    watch{elected: true, watchers: 1},
 	}
 }
 
--- /dev/null
+++ b/coordination/configurer/configurer_test.go
@@ -0,0 +1,276 @@
+package configurer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"monsoonspar.example/coordination/configurer"
+	"monsoonspar.example/state/cataloger"
+	"monsoonspar.example/state/parser"
+	"monsoonspar.example/state/partitioner"
+)
+
+var start = time.Unix(0, 0)
+
+// snapshot returns a manifest with that many customers, all of one weight.
+func snapshot(t testing.TB, customers, weight int) partitioner.Snapshot {
+	t.Helper()
+	text := "[deployment]\nname = demo\nregion = r\n[priority normal]\nlevel = 1\n"
+	for i := range customers {
+		text += fmt.Sprintf("[customer c%d]\nkey_hashes = %064x\npriority = normal\nweight = %d\n", i, i, weight)
+	}
+	sections, err := parser.Sections("test.ini", []byte(text))
+	assert.NilError(t, err)
+	s, err := partitioner.Split(sections)
+	assert.NilError(t, err)
+	return s
+}
+
+// newCore returns a core that has ticked once, with peers b and c in its domain.
+func newCore() *configurer.Core {
+	cfg := configurer.DefaultConfig()
+	cfg.Name, cfg.Domain, cfg.Deployment = "a", "north", "demo"
+	core := configurer.New(cfg, rand.New(rand.NewPCG(1, 2)))
+	core.Handle(start, configurer.MembersChanged{Members: []configurer.Member{
+		{Name: "a", Domain: "north"}, {Name: "b", Domain: "north"}, {Name: "c", Domain: "south"},
+	}})
+	core.Handle(start, configurer.Tick{})
+	return core
+}
+
+func head(g cataloger.Generation, s partitioner.Snapshot) configurer.Head {
+	return configurer.Head{Generation: g, Parts: s.Digests()}
+}
+
+// load brings s in force at core by way of the platform, after the join.
+func load(t testing.TB, core *configurer.Core, now time.Time, g cataloger.Generation, s partitioner.Snapshot) {
+	t.Helper()
+	core.Handle(now, configurer.HeadSeen{Head: head(g, s)})
+	core.Handle(now, configurer.PartsRead{Parts: s.Parts})
+	assert.Equal(t, core.Generation(), g)
+}
+
+// only returns the actions of one type.
+func only[T configurer.Action](actions []configurer.Action) []T {
+	var found []T
+	for _, a := range actions {
+		if a, ok := a.(T); ok {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+func announcement(g cataloger.Generation, s partitioner.Snapshot) configurer.Announcement {
+	return configurer.Announcement{Generation: g, Root: s.Root}
+}
+
+func TestNewDaemonWaitsForPeersBeforeItTrustsARead(t *testing.T) {
+	core := newCore()
+	stale, fresh := snapshot(t, 1, 1), snapshot(t, 1, 2)
+	core.Handle(start, configurer.HeadSeen{Head: head(7, stale)})
+	actions := core.Handle(start, configurer.PartsRead{Parts: stale.Parts})
+	assert.Equal(t, len(only[configurer.Install](actions)), 0)
+	core.Handle(start, configurer.AnnouncementReceived{From: "b", Announcement: announcement(8, fresh)})
+	core.Handle(start, configurer.AnnouncementReceived{From: "c", Announcement: announcement(8, fresh)})
+	core.Handle(start, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
+		Generation: 8, Root: fresh.Root, Digests: fresh.Digests(),
+	}})
+	actions = core.Handle(start, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
+		Generation: 8, Root: fresh.Root, Parts: fresh.Parts,
+	}})
+	actions = append(actions, core.Handle(start.Add(time.Second), configurer.Tick{})...)
+	installs := only[configurer.Install](actions)
+	assert.Equal(t, len(installs), 1)
+	assert.Equal(t, installs[0].Manifest.Generation, cataloger.Generation(8))
+}
+
+func TestNewDaemonInstallsTheReadWhenNoPeerAnswers(t *testing.T) {
+	core := newCore()
+	s := snapshot(t, 1, 1)
+	core.Handle(start, configurer.HeadSeen{Head: head(7, s)})
+	core.Handle(start, configurer.PartsRead{Parts: s.Parts})
+	actions := core.Handle(start.Add(time.Second), configurer.Tick{})
+	assert.Equal(t, len(only[configurer.Install](actions)), 1)
+}
+
+func TestOlderGenerationsAreIgnored(t *testing.T) {
+	core := newCore()
+	now := start.Add(time.Minute)
+	older, newer := snapshot(t, 1, 1), snapshot(t, 1, 2)
+	load(t, core, now, 5, newer)
+	for _, ev := range []configurer.Event{
+		configurer.HeadSeen{Head: head(4, older)},
+		configurer.PartsRead{Parts: older.Parts},
+		configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{Generation: 4, Root: older.Root, Digests: older.Digests()}},
+		configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{Generation: 4, Root: older.Root, Parts: older.Parts}},
+	} {
+		assert.Equal(t, len(core.Handle(now, ev)), 0, "%T", ev)
+	}
+	actions := core.Handle(now, configurer.AnnouncementReceived{From: "b", Announcement: announcement(4, older)})
+	assert.Equal(t, len(only[configurer.SendAnnouncement](actions)), 1)
+	assert.Equal(t, core.Generation(), cataloger.Generation(5))
+}
+
+func TestOneGenerationWithTwoContentsIsRejectedOnce(t *testing.T) {
+	core := newCore()
+	now := start.Add(time.Minute)
+	load(t, core, now, 5, snapshot(t, 1, 1))
+	for _, rejects := range []int{1, 0} {
+		actions := core.Handle(now, configurer.HeadSeen{Head: head(5, snapshot(t, 1, 2))})
+		assert.Equal(t, len(only[configurer.Reject](actions)), rejects)
+	}
+}
+
+func TestRejectedManifestsLeaveTheOldInForce(t *testing.T) {
+	core := newCore()
+	now := start.Add(time.Minute)
+	load(t, core, now, 5, snapshot(t, 1, 1))
+	invalid, err := partitioner.Split([]parser.Section{{Title: "deployment", Text: "[deployment]\nname = demo\n"}})
+	assert.NilError(t, err)
+	foreign, err := partitioner.Split([]parser.Section{{Title: "deployment", Text: "[deployment]\nname = other\nregion = r\n"}})
+	assert.NilError(t, err)
+	for g, tt := range []struct {
+		s    partitioner.Snapshot
+		want error
+	}{{invalid, configurer.ErrInvalid}, {foreign, configurer.ErrDeployment}} {
+		core.Handle(now, configurer.HeadSeen{Head: head(cataloger.Generation(6+g), tt.s)})
+		rejects := only[configurer.Reject](core.Handle(now, configurer.PartsRead{Parts: tt.s.Parts}))
+		assert.Equal(t, len(rejects), 1)
+		assert.Assert(t, errors.Is(rejects[0].Err, tt.want), rejects[0].Err)
+		assert.Equal(t, core.Generation(), cataloger.Generation(5))
+	}
+	load(t, core, now, 8, snapshot(t, 1, 2))
+}
+
+func TestHalfReadManifestIsNotInstalled(t *testing.T) {
+	core := newCore()
+	now := start.Add(time.Minute)
+	load(t, core, now, 5, snapshot(t, 1, 1))
+	s := snapshot(t, 100, 2)
+	assert.Assert(t, len(s.Parts) > 2)
+	core.Handle(now, configurer.HeadSeen{Head: head(6, s)})
+	core.Handle(now, configurer.PartsRead{Parts: s.Parts[:2]})
+	core.Handle(now, configurer.PartsFailed{})
+	assert.Equal(t, core.Generation(), cataloger.Generation(5))
+	// The parts that came are kept for the next time.
+	actions := core.Handle(now, configurer.HeadSeen{Head: head(6, s)})
+	assert.Equal(t, len(only[configurer.ReadParts](actions)[0].Digests), len(s.Parts)-2)
+	core.Handle(now, configurer.PartsRead{Parts: s.Parts[2:]})
+	assert.Equal(t, core.Generation(), cataloger.Generation(6))
+}
+
+func TestForgedPartsAreNotTaken(t *testing.T) {
+	core := newCore()
+	now := start.Add(time.Minute)
+	s := snapshot(t, 1, 1)
+	core.Handle(now, configurer.HeadSeen{Head: head(1, s)})
+	core.Handle(now, configurer.PartsRead{Parts: []partitioner.Part{{Digest: s.Parts[0].Digest, Text: "[deployment]\n"}}})
+	assert.Equal(t, core.Generation(), cataloger.Generation(0))
+}
+
+// exchange carries the requests and deliveries between two cores until neither
+// sends more, and returns the deliveries.
+func exchange(now time.Time, a, b *configurer.Core, actions []configurer.Action) []configurer.Delivery {
+	var deliveries []configurer.Delivery
+	for len(actions) > 0 {
+		requests := only[configurer.SendRequest](actions)
+		actions = nil
+		for _, r := range requests {
+			answers := b.Handle(now, configurer.RequestReceived{From: "a", Request: r.Request})
+			for _, d := range only[configurer.SendDelivery](answers) {
+				deliveries = append(deliveries, d.Delivery)
+				actions = append(actions, a.Handle(now, configurer.DeliveryReceived{From: "b", Delivery: d.Delivery})...)
+			}
+		}
+	}
+	return deliveries
+}
+
+func TestPeerSendsAChangeOrParts(t *testing.T) {
+	now := start.Add(time.Minute)
+	first, second, third := snapshot(t, 800, 1), snapshot(t, 801, 1), snapshot(t, 802, 1)
+	receiver, sender := newCore(), newCore()
+	load(t, receiver, now, 1, first)
+	load(t, sender, now, 1, first)
+	load(t, sender, now, 2, second)
+	load(t, sender, now, 4, third)
+	actions := receiver.Handle(now, configurer.AnnouncementReceived{From: "b", Announcement: announcement(4, third)})
+	deliveries := exchange(now, receiver, sender, actions)
+	assert.Equal(t, len(deliveries), 1)
+	assert.DeepEqual(t, deliveries[0].Change.Titles(), []string{"customer c800", "customer c801"})
+	assert.Equal(t, receiver.Generation(), cataloger.Generation(4))
+
+	// A daemon without a manifest gets all parts, in deliveries of bounded size.
+	fresh := newCore()
+	actions = fresh.Handle(now, configurer.AnnouncementReceived{From: "b", Announcement: announcement(4, third)})
+	deliveries = exchange(now, fresh, sender, actions)
+	assert.Equal(t, fresh.Generation(), cataloger.Generation(4))
+	assert.Assert(t, len(deliveries) > 2)
+	for _, d := range deliveries {
+		size := 0
+		for _, p := range d.Parts {
+			size += len(p.Text)
+		}
+		assert.Assert(t, size <= configurer.DefaultConfig().DeliveryBytes)
+	}
+}
+
+func TestWrongChangeIsReplacedByParts(t *testing.T) {
+	now := start.Add(time.Minute)
+	first, second := snapshot(t, 10, 1), snapshot(t, 10, 2)
+	receiver, sender := newCore(), newCore()
+	load(t, receiver, now, 1, first)
+	load(t, sender, now, 2, second)
+	actions := receiver.Handle(now, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
+		Generation: 2, Root: second.Root, Base: first.Root, Change: &partitioner.Change{Remove: []string{"customer c3"}},
+	}})
+	assert.Equal(t, receiver.Generation(), cataloger.Generation(1))
+	exchange(now, receiver, sender, actions)
+	assert.Equal(t, receiver.Generation(), cataloger.Generation(2))
+}
+
+func TestSilentWatchIsReplaced(t *testing.T) {
+	core := newCore()
+	now := start.Add(time.Minute) // No event of the first watch came.
+	actions := core.Handle(now, configurer.Tick{})
+	assert.DeepEqual(t, only[configurer.StopWatch](actions), []configurer.StopWatch{{ID: 1}})
+	assert.DeepEqual(t, only[configurer.Watch](actions), []configurer.Watch{{ID: 2}})
+	// A late event of the stopped watch is of no use.
+	s := snapshot(t, 1, 1)
+	assert.Equal(t, len(core.Handle(now, configurer.HeadSeen{Watch: 1, Head: head(1, s)})), 0)
+	assert.Assert(t, len(core.Handle(now, configurer.HeadSeen{Watch: 2, Head: head(1, s)})) > 0)
+}
+
+func TestFewDaemonsOfADomainWatch(t *testing.T) {
+	var members []configurer.Member
+	for i := range 40 {
+		members = append(members, configurer.Member{Name: fmt.Sprint("vm-", i), Domain: fmt.Sprint("domain-", i%4)})
+	}
+	watchers := make(map[string]int)
+	for _, m := range members {
+		cfg := configurer.DefaultConfig()
+		cfg.Name, cfg.Domain = m.Name, m.Domain
+		core := configurer.New(cfg, rand.New(rand.NewPCG(1, 2)))
+		core.Handle(start, configurer.MembersChanged{Members: members})
+		watchers[m.Domain] += len(only[configurer.Watch](core.Handle(start, configurer.Tick{})))
+	}
+	assert.DeepEqual(t, watchers, map[string]int{"domain-0": 2, "domain-1": 2, "domain-2": 2, "domain-3": 2})
+}
+
+func ExampleCore() {
+	cfg := configurer.DefaultConfig()
+	cfg.Name, cfg.Domain = "milano-a-1", "milano-a"
+	core := configurer.New(cfg, rand.New(rand.NewPCG(1, 2)))
+	for _, action := range core.Handle(time.Unix(0, 0), configurer.Tick{}) {
+		fmt.Printf("%T\n", action)
+	}
+	// Output:
+	// configurer.Watch
+	// configurer.ReadHead
+}
--- a/coordination/configurer/watch.go
+++ b/coordination/configurer/watch.go
@@ -17,6 +17,8 @@
 
 // watch is the state of the watch of the platform's head.
 type watch struct {
+	elected   bool   // Whether the daemon is to watch.
+	watchers  int    // Of all domains.
 	id        uint64 // Of the last watch.
 	running   bool
 	lastAlive time.Time
@@ -53,6 +55,8 @@
 // setMembers takes the live members.
 func (c *Core) setMembers(now time.Time, members []Member) []Action {
 	c.members = slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Name == c.cfg.Name })
+	c.watch.elected = isWatcher(c.cfg, c.members)
+	c.watch.watchers = countWatchers(c.cfg, c.members)
 	if !c.join.started {
 		return nil
 	}
@@ -65,40 +69,40 @@
 
 // isWatcher reports whether the daemon is one of its domain's watchers: those
 // with the highest hashes, so that all who see the same members agree.
-func (c *Core) isWatcher() bool {
-	own := watchRank(c.cfg.Name)
+func isWatcher(cfg Config, members []Member) bool {
+	own := watchRank(cfg.Name)
 	before := 0
-	for _, m := range c.members {
-		if m.Domain != c.cfg.Domain {
+	for _, m := range members {
+		if m.Domain != cfg.Domain {
 			continue
 		}
 		rank := watchRank(m.Name)
-		if cmp.Or(cmp.Compare(rank, own), cmp.Compare(m.Name, c.cfg.Name)) > 0 {
+		if cmp.Or(cmp.Compare(rank, own), cmp.Compare(m.Name, cfg.Name)) > 0 {
 			before++
 		}
 	}
-	return before < c.cfg.Watchers
+	return before < cfg.Watchers
 }
 
 // watchRank returns the hash by which the members of a domain are ordered.
 func watchRank(name string) uint64 { return xxhash.Sum64String("watch " + name) }
 
-// watcherCount returns the number of watchers in all domains.
-func (c *Core) watcherCount() int {
-	domains := map[string]int{c.cfg.Domain: 1}
-	for _, m := range c.members {
+// countWatchers returns the number of watchers in all domains.
+func countWatchers(cfg Config, members []Member) int {
+	domains := map[string]int{cfg.Domain: 1}
+	for _, m := range members {
 		domains[m.Domain]++
 	}
 	n := 0
 	for _, size := range domains {
-		n += min(size, c.cfg.Watchers)
+		n += min(size, cfg.Watchers)
 	}
 	return n
 }
 
 // tendWatch starts, replaces or stops the watch.
 func (c *Core) tendWatch(now time.Time) []Action {
-	if !c.isWatcher() {
+	if !c.watch.elected {
 		if !c.watch.running {
 			return nil
 		}
@@ -128,12 +132,12 @@
 		return nil
 	}
 	interval := c.cfg.RereadInterval
-	if c.manifest != nil && c.isWatcher() {
-		interval *= time.Duration(c.watcherCount())
+	if c.manifest != nil && c.watch.elected {
+		interval *= time.Duration(c.watch.watchers)
 	}
 	c.nextRead = now.Add(jitter(c.rng, interval))
 	alone := now.Sub(c.lastHeard) >= c.cfg.PeerSilence
-	if c.manifest != nil && !c.isWatcher() && !alone {
+	if c.manifest != nil && !c.watch.elected && !alone {
 		return nil
 	}
 	return []Action{ReadHead{}}
--- a/coordination/configurer/world_test.go
+++ b/coordination/configurer/world_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/parser"
 	"monsoonspar.example/state/partitioner"
@@ -30,6 +32,8 @@
 	cutPeers    map[[2]string]bool // Pairs of failure domains that are cut off.
 	cutPlatform map[string]bool    // Failure domains cut off from the platform.
 	failures    []string
+	keys        int                // Key hashes of each customer.
+	traffic     func(*daemon, int) // Told of the bytes that a daemon sends or receives.
 }
 
 // daemon is one VM with its present process.
@@ -85,6 +89,8 @@
 		rng:         rand.New(rand.NewPCG(seed, 1)),
 		now:         time.Unix(0, 0),
 		trusting:    trusting,
+		keys:        4,
+		traffic:     func(*daemon, int) {},
 		cutPeers:    make(map[[2]string]bool),
 		cutPlatform: make(map[string]bool),
 		platform: platform{
@@ -118,6 +124,29 @@
 	w.now = end
 }
 
+const (
+	// objectBytes is the size of a call for an object and of its answer without
+	// the content.
+	objectBytes = 700
+	// frameBytes is the size of a message between daemons without its content:
+	// the frame, the call's head, and the headers of TCP and IP both ways.
+	frameBytes = 160
+	// digestBytes is the size of a digest in JSON.
+	digestBytes = 35
+)
+
+// headBytes returns the size of reading a head.
+func headBytes(h Head) int { return objectBytes + digestBytes*len(h.Parts) }
+
+// messageBytes returns the size of a message between daemons.
+func messageBytes(ev Event) int {
+	body, err := msgpack.Marshal(ev)
+	if err != nil {
+		panic(err)
+	}
+	return frameBytes + len(body)
+}
+
 // start begins a new process on a VM.
 func (w *world) start(d *daemon) {
 	cfg := DefaultConfig()
@@ -229,6 +258,8 @@
 				continue
 			}
 			epoch := d.epoch
+			w.traffic(from, messageBytes(ev))
+			w.traffic(d, messageBytes(ev))
 			w.after(w.millis(1, 30), func() { w.give(d, epoch, ev) })
 		}
 	}
@@ -252,6 +283,7 @@
 		}
 		d.watch, d.silent = id, false
 		if head, ok := w.platform.latest(w.rng); ok {
+			w.traffic(d, headBytes(head))
 			w.give(d, epoch, HeadSeen{Watch: id, Head: head})
 		}
 	})
@@ -264,6 +296,7 @@
 			return
 		}
 		if head, ok := w.platform.latest(w.rng); ok {
+			w.traffic(d, headBytes(head))
 			w.give(d, epoch, HeadSeen{Head: head})
 		}
 	})
@@ -287,6 +320,7 @@
 		for _, digest := range digests {
 			if text, ok := w.platform.parts[digest]; ok && w.rng.Float64() > 0.02 {
 				parts = append(parts, partitioner.Part{Digest: digest, Text: text})
+				w.traffic(d, objectBytes+len(text))
 			}
 		}
 		if len(parts) == 0 {
@@ -342,6 +376,7 @@
 	for _, d := range w.daemons {
 		if d.alive && d.watch != 0 && !d.silent && w.reaches(d) {
 			id, epoch, head := d.watch, d.epoch, w.platform.heads[g-1]
+			w.traffic(d, headBytes(head))
 			w.after(w.millis(1, 20), func() { w.give(d, epoch, HeadSeen{Watch: id, Head: head}) })
 		}
 	}
@@ -364,7 +399,7 @@
 			weight = 2 + w.rng.IntN(1000)
 		}
 		text += fmt.Sprintf("[customer c%d]\npriority = normal\nweight = %d\nkey_hashes = %s\n",
-			i, weight, strings.Join(hashes(i, 4), ", "))
+			i, weight, strings.Join(hashes(i, w.keys), ", "))
 	}
 	s, err := partitioner.Split(canonicalSections(text))
 	if err != nil {
