--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -61,6 +61,9 @@
 // Produced returns the output tokens so far.
 func (s *Sequence) Produced() int { return s.produced }
 
+// Hit reports whether s runs on a prefix that was cached when it got its memory.
+func (s *Sequence) Hit() bool { return s.cached != nil }
+
 func (s *Sequence) prefilling() bool { return s.computed < s.target }
 
 // Engine is one engine. Use New to make one.
--- a/experimenter/deployment.go
+++ b/experimenter/deployment.go
@@ -146,6 +146,7 @@
 			Slack: 60 * time.Second, SlackSpread: 120 * time.Second,
 		},
 	}
+	d.Concurrency = 50
 	d.Weights = cataloger.Weights{StallTime: 1, Preemptions: 3, TokenGap: 3}
 	return d
 }
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -12,12 +12,23 @@
 	"github.com/pkg/errors"
 )
 
+// Routing is a way to pick the endpoints that are asked for a quote.
+type Routing string
+
+// The ways to route.
+const (
+	RouteBoth   Routing = "both"   // The one preferred by prefix affinity, and a random one.
+	RouteRandom Routing = "random" // Two random ones.
+	RouteAffine Routing = "affine" // The one preferred by prefix affinity.
+)
+
 // Options say what one run plays.
 type Options struct {
 	Deployment  Deployment
 	Load        Load
 	Capacity    float64 // Requests a second that Load is a part of.
 	Fault       Fault
+	Routing     Routing // RouteBoth if empty.
 	Seed        uint64
 	Concurrency int           // Limit of the policy "fixed", for each engine.
 	WarmUp      time.Duration // Requests that arrive before count for nothing.
--- a/experimenter/job.go
+++ b/experimenter/job.go
@@ -72,11 +72,17 @@
 	f := j.f
 	j.attempt++
 	req := router.Request{Target: target, PrefixHash: j.request.prefix, Exclude: j.excluded, NoProbe: true}
+	if f.opt.Routing == RouteRandom {
+		req.PrefixHash = 0
+	}
 	cs, err := j.daemon.router.Candidates(req, f.rnd, f.now())
 	if err != nil {
 		j.refused(0)
 		return
 	}
+	if f.opt.Routing == RouteAffine {
+		cs = cs[:1]
+	}
 	hosts := make([]*host, len(cs))
 	quotes := make([]router.Quote, len(cs))
 	missing := len(cs)
@@ -204,13 +210,16 @@
 }
 
 // Started notes the wait of the request.
-func (j *job) Started(*emulator.Sequence) {
+func (j *job) Started(s *emulator.Sequence) {
 	j.started = true
 	j.stopWaiting()
 	j.stall += j.f.loop.Now() - j.submitted
 	j.lastToken = j.f.loop.Now()
 	if j.f.measured(j.request) {
 		j.f.m.started++
+		if s.Hit() {
+			j.f.m.hits++
+		}
 		j.f.m.recordWait(j.request.kind, j.f.loop.Now()-j.request.at)
 	}
 }
--- a/experimenter/metrics.go
+++ b/experimenter/metrics.go
@@ -24,6 +24,7 @@
 
 	requests       int // First arrivals.
 	started        int // At an engine.
+	hits           int // Of these, with their prefix cached.
 	inTime         int
 	late           int // Given up at the deadline.
 	failed         int // Cut off after the first token.
@@ -84,6 +85,7 @@
 	ReturnedInTime float64 `json:"returned_in_time_part"`
 	Late           float64 `json:"late_part"`
 	Failed         float64 `json:"failed_part"`
+	PrefixHits     float64 `json:"prefix_hit_part"`
 }
 
 func (m *metrics) figures(engines int, window time.Duration) Figures {
@@ -109,6 +111,7 @@
 		ReturnedInTime: ratio(float64(m.returnedInTime), m.returned),
 		Late:           ratio(float64(m.late), arrived),
 		Failed:         ratio(float64(m.failed), arrived),
+		PrefixHits:     ratio(float64(m.hits), m.started),
 	}
 }
 
--- a/experimenter/summary.go
+++ b/experimenter/summary.go
@@ -131,6 +131,7 @@
 	{"returned ok %", "returned_in_time_part", 100, 1},
 	{"late %", "late_part", 100, 1},
 	{"cut off %", "failed_part", 100, 1},
+	{"prefix hit %", "prefix_hit_part", 100, 1},
 }
 
 // WriteText writes t as a table in Markdown, mean and standard deviation in each
