--- /dev/null
+++ b/coordination/prober/member.go
@@ -0,0 +1,98 @@
+package prober
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonspar.example/state/cataloger"
+)
+
+// State is what is believed of a member.
+type State uint8
+
+// The states of a member. Within one incarnation a state only moves down this
+// list.
+const (
+	StateAlive   State = iota + 1
+	StateSuspect       // Probes failed; the member may still refute.
+	StateDead          // The suspicion was not refuted in time.
+	StateLeft          // The member said goodbye.
+)
+
+// String returns the name of s in logs and metrics.
+func (s State) String() string {
+	switch s {
+	case StateAlive:
+		return "alive"
+	case StateSuspect:
+		return "suspect"
+	case StateDead:
+		return "dead"
+	case StateLeft:
+		return "left"
+	default:
+		return "invalid"
+	}
+}
+
+// Gone reports whether the member takes no part any more.
+func (s State) Gone() bool { return s >= StateDead }
+
+// Limits of one entry. Longer entries are dropped.
+const (
+	MaxNameBytes = 64
+	MaxMetaBytes = 64
+)
+
+// Member is one daemon as another one sees it.
+type Member struct {
+	Name        string
+	Addr        string // IP address and port.
+	Domain      string
+	Region      string
+	Incarnation uint64 // Only the member itself raises it.
+	State       State
+	Generation  cataloger.Generation // Manifest in force when last heard of.
+	Meta        string               // Small data of the member's own; bound to the incarnation.
+}
+
+// newerThan reports whether m replaces o. The order is total for one name, so
+// that all daemons end with the same entry whatever order entries arrive in.
+func (m Member) newerThan(o Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	return m.State > o.State
+}
+
+// valid reports whether m may be taken in.
+func (m Member) valid() bool {
+	return m.Name != "" && m.Addr != "" &&
+		len(m.Name) <= MaxNameBytes && len(m.Addr) <= MaxNameBytes &&
+		len(m.Domain) <= MaxNameBytes && len(m.Region) <= MaxNameBytes &&
+		len(m.Meta) <= MaxMetaBytes &&
+		m.State >= StateAlive && m.State <= StateLeft
+}
+
+// record is a Member with what this daemon keeps about it.
+type record struct {
+	Member
+	hash     uint64    // Of the name.
+	since    time.Time // When the present state was taken in.
+	deadline time.Time // End of the suspicion; for StateSuspect.
+}
+
+// digest stands for the entry in the hashes of the view.
+func (m Member) digest() uint32 {
+	h := xxhash.Sum64String(m.Name)
+	return uint32(mix(h ^ m.Incarnation*0x9e3779b97f4a7c15))
+}
+
+// mix spreads the bits of h.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- a/state/asserter/asserter.go
+++ b/state/asserter/asserter.go
@@ -30,6 +30,7 @@
 	ConfigMonotonic    Invariant = "config_monotonic"      // The generation in force never decreases.
 	FenceMonotonic     Invariant = "fence_monotonic"       // Fencing numbers of orders never decrease.
 	LastReadyCopy      Invariant = "last_ready_copy"       // A model with traffic keeps one ready copy.
+	MembershipOrder    Invariant = "membership_order"      // A member's state never moves back within an incarnation.
 	PermitsConsistent  Invariant = "permits_consistent"    // Each permit is in one state.
 )
 
