Serve requests end to end: daemon, demo, stop and resume

Releasing a permit by its id; a resumed stream at the same daemon would be cancelled by the first reader's grace time, so holders are told apart.

--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -40,6 +40,8 @@
 
 // cli lists the commands. Each has a file of its own.
 type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run one daemon."`
+	Demo    demoCmd    `cmd:"" help:"Show the main job on loopback."`
 	Check   checkCmd   `cmd:"" help:"Check settings and manifests."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
--- a/protocol/messenger/dispatcher.go
+++ b/protocol/messenger/dispatcher.go
@@ -4,36 +4,42 @@
 	"context"
 
 	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/timekeeper"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// leavingMessage tells that an endpoint takes no new work.
-type leavingMessage struct {
+// newsMessage is the wire form of router.Report.
+type newsMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 	Endpoint string
 	BootID   string
+	Leaving  bool
+	Ready    []placementMessage
 }
 
-// SendGossip sends membership bytes to addr.
-func (m *Messenger) SendGossip(ctx context.Context, addr string, body []byte) error {
-	return m.caller.Send(ctx, addr, methodGossip, body)
-}
-
-// CallConfig sends configuration bytes to addr and returns the answer.
-func (m *Messenger) CallConfig(ctx context.Context, addr string, body []byte) ([]byte, error) {
-	return m.caller.Call(ctx, addr, methodConfig, body)
+// placementMessage is the wire form of cataloger.Placement.
+type placementMessage struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+	Model    string
+	Version  string
+	Adapter  string
 }
 
-// SendLeaving tells the daemon at addr that an endpoint is leaving.
-func (m *Messenger) SendLeaving(ctx context.Context, addr, endpoint, bootID string) error {
-	body, err := msgpack.Marshal(&leavingMessage{Endpoint: endpoint, BootID: bootID})
+// SendNews tells the daemon at addr what is known of an endpoint.
+func (m *Messenger) SendNews(ctx context.Context, addr string, rep router.Report) error {
+	out := newsMessage{Endpoint: rep.Endpoint, BootID: rep.BootID, Leaving: rep.Leaving}
+	for _, p := range rep.Ready {
+		out.Ready = append(out.Ready, placementMessage{Model: p.Model, Version: p.Version, Adapter: p.Adapter})
+	}
+	body, err := msgpack.Marshal(&out)
 	if err != nil {
-		return errors.Wrap(err, "encode leaving")
+		return errors.Wrap(err, "encode news")
 	}
-	return m.caller.Send(ctx, addr, methodLeaving, body)
+	return m.caller.Send(ctx, addr, methodNews, body)
 }
 
 // CallStatus asks the daemon at addr for its status.
@@ -65,12 +71,11 @@
 	case methodHold:
 		return answer(body, d.hold)
 	case methodGossip:
-		d.gossip.HandleGossip(peer, body)
-		return nil, nil
+		return nil, d.gossipCall(ctx, body)
 	case methodConfig:
-		return d.gossip.HandleConfig(peer, body)
-	case methodLeaving:
-		return answer(body, d.leaving)
+		return nil, d.configCall(peer, body)
+	case methodNews:
+		return answer(body, d.news)
 	case methodStatus:
 		return d.gossip.Status()
 	}
@@ -115,10 +120,14 @@
 	for _, p := range m.Permits {
 		held = append(held, admitter.Held{Request: p.request(now), Produced: p.Produced})
 	}
-	return empty{}, d.owners.Hold(m.Endpoint, held)
+	return empty{}, d.owners.Hold(m.Endpoint, m.Daemon, held)
 }
 
-func (d *Dispatcher) leaving(m leavingMessage) (empty, error) {
-	d.gossip.HandleLeaving(m.Endpoint, m.BootID)
+func (d *Dispatcher) news(m newsMessage) (empty, error) {
+	rep := router.Report{Endpoint: m.Endpoint, BootID: m.BootID, Leaving: m.Leaving}
+	for _, p := range m.Ready {
+		rep.Ready = append(rep.Ready, cataloger.Placement{Model: p.Model, Version: p.Version, Adapter: p.Adapter})
+	}
+	d.gossip.HandleNews(rep)
 	return empty{}, nil
 }
--- a/protocol/messenger/messenger.go
+++ b/protocol/messenger/messenger.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/coordination/configurer"
+	"monsoonspar.example/coordination/prober"
+	"monsoonspar.example/coordination/router"
 	"monsoonspar.example/state/timekeeper"
 
 	"github.com/pkg/errors"
@@ -29,7 +32,7 @@
 	methodHold    = "hold"
 	methodGossip  = "gossip"
 	methodConfig  = "config"
-	methodLeaving = "leaving"
+	methodNews    = "news"
 	methodStatus  = "status"
 )
 
@@ -48,15 +51,14 @@
 	// Quote forecasts the wait of a request.
 	Quote(endpoint string, r admitter.Request) (admitter.Quote, error)
 	// Hold takes over permits that their holder reports.
-	Hold(endpoint string, held []admitter.Held) error
+	Hold(endpoint, daemon string, held []admitter.Held) error
 }
 
-// Gossip handles messages of membership and configuration. Each takes the bytes
-// that the core of the same daemon version has encoded.
+// Gossip handles messages about membership, configuration and endpoints.
 type Gossip interface {
-	HandleGossip(from string, body []byte)
-	HandleConfig(from string, body []byte) ([]byte, error)
-	HandleLeaving(endpoint, bootID string)
+	HandleGossip(ctx context.Context, msg prober.Message)
+	HandleConfig(ev configurer.Event)
+	HandleNews(rep router.Report)
 	Status() ([]byte, error)
 }
 
--- a/protocol/messenger/permit.go
+++ b/protocol/messenger/permit.go
@@ -69,6 +69,7 @@
 type holdMessage struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 	Endpoint string
+	Daemon   string
 	Permits  []permitMessage
 }
 
@@ -132,7 +133,7 @@
 
 // Hold reports permits held by this daemon to the owner at addr.
 func (m *Messenger) Hold(ctx context.Context, addr, endpoint string, held []admitter.Held) error {
-	in := holdMessage{Endpoint: endpoint}
+	in := holdMessage{Endpoint: endpoint, Daemon: m.name}
 	now := m.clock.Now()
 	for _, h := range held {
 		in.Permits = append(in.Permits, newPermitMessage(endpoint, h.Request, h.Produced, now))
--- a/protocol/responder/stream.go
+++ b/protocol/responder/stream.go
@@ -34,7 +34,9 @@
 	// Next returns the next chunk, and io.EOF after the last. It returns a
 	// KeepAlive chunk at least every few seconds.
 	Next() (Chunk, error)
-	// First returns the index of the first token that Next will return.
+	// First returns where the answer begins: its attempt, which may still change
+	// while the index is 0, and the index of its first token. It is called before
+	// Next.
 	First() (sequencer.AttemptID, int)
 	// Close ends the reading. Unless the answer is complete, the caller may
 	// resume it for the grace time.
@@ -138,6 +140,7 @@
 // stream sends an answer as server-sent events. The status waits for the first
 // token, for a failure, or for a few signs of life, whichever is first.
 func (r *Responder) stream(c *fiber.Ctx, s Stream, a answer) error {
+	ledger := sequencer.NewLedger(s.First())
 	first, err := r.firstChunk(s)
 	if err != nil {
 		s.Close()
@@ -147,7 +150,7 @@
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer s.Close()
-		e := newEventWriter(w, a, s)
+		e := &eventWriter{w: w, a: a, s: s, ledger: ledger}
 		if err := e.run(first); err != nil {
 			r.log.Debug().Err(err).Str("request", a.id).Msg("responder: caller went away")
 		}
@@ -180,12 +183,6 @@
 	buf    []byte
 }
 
-// newEventWriter returns a writer that checks each token against the start of s.
-func newEventWriter(w *bufio.Writer, a answer, s Stream) *eventWriter {
-	attempt, next := s.First()
-	return &eventWriter{w: w, a: a, s: s, ledger: sequencer.NewLedger(attempt, next)}
-}
-
 // run writes chunks until the answer or the caller ends. An error means that
 // the caller is gone.
 func (e *eventWriter) run(ch Chunk) error {
--- /dev/null
+++ b/server/loads.go
@@ -0,0 +1,135 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/state/cataloger"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Periods of the work for owned endpoints.
+const (
+	loadInterval = 500 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
+	newsInterval = 5 * time.Minute
+)
+
+// tickOwners lets the owners act until ctx ends.
+func (s *Server) tickOwners(ctx context.Context) {
+	for s.clock.Sleep(ctx, tickInterval) == nil {
+		s.owners.tick()
+	}
+}
+
+// pollLoads reads the load of the owned endpoints until ctx ends.
+func (s *Server) pollLoads(ctx context.Context) {
+	for s.clock.Sleep(ctx, loadInterval) == nil {
+		var g conc.WaitGroup
+		cat := s.catalog.Load()
+		for _, name := range s.polled() {
+			if e, ok := cat.endpoints[name]; ok {
+				g.Go(func() { s.pollLoad(ctx, e) })
+			}
+		}
+		g.Wait()
+	}
+}
+
+// pollLoad reads the load of one endpoint and passes it on.
+func (s *Server) pollLoad(ctx context.Context, e cataloger.Endpoint) {
+	load, err := s.engines.Load(ctx, e.Addr, s.clock.Now())
+	if err != nil {
+		s.log.Debug().Err(err).Str("endpoint", e.Name).Msg("load: not read")
+		return
+	}
+	s.countPreemptions(e.Name, load.Report.Preemptions)
+	if e.Kind == cataloger.KindEngine {
+		s.owners.observe(e.Name, load.Report)
+	}
+	s.learn(router.Report{Endpoint: e.Name, BootID: load.BootID, Leaving: load.Leaving, Ready: load.Ready})
+}
+
+// learn takes first-hand news of an endpoint, and tells the other daemons if it
+// differs from the last or is due again.
+func (s *Server) learn(rep router.Report) {
+	s.router(func(r *router.Router) { r.Observe(rep) })
+	if !s.newsDue(rep) {
+		return
+	}
+	if rep.Leaving {
+		s.owners.leave(rep.Endpoint)
+	}
+	s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, shortTimeout)
+		defer cancel()
+		for _, m := range s.members.others() {
+			_ = s.msg.SendNews(ctx, m.Addr, rep) // Sent again after newsInterval.
+		}
+	})
+}
+
+// newsDue reports whether news is to be sent.
+func (s *Server) newsDue(rep router.Report) bool {
+	s.loadMu.Lock()
+	defer s.loadMu.Unlock()
+	now := s.clock.Now()
+	last := s.lastNews[rep.Endpoint]
+	same := last.report.BootID == rep.BootID && last.report.Leaving == rep.Leaving &&
+		slices.Equal(last.report.Ready, rep.Ready)
+	if same && now.Before(last.again) {
+		return false
+	}
+	s.lastNews[rep.Endpoint] = sentNews{report: rep, again: now.Add(newsInterval)}
+	return true
+}
+
+// sentNews is what the other daemons were told of an endpoint.
+type sentNews struct {
+	report router.Report
+	again  time.Time
+}
+
+// countPreemptions adds the preemptions since the last report.
+func (s *Server) countPreemptions(endpoint string, total int) {
+	s.loadMu.Lock()
+	defer s.loadMu.Unlock()
+	last, known := s.lastPreemptions[endpoint]
+	s.lastPreemptions[endpoint] = total
+	if known && total > last {
+		s.metrics.preemptions.Add(int64(total - last))
+	}
+}
+
+// endpointLeaves stops new work at an endpoint that refused a request because
+// it is leaving.
+func (s *Server) endpointLeaves(name string) {
+	s.router(func(r *router.Router) { r.MarkLeaving(name, "") })
+	s.owners.leave(name)
+}
+
+// HandleNews takes news of an endpoint from another daemon.
+func (s *Server) HandleNews(rep router.Report) {
+	s.router(func(r *router.Router) { r.Observe(rep) })
+	if rep.Leaving {
+		s.owners.leave(rep.Endpoint)
+	}
+}
+
+// cancelOrphan cancels a generation whose holder died.
+func (s *Server) cancelOrphan(endpoint string, id admitter.PermitID) {
+	e, ok := s.catalog.Load().endpoints[endpoint]
+	if !ok {
+		return
+	}
+	s.metrics.cancelled.Add(1)
+	s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, shortTimeout)
+		defer cancel()
+		s.cancelAt(ctx, e, id)
+	})
+}
--- /dev/null
+++ b/server/owners.go
@@ -0,0 +1,300 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/state/cataloger"
+	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/timekeeper"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of the owners.
+var (
+	errNoEndpoint = errors.New("server: no such endpoint")
+	errNotOwner   = errors.New("server: endpoint was handed over")
+)
+
+// canceller cancels generations at engines.
+type canceller interface {
+	cancelOrphan(endpoint string, id admitter.PermitID)
+}
+
+// owners holds the admission owners of the endpoints that this daemon owns.
+// Each endpoint is a shard under its own lock.
+type owners struct {
+	clock     timekeeper.Clock
+	canceller canceller
+	lookup    func(endpoint string) (cataloger.Endpoint, *cataloger.Manifest, bool)
+	daemons   func() []string // Daemons that may hold permits of a former owner.
+
+	mu     sync.RWMutex
+	shards map[string]*ownedEndpoint
+}
+
+// ownedEndpoint is the owner of one endpoint and those who wait for it.
+type ownedEndpoint struct {
+	endpoint cataloger.Endpoint
+
+	mu      sync.Mutex
+	owner   *admitter.Owner
+	waiters map[admitter.PermitID]chan admitter.Action
+	holders map[admitter.PermitID]string // Daemon that holds each permit.
+	closed  bool
+}
+
+// newOwners returns owners of no endpoint.
+func newOwners(clock timekeeper.Clock, c canceller, lookup func(string) (cataloger.Endpoint, *cataloger.Manifest, bool), daemons func() []string) *owners {
+	return &owners{clock: clock, canceller: c, lookup: lookup, daemons: daemons, shards: map[string]*ownedEndpoint{}}
+}
+
+// shard returns the owner of an endpoint and begins to own it if need be. A
+// daemon that is asked owns the endpoint whatever its own view of membership.
+func (o *owners) shard(endpoint string) (*ownedEndpoint, error) {
+	o.mu.RLock()
+	s, ok := o.shards[endpoint]
+	o.mu.RUnlock()
+	if ok {
+		return s, nil
+	}
+	e, m, ok := o.lookup(endpoint)
+	if !ok {
+		return nil, errNoEndpoint
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s, ok := o.shards[endpoint]; ok {
+		return s, nil
+	}
+	s = &ownedEndpoint{
+		endpoint: e,
+		owner:    admitter.NewOwner(ownerConfig(e, m), estimator.New()),
+		waiters:  map[admitter.PermitID]chan admitter.Action{},
+		holders:  map[admitter.PermitID]string{},
+	}
+	s.owner.Expect(o.clock.Now(), o.daemons())
+	o.shards[endpoint] = s
+	return s, nil
+}
+
+// ownerConfig returns the admission policy of an endpoint.
+func ownerConfig(e cataloger.Endpoint, m *cataloger.Manifest) admitter.Config {
+	return admitter.Config{
+		MemoryTokens: e.MemoryTokens,
+		BlockTokens:  e.BlockTokens,
+		MaxBatch:     e.MaxBatch,
+		GapTarget:    m.Defaults.TokenGapTarget,
+		Weights:      m.Weights,
+		LongShare:    m.Defaults.LongShare,
+		AgeBound:     m.Defaults.LongJobAgeBound,
+		ResumeGrace:  m.Defaults.ResumeGrace,
+	}
+}
+
+// owned returns the names of the endpoints that are owned here.
+func (o *owners) owned() []string {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	names := make([]string, 0, len(o.shards))
+	for name := range o.shards {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Permit queues a request and waits until it is granted or refused.
+func (o *owners) Permit(ctx context.Context, endpoint string, r admitter.Request) (admitter.Action, error) {
+	s, err := o.shard(endpoint)
+	if err != nil {
+		return admitter.Action{}, err
+	}
+	ch, err := s.wait(r)
+	if err != nil {
+		return admitter.Action{}, err
+	}
+	o.act(s, func(now time.Time) []admitter.Action { return s.owner.Enqueue(now, r) })
+	select {
+	case a, ok := <-ch:
+		if !ok {
+			return admitter.Action{}, errNotOwner
+		}
+		return a, nil
+	case <-ctx.Done():
+		o.withdraw(s, r.ID)
+		return admitter.Action{}, ctx.Err()
+	}
+}
+
+// wait registers a waiter for the decision about r.
+func (s *ownedEndpoint) wait(r admitter.Request) (chan admitter.Action, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, errNotOwner
+	}
+	if old, ok := s.waiters[r.ID]; ok {
+		close(old) // The asker has asked again; the first call gets no answer.
+	}
+	ch := make(chan admitter.Action, 1)
+	s.waiters[r.ID] = ch
+	s.holders[r.ID] = r.Daemon
+	return ch, nil
+}
+
+// withdraw gives up a request whose asker is gone.
+func (o *owners) withdraw(s *ownedEndpoint, id admitter.PermitID) {
+	o.act(s, func(now time.Time) []admitter.Action {
+		delete(s.waiters, id)
+		delete(s.holders, id)
+		return s.owner.Release(now, id, admitter.Result{})
+	})
+}
+
+// act runs one event of an owner under its lock and carries out the actions.
+func (o *owners) act(s *ownedEndpoint, event func(now time.Time) []admitter.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range event(o.clock.Now()) {
+		switch a.Kind {
+		case admitter.Grant, admitter.Refuse:
+			s.settle(a)
+		case admitter.Cancel:
+			delete(s.holders, a.ID)
+			o.canceller.cancelOrphan(s.endpoint.Name, a.ID)
+		}
+	}
+}
+
+// settle hands a decision to the one who waits for it.
+func (s *ownedEndpoint) settle(a admitter.Action) {
+	if a.Kind == admitter.Refuse {
+		delete(s.holders, a.ID)
+	}
+	ch, ok := s.waiters[a.ID]
+	if !ok {
+		return
+	}
+	delete(s.waiters, a.ID)
+	ch <- a
+}
+
+// Release ends a permit, and reports whether daemon held it. A daemon that no
+// longer holds it changes nothing.
+func (o *owners) Release(endpoint, daemon string, id admitter.PermitID, res admitter.Result) (bool, error) {
+	s, err := o.shard(endpoint)
+	if err != nil {
+		return false, err
+	}
+	holder := true
+	o.act(s, func(now time.Time) []admitter.Action {
+		if h, ok := s.holders[id]; ok && h != daemon {
+			holder = false
+			return nil
+		}
+		delete(s.holders, id)
+		return s.owner.Release(now, id, res)
+	})
+	return holder, nil
+}
+
+// Quote forecasts the wait of a request.
+func (o *owners) Quote(endpoint string, r admitter.Request) (admitter.Quote, error) {
+	s, err := o.shard(endpoint)
+	if err != nil {
+		return admitter.Quote{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return admitter.Quote{}, errNotOwner
+	}
+	return s.owner.Quote(o.clock.Now(), r), nil
+}
+
+// Hold takes over permits that their holder reports.
+func (o *owners) Hold(endpoint, daemon string, held []admitter.Held) error {
+	s, err := o.shard(endpoint)
+	if err != nil {
+		return err
+	}
+	o.act(s, func(now time.Time) []admitter.Action {
+		for _, h := range held {
+			s.holders[h.Request.ID] = daemon
+		}
+		return s.owner.Restore(now, daemon, held)
+	})
+	return nil
+}
+
+// observe gives a load report to the owner of an endpoint, if it is owned here.
+func (o *owners) observe(endpoint string, r admitter.LoadReport) {
+	o.mu.RLock()
+	s, ok := o.shards[endpoint]
+	o.mu.RUnlock()
+	if !ok {
+		return
+	}
+	o.act(s, func(now time.Time) []admitter.Action { return s.owner.Observe(now, r) })
+}
+
+// leave stops new work at an endpoint, if it is owned here.
+func (o *owners) leave(endpoint string) {
+	o.mu.RLock()
+	s, ok := o.shards[endpoint]
+	o.mu.RUnlock()
+	if ok {
+		o.act(s, s.owner.Leave)
+	}
+}
+
+// lose ends the permits of a daemon that died.
+func (o *owners) lose(daemon string) {
+	for _, s := range o.all() {
+		o.act(s, func(now time.Time) []admitter.Action { return s.owner.Lose(now, daemon) })
+	}
+}
+
+// tick lets each owner act on the passing of time.
+func (o *owners) tick() {
+	for _, s := range o.all() {
+		o.act(s, func(now time.Time) []admitter.Action {
+			if now.Before(s.owner.NextWake(now)) {
+				return nil
+			}
+			return s.owner.Tick(now)
+		})
+	}
+}
+
+// all returns the shards.
+func (o *owners) all() []*ownedEndpoint {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	shards := make([]*ownedEndpoint, 0, len(o.shards))
+	for _, s := range o.shards {
+		shards = append(shards, s)
+	}
+	return shards
+}
+
+// drop hands an endpoint over: those who wait ask the next owner.
+func (o *owners) drop(endpoint string) {
+	o.mu.Lock()
+	s, ok := o.shards[endpoint]
+	delete(o.shards, endpoint)
+	o.mu.Unlock()
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for id, ch := range s.waiters {
+		close(ch)
+		delete(s.waiters, id)
+	}
+}
--- /dev/null
+++ b/server/services.go
@@ -0,0 +1,157 @@
+package server
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"monsoonspar.example/coordination/attempter"
+	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/protocol/responder"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of calls to plain services.
+var (
+	errServiceRefused = errors.New("server: service refused before running")
+	errReplyTooLong   = errors.New("server: reply of the service is too long")
+)
+
+// Limits of a call to a plain service.
+const (
+	maxReplyBytes   = 8 << 20
+	statusRefused   = 503
+	headerNotRun    = "Monsoonspar-Not-Run"
+	headerRequestID = "Monsoonspar-Request-Id"
+)
+
+// Call runs a call to a plain service.
+func (s *Server) Call(ctx context.Context, c responder.Call) (responder.Reply, error) {
+	ctx, span := s.tracer.Start(ctx, "caller")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	s.retries.Request()
+	if c.Key != "" && (c.NonIdempotent || !c.Safe) {
+		return s.claimCall(ctx, c)
+	}
+	reply, outcome, err := s.callService(ctx, c)
+	s.metrics.outcomes.Add(string(outcome), 1)
+	return reply, err
+}
+
+// callService makes attempts at a call until one is answered or none is left.
+func (s *Server) callService(ctx context.Context, c responder.Call) (responder.Reply, attempter.Outcome, error) {
+	deadline, _ := ctx.Deadline()
+	a := attempter.New(attempter.Config{
+		NonIdempotent: c.NonIdempotent || !repeatable(c.Method),
+		Deadline:      deadline, MaxAttempts: maxAttempts,
+	}, s)
+	var failed []string
+	for {
+		endpoint, ok := s.pickService(c, failed)
+		if !ok {
+			return responder.Reply{}, outcomeOf(a), callError(a, "no_endpoint", "no endpoint of the service is ready")
+		}
+		a.Sending()
+		reply, err := s.sendCall(ctx, c, endpoint)
+		if err == nil {
+			return reply, attempter.Ran, nil
+		}
+		failed = append(failed, endpoint)
+		d := a.Failed(s.clock.Now(), callFailure(err))
+		if d.Step == attempter.GiveUp {
+			a.Say(d.Outcome)
+			return responder.Reply{}, d.Outcome, callError(a, "not_served", "the service could not be reached")
+		}
+		s.metrics.retries.Add(1)
+		if s.clock.Sleep(ctx, d.Delay) != nil {
+			return responder.Reply{}, outcomeOf(a), callError(a, "deadline", "the call did not end in time")
+		}
+	}
+}
+
+// repeatable reports whether a method may be sent twice.
+func repeatable(method string) bool { return method != "POST" && method != "PATCH" }
+
+// pickService returns an endpoint of the service.
+func (s *Server) pickService(c responder.Call, failed []string) (string, bool) {
+	cands, err := s.candidates(router.Request{
+		Target: router.Target{Service: c.Service}, Exclude: failed, NoProbe: c.NonIdempotent,
+	})
+	if err != nil || len(cands) == 0 {
+		return "", false
+	}
+	return cands[0].Endpoint, true
+}
+
+// sendCall makes one attempt at a call.
+func (s *Server) sendCall(ctx context.Context, c responder.Call, endpoint string) (responder.Reply, error) {
+	ctx, span := s.tracer.Start(ctx, "endpoint")
+	defer span.End()
+	e, ok := s.catalog.Load().endpoints[endpoint]
+	if !ok {
+		return responder.Reply{}, errors.Wrap(requester.ErrNotSent, "endpoint is no longer declared")
+	}
+	if !s.maySend(endpoint) {
+		return responder.Reply{}, errors.Wrap(requester.ErrNotSent, "endpoint began to leave")
+	}
+	header := append(traceHeader(ctx), requester.Header{Name: headerRequestID, Value: c.ID})
+	if c.ContentType != "" {
+		header = append(header, requester.Header{Name: "Content-Type", Value: c.ContentType})
+	}
+	res, err := s.doer.Do(ctx, requester.Request{
+		Method: c.Method, Addr: e.Addr, Path: c.Path, Header: header, Body: c.Body,
+		NonIdempotent: c.NonIdempotent || !repeatable(c.Method), Silence: c.Timeout,
+	})
+	if err == nil {
+		var reply responder.Reply
+		if reply, err = readReply(res); err == nil {
+			s.router(func(r *router.Router) { r.ReportSuccess(endpoint) })
+			return reply, nil
+		}
+	}
+	s.log.Info().Err(err).Str("request", c.ID).Str("endpoint", endpoint).Msg("service: attempt failed")
+	now := s.clock.Now()
+	s.router(func(r *router.Router) { r.ReportFailure(endpoint, now) })
+	return responder.Reply{}, err
+}
+
+// readReply reads the whole answer of a service.
+func readReply(res requester.Response) (responder.Reply, error) {
+	defer func() { _ = res.Body.Close() }()
+	if res.Status == statusRefused && res.Get(headerNotRun) == "true" {
+		return responder.Reply{}, errServiceRefused
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	if err != nil {
+		return responder.Reply{}, err
+	}
+	if len(body) > maxReplyBytes {
+		return responder.Reply{}, errReplyTooLong
+	}
+	return responder.Reply{Status: res.Status, ContentType: res.Get("Content-Type"), Body: body}, nil
+}
+
+// callFailure returns what an error of sendCall proves.
+func callFailure(err error) attempter.Failure {
+	switch {
+	case errors.Is(err, requester.ErrNotSent):
+		return attempter.NotSent
+	case errors.Is(err, errServiceRefused):
+		return attempter.Refused
+	}
+	return attempter.Broken
+}
+
+// callError returns the final answer for a call that got no answer.
+func callError(a *attempter.Attempter, code, message string) error {
+	o := outcomeOf(a)
+	e := &responder.RequestError{Status: 503, Code: code, Message: message, Outcome: o, RetryAfter: time.Second}
+	if code == "deadline" {
+		e.Status = 504
+	}
+	return e
+}
--- /dev/null
+++ b/server/tracing.go
@@ -0,0 +1,72 @@
+package server
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/state/parser"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/trace"
+)
+
+// propagator carries traces in the traceparent header.
+var propagator = propagation.TraceContext{}
+
+// tracing is where spans go.
+type tracing struct {
+	provider *trace.TracerProvider
+	file     io.Closer
+}
+
+// newTracing sets up the exporter that the settings name.
+func newTracing(ctx context.Context, cfg parser.TraceSettings) (*tracing, error) {
+	t := &tracing{}
+	var exporter trace.SpanExporter
+	var err error
+	switch cfg.Exporter {
+	case parser.TraceStdout:
+		exporter, err = stdouttrace.New()
+	case parser.TraceFile:
+		var f *os.File
+		if f, err = os.OpenFile(cfg.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+			return nil, errors.Wrap(err, "open the trace file")
+		}
+		t.file = f
+		exporter, err = stdouttrace.New(stdouttrace.WithWriter(f))
+	case parser.TraceOTLP:
+		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(cfg.OTLPAddr), otlptracehttp.WithInsecure())
+	default:
+		t.provider = trace.NewTracerProvider(trace.WithSampler(trace.NeverSample()))
+		return t, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "set up the trace exporter")
+	}
+	t.provider = trace.NewTracerProvider(trace.WithBatcher(exporter))
+	return t, nil
+}
+
+// close writes out what is left.
+func (t *tracing) close(ctx context.Context) {
+	_ = t.provider.Shutdown(ctx)
+	if t.file != nil {
+		_ = t.file.Close()
+	}
+}
+
+// traceHeader returns the header fields that carry the span of ctx.
+func traceHeader(ctx context.Context) []requester.Header {
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	fields := make([]requester.Header, 0, len(carrier))
+	for _, name := range carrier.Keys() {
+		fields = append(fields, requester.Header{Name: name, Value: carrier.Get(name)})
+	}
+	return fields
+}
