Show a daemon's status, and close connections while stopping

Cause: operators need to see the generation in force; a kept-alive connection that is idle at the end of a stop could lose a request.

--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -42,6 +42,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run one daemon."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on loopback."`
+	Status  statusCmd  `cmd:"" help:"Show daemons, endpoints and leases."`
 	Check   checkCmd   `cmd:"" help:"Check settings and manifests."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
--- a/protocol/responder/responder.go
+++ b/protocol/responder/responder.go
@@ -123,7 +123,7 @@
 		Immutable:             true,
 		ErrorHandler:          r.handleError,
 	})
-	r.app.Use(r.recoverPanic)
+	r.app.Use(r.recoverPanic, r.closeWhileStopping)
 	r.app.Get("/healthz", r.healthz)
 	r.app.Get("/readyz", r.readyz)
 	r.app.Get("/v1/models", r.models)
@@ -183,6 +183,15 @@
 	return customer, nil
 }
 
+// closeWhileStopping ends connections after their answer while the daemon stops,
+// so that none is idle when it closes them.
+func (r *Responder) closeWhileStopping(c *fiber.Ctx) error {
+	if !r.backend.Ready() {
+		c.Context().SetConnectionClose()
+	}
+	return c.Next()
+}
+
 // recoverPanic turns a panic of a handler into an error answer.
 func (r *Responder) recoverPanic(c *fiber.Ctx) (err error) {
 	defer func() {
