Show what part is answered in time at the first call

Answers to callers that came back after an early refusal count as in time as well, which the baselines, that tell no time, can't have. The new column leaves them out.

--- a/experimenter/fairness.go
+++ b/experimenter/fairness.go
@@ -7,7 +7,6 @@
 // each over its weight, since both have had requests waiting without a break.
 type fairness struct {
 	customers []Customer
-	index     map[string]int
 	waiting   []int
 	served    []float64 // Tokens over weight.
 	pairs     []pair
@@ -24,12 +23,10 @@
 func newFairness(cs []Customer) *fairness {
 	x := &fairness{
 		customers: cs,
-		index:     map[string]int{},
 		waiting:   make([]int, len(cs)),
 		served:    make([]float64, len(cs)),
 	}
-	for i, c := range cs {
-		x.index[c.Name] = i
+	for i := range cs {
 		for k := range i {
 			x.pairs = append(x.pairs, pair{a: k, b: i})
 		}
@@ -37,13 +34,11 @@
 	return x
 }
 
-// wait adds n requests of c to its backlog.
-func (x *fairness) wait(c *Customer, n int) { x.waiting[x.index[c.Name]] += n }
+// wait adds n requests to the backlog of customer i.
+func (x *fairness) wait(i, n int) { x.waiting[i] += n }
 
-// serve counts tokens produced for c.
-func (x *fairness) serve(c *Customer, tokens int) {
-	x.served[x.index[c.Name]] += float64(tokens) / c.Weight
-}
+// serve counts a token produced for customer i.
+func (x *fairness) serve(i int) { x.served[i] += 1 / x.customers[i].Weight }
 
 // sample looks at all pairs once.
 func (x *fairness) sample() {
--- a/experimenter/host.go
+++ b/experimenter/host.go
@@ -50,13 +50,14 @@
 // request describes j to the gate.
 func (h *host) request(j *job) admitter.Request {
 	r := j.request
+	customer := h.f.d.Customers[r.customer]
 	req := admitter.Request{
 		ID:           admitter.PermitID(j.id()),
 		Daemon:       j.daemon.name,
-		Customer:     r.customer.Name,
+		Customer:     customer.Name,
 		Model:        "base",
 		Kind:         r.kind.Name,
-		Weight:       r.customer.Weight,
+		Weight:       customer.Weight,
 		PromptTokens: r.prompt,
 		MaxTokens:    r.kind.MaxTokens,
 		Arrived:      epoch.Add(r.at),
--- a/experimenter/job.go
+++ b/experimenter/job.go
@@ -228,7 +228,7 @@
 func (j *job) Token(s *emulator.Sequence) {
 	now := j.f.loop.Now()
 	e := j.host.engine
-	e.fairness.serve(j.request.customer, 1)
+	e.fairness.serve(j.request.customer)
 	if s.Produced() > 1 {
 		gap := now - j.lastToken
 		if j.preempted >= 0 {
--- a/experimenter/metrics.go
+++ b/experimenter/metrics.go
@@ -76,6 +76,7 @@
 	GapP99         float64 `json:"gap_p99_ms"`
 	InTime         float64 `json:"in_time_per_engine_s"`
 	InTimePart     float64 `json:"in_time_part"`
+	FirstInTime    float64 `json:"first_in_time_part"` // Answered in time without a return.
 	WaitShortP95   float64 `json:"wait_short_p95_ms"`
 	WaitLongP99    float64 `json:"wait_long_p99_ms"`
 	WaitLongMax    float64 `json:"wait_long_max_ms"`
@@ -102,6 +103,7 @@
 		GapP99:         ms(m.gap, 99),
 		InTime:         float64(m.inTime) / (float64(engines) * window.Seconds()),
 		InTimePart:     ratio(float64(m.inTime), m.requests),
+		FirstInTime:    ratio(float64(m.inTime-m.returnedInTime), m.requests),
 		WaitShortP95:   ms(m.waitShort, 95),
 		WaitLongP99:    ms(m.waitLong, 99),
 		WaitLongMax:    ms(m.waitLong, 100),
--- a/experimenter/summary.go
+++ b/experimenter/summary.go
@@ -123,6 +123,7 @@
 	{"p99", "gap_p99_ms", 1, 0},
 	{"in time/engine-s", "in_time_per_engine_s", 1, 3},
 	{"in time %", "in_time_part", 100, 1},
+	{"at first call %", "first_in_time_part", 100, 1},
 	{"short wait p95 ms", "wait_short_p95_ms", 1, 0},
 	{"long wait p99 s", "wait_long_p99_ms", 0.001, 1},
 	{"max s", "wait_long_max_ms", 0.001, 1},
--- a/experimenter/workload.go
+++ b/experimenter/workload.go
@@ -11,7 +11,7 @@
 type request struct {
 	id       string
 	kind     *Kind
-	customer *Customer
+	customer int // Index into Deployment.Customers.
 	at       time.Duration
 	slack    time.Duration // From arrival to deadline.
 	prompt   int           // Tokens, the prefix included.
@@ -127,15 +127,15 @@
 	return &d.Kinds[len(d.Kinds)-1]
 }
 
-func (d Deployment) drawCustomer(rnd *rand.Rand) *Customer {
+func (d Deployment) drawCustomer(rnd *rand.Rand) int {
 	x := rnd.Float64()
 	for i := range d.Customers {
 		if x < d.Customers[i].Demand {
-			return &d.Customers[i]
+			return i
 		}
 		x -= d.Customers[i].Demand
 	}
-	return &d.Customers[len(d.Customers)-1]
+	return len(d.Customers) - 1
 }
 
 // generate returns the requests that arrive before end, in order. They are a
