Bound all attempts of a platform call together

Also, the service stand-in dropped the header by which its refusals prove that nothing ran, so that a daemon reported them as run; its test now asks for the header.

--- a/protocol/storer/call.go
+++ b/protocol/storer/call.go
@@ -29,6 +29,8 @@
 // attempt makes a call, again while the budget and the deadline allow it.
 // repeatable tells whether a call with an unknown outcome may be repeated.
 func (c *Client) attempt(ctx context.Context, req requester.Request, repeatable func(error) bool) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	defer cancel()
 	c.retrier.Request()
 	for n := 1; ; n++ {
 		body, err := c.once(ctx, req)
@@ -37,10 +39,7 @@
 		}
 		again := repeatable(err)
 		delay, refused := c.nextDelay(ctx, n, err, again)
-		if refused != nil {
-			return nil, err
-		}
-		if c.clock.Sleep(ctx, delay) != nil {
+		if refused != nil || c.clock.Sleep(ctx, delay) != nil || ctx.Err() != nil {
 			return nil, err
 		}
 	}
--- a/protocol/storer/storer.go
+++ b/protocol/storer/storer.go
@@ -57,6 +57,7 @@
 	Deployment     string
 	Token          string        // Bearer token; none if empty.
 	Timeout        time.Duration // Of one attempt; 2 s by default.
+	CallTimeout    time.Duration // Of all attempts of a call; twice Timeout by default.
 	MaxWait        time.Duration // Longest wait between attempts; 250 ms by default.
 	WatchSilence   time.Duration // Longest silence of a watch; 4 s by default.
 	CallsPerSecond float64       // Rate limit of this client; 50 by default.
@@ -66,6 +67,7 @@
 
 func (c *Config) setDefaults() {
 	setDefault(&c.Timeout, 2*time.Second)
+	setDefault(&c.CallTimeout, 2*c.Timeout)
 	setDefault(&c.MaxWait, 250*time.Millisecond)
 	setDefault(&c.WatchSilence, 4*time.Second)
 	setDefault(&c.CallsPerSecond, 50)
--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -249,3 +249,25 @@
 		assert.Assert(t, !errors.Is(err, storer.ErrUnknown))
 	})
 }
+
+// hang is a Doer that never answers and notes the deadlines of its calls.
+type hang struct{ deadlines []time.Time }
+
+func (h *hang) Do(ctx context.Context, req requester.Request) (requester.Response, error) {
+	if deadline, ok := ctx.Deadline(); ok && req.Method == "POST" {
+		h.deadlines = append(h.deadlines, deadline)
+	}
+	<-ctx.Done()
+	return requester.Response{}, requester.FailureError{Kind: requester.ErrUnknown, Cause: ctx.Err()}
+}
+
+func TestAttemptsShareOneTimeout(t *testing.T) {
+	doer := &hang{}
+	cfg := storer.Config{Deployment: "d", Timeout: 20 * time.Millisecond, CallTimeout: 30 * time.Millisecond}
+	client := storer.New(cfg, doer, &sleeper{}, rand.New(rand.NewPCG(1, 2)))
+	_, err := client.Create(t.Context(), storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{"writer":"w"}`)})
+	assert.ErrorIs(t, err, storer.ErrUnknown)
+	assert.Equal(t, len(doer.deadlines), 2)
+	// The second attempt ends with the call, not by its own timeout.
+	assert.Assert(t, doer.deadlines[1].Sub(doer.deadlines[0]) < cfg.Timeout)
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -150,8 +150,8 @@
 	v := s.decide()
 	switch v {
 	case verdictRefuse:
-		ctx.Response.Header.Set("Monsoonspar-Not-Run", "true")
 		ctx.Error("refused", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set("Monsoonspar-Not-Run", "true")
 		return
 	case verdictSilent:
 		<-s.stop
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -30,6 +30,9 @@
 	defer func() { _ = res.Body.Close() }()
 	text, err := io.ReadAll(res.Body)
 	assert.NilError(t, err)
+	if res.StatusCode == http.StatusServiceUnavailable {
+		assert.Equal(t, res.Header.Get("Monsoonspar-Not-Run"), "true")
+	}
 	return res.StatusCode, string(text)
 }
 
