Apply a manifest under the generation it was made from

apply checks the manifest, stores the parts that the accepted one lacks and replaces the head by a conditional update. A racing operator is shown what was accepted and how it differs.

Where the platform loses the answers of the writes, apply first failed with an unknown outcome: the client looks for the field writer in the spec, not writer_id.

--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -43,6 +43,7 @@
 	Serve   serveCmd   `cmd:"" help:"Run one daemon."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on loopback."`
 	Status  statusCmd  `cmd:"" help:"Show daemons, endpoints and leases."`
+	Apply   applyCmd   `cmd:"" help:"Make a manifest the accepted one."`
 	Check   checkCmd   `cmd:"" help:"Check settings and manifests."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -166,7 +166,7 @@
 	if err != nil && !errors.Is(err, publisher.ErrNoManifest) {
 		return err
 	}
-	_, err = publisher.Publish(ctx, d.store, base, snap, fmt.Sprint("demonstrator ", base.Version))
+	_, err = publisher.Publish(ctx, d.store, base, snap, fmt.Sprint("demonstrator ", base.Version), timekeeper.System{}.Now())
 	return err
 }
 
--- a/protocol/publisher/publisher.go
+++ b/protocol/publisher/publisher.go
@@ -37,16 +37,27 @@
 	Watch(ctx context.Context, resource string, from uint64, fn func(storer.Event) error) error
 }
 
-// headSpec is the form of the head in the platform.
+// headSpec is the form of the head in the platform. The history tells a writer
+// whose answer was lost and whose manifest has been replaced since that it was
+// accepted.
 type headSpec struct {
-	Writer     string   `json:"writer"`
-	Generation uint64   `json:"generation"`
-	Parts      []string `json:"parts"`
+	Writer     string        `json:"writer"`
+	Generation uint64        `json:"generation"`
+	Parts      []string      `json:"parts"`
+	History    []writtenSpec `json:"history"` // The latest first, without the head itself.
 }
 
-// partSpec is the form of a part in the platform.
+// writtenSpec names the writer of an earlier generation.
+type writtenSpec struct {
+	Writer     string `json:"writer"`
+	Generation uint64 `json:"generation"`
+}
+
+// partSpec is the form of a part in the platform. The writer is the digest,
+// because all writers of a part write the same.
 type partSpec struct {
-	Text string `json:"text"`
+	Writer string `json:"writer"`
+	Text   string `json:"text"`
 }
 
 // Stored is a head with the version that a conditional update needs. The zero
@@ -54,6 +65,21 @@
 type Stored struct {
 	Head    configurer.Head
 	Version uint64
+	Writers []Written // Of this and earlier generations, the latest first.
+}
+
+// Written names who wrote a generation.
+type Written struct {
+	Generation cataloger.Generation
+	Writer     string
+}
+
+// Writer returns who wrote the head, or "".
+func (s Stored) Writer() string {
+	if len(s.Writers) == 0 {
+		return ""
+	}
+	return s.Writers[0].Writer
 }
 
 // ReadHead reads the head, or returns ErrNoManifest.
@@ -65,16 +91,29 @@
 	if err != nil {
 		return Stored{}, err
 	}
-	h, err := decodeHead(o.Spec)
-	return Stored{Head: h, Version: o.Version}, err
+	return decodeStored(o)
 }
 
-// decodeHead decodes the spec of a head.
-func decodeHead(spec json.RawMessage) (configurer.Head, error) {
+// decodeStored decodes the object of a head.
+func decodeStored(o storer.Object) (Stored, error) {
 	var s headSpec
-	if err := json.Unmarshal(spec, &s); err != nil {
-		return configurer.Head{}, errors.Wrap(ErrMalformed, err.Error())
+	if err := json.Unmarshal(o.Spec, &s); err != nil {
+		return Stored{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	h, err := decodeHead(s)
+	if err != nil {
+		return Stored{}, err
+	}
+	stored := Stored{Head: h, Version: o.Version}
+	stored.Writers = append(stored.Writers, Written{Generation: h.Generation, Writer: s.Writer})
+	for _, w := range s.History {
+		stored.Writers = append(stored.Writers, Written{Generation: cataloger.Generation(w.Generation), Writer: w.Writer})
 	}
+	return stored, nil
+}
+
+// decodeHead returns what daemons need of a head.
+func decodeHead(s headSpec) (configurer.Head, error) {
 	h := configurer.Head{Generation: cataloger.Generation(s.Generation)}
 	for _, name := range s.Parts {
 		d, err := partitioner.ParseDigest(name)
@@ -86,6 +125,20 @@
 	return h, nil
 }
 
+// ReadSnapshot reads the accepted manifest whole, or returns ErrNoManifest.
+func ReadSnapshot(ctx context.Context, st Store) (Stored, partitioner.Snapshot, error) {
+	stored, err := ReadHead(ctx, st)
+	if err != nil {
+		return Stored{}, partitioner.Snapshot{}, err
+	}
+	parts, err := ReadParts(ctx, st, stored.Head.Parts)
+	if err != nil {
+		return Stored{}, partitioner.Snapshot{}, err
+	}
+	s, err := partitioner.Assemble(parts)
+	return stored, s, err
+}
+
 // ReadParts reads parts by their digests. It returns an error if one is missing.
 func ReadParts(ctx context.Context, st Store, digests []partitioner.Digest) ([]partitioner.Part, error) {
 	parts := make([]partitioner.Part, 0, len(digests))
@@ -118,70 +171,11 @@
 			fn(configurer.Head{}, false)
 			return nil
 		}
-		h, err := decodeHead(ev.Object.Spec)
+		stored, err := decodeStored(ev.Object)
 		if err != nil {
 			return err
 		}
-		fn(h, true)
+		fn(stored.Head, true)
 		return nil
 	})
 }
-
-// Publish stores a manifest as the successor of base and returns the new head.
-// The parts go first, so that a reader of the head finds them. It returns
-// ErrConflict if base is no longer the accepted one. The writer must be unique
-// to this call; by it a lost answer is resolved.
-func Publish(ctx context.Context, st Store, base Stored, s partitioner.Snapshot, writer string) (Stored, error) {
-	known := map[partitioner.Digest]bool{}
-	for _, d := range base.Head.Parts {
-		known[d] = true
-	}
-	for _, p := range s.Parts {
-		if known[p.Digest] {
-			continue
-		}
-		if err := publishPart(ctx, st, p); err != nil {
-			return Stored{}, err
-		}
-	}
-	return publishHead(ctx, st, base, s, writer)
-}
-
-// publishPart stores one part, unless it is there.
-func publishPart(ctx context.Context, st Store, p partitioner.Part) error {
-	spec, err := json.Marshal(partSpec{Text: p.Text})
-	if err != nil {
-		return errors.Wrap(err, "encode part")
-	}
-	_, err = st.Create(ctx, storer.Object{Resource: resourceParts, Name: p.Digest.String(), Spec: spec})
-	if errors.Is(err, storer.ErrExists) {
-		return nil
-	}
-	return errors.Wrap(err, "store part")
-}
-
-// publishHead stores the head if base is still the accepted one.
-func publishHead(ctx context.Context, st Store, base Stored, s partitioner.Snapshot, writer string) (Stored, error) {
-	h := configurer.Head{Generation: base.Head.Generation + 1, Parts: s.Digests()}
-	names := make([]string, len(h.Parts))
-	for i, d := range h.Parts {
-		names[i] = d.String()
-	}
-	spec, err := json.Marshal(headSpec{Writer: writer, Generation: uint64(h.Generation), Parts: names})
-	if err != nil {
-		return Stored{}, errors.Wrap(err, "encode head")
-	}
-	o := storer.Object{Resource: resourceHeads, Name: headName, Version: base.Version, Spec: spec}
-	if base.Version == 0 {
-		o, err = st.Create(ctx, o)
-	} else {
-		o, err = st.Update(ctx, o)
-	}
-	if errors.Is(err, storer.ErrExists) || errors.Is(err, storer.ErrConflict) {
-		return Stored{}, errors.Wrap(ErrConflict, err.Error())
-	}
-	if err != nil {
-		return Stored{}, err
-	}
-	return Stored{Head: h, Version: o.Version}, nil
-}
--- a/state/partitioner/change.go
+++ b/state/partitioner/change.go
@@ -120,3 +120,28 @@
 	}
 	return Split(list)
 }
+
+// Merge returns theirs with the change from base to ours made. Sections that
+// both sides have changed, and not to the same text, are returned as clashes;
+// then there is no merged manifest.
+func Merge(base, ours, theirs Snapshot) (merged Snapshot, clashes []string, err error) {
+	change := Compare(base, ours)
+	other := make(map[string]bool)
+	for _, title := range Compare(base, theirs).Titles() {
+		other[title] = true
+	}
+	differ := make(map[string]bool)
+	for _, title := range Compare(ours, theirs).Titles() {
+		differ[title] = true
+	}
+	for _, title := range change.Titles() {
+		if other[title] && differ[title] {
+			clashes = append(clashes, title)
+		}
+	}
+	if len(clashes) > 0 {
+		return Snapshot{}, clashes, nil
+	}
+	merged, err = theirs.Apply(change)
+	return merged, nil, err
+}
