--- a/coordination/configurer/history_test.go
+++ b/coordination/configurer/history_test.go
@@ -103,8 +103,8 @@
 		assert.Equal(t, len(w.failures), 0, "%v", w.failures)
 		want := w.highestInForce()
 		assert.Assert(t, want >= least)
-		if n := len(w.platform.heads); n > 0 && w.platform.valid[w.platform.heads[n-1].Generation] {
-			want = w.platform.heads[n-1].Generation
+		if w.platform.installable() {
+			want = cataloger.Generation(len(w.platform.heads))
 		}
 		w.checkAll(t, want)
 		w.put(12, noFault)
--- a/coordination/configurer/world_test.go
+++ b/coordination/configurer/world_test.go
@@ -51,7 +51,7 @@
 // platform keeps every head that was accepted.
 type platform struct {
 	heads  []Head
-	valid  map[cataloger.Generation]bool
+	valid  map[cataloger.Generation]bool // Whether the text is valid.
 	parts  map[partitioner.Digest]string
 	outage bool
 	stale  bool
@@ -351,6 +351,20 @@
 	return p.heads[i]
 }
 
+// installable reports whether the latest head is valid and has all its parts.
+func (p *platform) installable() bool {
+	if len(p.heads) == 0 {
+		return false
+	}
+	head := p.heads[len(p.heads)-1]
+	for _, d := range head.Parts {
+		if _, ok := p.parts[d]; !ok {
+			return false
+		}
+	}
+	return p.valid[head.Generation]
+}
+
 // fault is what may be wrong with a manifest that the platform accepts.
 type fault int
 
@@ -366,9 +380,11 @@
 	s := w.compose(customers, f)
 	g := cataloger.Generation(len(w.platform.heads) + 1)
 	w.platform.heads = append(w.platform.heads, Head{Generation: g, Parts: s.Digests()})
-	w.platform.valid[g] = f == noFault
-	for i, p := range s.Parts {
-		if f == missingPart && i == 0 {
+	w.platform.valid[g] = f == noFault || f == missingPart
+	left := f == missingPart
+	for _, p := range s.Parts {
+		if _, stored := w.platform.parts[p.Digest]; left && !stored {
+			left = false
 			continue
 		}
 		w.platform.parts[p.Digest] = p.Text
