--- /dev/null
+++ b/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e_test
+
+const raceEnabled = false
--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -126,6 +126,7 @@
 		{"conflict", []reply{moved}, storer.ErrConflict},
 		{"took effect", []reply{lost, moved, found}, nil},
 		{"another's write stands now", []reply{lost, moved, other}, storer.ErrUnknown},
+		{"the same writer's earlier write stands", []reply{lost, lost, lost, {status: 200, body: `{"metadata":{"resourceVersion":"3"},"spec":{"writer":"w1"}}`}}, storer.ErrUnknown},
 		{"stale read-back", []reply{lost, moved, {status: 200, body: `{"metadata":{"resourceVersion":"3"},"spec":{}}`}}, storer.ErrUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/protocol/storer/write.go
+++ b/protocol/storer/write.go
@@ -64,7 +64,7 @@
 		// still be under way.
 		return Object{}, unknown
 	}
-	if WriterID(found.Spec) == WriterID(want.Spec) {
+	if WriterID(found.Spec) == WriterID(want.Spec) && found.Version > want.Version {
 		return found, nil
 	}
 	if errors.Is(last, ErrExists) {
