Follow the platform's list of VMs, and renew the owner of a restarted endpoint

Cause: an endpoint that leaves may be known from the VM list first; an owner that saw its endpoint leave refused work for ever, also after a restart. Ruled out: every daemon reading the list; one of each failure domain does.

--- a/server/loads.go
+++ b/server/loads.go
@@ -58,23 +58,33 @@
 // differs from the last or is due again.
 func (s *Server) learn(rep router.Report) {
 	s.router(func(r *router.Router) { r.Observe(rep) })
-	if !s.newsDue(rep) {
+	due, restarted := s.newsDue(rep)
+	if restarted {
+		s.owners.drop(rep.Endpoint) // Its permits ended with the old process.
+	}
+	if !due {
 		return
 	}
 	if rep.Leaving {
 		s.owners.leave(rep.Endpoint)
 	}
-	s.group.Go(func() {
-		ctx, cancel := context.WithTimeout(s.ctx, shortTimeout)
-		defer cancel()
-		for _, m := range s.members.others() {
+	s.broadcast(rep)
+}
+
+// broadcast tells the other daemons what is known of an endpoint.
+func (s *Server) broadcast(rep router.Report) {
+	for _, m := range s.members.others() {
+		s.group.Go(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, shortTimeout)
+			defer cancel()
 			_ = s.msg.SendNews(ctx, m.Addr, rep) // Sent again after newsInterval.
-		}
-	})
+		})
+	}
 }
 
-// newsDue reports whether news is to be sent.
-func (s *Server) newsDue(rep router.Report) bool {
+// newsDue reports whether news is to be sent, and whether the endpoint has
+// restarted since the last.
+func (s *Server) newsDue(rep router.Report) (due, restarted bool) {
 	s.loadMu.Lock()
 	defer s.loadMu.Unlock()
 	now := s.clock.Now()
@@ -82,10 +92,10 @@
 	same := last.report.BootID == rep.BootID && last.report.Leaving == rep.Leaving &&
 		slices.Equal(last.report.Ready, rep.Ready)
 	if same && now.Before(last.again) {
-		return false
+		return false, false
 	}
 	s.lastNews[rep.Endpoint] = sentNews{report: rep, again: now.Add(newsInterval)}
-	return true
+	return true, last.report.BootID != "" && last.report.BootID != rep.BootID
 }
 
 // sentNews is what the other daemons were told of an endpoint.
@@ -114,10 +124,12 @@
 
 // HandleNews takes news of an endpoint from another daemon.
 func (s *Server) HandleNews(rep router.Report) {
-	s.router(func(r *router.Router) { r.Observe(rep) })
 	if rep.Leaving {
+		s.router(func(r *router.Router) { r.MarkLeaving(rep.Endpoint, rep.BootID) })
 		s.owners.leave(rep.Endpoint)
+		return
 	}
+	s.router(func(r *router.Router) { r.Observe(rep) })
 }
 
 // cancelOrphan cancels a generation whose holder died.
--- a/server/owners.go
+++ b/server/owners.go
@@ -32,8 +32,9 @@
 	lookup    func(endpoint string) (cataloger.Endpoint, *cataloger.Manifest, bool)
 	daemons   func() []string // Daemons that may hold permits of a former owner.
 
-	mu     sync.RWMutex
-	shards map[string]*ownedEndpoint
+	mu         sync.RWMutex
+	shards     map[string]*ownedEndpoint
+	estimators map[string]*estimator.Estimator // Kept when an endpoint is handed over.
 }
 
 // ownedEndpoint is the owner of one endpoint and those who wait for it.
@@ -49,7 +50,10 @@
 
 // newOwners returns owners of no endpoint.
 func newOwners(clock timekeeper.Clock, c canceller, lookup func(string) (cataloger.Endpoint, *cataloger.Manifest, bool), daemons func() []string) *owners {
-	return &owners{clock: clock, canceller: c, lookup: lookup, daemons: daemons, shards: map[string]*ownedEndpoint{}}
+	return &owners{
+		clock: clock, canceller: c, lookup: lookup, daemons: daemons,
+		shards: map[string]*ownedEndpoint{}, estimators: map[string]*estimator.Estimator{},
+	}
 }
 
 // shard returns the owner of an endpoint and begins to own it if need be. A
@@ -70,9 +74,14 @@
 	if s, ok := o.shards[endpoint]; ok {
 		return s, nil
 	}
+	est, ok := o.estimators[endpoint]
+	if !ok {
+		est = estimator.New()
+		o.estimators[endpoint] = est
+	}
 	s = &ownedEndpoint{
 		endpoint: e,
-		owner:    admitter.NewOwner(ownerConfig(e, m), estimator.New()),
+		owner:    admitter.NewOwner(ownerConfig(e, m), est),
 		waiters:  map[admitter.PermitID]chan admitter.Action{},
 		holders:  map[admitter.PermitID]string{},
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -163,6 +163,7 @@
 	s.group.Go(func() { s.tickOwners(s.ctx) })
 	s.group.Go(func() { s.pollLoads(s.ctx) })
 	s.group.Go(func() { s.followMembers(s.ctx) })
+	s.group.Go(func() { s.followVMs(s.ctx) })
 	s.log.Info().Str("callers", s.addrs.Callers).Str("peers", s.addrs.Peers).Str("admin", s.addrs.Admin).Msg("server: listening")
 	return s.addrs, nil
 }
