Shrink the messages of a request, and ask one owner where that is enough

Cause: two quotes, a permit and a release with names in full were about 640 bytes a request by estimate; at 16 requests a second that is 10 KB/s, against a budget of 4. Ruled out: indexes into the manifest, which differ between generations; hashes of 32 bits with the names in full as the way out. Weight, level and limits are no longer sent, since the owner has the manifest. The affine owner grants at once if it has room; only otherwise a second is asked.

--- a/protocol/messenger/dispatcher.go
+++ b/protocol/messenger/dispatcher.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
+	"strings"
+	"time"
 
 	"monsoonspar.example/coordination/admitter"
 	"monsoonspar.example/coordination/router"
 	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/timekeeper"
-
-	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // newsMessage is the wire form of router.Report.
 type newsMessage struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
 	Endpoint string
 	BootID   string
 	Leaving  bool
@@ -23,10 +21,9 @@
 
 // placementMessage is the wire form of cataloger.Placement.
 type placementMessage struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
-	Model    string
-	Version  string
-	Adapter  string
+	Model   string
+	Version string
+	Adapter string
 }
 
 // SendNews tells the daemon at addr what is known of an endpoint.
@@ -35,9 +32,9 @@
 	for _, p := range rep.Ready {
 		out.Ready = append(out.Ready, placementMessage{Model: p.Model, Version: p.Version, Adapter: p.Adapter})
 	}
-	body, err := msgpack.Marshal(&out)
+	body, err := pack(&out)
 	if err != nil {
-		return errors.Wrap(err, "encode news")
+		return err
 	}
 	return m.caller.Send(ctx, addr, methodNews, body)
 }
@@ -51,25 +48,24 @@
 type Dispatcher struct {
 	owners Owners
 	gossip Gossip
+	names  Names
 	clock  timekeeper.Clock
 }
 
 // NewDispatcher returns a Dispatcher to the given handlers.
-func NewDispatcher(owners Owners, gossip Gossip, clock timekeeper.Clock) *Dispatcher {
-	return &Dispatcher{owners: owners, gossip: gossip, clock: clock}
+func NewDispatcher(owners Owners, gossip Gossip, names Names, clock timekeeper.Clock) *Dispatcher {
+	return &Dispatcher{owners: owners, gossip: gossip, names: names, clock: clock}
 }
 
 // HandleCall answers one call.
 func (d *Dispatcher) HandleCall(ctx context.Context, peer, method string, body []byte) ([]byte, error) {
 	switch method {
 	case methodPermit:
-		return answer(body, func(m permitMessage) (actionMessage, error) { return d.permit(ctx, m) })
+		return answer(body, func(m permitMessage) (answerMessage, error) { return d.permit(ctx, peer, m) })
 	case methodRelease:
-		return answer(body, d.release)
-	case methodQuote:
-		return answer(body, d.quote)
+		return answer(body, func(m releaseMessage) (releaseReply, error) { return d.release(peer, m) })
 	case methodHold:
-		return answer(body, d.hold)
+		return answer(body, func(m holdMessage) (empty, error) { return d.hold(peer, m) })
 	case methodGossip:
 		return nil, d.gossipCall(ctx, body)
 	case methodConfig:
@@ -92,35 +88,63 @@
 	if err != nil {
 		return nil, err
 	}
-	return msgpack.Marshal(&out)
+	return pack(&out)
 }
 
-func (d *Dispatcher) permit(ctx context.Context, m permitMessage) (actionMessage, error) {
-	a, err := d.owners.Permit(ctx, m.Endpoint, m.request(d.clock.Now()))
-	return actionMessage{
-		Kind: int(a.Kind), Priority: a.EnginePriority,
-		Reason: string(a.Reason), RetryAfter: a.RetryAfter,
-	}, err
+// resolve returns the names of a message, from its hashes if need be.
+func (d *Dispatcher) resolve(m permitMessage) (permitNames, bool) {
+	if m.Names != nil {
+		return *m.Names, true
+	}
+	endpoint, ok1 := d.names.Name(m.Endpoint)
+	customer, ok2 := d.names.Name(m.Customer)
+	placement, ok3 := d.names.Name(m.Placement)
+	n := permitNames{Endpoint: endpoint, Customer: customer}
+	placement, n.Adapter, _ = strings.Cut(placement, ":")
+	n.Model, n.Version, _ = strings.Cut(placement, "@")
+	return n, ok1 && ok2 && ok3
 }
 
-func (d *Dispatcher) release(m releaseMessage) (releaseReply, error) {
-	res := admitter.Result{Produced: m.Produced, Finished: m.Finished}
-	holder, err := d.owners.Release(m.Endpoint, m.Daemon, admitter.PermitID(m.ID), res)
-	return releaseReply{Holder: holder}, err
+// apply fills in the names of a request.
+func (n permitNames) apply(r admitter.Request) admitter.Request {
+	r.Customer, r.Model, r.Version, r.Adapter = n.Customer, n.Model, n.Version, n.Adapter
+	return r
 }
 
-func (d *Dispatcher) quote(m permitMessage) (quoteMessage, error) {
-	q, err := d.owners.Quote(m.Endpoint, m.request(d.clock.Now()))
-	return quoteMessage{Wait: q.Wait, Run: q.Run, Feasible: q.Feasible, Available: q.Available}, err
+func (d *Dispatcher) permit(ctx context.Context, peer string, m permitMessage) (answerMessage, error) {
+	names, ok := d.resolve(m)
+	if !ok {
+		return answerMessage{Kind: answerUnknownNames}, nil
+	}
+	maxWait := time.Duration(m.MaxWaitMS) * time.Millisecond
+	if m.MaxWaitMS < 0 {
+		maxWait = NoBound
+	}
+	a, err := d.owners.Permit(ctx, names.Endpoint, names.apply(m.request(peer, d.clock.Now())), maxWait)
+	return newAnswerMessage(a), err
+}
+
+func (d *Dispatcher) release(peer string, m releaseMessage) (releaseReply, error) {
+	endpoint, ok := d.names.Name(m.Endpoint)
+	if !ok {
+		return releaseReply{}, ErrNames
+	}
+	res := admitter.Result{Produced: m.Produced, Finished: m.Finished}
+	holder, err := d.owners.Release(endpoint, peer, decodeID(m.ID), res)
+	return releaseReply{Holder: holder}, err
 }
 
-func (d *Dispatcher) hold(m holdMessage) (empty, error) {
+func (d *Dispatcher) hold(peer string, m holdMessage) (empty, error) {
 	now := d.clock.Now()
 	held := make([]admitter.Held, 0, len(m.Permits))
 	for _, p := range m.Permits {
-		held = append(held, admitter.Held{Request: p.request(now), Produced: p.Produced})
+		names, ok := d.resolve(p)
+		if !ok {
+			return empty{}, ErrNames
+		}
+		held = append(held, admitter.Held{Request: names.apply(p.request(peer, now)), Produced: p.Produced})
 	}
-	return empty{}, d.owners.Hold(m.Endpoint, m.Daemon, held)
+	return empty{}, d.owners.Hold(m.Endpoint, peer, held)
 }
 
 func (d *Dispatcher) news(m newsMessage) (empty, error) {
--- a/protocol/messenger/gossip.go
+++ b/protocol/messenger/gossip.go
@@ -1,14 +1,12 @@
 package messenger
 
 import (
-	"bytes"
 	"context"
 
 	"monsoonspar.example/coordination/configurer"
 	"monsoonspar.example/coordination/prober"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // ErrKind is returned for a configuration message that holds nothing.
@@ -21,19 +19,6 @@
 	Delivery     *configurer.Delivery
 }
 
-// pack encodes a message with its structs as arrays, which saves the names of
-// the fields.
-func pack(m any) ([]byte, error) {
-	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(m); err != nil {
-		return nil, errors.Wrap(err, "encode message")
-	}
-	return buf.Bytes(), nil
-}
-
 // SendGossip sends a message about membership to addr.
 func (m *Messenger) SendGossip(ctx context.Context, addr string, msg prober.Message) error {
 	body, err := pack(&msg)
--- a/protocol/responder/completion.go
+++ b/protocol/responder/completion.go
@@ -23,6 +23,7 @@
 	MaxTokens *int          `json:"max_tokens"`
 	MaxOutput *int          `json:"max_completion_tokens"`
 	Stream    bool          `json:"stream"`
+	shared    int           // Length of the rendered system messages at the start.
 }
 
 type chatMessage struct {
@@ -94,7 +95,8 @@
 	}
 	g := Generation{
 		ID: r.cfg.RequestID(), Customer: customer, Model: req.Model, Prompt: req.Prompt,
-		Stream: req.Stream, Fingerprint: fingerprint(c.Path(), body),
+		SharedBytes: req.shared,
+		Stream:      req.Stream, Fingerprint: fingerprint(c.Path(), body),
 	}
 	if g.MaxTokens, err = maxTokens(req, model); err != nil {
 		return Generation{}, err
@@ -126,6 +128,7 @@
 			return req, badRequest("no_messages", "messages must not be empty")
 		}
 		req.Prompt = renderMessages(req.Messages)
+		req.shared = len(renderMessages(systemMessages(req.Messages))) - len(assistantTurn)
 	}
 	if req.Prompt == "" {
 		return req, badRequest("no_prompt", "prompt must not be empty")
@@ -142,10 +145,24 @@
 		b.WriteString(m.Content)
 		b.WriteString("\n")
 	}
-	b.WriteString("assistant: ")
+	b.WriteString(assistantTurn)
 	return b.String()
 }
 
+// assistantTurn ends a rendered chat.
+const assistantTurn = "assistant: "
+
+// systemMessages returns the system messages at the start of a chat, which the
+// chats of an application have in common.
+func systemMessages(ms []chatMessage) []chatMessage {
+	for i, m := range ms {
+		if m.Role != "system" {
+			return ms[:i]
+		}
+	}
+	return ms
+}
+
 // findModel returns the model with the base name of "model", "model@version" or
 // "model:adapter".
 func findModel(m *cataloger.Manifest, name string) (cataloger.Model, error) {
--- a/protocol/responder/responder.go
+++ b/protocol/responder/responder.go
@@ -46,6 +46,7 @@
 	Customer      cataloger.Customer
 	Model         string
 	Prompt        string
+	SharedBytes   int // Length of the start of the prompt that others are likely to share.
 	MaxTokens     int // Zero if the caller names none.
 	Kind          string
 	Stream        bool
--- a/server/catalog.go
+++ b/server/catalog.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"monsoonspar.example/protocol/messenger"
 	"monsoonspar.example/protocol/responder"
 	"monsoonspar.example/state/cataloger"
 
@@ -15,7 +16,9 @@
 type catalog struct {
 	manifest  *cataloger.Manifest
 	customers map[string]cataloger.Customer // By hash of the API key.
-	levels    map[string]int                // By name of the priority.
+	byName    map[string]cataloger.Customer
+	hashes    map[uint32]string // Names by the hash that messages carry; empty if ambiguous.
+	levels    map[string]int    // By name of the priority.
 	endpoints map[string]cataloger.Endpoint
 	models    map[string]cataloger.Model
 }
@@ -25,11 +28,15 @@
 	c := &catalog{
 		manifest:  m,
 		customers: map[string]cataloger.Customer{},
+		byName:    map[string]cataloger.Customer{},
+		hashes:    map[uint32]string{},
 		levels:    map[string]int{},
 		endpoints: map[string]cataloger.Endpoint{},
 		models:    map[string]cataloger.Model{},
 	}
 	for _, cu := range m.Customers {
+		c.byName[cu.Name] = cu
+		c.addHash(cu.Name)
 		for _, h := range cu.KeyHashes {
 			c.customers[h] = cu
 		}
@@ -39,13 +46,34 @@
 	}
 	for _, e := range m.Endpoints {
 		c.endpoints[e.Name] = e
+		c.addHash(e.Name)
 	}
 	for _, model := range m.Models {
 		c.models[model.Name] = model
+		c.addPlacements(model)
 	}
 	return c
 }
 
+// addHash makes a name known by its hash.
+func (c *catalog) addHash(name string) {
+	h := messenger.Hash(name)
+	if other, ok := c.hashes[h]; ok && other != name {
+		name = "" // Messages then carry the name in full.
+	}
+	c.hashes[h] = name
+}
+
+// addPlacements makes the placements of a model known by their hashes.
+func (c *catalog) addPlacements(m cataloger.Model) {
+	for _, v := range m.Versions {
+		c.addHash(messenger.PlacementName(cataloger.Placement{Model: m.Name, Version: v}))
+		for _, a := range m.Adapters {
+			c.addHash(messenger.PlacementName(cataloger.Placement{Model: m.Name, Version: v, Adapter: a}))
+		}
+	}
+}
+
 // placement returns what a caller's model name asks for, with the default
 // version filled in.
 func (c *catalog) placement(name string) (cataloger.Placement, error) {
--- a/server/generation.go
+++ b/server/generation.go
@@ -97,19 +97,18 @@
 	s.retries.Request()
 	gen := &generation{
 		s: s, ctx: ctx, cancel: cancel, span: span, g: g, placement: p,
-		prefix: prefixHash(g.Prompt), maxTokens: maxTokens, deadline: deadline, begun: now,
+		prefix: prefixHash(g), maxTokens: maxTokens, deadline: deadline, begun: now,
 		started: make(chan startResult, 1),
 	}
 	gen.limits = admitter.Request{
 		Daemon: s.cfg.Daemon.Name, Customer: g.Customer.Name,
 		Model: p.Model, Version: p.Version, Adapter: p.Adapter, Kind: g.Kind,
-		Level: cat.levels[g.Customer.Priority], Weight: g.Customer.Weight,
 		PromptTokens: len(g.Prompt)/bytesPerToken + 1, MaxTokens: maxTokens,
 		Arrived: now, Deadline: deadline,
-		Limits: admitter.Limits{
-			MaxQueued: g.Customer.MaxQueued, MaxRunning: g.Customer.MaxRunning,
-			TokensPerSecond: g.Customer.TokensPerSecond,
-		},
+	}
+	if n := g.SharedBytes; n > 0 {
+		gen.limits.Prefix = uint64(uint32(hashString(g.Prompt[:n])))
+		gen.limits.CachedTokens = n / bytesPerToken
 	}
 	gen.attempts = attempter.New(attempter.Config{
 		Streamed: g.Stream, NonIdempotent: g.NonIdempotent, Resumable: true,
@@ -314,7 +313,11 @@
 // releasePermit ends the permit in the background.
 func (g *generation) releasePermit(res admitter.Result) {
 	p := g.permit
-	g.s.group.Go(func() { g.s.permits.release(context.Background(), p, res) })
+	g.s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
+		defer cancel()
+		g.s.permits.finish(ctx, p, res)
+	})
 }
 
 // recover decides what follows a failure of the stream.
--- a/server/owners.go
+++ b/server/owners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/protocol/messenger"
 	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/estimator"
 	"monsoonspar.example/state/timekeeper"
@@ -29,6 +30,7 @@
 type owners struct {
 	clock     timekeeper.Clock
 	canceller canceller
+	complete  func(admitter.Request) admitter.Request // Fills in what the manifest says of the customer.
 	lookup    func(endpoint string) (cataloger.Endpoint, *cataloger.Manifest, bool)
 	daemons   func() []string // Daemons that may hold permits of a former owner.
 
@@ -49,9 +51,9 @@
 }
 
 // newOwners returns owners of no endpoint.
-func newOwners(clock timekeeper.Clock, c canceller, lookup func(string) (cataloger.Endpoint, *cataloger.Manifest, bool), daemons func() []string) *owners {
+func newOwners(clock timekeeper.Clock, c canceller, lookup func(string) (cataloger.Endpoint, *cataloger.Manifest, bool), daemons func() []string, complete func(admitter.Request) admitter.Request) *owners {
 	return &owners{
-		clock: clock, canceller: c, lookup: lookup, daemons: daemons,
+		clock: clock, canceller: c, lookup: lookup, daemons: daemons, complete: complete,
 		shards: map[string]*ownedEndpoint{}, estimators: map[string]*estimator.Estimator{},
 	}
 }
@@ -115,27 +117,48 @@
 	return names
 }
 
-// Permit queues a request and waits until it is granted or refused.
-func (o *owners) Permit(ctx context.Context, endpoint string, r admitter.Request) (admitter.Action, error) {
+// Permit queues a request and waits until it is granted or refused. It queues
+// nothing and answers with a quote if the wait would exceed maxWait.
+func (o *owners) Permit(ctx context.Context, endpoint string, r admitter.Request, maxWait time.Duration) (messenger.Answer, error) {
 	s, err := o.shard(endpoint)
 	if err != nil {
-		return admitter.Action{}, err
+		return messenger.Answer{}, err
+	}
+	r = o.complete(r)
+	if maxWait != messenger.NoBound {
+		q, err := s.quote(o.clock.Now(), r)
+		if err != nil {
+			return messenger.Answer{}, err
+		}
+		if !q.Available || !q.Feasible || q.Wait > maxWait {
+			return messenger.Answer{Busy: true, Quote: q}, nil
+		}
 	}
 	ch, err := s.wait(r)
 	if err != nil {
-		return admitter.Action{}, err
+		return messenger.Answer{}, err
 	}
 	o.act(s, func(now time.Time) []admitter.Action { return s.owner.Enqueue(now, r) })
 	select {
 	case a, ok := <-ch:
 		if !ok {
-			return admitter.Action{}, errNotOwner
+			return messenger.Answer{}, errNotOwner
 		}
-		return a, nil
+		return messenger.Answer{Action: a}, nil
 	case <-ctx.Done():
 		o.withdraw(s, r.ID)
-		return admitter.Action{}, ctx.Err()
+		return messenger.Answer{}, ctx.Err()
+	}
+}
+
+// quote forecasts the wait of a request.
+func (s *ownedEndpoint) quote(now time.Time, r admitter.Request) (admitter.Quote, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return admitter.Quote{}, errNotOwner
 	}
+	return s.owner.Quote(now, r), nil
 }
 
 // wait registers a waiter for the decision about r.
@@ -167,6 +190,9 @@
 func (o *owners) act(s *ownedEndpoint, event func(now time.Time) []admitter.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
 	for _, a := range event(o.clock.Now()) {
 		switch a.Kind {
 		case admitter.Grant, admitter.Refuse:
@@ -210,20 +236,6 @@
 	return holder, nil
 }
 
-// Quote forecasts the wait of a request.
-func (o *owners) Quote(endpoint string, r admitter.Request) (admitter.Quote, error) {
-	s, err := o.shard(endpoint)
-	if err != nil {
-		return admitter.Quote{}, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return admitter.Quote{}, errNotOwner
-	}
-	return s.owner.Quote(o.clock.Now(), r), nil
-}
-
 // Hold takes over permits that their holder reports.
 func (o *owners) Hold(endpoint, daemon string, held []admitter.Held) error {
 	s, err := o.shard(endpoint)
@@ -231,7 +243,8 @@
 		return err
 	}
 	o.act(s, func(now time.Time) []admitter.Action {
-		for _, h := range held {
+		for i, h := range held {
+			held[i].Request = o.complete(h.Request)
 			s.holders[h.Request.ID] = daemon
 		}
 		return s.owner.Restore(now, daemon, held)
--- a/server/permit.go
+++ b/server/permit.go
@@ -21,7 +21,6 @@
 // Limits of the search for an owner.
 const (
 	ownersTried  = 3
-	quoteTimeout = 250 * time.Millisecond
 	shortTimeout = time.Second
 )
 
@@ -95,67 +94,40 @@
 	return order[:min(len(order), ownersTried)]
 }
 
-// quote asks the owner of an endpoint for a forecast.
-func (p *permits) quote(ctx context.Context, e cataloger.Endpoint, r admitter.Request) (admitter.Quote, error) {
-	ctx, cancel := context.WithTimeout(ctx, quoteTimeout)
-	defer cancel()
+// ask asks the owner of an endpoint for a permit and waits for the decision, or
+// for the answer that its wait would exceed maxWait. It returns a nil permit
+// unless the request is granted. An owner that is lost meanwhile is passed over
+// with the same permit id.
+func (p *permits) ask(ctx context.Context, e cataloger.Endpoint, r admitter.Request, maxWait time.Duration) (*permit, messenger.Answer, error) {
 	for _, owner := range p.ownersOf(e) {
-		q, err := p.quoteFrom(ctx, owner, e.Name, r)
-		if err == nil {
-			return q, nil
-		}
+		a, err := p.askOne(ctx, owner, e.Name, r, maxWait)
 		if ctx.Err() != nil {
-			break
-		}
-	}
-	return admitter.Quote{}, errNoOwner
-}
-
-// quoteFrom asks one daemon for a forecast.
-func (p *permits) quoteFrom(ctx context.Context, owner, endpoint string, r admitter.Request) (admitter.Quote, error) {
-	if owner == p.members.self() {
-		return p.local.Quote(endpoint, r)
-	}
-	addr, ok := p.members.addr(owner)
-	if !ok {
-		return admitter.Quote{}, errNoOwner
-	}
-	return p.msg.Quote(ctx, addr, endpoint, r)
-}
-
-// ask asks the owner of an endpoint for a permit and waits for the decision. It
-// returns a nil permit with the action if the request is refused. An owner that
-// is lost meanwhile is passed over with the same permit id.
-func (p *permits) ask(ctx context.Context, e cataloger.Endpoint, r admitter.Request) (*permit, admitter.Action, error) {
-	for _, owner := range p.ownersOf(e) {
-		a, err := p.askOne(ctx, owner, e.Name, r)
-		if ctx.Err() != nil {
-			return nil, admitter.Action{}, ctx.Err()
+			return nil, a, ctx.Err()
 		}
 		if err != nil {
 			p.log.Warn().Err(err).Str("owner", owner).Str("endpoint", e.Name).Msg("permit: owner passed over")
 			continue
 		}
-		if a.Kind != admitter.Grant {
+		if a.Busy || a.Action.Kind != admitter.Grant {
 			return nil, a, nil
 		}
-		h := &permit{endpoint: e, request: r, priority: a.EnginePriority, owner: owner}
+		h := &permit{endpoint: e, request: r, priority: a.Action.EnginePriority, owner: owner}
 		p.keep(h)
 		return h, a, nil
 	}
-	return nil, admitter.Action{}, errNoOwner
+	return nil, messenger.Answer{}, errNoOwner
 }
 
 // askOne asks one daemon for a permit.
-func (p *permits) askOne(ctx context.Context, owner, endpoint string, r admitter.Request) (admitter.Action, error) {
+func (p *permits) askOne(ctx context.Context, owner, endpoint string, r admitter.Request, maxWait time.Duration) (messenger.Answer, error) {
 	if owner == p.members.self() {
-		return p.local.Permit(ctx, endpoint, r)
+		return p.local.Permit(ctx, endpoint, r, maxWait)
 	}
 	addr, ok := p.members.addr(owner)
 	if !ok {
-		return admitter.Action{}, errNoOwner
+		return messenger.Answer{}, errNoOwner
 	}
-	return p.msg.Permit(ctx, addr, endpoint, r)
+	return p.msg.Permit(ctx, addr, endpoint, r, maxWait)
 }
 
 // keep records a permit as held here.
@@ -190,6 +162,24 @@
 	return true
 }
 
+// finish ends the permit of a complete generation. The message may be lost.
+func (p *permits) finish(ctx context.Context, h *permit, res admitter.Result) {
+	if !p.forget(h) {
+		return
+	}
+	order := p.ownersOf(h.endpoint)
+	if len(order) == 0 {
+		return
+	}
+	if order[0] == p.members.self() {
+		_, _ = p.local.Release(h.endpoint.Name, order[0], h.request.ID, res) // It holds the endpoint or begins anew.
+		return
+	}
+	if addr, ok := p.members.addr(order[0]); ok {
+		_ = p.msg.Finish(ctx, addr, h.endpoint.Name, h.request.ID, res)
+	}
+}
+
 // forget removes a permit from those held here, and reports whether it was one.
 func (p *permits) forget(h *permit) bool {
 	s := p.shard(h.request.ID)
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"monsoonspar.example/coordination/admitter"
 	"monsoonspar.example/coordination/prober"
 	"monsoonspar.example/coordination/retrier"
 	"monsoonspar.example/protocol/generator"
@@ -123,10 +124,10 @@
 		Token: s.cfg.Platform.Token, Timeout: s.cfg.Platform.Timeout,
 	}, s.doer, clock, s.newRand())
 	s.routers = newRouterShards(s.cfg.Daemon.Domain, s.rand)
-	s.owners = newOwners(clock, s, s.lookup, s.otherDaemons)
+	s.owners = newOwners(clock, s, s.lookup, s.otherDaemons, s.complete)
 	s.node = framer.NewNode(framer.Config{Name: s.cfg.Daemon.Name, Key: []byte(s.cfg.Peers.SharedKey)},
-		messenger.NewDispatcher(s.owners, s, clock))
-	s.msg = messenger.New(s.cfg.Daemon.Name, s.node, clock)
+		messenger.NewDispatcher(s.owners, s, s, clock))
+	s.msg = messenger.New(s.node, clock)
 	s.callers = responder.New(responder.Config{MaxBodyBytes: maxBodyBytes, RequestID: s.newID}, s, clock, s.log)
 	s.admin = newAdmin(s)
 	s.publishGauges()
@@ -198,6 +199,28 @@
 	return e, cat.manifest, ok
 }
 
+// complete fills in what the manifest says of the customer of a request.
+func (s *Server) complete(r admitter.Request) admitter.Request {
+	cat := s.catalog.Load()
+	if cat == nil {
+		return r
+	}
+	c := cat.byName[r.Customer]
+	r.Level, r.Weight = cat.levels[c.Priority], c.Weight
+	r.Limits = admitter.Limits{MaxQueued: c.MaxQueued, MaxRunning: c.MaxRunning, TokensPerSecond: c.TokensPerSecond}
+	return r
+}
+
+// Name returns the name in the manifest in force that has a hash.
+func (s *Server) Name(hash uint32) (string, bool) {
+	cat := s.catalog.Load()
+	if cat == nil {
+		return "", false
+	}
+	name, ok := cat.hashes[hash]
+	return name, ok && name != ""
+}
+
 // install puts a manifest in force.
 func (s *Server) install(m *cataloger.Manifest) {
 	old := s.generationInForce()
--- a/server/start.go
+++ b/server/start.go
@@ -9,20 +9,27 @@
 	"monsoonspar.example/coordination/router"
 	"monsoonspar.example/coordination/sequencer"
 	"monsoonspar.example/protocol/generator"
+	"monsoonspar.example/protocol/messenger"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/protocol/responder"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc/iter"
 )
 
 // prefixBytes is the length of the prompt prefix whose hash routes requests
 // with a common prefix to one endpoint.
 const prefixBytes = 512
 
-// prefixHash returns the hash of the start of a prompt.
-func prefixHash(prompt string) uint64 { return hashString(prompt[:min(len(prompt), prefixBytes)]) }
+// prefixHash returns the hash of the part of a prompt that others may share, or
+// of its start.
+func prefixHash(g responder.Generation) uint64 {
+	n := g.SharedBytes
+	if n == 0 {
+		n = min(len(g.Prompt), prefixBytes)
+	}
+	return hashString(g.Prompt[:n])
+}
 
 // hashString returns the hash of s.
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
@@ -111,18 +118,10 @@
 	defer span.End()
 	req := g.limits
 	req.ID = admitter.PermitID(id)
+	asked := g.s.clock.Now()
 	var last admitter.Action
 	for range maxAttempts {
-		c, ok, err := g.choose(ctx, req)
-		if err != nil {
-			return nil, err
-		}
-		if !ok {
-			return nil, g.refused(last)
-		}
-		e := g.s.catalog.Load().endpoints[c.Endpoint]
-		asked := g.s.clock.Now()
-		p, a, err := g.s.permits.ask(ctx, e, req)
+		p, a, err := g.askCandidates(ctx, req)
 		if ctx.Err() != nil {
 			return nil, g.tooLate()
 		}
@@ -130,37 +129,67 @@
 			g.s.metrics.queueWait.observe(g.s.clock.Now().Sub(asked))
 			return p, nil
 		}
-		last = a
-		g.failed = append(g.failed, c.Endpoint)
-		if a.Reason == admitter.ReasonLeaving {
-			g.s.endpointLeaves(c.Endpoint)
-			continue
+		if errors.Is(err, router.ErrNoCandidate) {
+			return nil, g.noEndpoint(last)
 		}
-		if err == nil {
+		last = a
+		if err == nil && a.Reason != admitter.ReasonLeaving {
 			return nil, g.refused(a)
 		}
 	}
 	return nil, g.refused(last)
 }
 
-// choose asks the owners of the candidates for quotes and returns the best.
-func (g *generation) choose(ctx context.Context, req admitter.Request) (router.Candidate, bool, error) {
+// askCandidates asks the owner of the endpoint that suits the prompt best. If
+// it can't grant at once, the owner of another endpoint is asked too, and the
+// request queues where the forecast wait is shorter.
+func (g *generation) askCandidates(ctx context.Context, req admitter.Request) (*permit, admitter.Action, error) {
 	cands, err := g.s.candidates(router.Request{
 		Target: router.Target{Placement: g.placement}, PrefixHash: g.prefix, Exclude: g.failed, NoProbe: g.g.NonIdempotent,
 	})
 	if err != nil {
-		return router.Candidate{}, false, g.noEndpoint()
+		return nil, admitter.Action{}, err
 	}
-	if len(cands) == 1 {
-		return cands[0], true, nil
+	quotes := make([]router.Quote, 0, len(cands))
+	bound := time.Duration(0)
+	for _, c := range cands {
+		p, a, err := g.askOne(ctx, c, req, bound)
+		if p != nil || ctx.Err() != nil {
+			return p, a.Action, err
+		}
+		q := router.Quote{Candidate: c, Wait: a.Quote.Wait, Refused: err != nil || !a.Busy || !a.Quote.Available || !a.Quote.Feasible}
+		quotes = append(quotes, q)
+		bound = q.Wait
+		if q.Refused {
+			bound = messenger.NoBound // The other owner decides.
+		}
+		if err == nil && !a.Busy {
+			return nil, a.Action, nil
+		}
 	}
-	cat := g.s.catalog.Load()
-	quotes := iter.Map(cands, func(c *router.Candidate) router.Quote {
-		q, err := g.s.permits.quote(ctx, cat.endpoints[c.Endpoint], req)
-		return router.Quote{Candidate: *c, Wait: q.Wait, Refused: err != nil || !q.Available || !q.Feasible}
-	})
 	best, _ := g.s.best(quotes) // Where all refuse, the first owner says why.
-	return best, true, nil
+	p, a, err := g.askOne(ctx, best, req, messenger.NoBound)
+	return p, a.Action, err
+}
+
+// askOne asks the owner of one candidate.
+func (g *generation) askOne(ctx context.Context, c router.Candidate, req admitter.Request, maxWait time.Duration) (*permit, messenger.Answer, error) {
+	e, ok := g.s.catalog.Load().endpoints[c.Endpoint]
+	if !ok {
+		return nil, messenger.Answer{}, errNoEndpoint
+	}
+	p, a, err := g.s.permits.ask(ctx, e, req, maxWait)
+	now := g.s.clock.Now()
+	switch {
+	case err != nil:
+		g.failed = append(g.failed, c.Endpoint)
+	case a.Busy && !a.Quote.Available, a.Action.Reason == admitter.ReasonLeaving:
+		g.failed = append(g.failed, c.Endpoint)
+		g.s.endpointLeaves(c.Endpoint)
+	case a.Busy:
+		g.s.router(func(r *router.Router) { r.ObserveWait(c.Endpoint, a.Quote.Wait, now) })
+	}
+	return p, a, err
 }
 
 // refused returns the final answer for a request that admission refused.
@@ -203,7 +232,10 @@
 }
 
 // noEndpoint returns the final answer when no endpoint can take the request.
-func (g *generation) noEndpoint() error {
+func (g *generation) noEndpoint(last admitter.Action) error {
+	if last.Reason != admitter.ReasonNone && last.Reason != admitter.ReasonLeaving {
+		return g.refused(last)
+	}
 	o := outcomeOf(g.attempts)
 	g.s.metrics.outcomes.Add(string(o), 1)
 	return &responder.RequestError{
