Give tests across processes ports that no connection takes

Cause: TestOneOfRacingOperatorsWins failed once in a run of all packages: a daemon's peer port, found free by listening on port 0, had been given to an outgoing connection before the daemon bound it (address already in use). Ruled out: starting the daemon again, which would hide real bind errors. Result: ports come from below the range of outgoing connections; the package passes.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -134,13 +135,30 @@
 	}
 }
 
-// freeAddr returns a loopback address that nothing listens on.
+// Ports below those that the system gives to outgoing connections, so that no
+// other connection takes one between its choice and its use.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+var portsUsed atomic.Int64
+
+// freeAddr returns a loopback address that nothing listens on. The process id
+// spreads the choice, since several runs may share a host.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	for range portCount {
+		n := (int64(os.Getpid())*97 + portsUsed.Add(1)) % portCount
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n)
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = ln.Close()
+			return addr
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // write makes a file and returns its path.
