Tell the owner the prefix that measured requests share

Without it each request counts its whole prompt, and the shared prefixes, about half of a prompt, are counted once for each.

--- a/experimenter/host.go
+++ b/experimenter/host.go
@@ -59,6 +59,7 @@
 		Kind:         r.kind.Name,
 		Weight:       customer.Weight,
 		PromptTokens: r.prompt,
+		Prefix:       r.prefix,
 		MaxTokens:    r.kind.MaxTokens,
 		Arrived:      epoch.Add(r.at),
 		Deadline:     epoch.Add(j.deadline),
