Tell the writes of a claim apart, and record what longer histories found

Cause: the platform client resolves a write without an answer by its writer id, and all writes of an attempt carried the same one. A late earlier write (the pending claim) was taken for the later one (not run), so the key stayed pending and could not be run again. At most once was not broken.

--- a/coordination/claimer/claim.go
+++ b/coordination/claimer/claim.go
@@ -50,6 +50,7 @@
 	KeyHash     string // Hexadecimal SHA-256 of the idempotency key.
 	Fingerprint string // Hash of the request, which a repeat must match.
 	Writer      string // Unique id of the attempt that wrote the claim.
+	Write       uint64 // Number of the write among those of its writer.
 	Holder      string // Daemon that runs the attempt.
 	Target      Target
 	Timeout     time.Duration // Longest time that the attempt may take.
--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -42,6 +42,7 @@
 	claimFirst   bool // Send only after the claim is made.
 	readBack     bool // Read the claim after a lost answer.
 	pendingFinal bool // Never take over a pending claim.
+	numbered     bool // Tell the writes of an attempt apart.
 	settle       bool // Bar a claim in doubt before giving up on it.
 }
 
@@ -177,7 +178,16 @@
 
 func (c *Claimer) create() []Action {
 	c.phase = phaseCreating
-	return []Action{Create{Name: c.name, Claim: c.claim}}
+	return []Action{Create{Name: c.name, Claim: c.stamped()}}
+}
+
+// stamped returns the claim as it is written next. Each write is told apart, so
+// that one without an answer can be found by reading back.
+func (c *Claimer) stamped() Claim {
+	if !c.cfg.off.numbered {
+		c.claim.Write++
+	}
+	return c.claim
 }
 
 func (c *Claimer) read() []Action {
--- a/coordination/claimer/claimer_test.go
+++ b/coordination/claimer/claimer_test.go
@@ -38,6 +38,7 @@
 		{"claim before sending", mechanisms{claimFirst: true}, "runs twice"},
 		{"read back after a lost answer", mechanisms{readBack: true}, "runs twice"},
 		{"pending claims are never taken over", mechanisms{pendingFinal: true}, "runs twice"},
+		{"writes of an attempt are told apart", mechanisms{numbered: true}, "nothing ran, and a repeat is told"},
 		{"a claim in doubt is settled", mechanisms{settle: true}, "nothing ran, and a repeat is told"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -48,11 +49,11 @@
 	}
 }
 
-// firstFailure returns the first of 1,000 seeds whose history fails with want.
+// firstFailure returns the first of 20,000 seeds whose history fails with want.
 func firstFailure(off mechanisms, want string) (int, error) {
 	type result struct{ err error }
 	g := rapid.Custom(func(t *rapid.T) result { return result{history(t, off)} })
-	for seed := 1; seed <= 1000; seed++ {
+	for seed := 1; seed <= 20000; seed++ {
 		if r := g.Example(seed); r.err != nil && strings.Contains(r.err.Error(), want) {
 			return seed, r.err
 		}
@@ -79,6 +80,13 @@
 	c := newClaimer(request(writer)).claim
 	c.Timeout = 20 * time.Second
 	c.State = s
+	c.Write = 1
+	return c
+}
+
+// written returns c as the write of number n.
+func written(c Claim, n uint64) Claim {
+	c.Write = n
 	return c
 }
 
@@ -113,7 +121,7 @@
 		},
 		{"stream", ReadResult{Claim: stream}, Attach{Target: stream.Target}},
 		{"not run", ReadResult{Claim: claimOf("w1", StateNotRun), Version: 7}, Update{
-			Name: Name("c", "k"), Version: 7, Claim: claimOf("w2", StatePending),
+			Name: Name("c", "k"), Version: 7, Claim: written(claimOf("w2", StatePending), 2),
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/coordination/claimer/history_test.go
+++ b/coordination/claimer/history_test.go
@@ -140,7 +140,7 @@
 		act := w.delayed[i]
 		w.delayed = append(w.delayed[:i], w.delayed[i+1:]...)
 		w.apply(act)
-	case k == 2 && len(w.attempts) > 0:
+	case k == 2 && len(w.attempts) > 0 && w.pick("crashes", 4) == 0:
 		w.attempts[w.pick("crash", len(w.attempts))].alive = false
 	case k == 3:
 		w.now = w.now.Add(time.Duration(w.pick("ms", 15_000)) * time.Millisecond)
@@ -200,6 +200,9 @@
 	default:
 		res, version = w.apply(act)
 	}
+	if res == ResultLost && w.pick("resolve", 2) == 0 {
+		res, version = w.resolve(act)
+	}
 	if _, ok := act.(Create); ok {
 		w.feed(a, CreateResult{Result: res, Version: version})
 		return
@@ -207,6 +210,23 @@
 	w.feed(a, UpdateResult{Result: res, Version: version})
 }
 
+// resolve is what a client of the platform does that reads a write back which
+// had no answer: it finds the write by its writer and number.
+func (w *world) resolve(act Action) (Result, uint64) {
+	var want Claim
+	var over uint64
+	switch act := act.(type) {
+	case Create:
+		want = act.Claim
+	case Update:
+		want, over = act.Claim, act.Version
+	}
+	if w.claim != nil && w.claim.Writer == want.Writer && w.claim.Write == want.Write && w.version > over {
+		return ResultOK, w.version
+	}
+	return ResultLost, 0
+}
+
 func (w *world) apply(act Action) (Result, uint64) {
 	switch act := act.(type) {
 	case Create:
@@ -288,7 +308,7 @@
 func history(t *rapid.T, off mechanisms) error {
 	w := newWorld(t, off)
 	w.start()
-	steps := rapid.IntRange(10, 80).Draw(t, "steps")
+	steps := 10 + pick(t, "steps", 120)
 	for range steps {
 		w.step()
 		if w.broken != nil {
--- a/coordination/claimer/recorder.go
+++ b/coordination/claimer/recorder.go
@@ -23,7 +23,7 @@
 }
 
 func (c *Claimer) update(version uint64) Action {
-	return Update{Name: c.name, Version: version, Claim: c.claim}
+	return Update{Name: c.name, Version: version, Claim: c.stamped()}
 }
 
 func (c *Claimer) onRecording(now time.Time, ev Event) []Action {
@@ -81,7 +81,7 @@
 	if c.held {
 		return c.done()
 	}
-	return []Action{Create{Name: c.name, Claim: c.claim}}
+	return []Action{Create{Name: c.name, Claim: c.stamped()}}
 }
 
 func (c *Claimer) recordLater(now time.Time, next Action) []Action {
--- a/server/claims.go
+++ b/server/claims.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"monsoonspar.example/coordination/attempter"
@@ -18,7 +20,7 @@
 
 // claimSpec is the form of a claim in the platform.
 type claimSpec struct {
-	Writer      string        `json:"writer"`
+	Writer      string        `json:"writer"` // Of this write, as writeID gives it.
 	Customer    string        `json:"customer"`
 	KeyHash     string        `json:"key_hash"`
 	Fingerprint string        `json:"fingerprint"`
@@ -41,7 +43,7 @@
 // newClaimSpec encodes a claim.
 func newClaimSpec(c claimer.Claim) claimSpec {
 	spec := claimSpec{
-		Writer: c.Writer, Customer: c.Customer, KeyHash: c.KeyHash, Fingerprint: c.Fingerprint,
+		Writer: writeID(c), Customer: c.Customer, KeyHash: c.KeyHash, Fingerprint: c.Fingerprint,
 		Holder: c.Holder, Endpoint: c.Target.Endpoint, Attempt: c.Target.Generation,
 		Resumable: c.Target.Resumable, TimeoutMS: c.Timeout.Milliseconds(), State: c.State,
 	}
@@ -51,14 +53,29 @@
 	return spec
 }
 
+// writeID returns the unique id of one write of a claim, by which the platform
+// client finds a write that had no answer.
+func writeID(c claimer.Claim) string { return c.Writer + "/" + strconv.FormatUint(c.Write, 10) }
+
+// splitWriteID returns the writer and the number that an id was made from.
+func splitWriteID(id string) (writer string, write uint64) {
+	i := strings.LastIndexByte(id, '/')
+	if i < 0 {
+		return id, 0
+	}
+	write, _ = strconv.ParseUint(id[i+1:], 10, 64) // An id of another form has no number.
+	return id[:i], write
+}
+
 // claim decodes a claim.
 func (s claimSpec) claim() claimer.Claim {
 	c := claimer.Claim{
-		Writer: s.Writer, Customer: s.Customer, KeyHash: s.KeyHash, Fingerprint: s.Fingerprint,
+		Customer: s.Customer, KeyHash: s.KeyHash, Fingerprint: s.Fingerprint,
 		Holder:  s.Holder,
 		Target:  claimer.Target{Endpoint: s.Endpoint, Generation: s.Attempt, Resumable: s.Resumable},
 		Timeout: time.Duration(s.TimeoutMS) * time.Millisecond, State: s.State,
 	}
+	c.Writer, c.Write = splitWriteID(s.Writer)
 	if a := s.Answer; a != nil {
 		c.Answer = &claimer.StoredAnswer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Truncated: a.Truncated}
 	}
