Refuse what would wait past the age bound, and count output as service

Cause: in a burst long jobs waited up to 83 s with an age bound of 30 s, since nothing in the order of a queue can serve more than the engine does; wait forecasts ignored the short jobs that pass a long one; and counting prompts as service let service by output drift apart. Found by a test: NextWake asked for a wake-up every 3 ms while prompts were in flight, as the debt was not drained.

--- a/coordination/admitter/bounds.go
+++ b/coordination/admitter/bounds.go
@@ -8,7 +8,7 @@
 
 const (
 	leastChunk   = 256.0 // Prompt tokens that each step may compute at least.
-	chunksAhead  = 2.0   // Steps of prefill that may be in flight.
+	chunksAhead  = 1.0   // Steps of prefill that may be in flight.
 	marginStep   = 0.3   // Deviations added for a report with preemptions.
 	marginDecay  = 0.01  // Deviations taken back for a second without.
 	marginLowest = -0.5  // Bounds of the change.
@@ -43,11 +43,12 @@
 }
 
 // freeAt returns when nothing will be in flight.
-func (p *prefill) freeAt(now time.Time, c *stepCounter) time.Time {
+func (p *prefill) freeAt(c *stepCounter) time.Time {
 	if p.debt <= 0 || p.rate <= 0 {
-		return now
+		return c.now.at
 	}
-	return now.Add(time.Duration(p.debt / p.rate * float64(c.step)))
+	steps := p.step + p.debt/p.rate - c.now.steps
+	return c.now.at.Add(time.Duration(steps * float64(c.step)))
 }
 
 // prefillChunk returns the prompt tokens that a step can compute within the gap
--- a/coordination/admitter/message.go
+++ b/coordination/admitter/message.go
@@ -64,6 +64,7 @@
 	ReasonNone      Reason = ""
 	ReasonTooLarge  Reason = "too_large"  // It could never fit into the engine's memory.
 	ReasonDeadline  Reason = "deadline"   // It can't be answered within its deadline.
+	ReasonBusy      Reason = "busy"       // It would wait, or has waited, past the age bound.
 	ReasonQueueFull Reason = "queue_full" // The customer's limit of queued requests is reached.
 	ReasonLeaving   Reason = "leaving"    // The endpoint takes no new work.
 	ReasonEnded     Reason = "ended"      // The permit was released before.
@@ -141,7 +142,7 @@
 	LongTokens int           // Expected output from which a job is long.
 	LongShare  float64       // Part of memory and batch that long jobs may fill.
 	ShortShare float64       // Part that short jobs may fill while long ones wait.
-	AgeBound   time.Duration // Wait after which later arrivals can't pass a request.
+	AgeBound   time.Duration // Longest wait in the queue.
 
 	MinChance   float64       // Least probability of an answer in time.
 	ResumeGrace time.Duration // Life of an orphan before it is cancelled.
@@ -164,7 +165,7 @@
 	setDefault(&c.LongShare, 0.9)
 	setDefault(&c.ShortShare, 0.8)
 	setDefault(&c.AgeBound, 30*time.Second)
-	setDefault(&c.MinChance, 0.25)
+	setDefault(&c.MinChance, 0.5)
 	setDefault(&c.ResumeGrace, 10*time.Second)
 	setDefault(&c.RestoreWait, 3*time.Second)
 	setDefault(&c.TickEvery, 100*time.Millisecond)
--- a/coordination/admitter/owner.go
+++ b/coordination/admitter/owner.go
@@ -43,11 +43,12 @@
 	lanes     [2]forecaster.Forecast
 	refreshed time.Time
 
-	report   LoadReport // The latest one; At is zero before the first.
-	foreign  []foreign
-	wait     [2]correction // Of the forecast wait, by lane.
-	booked   time.Time     // Until when returning requests are expected to fill the engine.
-	arrivals arrivals
+	report        LoadReport // The latest one; At is zero before the first.
+	foreign       []foreign
+	wait          [2]correction // Of the forecast wait, by lane.
+	booked        time.Time     // Until when returning requests are expected to fill the engine.
+	allArrivals   arrivals
+	shortArrivals arrivals
 
 	awaited  map[string]bool // Daemons not heard from since a change of owner.
 	cautious time.Time       // End of the cautious time.
@@ -102,7 +103,10 @@
 	}
 	p := o.newPermit(r)
 	item := o.item(p)
-	o.arrivals.add(o.now, item.Work)
+	o.allArrivals.add(o.now, item.Work)
+	if item.Lane == scheduler.Short {
+		o.shortArrivals.add(o.now, item.Work)
+	}
 	if a, ok := o.refuseAtOnce(p, item); ok {
 		return []Action{a}
 	}
@@ -169,7 +173,8 @@
 	o.advance(now)
 	o.queue.Tick(o.now)
 	o.margin.tick(o.now)
-	o.arrivals.tick(o.now)
+	o.allArrivals.tick(o.now)
+	o.shortArrivals.tick(o.now)
 	if !o.cautious.IsZero() && !o.now.Before(o.cautious) {
 		o.awaited, o.cautious = nil, time.Time{}
 	}
@@ -188,7 +193,7 @@
 	if o.queue.Len() == 0 {
 		return wake
 	}
-	if t := o.prefill.freeAt(now, &o.clock); t.After(now) && t.Before(wake) {
+	if t := o.prefill.freeAt(&o.clock); t.After(now) && t.Before(wake) {
 		wake = t
 	}
 	for _, next := range []func() (time.Time, bool){o.queue.NextFree, o.queue.NextExpiry} {
--- a/coordination/admitter/refuse.go
+++ b/coordination/admitter/refuse.go
@@ -11,8 +11,9 @@
 	lateChecks    = 8                      // Queued requests whose forecast a Tick checks anew.
 	lateTolerance = 0.7                    // Part of the forecast wait that a queued request must outlast.
 	leastRetry    = 500 * time.Millisecond // Shortest RetryAfter.
-	leastSpare    = 0.2                    // Least part of the engine taken to be left for those who return.
-	waitGain      = 0.05                   // Weight of the newest wait in the correction.
+	dueShare      = 0.75                   // Part of the age bound after which a request is due.
+	leastSpare    = 0.2                    // Least part of the engine taken to be left by arrivals.
+	waitGain      = 0.2                    // Weight of the newest wait in the correction.
 	waitFloor     = time.Second            // Added to waits before they are compared.
 	arrivalWindow = 30 * time.Second       // Time constant of the arrival rate.
 )
@@ -55,8 +56,13 @@
 	a.ticked = now
 }
 
+// spare returns the part of the engine that arrivals leave.
+func (o *Owner) spare(a *arrivals) float64 {
+	return max(1-a.rate*o.clock.step.Seconds(), leastSpare)
+}
+
 // forecastWait returns how long a request will wait from now with the given
-// work ahead of it.
+// work ahead of it. Short jobs that arrive meanwhile go before a long one.
 func (o *Owner) forecastWait(p *permit, k scheduler.Lane, ahead float64) time.Duration {
 	o.refreshStale()
 	free := 0.0
@@ -66,7 +72,11 @@
 			free = p.expected / float64(o.batchLimit())
 		}
 	}
-	raw := time.Duration(max(free, ahead) * float64(o.clock.step))
+	steps := max(free, ahead)
+	if k == scheduler.Long {
+		steps /= o.spare(&o.shortArrivals)
+	}
+	raw := time.Duration(steps * float64(o.clock.step))
 	return o.wait[k].apply(raw)
 }
 
@@ -88,6 +98,9 @@
 	case !item.Expires.IsZero() && o.now.Add(p.promised).After(item.Expires):
 		a.Reason = ReasonDeadline
 		a.RetryAfter = o.retryAfter(item, p.promised)
+	case p.promised > o.cfg.AgeBound:
+		a.Reason = ReasonBusy
+		a.RetryAfter = o.retryAfter(item, p.promised)
 	default:
 		return Action{}, false
 	}
@@ -99,8 +112,7 @@
 // those told to return before have been served, as far as new arrivals leave
 // room.
 func (o *Owner) retryAfter(item scheduler.Item[*permit], wait time.Duration) time.Duration {
-	load := o.arrivals.rate * o.clock.step.Seconds()
-	spare := max(1-load, leastSpare)
+	spare := o.spare(&o.allArrivals)
 	start := later(o.booked, o.now.Add(wait))
 	o.booked = start.Add(time.Duration(item.Work * float64(o.clock.step) / spare))
 	latest := o.now.Add(o.cfg.MaxRetry)
@@ -110,27 +122,31 @@
 	return max(o.booked.Sub(o.now), leastRetry)
 }
 
-// refuseLate refuses queued requests that can't be answered in time any more,
-// and appends the answers to actions.
+// refuseLate refuses queued requests that can't be answered in time any more or
+// have waited for the age bound, and appends the answers to actions.
 func (o *Owner) refuseLate(actions []Action) []Action {
 	for _, e := range o.queue.Expired(o.now) {
-		actions = append(actions, o.refuseQueued(e, 0))
+		actions = append(actions, o.refuseQueued(e, ReasonDeadline, 0))
+	}
+	left := time.Duration((1 - dueShare) * float64(o.cfg.AgeBound))
+	for _, e := range o.queue.Overdue(o.now.Add(-left)) {
+		actions = append(actions, o.refuseQueued(e, ReasonBusy, 0))
 	}
 	for _, e := range o.queue.Soonest(lateChecks) {
 		wait := o.forecastWait(e.Value, e.Lane, o.queue.AheadOf(e))
 		if o.now.Add(time.Duration(lateTolerance * float64(wait))).After(e.Expires) {
 			o.queue.Remove(e)
-			actions = append(actions, o.refuseQueued(e, wait))
+			actions = append(actions, o.refuseQueued(e, ReasonDeadline, wait))
 		}
 	}
 	return actions
 }
 
 // refuseQueued refuses a request that was queued until now.
-func (o *Owner) refuseQueued(e *scheduler.Entry[*permit], wait time.Duration) Action {
+func (o *Owner) refuseQueued(e *scheduler.Entry[*permit], reason Reason, wait time.Duration) Action {
 	p := e.Value
 	return o.end(p, Action{
-		Kind: Refuse, ID: p.req.ID, Reason: ReasonDeadline,
+		Kind: Refuse, ID: p.req.ID, Reason: reason,
 		RetryAfter: o.retryAfter(e.Item, wait),
 	})
 }
--- a/coordination/admitter/schedule.go
+++ b/coordination/admitter/schedule.go
@@ -54,8 +54,8 @@
 	}
 	return scheduler.Item[*permit]{
 		Value: p, Customer: r.Customer, Level: r.Level, Weight: r.Weight, Lane: lane,
-		Cost: float64(r.PromptTokens) + p.expected, Work: o.work(p),
-		Arrived: r.Arrived, Order: order, Due: r.Arrived.Add(o.cfg.AgeBound), Expires: expires,
+		Cost: p.expected, Work: o.work(p),
+		Arrived: r.Arrived, Order: order, Due: r.Arrived.Add(time.Duration(dueShare * float64(o.cfg.AgeBound))), Expires: expires,
 		MaxRunning: r.Limits.MaxRunning, TokensPerSecond: r.Limits.TokensPerSecond,
 	}
 }
--- a/coordination/scheduler/queue.go
+++ b/coordination/scheduler/queue.go
@@ -272,6 +272,23 @@
 	return expired
 }
 
+// Overdue takes out the jobs that were due by t.
+func (q *Queue[T]) Overdue(t time.Time) []*Entry[T] {
+	var overdue []*Entry[T]
+	for _, l := range q.levels {
+		for _, a := range l.order {
+			for _, ln := range a.lanes {
+				for ln.aged(t) {
+					e := ln.byDue.Min()
+					q.Remove(e)
+					overdue = append(overdue, e)
+				}
+			}
+		}
+	}
+	return overdue
+}
+
 // NextExpiry returns the earliest latest start of a queued job. It reports false
 // if there is none.
 func (q *Queue[T]) NextExpiry() (time.Time, bool) {
--- a/coordination/scheduler/scheduler_test.go
+++ b/coordination/scheduler/scheduler_test.go
@@ -113,6 +113,9 @@
 			if it.Cost > 300 {
 				it.Lane = scheduler.Long
 			}
+			if rapid.Bool().Draw(t, "due") {
+				it.Due = start
+			}
 			largest = max(largest, it.Cost/it.Weight)
 			q.Push(start, it)
 		}
