--- a/experimenter/job.go
+++ b/experimenter/job.go
@@ -258,7 +258,12 @@
 // Finished ends the request with its whole answer.
 func (j *job) Finished(s *emulator.Sequence) {
 	f := j.f
-	if f.measured(j.request) && f.loop.Now()+f.d.ToClient <= j.deadline {
+	inTime := f.loop.Now()+f.d.ToClient <= j.deadline
+	switch {
+	case !f.measured(j.request):
+	case !inTime:
+		f.m.late++
+	default:
 		f.m.inTime++
 		if j.request.returned {
 			f.m.returnedInTime++
