Hold leases, give orders and remove old claims in the daemon

Cause: the cores of leases, orders and removal were not driven by the program. Ruled out: load reports that always list the sequences; at 170 sequences a report has about 10 KB, so a list comes with one in ten. Ages by our own clock; claims are aged by the platform's, which its answers tell. Result: a version that is added to an engine in the manifest is loaded under the lease and served (TestDeclaredVersionIsLoaded, 15 s, most of it waiting out earlier holders); exactly one daemon holds the lease.

--- a/cmd/monsoonspar/status.go
+++ b/cmd/monsoonspar/status.go
@@ -58,6 +58,7 @@
 	w := tabwriter.NewWriter(c.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "daemon %s: ready=%t draining=%t generation=%d permits=%d owns=%d endpoints\n\n",
 		st.Name, st.Ready, st.Draining, st.Generation, st.Permits, len(st.Owned))
+	fmt.Fprintf(w, "lease of %s: holder %q, held here=%t, fence=%d\n\n", st.Domain, st.Lease.Holder, st.Lease.Held, st.Lease.Fence)
 	fmt.Fprintln(w, "DAEMON\tFAILURE DOMAIN\tSTATE\tGENERATION\tADDRESS")
 	for _, m := range st.Members {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, m.Domain, m.State, m.Generation, m.Addr)
--- a/coordination/admitter/load.go
+++ b/coordination/admitter/load.go
@@ -35,6 +35,9 @@
 
 // compare corrects the dead-reckoned lengths by a report, at its own time.
 func (o *Owner) compare(r *LoadReport) {
+	if len(r.Sequences) == 0 && r.Running > 0 {
+		return // The report leaves them out.
+	}
 	step := o.clock.at(r.At)
 	listed := make(map[PermitID]bool, len(r.Sequences))
 	o.foreign = o.foreign[:0]
--- a/protocol/generator/generator_test.go
+++ b/protocol/generator/generator_test.go
@@ -84,7 +84,7 @@
 
 func TestLoadRefusesNonsense(t *testing.T) {
 	c := NewClient(fakeDoer{status: 200, body: `{"age_ms":-5}`}, Config{CallTimeout: time.Second})
-	_, err := c.Load(t.Context(), "", time.Unix(9, 0))
+	_, err := c.Load(t.Context(), "", time.Unix(9, 0), false)
 	assert.ErrorIs(t, err, ErrMalformed)
 }
 
--- a/protocol/generator/load.go
+++ b/protocol/generator/load.go
@@ -20,6 +20,7 @@
 	BootID   string // Changes when the engine restarts.
 	Ready    []cataloger.Placement
 	Leaving  bool
+	Role     string
 	Capacity int // Token capacity of the memory.
 }
 
@@ -33,6 +34,7 @@
 	StepMS       float64 `json:"step_ms"`
 	Preemptions  int     `json:"preemptions"`
 	Leaving      bool    `json:"leaving"`
+	Role         string  `json:"role"`
 	BootID       string  `json:"boot_id"`
 	Models       []struct {
 		Model   string `json:"model"`
@@ -47,16 +49,21 @@
 }
 
 // Load reads the load report of the endpoint at addr. The report's time is now
-// less the age that the engine states.
-func (c *Client) Load(ctx context.Context, addr string, now time.Time) (Load, error) {
+// less the age that the engine states. The list of sequences, which makes up
+// most of a report, is left out unless asked for.
+func (c *Client) Load(ctx context.Context, addr string, now time.Time, sequences bool) (Load, error) {
+	path := "/load?sequences=0"
+	if sequences {
+		path = "/load"
+	}
 	var b loadBody
-	if err := c.call(ctx, requester.Request{Method: "GET", Addr: addr, Path: "/load"}, &b); err != nil {
+	if err := c.call(ctx, requester.Request{Method: "GET", Addr: addr, Path: path}, &b); err != nil {
 		return Load{}, err
 	}
 	if b.AgeMS < 0 || b.Running < 0 || b.UsedTokens < 0 || b.StepMS < 0 {
 		return Load{}, errors.Wrap(ErrMalformed, "negative number in a load report")
 	}
-	l := Load{BootID: b.BootID, Leaving: b.Leaving, Capacity: b.MemoryTokens}
+	l := Load{BootID: b.BootID, Leaving: b.Leaving, Role: b.Role, Capacity: b.MemoryTokens}
 	l.Report = admitter.LoadReport{
 		At:      now.Add(-time.Duration(b.AgeMS) * time.Millisecond),
 		Running: b.Running, Waiting: b.Waiting, UsedTokens: b.UsedTokens,
--- a/protocol/storer/call.go
+++ b/protocol/storer/call.go
@@ -78,6 +78,7 @@
 		return nil, transportError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	c.noteDate(res.Get("Date"))
 	if err := statusError(res); err != nil {
 		return nil, err
 	}
--- a/protocol/storer/codec.go
+++ b/protocol/storer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -13,6 +14,7 @@
 	ResourceVersion string            `json:"resourceVersion,omitempty"`
 	Labels          map[string]string `json:"labels,omitempty"`
 	Continue        string            `json:"continue,omitempty"`
+	Created         time.Time         `json:"creationTimestamp,omitzero"`
 }
 
 type wireObject struct {
@@ -78,6 +80,7 @@
 		Name:     w.Metadata.Name,
 		Version:  version,
 		Labels:   w.Metadata.Labels,
+		Created:  w.Metadata.Created,
 		Spec:     w.Spec,
 	}, nil
 }
--- a/protocol/storer/storer.go
+++ b/protocol/storer/storer.go
@@ -43,6 +43,7 @@
 	Version  uint64 // Grows by every write to the platform.
 	Labels   map[string]string
 	Spec     json.RawMessage // At most 1 MiB.
+	Created  time.Time       // On the platform's clock, see Client.Age.
 }
 
 // List is a set of objects as of one version.
@@ -89,8 +90,9 @@
 	limiter *rate.Limiter
 	retrier *retrier.Retrier
 
-	mu  sync.Mutex
-	rnd *rand.Rand
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	ahead time.Duration // By which the platform's clock is ahead of ours.
 }
 
 // New returns a client that sends its requests through doer. The client owns
@@ -144,6 +146,42 @@
 	}
 }
 
+// ListPage returns at most limit objects from where an earlier page ended, and
+// the token of the next page, empty on the last.
+func (c *Client) ListPage(ctx context.Context, resource string, limit int, token string) (List, string, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	if token != "" {
+		query.Set("continue", token)
+	}
+	body, err := c.read(ctx, c.path(resource, "")+"?"+query.Encode())
+	if err != nil {
+		return List{}, "", err
+	}
+	return decodeList(resource, body)
+}
+
+// Age returns the time since an object was created, by the platform's clock as
+// its answers tell it, to the second. It is zero if that is not known.
+func (c *Client) Age(o Object) time.Duration {
+	if o.Created.IsZero() {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.clock.Now().Add(c.ahead).Sub(o.Created), 0)
+}
+
+// noteDate learns the platform's clock from the date of an answer.
+func (c *Client) noteDate(date string) {
+	t, err := time.Parse(time.RFC1123, date)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead = t.Sub(c.clock.Now())
+}
+
 // Create stores a new object and returns it with its version, or ErrExists. If
 // the answer is lost and the spec names its writer, see WriterID, the object
 // is read back; otherwise the error is ErrUnknown.
--- a/server/admin.go
+++ b/server/admin.go
@@ -81,10 +81,18 @@
 	Generation cataloger.Generation `json:"generation"`
 	Permits    int                  `json:"permits"`
 	Owned      []string             `json:"owned_endpoints"`
+	Lease      LeaseStatus          `json:"lease"`
 	Members    []MemberStatus       `json:"members"`
 	Endpoints  []EndpointStatus     `json:"endpoints"`
 }
 
+// LeaseStatus is the lease of a failure domain as a daemon sees it.
+type LeaseStatus struct {
+	Holder string `json:"holder"`
+	Held   bool   `json:"held"`  // By the daemon that was asked.
+	Fence  uint64 `json:"fence"` // Fencing number, if held.
+}
+
 // MemberStatus is one daemon as another sees it.
 type MemberStatus struct {
 	Name       string               `json:"name"`
@@ -110,6 +118,8 @@
 		Ready: s.Ready(), Draining: s.stopping.Load(), Generation: s.generationInForce(),
 		Permits: s.permits.count(), Owned: s.owners.owned(),
 	}
+	term := s.termOf()
+	st.Lease = LeaseStatus{Holder: s.leases.holder(), Held: term.Fence > 0, Fence: term.Fence}
 	for _, m := range s.members.all() {
 		st.Members = append(st.Members, MemberStatus{
 			Name: m.Name, Addr: m.Addr, Domain: m.Domain, State: m.State.String(), Generation: m.Generation,
--- a/server/claims.go
+++ b/server/claims.go
@@ -166,7 +166,7 @@
 		return claimer.ReadResult{Result: claimer.ResultUnavailable}
 	}
 	return claimer.ReadResult{
-		Version: o.Version, Claim: spec.claim(), HolderAlive: s.members.alive(spec.Holder),
+		Version: o.Version, Claim: spec.claim(), HolderAlive: s.members.alive(spec.Holder), Age: s.store.Age(o),
 	}
 }
 
--- a/server/loads.go
+++ b/server/loads.go
@@ -15,6 +15,7 @@
 // Periods of the work for owned endpoints.
 const (
 	loadInterval = 500 * time.Millisecond
+	listEvery    = 10 // Load reports of which one lists the sequences.
 	tickInterval = 20 * time.Millisecond
 	newsInterval = 5 * time.Minute
 )
@@ -28,21 +29,22 @@
 
 // pollLoads reads the load of the owned endpoints until ctx ends.
 func (s *Server) pollLoads(ctx context.Context) {
-	for s.clock.Sleep(ctx, loadInterval) == nil {
+	for n := 0; s.clock.Sleep(ctx, loadInterval) == nil; n++ {
 		var g conc.WaitGroup
 		cat := s.catalog.Load()
 		for _, name := range s.polled() {
 			if e, ok := cat.endpoints[name]; ok {
-				g.Go(func() { s.pollLoad(ctx, e) })
+				g.Go(func() { s.pollLoad(ctx, e, n%listEvery == 0) })
 			}
 		}
 		g.Wait()
 	}
 }
 
-// pollLoad reads the load of one endpoint and passes it on.
-func (s *Server) pollLoad(ctx context.Context, e cataloger.Endpoint) {
-	load, err := s.engines.Load(ctx, e.Addr, s.clock.Now())
+// pollLoad reads the load of one endpoint, with its sequences if list is set, and
+// passes it on.
+func (s *Server) pollLoad(ctx context.Context, e cataloger.Endpoint, list bool) {
+	load, err := s.engines.Load(ctx, e.Addr, s.clock.Now(), list)
 	if err != nil {
 		s.log.Debug().Err(err).Str("endpoint", e.Name).Msg("load: not read")
 		return
--- a/server/server.go
+++ b/server/server.go
@@ -63,6 +63,8 @@
 	callers  *responder.Responder
 	members  *members
 	config   *configuration
+	leases   *leases
+	orders   *orders
 	owners   *owners
 	permits  *permits
 	retries  *retrier.Retrier
@@ -165,6 +167,9 @@
 	s.group.Go(func() { s.pollLoads(s.ctx) })
 	s.group.Go(func() { s.followMembers(s.ctx) })
 	s.group.Go(func() { s.followVMs(s.ctx) })
+	s.group.Go(func() { s.leases.run(s.ctx) })
+	s.group.Go(func() { s.orders.run(s.ctx) })
+	s.group.Go(func() { s.removeClaims(s.ctx) })
 	s.log.Info().Str("callers", s.addrs.Callers).Str("peers", s.addrs.Peers).Str("admin", s.addrs.Admin).Msg("server: listening")
 	return s.addrs, nil
 }
@@ -180,6 +185,8 @@
 	s.members.notify = s.memberChanged
 	s.permits = newPermits(s.members, s.msg, s.owners, s.clock, s.log)
 	s.config = newConfiguration(s)
+	s.leases = newLeases(s)
+	s.orders = newOrders(s)
 }
 
 // serveCallers serves until Stop.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -282,3 +282,23 @@
 		c.eventually(func() bool { return c.status(i).Generation == 2 })
 	}
 }
+
+func TestDeclaredVersionIsLoaded(t *testing.T) {
+	c := newCluster(t)
+	text := strings.Replace(c.Manifest, "versions = v1", "versions = v1, v2", 1)
+	text = strings.Replace(text, "models = redazione@v1", "models = redazione@v1, redazione@v2", 1)
+	assert.NilError(t, c.Apply(t.Context(), text))
+	body := `{"model":"redazione@v2","max_tokens":4,"prompt":"p"}`
+	c.eventually(func() bool {
+		res := c.post(0, "/v1/completions", body, nil)
+		defer res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+	held := 0
+	for i := range c.Daemons {
+		if st := c.status(i); st.Lease.Held {
+			held++
+		}
+	}
+	assert.Equal(t, held, 1)
+}
--- a/server/stop.go
+++ b/server/stop.go
@@ -25,6 +25,7 @@
 	s.waitForPermits()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	s.leases.release(ctx)
 	s.members.leave(ctx)
 	s.close(ctx)
 	return errors.Wrap(err, "stop")
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -25,6 +25,7 @@
 	StepMS       float64        `json:"step_ms"`
 	Preemptions  int            `json:"preemptions"`
 	Leaving      bool           `json:"leaving"`
+	Role         string         `json:"role"`
 	BootID       string         `json:"boot_id"`
 	Models       []Model        `json:"models"`
 	Sequences    []sequenceLoad `json:"sequences"`
@@ -51,6 +52,7 @@
 		StepMS:       float64(step) / float64(time.Millisecond),
 		Preemptions:  s.scheduler.preemptions,
 		Leaving:      s.faults.Leaving,
+		Role:         s.orders.role,
 		BootID:       s.bootID,
 		Models:       slices.Clone(s.orders.ready),
 		Sequences:    []sequenceLoad{},
@@ -98,5 +100,8 @@
 		}
 	}
 	r.AgeMS = now.Sub(r.at).Milliseconds()
+	if string(ctx.QueryArgs().Peek("sequences")) == "0" {
+		r.Sequences = nil
+	}
 	listener.WriteJSON(ctx, fasthttp.StatusOK, r)
 }
