--- a/cmd/monsoonspar/serve.go
+++ b/cmd/monsoonspar/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -36,11 +37,7 @@
 	if err != nil {
 		return err
 	}
-	if !cfg.Invariants.Fatal {
-		asserter.SetHandler(func(v asserter.ViolationError) {
-			log.Error().Str("invariant", string(v.Invariant)).Str("detail", v.Detail).Msg("asserter: invariant violated")
-		})
-	}
+	asserter.SetHandler(violationHandler(log, cfg.Invariants.Fatal))
 	s, err := server.New(cfg, log)
 	if err != nil {
 		return err
@@ -53,6 +50,23 @@
 	return s.Run(ctx)
 }
 
+// violationHandler returns a handler that logs violations and, where they are
+// fatal, ends the process at once. A panic would not: a group of goroutines
+// holds it back until it is waited for.
+func violationHandler(log zerolog.Logger, fatal bool) asserter.Handler {
+	level := zerolog.ErrorLevel
+	if fatal {
+		level = zerolog.FatalLevel
+	}
+	return func(v asserter.ViolationError) {
+		log.WithLevel(level).Str("invariant", string(v.Invariant)).Str("detail", v.Detail).
+			Msg("asserter: invariant violated")
+		if fatal {
+			os.Exit(exitFailed)
+		}
+	}
+}
+
 // newLogger returns the log of a daemon.
 func newLogger(cfg parser.LogSettings, c console) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(cfg.Level)
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -67,6 +67,7 @@
 // daemon is ready. The test runs in parallel with others.
 func startCluster(t *testing.T, l layout) *cluster {
 	t.Helper()
+	checkSources(t)
 	t.Parallel()
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -5,11 +5,16 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // watchdog ends a wait that would hang a test.
@@ -43,3 +48,22 @@
 	standinProgram = filepath.Join(dir, "standin")
 	return m.Run()
 }
+
+// noteSources looks at every source file, so that a cached result of the tests
+// does not outlive a change of the programs: the test cache knows of files that
+// a test looks at, but not of what the tests build.
+var noteSources = sync.OnceValue(func() error {
+	return filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		_, err = os.Stat(path)
+		return err
+	})
+})
+
+// checkSources fails the test if the sources can't be looked at.
+func checkSources(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, noteSources())
+}
