--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -20,7 +20,7 @@
 	Policy      []string      `default:"all" help:"Policies by name, or all: fixed, free, reserve, alone, split, ours, oracle."`
 	Load        []string      `default:"0.9" help:"Loads by name: 0.7, 0.9, 1.1, burst3."`
 	Fault       string        `default:"none" help:"Fault: none, engine_lost, engine_reclaimed, owner_lost, late_reports, domain_cut."`
-	Routing     string        `default:"both" enum:"both,random,affine" help:"Candidates for each request: prefix affinity and a random one, two random ones, affinity only."`
+	Routing     string        `default:"ordered" enum:"ordered,both,random,affine" help:"Candidates for each request: prefix affinity, then a random one if need be; both at once; two random ones; affinity only."`
 	Seeds       int           `default:"20" help:"Number of seeds."`
 	Seed        uint64        `default:"1" help:"First seed."`
 	Concurrency int           `help:"Limit of the policy fixed for each engine; by default the tuned one of the deployment."`
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -17,9 +17,10 @@
 
 // The ways to route.
 const (
-	RouteBoth   Routing = "both"   // The one preferred by prefix affinity, and a random one.
-	RouteRandom Routing = "random" // Two random ones.
-	RouteAffine Routing = "affine" // The one preferred by prefix affinity.
+	RouteOrdered Routing = "ordered" // The one preferred by prefix affinity, then a random one unless the first can grant at once.
+	RouteBoth    Routing = "both"    // Both of these at once.
+	RouteRandom  Routing = "random"  // Two random ones at once.
+	RouteAffine  Routing = "affine"  // The one preferred by prefix affinity.
 )
 
 // Options say what one run plays.
@@ -28,7 +29,7 @@
 	Load        Load
 	Capacity    float64 // Requests a second that Load is a part of.
 	Fault       Fault
-	Routing     Routing // RouteBoth if empty.
+	Routing     Routing // RouteOrdered, as the daemon does, if empty.
 	Seed        uint64
 	Concurrency int           // Limit of the policy "fixed", for each engine.
 	WarmUp      time.Duration // Requests that arrive before count for nothing.
--- a/experimenter/job.go
+++ b/experimenter/job.go
@@ -85,7 +85,6 @@
 	}
 	hosts := make([]*host, len(cs))
 	quotes := make([]router.Quote, len(cs))
-	missing := len(cs)
 	attempt := j.attempt
 	choose := func() {
 		if j.ended || j.attempt != attempt || j.host != nil {
@@ -96,18 +95,48 @@
 	for i, c := range cs {
 		quotes[i] = router.Quote{Candidate: c, Refused: true}
 		hosts[i] = f.hostOf(j.daemon, c.Endpoint)
-		if hosts[i] == nil {
+	}
+	if f.opt.Routing == RouteOrdered || f.opt.Routing == "" {
+		j.askInOrder(hosts, quotes, 0, choose)
+	} else {
+		j.askAll(hosts, quotes, choose)
+	}
+	f.loop.After(quoteTimeout, choose)
+}
+
+// askAll asks all hosts at once.
+func (j *job) askAll(hosts []*host, quotes []router.Quote, choose func()) {
+	missing := len(hosts)
+	for i, h := range hosts {
+		if h == nil {
 			missing--
 			continue
 		}
-		j.ask(hosts[i], &quotes[i], func() {
+		j.ask(h, &quotes[i], func() {
 			missing--
 			if missing == 0 {
 				choose()
 			}
 		})
 	}
-	f.loop.After(quoteTimeout, choose)
+}
+
+// askInOrder asks the hosts one after the other, until one can grant at once.
+func (j *job) askInOrder(hosts []*host, quotes []router.Quote, i int, choose func()) {
+	for i < len(hosts) && hosts[i] == nil {
+		i++
+	}
+	if i == len(hosts) {
+		choose()
+		return
+	}
+	j.ask(hosts[i], &quotes[i], func() {
+		if !quotes[i].Refused && quotes[i].Wait <= 0 {
+			choose()
+			return
+		}
+		j.askInOrder(hosts, quotes, i+1, choose)
+	})
 }
 
 // ask fills q with the quote of h and calls done.
