--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -21,6 +21,7 @@
 	Load        []string      `default:"0.9" help:"Loads by name: 0.7, 0.9, 1.1, burst3."`
 	Fault       string        `default:"none" help:"Fault: none, engine_lost, engine_reclaimed, owner_lost, late_reports, domain_cut."`
 	Routing     string        `default:"ordered" enum:"ordered,both,random,affine" help:"Candidates for each request: prefix affinity, then a random one if need be; both at once; two random ones; affinity only."`
+	Unnamed     bool          `help:"Callers do not name the kind of their jobs."`
 	Seeds       int           `default:"20" help:"Number of seeds."`
 	Seed        uint64        `default:"1" help:"First seed."`
 	Concurrency int           `help:"Limit of the policy fixed for each engine; by default the tuned one of the deployment."`
@@ -58,6 +59,7 @@
 			Deployment:  d,
 			Load:        load,
 			Fault:       fault,
+			Unnamed:     f.Unnamed,
 			Routing:     experimenter.Routing(f.Routing),
 			Seed:        f.Seed,
 			Concurrency: f.concurrency(d),
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -30,6 +30,7 @@
 	Capacity    float64 // Requests a second that Load is a part of.
 	Fault       Fault
 	Routing     Routing // RouteOrdered, as the daemon does, if empty.
+	Unnamed     bool    // Callers do not name the kind of their jobs.
 	Seed        uint64
 	Concurrency int           // Limit of the policy "fixed", for each engine.
 	WarmUp      time.Duration // Requests that arrive before count for nothing.
--- a/experimenter/host.go
+++ b/experimenter/host.go
@@ -67,6 +67,9 @@
 	if h.cache.Has(r.prefix) {
 		req.CachedTokens = r.kind.PrefixTokens
 	}
+	if h.f.opt.Unnamed {
+		req.Kind = ""
+	}
 	if h.f.policy.Exact {
 		h.tellLength(&req, r.output)
 	}
