--- a/experimenter/fairness.go
+++ b/experimenter/fairness.go
@@ -3,9 +3,9 @@
 import "math"
 
 // fairness follows the service that customers get at one endpoint. The service
-// gap of two customers is the difference of the prompt and output tokens that
-// were computed for them, each over its weight, since both have had requests
-// waiting without a break. A recompute after a preemption counts for nothing.
+// gap of two customers is the difference of the output tokens that they got,
+// each over its weight, since both have had requests waiting without a break.
+// This is the service that the owner charges.
 type fairness struct {
 	customers []Customer
 	waiting   []int
@@ -38,10 +38,8 @@
 // wait adds n requests to the backlog of customer i.
 func (x *fairness) wait(i, n int) { x.waiting[i] += n }
 
-// serve counts tokens computed for customer i.
-func (x *fairness) serve(i, tokens int) {
-	x.served[i] += float64(tokens) / x.customers[i].Weight
-}
+// serve counts a token produced for customer i.
+func (x *fairness) serve(i int) { x.served[i] += 1 / x.customers[i].Weight }
 
 // sample looks at all pairs once.
 func (x *fairness) sample() {
