Drain an endpoint by a mark in the manifest

Cause: operators need to keep new work away from an endpoint, lastingly and everywhere. Ruled out: telling the daemons directly; a daemon that is cut off or born later would not know, while the manifest reaches each within seconds.

--- a/cmd/monsoonspar/apply.go
+++ b/cmd/monsoonspar/apply.go
@@ -76,15 +76,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, cmd.Timeout)
 	defer cancel()
-	a := applier{cmd: cmd, c: c, st: cmd.newStore(ours.deployment), clock: timekeeper.System{}, writer: rand.Text()}
+	a := applier{cmd: cmd, c: c, st: newStore(cmd.Platform, ours.deployment, cmd.Token), clock: timekeeper.System{}, writer: rand.Text()}
 	return classify(a.apply(ctx, ours.snapshot, base))
 }
 
 // newStore returns a client of the platform.
-func (cmd *applyCmd) newStore(deployment string) *storer.Client {
+func newStore(addr, deployment, token string) *storer.Client {
 	clock := timekeeper.System{}
 	rng := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-	cfg := storer.Config{Addr: cmd.Platform, Deployment: deployment, Token: cmd.Token}
+	cfg := storer.Config{Addr: addr, Deployment: deployment, Token: token}
 	return storer.New(cfg, dialer.New(dialer.Config{}, clock), clock, rng)
 }
 
--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -44,6 +44,7 @@
 	Demo    demoCmd    `cmd:"" help:"Show the main job on loopback."`
 	Status  statusCmd  `cmd:"" help:"Show daemons, endpoints and leases."`
 	Apply   applyCmd   `cmd:"" help:"Make a manifest the accepted one."`
+	Drain   drainCmd   `cmd:"" help:"Keep new work away from an endpoint, or let it come again."`
 	Check   checkCmd   `cmd:"" help:"Check settings and manifests."`
 	Version versionCmd `cmd:"" help:"Print the version of this program."`
 }
--- a/cmd/monsoonspar/status.go
+++ b/cmd/monsoonspar/status.go
@@ -63,9 +63,9 @@
 	for _, m := range st.Members {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, m.Domain, m.State, m.Generation, m.Addr)
 	}
-	fmt.Fprintln(w, "\nENDPOINT\tKIND\tFAILURE DOMAIN\tLEAVING\tEJECTED")
+	fmt.Fprintln(w, "\nENDPOINT\tKIND\tFAILURE DOMAIN\tLEAVING\tDRAINING\tEJECTED")
 	for _, e := range st.Endpoints {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\n", e.Name, e.Kind, e.Domain, e.Leaving, e.Ejected)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%t\n", e.Name, e.Kind, e.Domain, e.Leaving, e.Drained, e.Ejected)
 	}
 	return w.Flush()
 }
--- a/server/admin.go
+++ b/server/admin.go
@@ -108,6 +108,7 @@
 	Kind    cataloger.Kind `json:"kind"`
 	Domain  string         `json:"domain"`
 	Leaving bool           `json:"leaving"`
+	Drained bool           `json:"draining"` // By operators.
 	Ejected bool           `json:"ejected"`
 }
 
@@ -134,7 +135,7 @@
 	defer sh.mu.Unlock()
 	for _, e := range m.Endpoints {
 		st.Endpoints = append(st.Endpoints, EndpointStatus{
-			Name: e.Name, Kind: e.Kind, Domain: e.Domain,
+			Name: e.Name, Kind: e.Kind, Domain: e.Domain, Drained: e.Draining,
 			Leaving: sh.router.Leaving(e.Name), Ejected: sh.router.Ejected(e.Name),
 		})
 	}
--- a/server/owners.go
+++ b/server/owners.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return messenger.Answer{}, err
 	}
+	if s.endpoint.Draining {
+		return messenger.Answer{}, errNoEndpoint
+	}
 	r = o.complete(r)
 	if maxWait != messenger.NoBound {
 		q, err := s.quote(o.clock.Now(), r)
--- a/server/ownership.go
+++ b/server/ownership.go
@@ -36,7 +36,7 @@
 	}
 	for _, name := range s.owners.owned() {
 		e, ok := cat.endpoints[name]
-		if !ok || !s.owns(e) {
+		if !ok || e.Draining || !s.owns(e) {
 			s.owners.drop(name)
 		}
 	}
--- a/server/routers.go
+++ b/server/routers.go
@@ -71,7 +71,14 @@
 	return true
 }
 
-// setEndpoints declares the endpoints of a manifest to the routers.
+// setEndpoints declares the endpoints of a manifest to the routers, without
+// those that operators drain.
 func (s *Server) setEndpoints(m *cataloger.Manifest) {
-	s.router(func(r *router.Router) { r.SetEndpoints(m.Endpoints) })
+	var open []cataloger.Endpoint
+	for _, e := range m.Endpoints {
+		if !e.Draining {
+			open = append(open, e)
+		}
+	}
+	s.router(func(r *router.Router) { r.SetEndpoints(open) })
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -302,3 +303,20 @@
 	}
 	assert.Equal(t, held, 1)
 }
+
+func TestDrainedEndpointGetsNoNewWork(t *testing.T) {
+	c := newCluster(t)
+	assert.NilError(t, c.Apply(t.Context(), strings.Replace(c.Manifest, "[endpoint engine-0]\n", "[endpoint engine-0]\ndraining = true\n", 1)))
+	for i := range c.Daemons {
+		c.eventually(func() bool { return c.status(i).Generation == 2 })
+		for range 5 {
+			res := c.post(i, "/v1/completions", `{"model":"redazione","stream":true,"max_tokens":2,"prompt":"p"}`, nil)
+			events := readEvents(t, res.Body, 1)
+			assert.NilError(t, res.Body.Close())
+			position := strings.Split(events[0].id, ".")[1]
+			name, err := base64.RawURLEncoding.DecodeString(position)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(string(name), "engine-1"), string(name))
+		}
+	}
+}
--- a/server/start.go
+++ b/server/start.go
@@ -175,7 +175,8 @@
 // askOne asks the owner of one candidate.
 func (g *generation) askOne(ctx context.Context, c router.Candidate, req admitter.Request, maxWait time.Duration) (*permit, messenger.Answer, error) {
 	e, ok := g.s.catalog.Load().endpoints[c.Endpoint]
-	if !ok {
+	if !ok || e.Draining {
+		g.failed = append(g.failed, c.Endpoint)
 		return nil, messenger.Answer{}, errNoEndpoint
 	}
 	p, a, err := g.s.permits.ask(ctx, e, req, maxWait)
--- a/state/cataloger/cataloger.go
+++ b/state/cataloger/cataloger.go
@@ -115,6 +115,7 @@
 	BlockTokens  int  // Allocation unit of that memory, in tokens.
 	MaxBatch     int  // Largest number of sequences decoded together.
 	ChecksFence  bool // Reports whether the endpoint refuses old fencing numbers.
+	Draining     bool // Set by operators to keep new work away.
 }
 
 // Placement is a model that an engine should hold ready.
--- a/state/parser/keys.go
+++ b/state/parser/keys.go
@@ -132,6 +132,7 @@
 		number("block_tokens", &v.BlockTokens, 1, 4096),
 		number("max_batch", &v.MaxBatch, 1, maxBatch),
 		boolean("checks_fence", &v.ChecksFence),
+		boolean("draining", &v.Draining),
 	}
 }
 
