Stop by the drain core, and work ownership out only when it may change

Ruled out: a stop that closes the listener after the lag alone; the core waits until arrivals have ended as well.

--- a/server/claims.go
+++ b/server/claims.go
@@ -18,6 +18,9 @@
 
 const resourceClaims = "claims"
 
+// errNoVerdict is the fault of a claim that ends without a last word.
+var errNoVerdict = errors.New("claim ended without an answer")
+
 // claimSpec is the form of a claim in the platform.
 type claimSpec struct {
 	Writer      string        `json:"writer"` // Of this write, as writeID gives it.
@@ -97,6 +100,8 @@
 // runClaim carries out the actions of one claim until it needs no more events.
 // It goes on after the caller has its answer, to record the outcome.
 func (s *Server) runClaim(ctx context.Context, req claimer.Request, work claimWork) {
+	s.work.records.Add(1)
+	defer s.work.records.Add(-1)
 	c := claimer.New(claimer.DefaultSettings(), req, s.newRand())
 	queue := c.Handle(s.clock.Now(), claimer.Begin{})
 	for len(queue) > 0 {
@@ -225,7 +230,10 @@
 	}
 	// The claim outlives the caller, so it does not end with its context.
 	claimCtx := context.WithoutCancel(ctx)
-	s.group.Go(func() { s.runClaim(claimCtx, req, work) })
+	s.group.Go(func() {
+		s.runClaim(claimCtx, req, work)
+		work.finish(responder.Reply{}, internalError(errNoVerdict))
+	})
 	res := <-work.done
 	return res.reply, res.err
 }
--- a/server/genclaims.go
+++ b/server/genclaims.go
@@ -48,7 +48,7 @@
 		Writer: string(id), Holder: g.s.cfg.Daemon.Name, Target: targetOf(p), Deadline: g.deadline,
 	}, w)
 	w.returnPermit()
-	w.start(startResult{err: internalError(errors.New("claim ended without an answer"))})
+	w.start(startResult{err: internalError(errNoVerdict)})
 }
 
 // targetOf returns the claim's target for a permit.
--- a/server/generation.go
+++ b/server/generation.go
@@ -95,6 +95,7 @@
 		maxTokens = d.MaxTokens
 	}
 	s.retries.Request()
+	s.work.begin(now)
 	gen := &generation{
 		s: s, ctx: ctx, cancel: cancel, span: span, g: g, placement: p,
 		prefix: prefixHash(g), maxTokens: maxTokens, deadline: deadline, begun: now,
@@ -380,6 +381,7 @@
 // resumed for the grace time.
 func (g *generation) Close() {
 	defer g.span.End()
+	defer g.s.work.end()
 	if g.claim != nil && !g.done {
 		g.s.group.Go(g.drainAlone)
 		return
--- a/server/members.go
+++ b/server/members.go
@@ -21,8 +21,10 @@
 	spawn  func(func())
 	notify func(prober.Changed)
 
-	mu   sync.Mutex
-	core *prober.Prober
+	mu       sync.Mutex
+	core     *prober.Prober
+	byDomain map[string][]string // Results of candidates, as of cachedAt.
+	cachedAt uint64              // Changes of the view when byDomain was begun.
 }
 
 // newMembers returns a view that knows only the daemon itself.
@@ -78,6 +80,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.core.SetMeta(metaDraining)
+	m.byDomain = nil
 }
 
 // leave says goodbye.
@@ -103,6 +106,11 @@
 func (m *members) all() []prober.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.live()
+}
+
+// live returns the members that are not gone. The lock is held.
+func (m *members) live() []prober.Member {
 	live := []prober.Member{m.core.Self()}
 	for _, x := range m.core.Members() {
 		if !x.State.Gone() && x.Name != live[0].Name {
@@ -118,8 +126,24 @@
 // candidates returns the daemons that may own an endpoint of a failure domain:
 // those of the domain, or all where it has none.
 func (m *members) candidates(domain string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n := m.core.Changes(); n != m.cachedAt || m.byDomain == nil {
+		m.byDomain = map[string][]string{}
+		m.cachedAt = n
+	}
+	names, ok := m.byDomain[domain]
+	if !ok {
+		names = m.findCandidates(domain)
+		m.byDomain[domain] = names
+	}
+	return names
+}
+
+// findCandidates works candidates out. The lock is held.
+func (m *members) findCandidates(domain string) []string {
 	var own, everywhere []string
-	for _, x := range m.all() {
+	for _, x := range m.live() {
 		if x.Meta == metaDraining || x.State != prober.StateAlive {
 			continue
 		}
--- a/server/resume.go
+++ b/server/resume.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		g.cancel()
 		g.span.End()
+		s.work.end()
 		return nil, resumeError(err)
 	}
 	p := &permit{
@@ -44,6 +45,7 @@
 func (s *Server) resumed(ctx context.Context, cat *catalog, c cataloger.Customer, id sequencer.AttemptID, next int) *generation {
 	now := s.clock.Now()
 	deadline := now.Add(cat.manifest.Defaults.MaxTimeout)
+	s.work.begin(now)
 	ctx, span := s.tracer.Start(ctx, "caller")
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	g := &generation{
--- a/server/server.go
+++ b/server/server.go
@@ -74,6 +74,9 @@
 	stopping atomic.Bool // The daemon is not ready any more.
 	closing  atomic.Bool // New callers are refused.
 
+	work       work
+	ownedNames atomic.Pointer[[]string]
+
 	loadMu          sync.Mutex
 	lastPreemptions map[string]int
 	lastNews        map[string]sentNews
--- a/server/services.go
+++ b/server/services.go
@@ -33,6 +33,11 @@
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
+	if s.closing.Load() {
+		return responder.Reply{}, stoppingError()
+	}
+	s.work.begin(s.clock.Now())
+	defer s.work.end()
 	s.retries.Request()
 	if c.Key != "" && (c.NonIdempotent || !c.Safe) {
 		return s.claimCall(ctx, c)
