Let operators pass a generation, and describe how to apply

The test of the operators' page now ends a section's table at the next heading, since the page has tables of flags; it compares all keys as before.

--- a/cmd/monsoonspar/apply.go
+++ b/cmd/monsoonspar/apply.go
@@ -37,6 +37,7 @@
 	Token    string        `env:"MONSOONSPAR_TOKEN" help:"Bearer token of the operator."`
 	From     *uint64       `placeholder:"GENERATION" xor:"base" help:"Generation the manifest was made from; another one in force is a conflict."`
 	Base     string        `placeholder:"FILE" xor:"base" help:"Manifest that this one was made from; changes of other sections by others are kept."`
+	Above    uint64        `placeholder:"GENERATION" help:"Use a generation above this one, after the platform's store was put back."`
 	DryRun   bool          `help:"Show what would change and put nothing."`
 	Timeout  time.Duration `default:"30s" help:"Longest time for all calls."`
 }
@@ -159,7 +160,7 @@
 
 // put makes wanted the successor of the accepted manifest.
 func (a applier) put(ctx context.Context, stored publisher.Stored, theirs, wanted partitioner.Snapshot, writer string) error {
-	if wanted.Root == theirs.Root {
+	if wanted.Root == theirs.Root && stored.Head.Generation > cataloger.Generation(a.cmd.Above) {
 		fmt.Fprintf(a.c.Stdout, "generation %d has this content already\n", stored.Head.Generation)
 		return nil
 	}
@@ -168,6 +169,7 @@
 		fmt.Fprintf(a.c.Stdout, "would change generation %d:\n%s", stored.Head.Generation, changes)
 		return nil
 	}
+	stored.Head.Generation = max(stored.Head.Generation, cataloger.Generation(a.cmd.Above))
 	accepted, err := publisher.Publish(ctx, a.st, stored, wanted, writer, a.clock.Now())
 	if err != nil {
 		return err
--- a/cmd/monsoonspar/apply_test.go
+++ b/cmd/monsoonspar/apply_test.go
@@ -94,6 +94,18 @@
 	assert.Equal(t, stdout, "generation 2 has this content already\n")
 }
 
+// After the platform's store was put back, operators can pass the generation
+// that daemons have in force, also without a change.
+func TestApplyAboveAGeneration(t *testing.T) {
+	addr := startPlatform(t)
+	apply(t, addr, manifest(1))
+	for _, want := range []string{"generation 10 accepted:\n", "generation 10 has this content already\n"} {
+		code, stdout, stderr := apply(t, addr, manifest(1), "--above", "9")
+		assert.Equal(t, code, exitDone, stderr)
+		assert.Equal(t, stdout, want)
+	}
+}
+
 func TestDryRunPutsNothing(t *testing.T) {
 	addr := startPlatform(t)
 	apply(t, addr, manifest(1))
--- a/state/parser/keys_test.go
+++ b/state/parser/keys_test.go
@@ -11,7 +11,7 @@
 )
 
 // documentedKeys returns the keys in the tables of a page, by the section that
-// the heading above names.
+// the heading above names. Tables under other headings hold no keys.
 func documentedKeys(t *testing.T, page string) map[string][]string {
 	t.Helper()
 	text, err := os.ReadFile(page)
@@ -19,11 +19,14 @@
 	keys := make(map[string][]string)
 	title := ""
 	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "## ") {
+			title = ""
+		}
 		if rest, ok := strings.CutPrefix(line, "### ["); ok {
 			title, _, _ = strings.Cut(rest, "]")
 			title = strings.TrimSuffix(title, " NAME")
 		}
-		if rest, ok := strings.CutPrefix(line, "| `"); ok {
+		if rest, ok := strings.CutPrefix(line, "| `"); ok && title != "" {
 			key, _, _ := strings.Cut(rest, "`")
 			keys[title] = append(keys[title], key)
 		}
