Keep what wait forecasts read of customers side by side

Cause: the forecast of a wait visits each customer with a queue, and reading 1,300 accounts spread over the heap took a third of an admission.

--- a/coordination/scheduler/account.go
+++ b/coordination/scheduler/account.go
@@ -7,13 +7,14 @@
 
 // account is one customer at one priority level.
 type account[T any] struct {
+	load    // The counter is service divided by weight; work is what is queued.
+	queued  int
+	running int
+
 	customer string
 	level    *level[T]
-	weight   float64
-	counter  float64 // Virtual tokens: service divided by weight.
+	slot     int // In the order and the loads of the level.
 	lanes    [laneCount]*lane[T]
-	queued   int
-	running  int
 	held     bool // Reports whether a limit keeps its jobs from going.
 
 	maxRunning int
@@ -24,7 +25,7 @@
 
 // newAccount returns an account without jobs.
 func newAccount[T any](customer string, l *level[T]) *account[T] {
-	a := &account[T]{customer: customer, level: l, weight: 1, counter: l.virtual}
+	a := &account[T]{customer: customer, level: l, load: load{weight: 1, counter: l.virtual}}
 	for k := range a.lanes {
 		a.lanes[k] = newLane(a, Lane(k))
 	}
@@ -83,12 +84,29 @@
 	return a.rate == 0 || a.allowance >= a.rate*burstSeconds
 }
 
+// load is the part of an account that forecasts go by.
+type load struct {
+	weight  float64
+	counter float64
+	work    [laneCount]float64
+}
+
+// waiting returns the queued work that a job in lane k of the same customer
+// would wait for.
+func (l *load) waiting(k Lane) float64 {
+	if k == Short {
+		return l.work[Short]
+	}
+	return l.work[Short] + l.work[Long]
+}
+
 // level is one priority level.
 type level[T any] struct {
 	number   int
 	virtual  float64 // Counter of the customer that went last.
 	accounts map[string]*account[T]
 	order    []*account[T] // The accounts in order of their making.
+	loads    []load        // What ahead needs of each account, side by side.
 	lanes    [laneCount]*Heap[*lane[T]]
 }
 
@@ -114,14 +132,18 @@
 	a, ok := l.accounts[customer]
 	if !ok {
 		a = newAccount(customer, l)
+		a.slot = len(l.order)
 		l.accounts[customer] = a
 		l.order = append(l.order, a)
+		l.loads = append(l.loads, load{})
 	}
 	return a
 }
 
-// place puts the lanes of a where its state wants them in the level's heaps.
+// place puts the lanes of a where its state wants them in the level's heaps, and
+// notes its load. It is called after each change of a.
 func (l *level[T]) place(a *account[T]) {
+	l.loads[a.slot] = a.load
 	for k, ln := range a.lanes {
 		wanted := ln.byOrder.Len() > 0 && !a.held
 		switch {
@@ -143,8 +165,11 @@
 			delete(l.accounts, a.customer)
 			continue
 		}
+		a.slot = len(kept)
+		l.loads[a.slot] = a.load
 		kept = append(kept, a)
 	}
 	clear(l.order[len(kept):])
 	l.order = kept
+	l.loads = l.loads[:len(kept)]
 }
--- a/coordination/scheduler/ahead.go
+++ b/coordination/scheduler/ahead.go
@@ -14,8 +14,8 @@
 			sum += l.ahead(item)
 			continue
 		}
-		for _, a := range l.order {
-			sum += a.waiting(item.Lane)
+		for i := range l.loads {
+			sum += l.loads[i].waiting(item.Lane)
 		}
 	}
 	return sum
@@ -27,31 +27,26 @@
 	if weight == 0 {
 		weight = 1
 	}
-	if a, ok := l.accounts[item.Customer]; ok {
-		own = a.waiting(item.Lane)
-		counter = max(counter, a.counter)
+	slot := -1
+	if mine, ok := l.accounts[item.Customer]; ok {
+		slot = mine.slot
+		own = mine.waiting(item.Lane)
+		counter = max(counter, mine.counter)
 	}
 	perToken := item.Work / max(item.Cost, 1)
 	sum := own
-	for _, a := range l.order {
-		if a.queued == 0 || a.customer == item.Customer {
+	for i := range l.loads {
+		x := &l.loads[i]
+		waiting := x.waiting(item.Lane)
+		if waiting == 0 || i == slot {
 			continue
 		}
-		lead := max(counter-a.counter, 0) * a.weight * perToken
-		sum += min(a.waiting(item.Lane), lead+(own+item.Work)*a.weight/weight)
+		lead := max(counter-x.counter, 0) * x.weight * perToken
+		sum += min(waiting, lead+(own+item.Work)*x.weight/weight)
 	}
 	return sum
 }
 
-// waiting returns the queued work that a job in lane k of the same customer
-// would wait for.
-func (a *account[T]) waiting(k Lane) float64 {
-	if k == Short {
-		return a.lanes[Short].work
-	}
-	return a.lanes[Short].work + a.lanes[Long].work
-}
-
 // AheadOf returns the work that would start before a queued job.
 func (q *Queue[T]) AheadOf(e *Entry[T]) float64 {
 	a := e.account
--- a/coordination/scheduler/item.go
+++ b/coordination/scheduler/item.go
@@ -66,8 +66,7 @@
 	kind    Lane
 	byOrder *Heap[*Entry[T]]
 	byDue   *Heap[*Entry[T]]
-	work    float64 // Sum of Work.
-	index   int     // In the heap of the level; -1 if none is queued or the customer is held.
+	index   int // In the heap of the level; -1 if none is queued or the customer is held.
 }
 
 // newLane returns an empty lane of a.
@@ -91,14 +90,14 @@
 func (l *lane[T]) push(e *Entry[T]) {
 	l.byOrder.Push(e)
 	l.byDue.Push(e)
-	l.work += e.Work
+	l.account.work[l.kind] += e.Work
 }
 
 // remove takes out e.
 func (l *lane[T]) remove(e *Entry[T]) {
 	l.byOrder.Remove(e.orderIndex)
 	l.byDue.Remove(e.dueIndex)
-	l.work = max(l.work-e.Work, 0)
+	l.account.work[l.kind] = max(l.account.work[l.kind]-e.Work, 0)
 }
 
 // head returns the entry to go first: the earliest due if its time has come,
