Charge customers for computed prompts too, and keep prefill within 0.75 of the gap

Cause: with output alone as service, customers with long prompts got ahead by 17786 (carpati) and 13936 tokens (registro) of prompt and output, more than one largest request (8656 and 12832). A step filled up to 0.9 of the gap target lets prompts wait for one another in the engine.

--- a/coordination/admitter/permit.go
+++ b/coordination/admitter/permit.go
@@ -46,6 +46,9 @@
 	return estimator.Class{Model: r.Model, Customer: r.Customer, Kind: r.Kind}
 }
 
+// uncached returns the prompt tokens that the engine has to compute.
+func (r *Request) uncached() int { return max(r.PromptTokens-r.CachedTokens, 0) }
+
 // produced returns the output tokens by a step of the engine, dead-reckoned.
 func (p *permit) produced(step float64) int {
 	n := max(int(step-p.startStep), 0)
--- a/coordination/admitter/schedule.go
+++ b/coordination/admitter/schedule.go
@@ -11,7 +11,7 @@
 
 const (
 	refreshAfter  = 100 * time.Millisecond // Age at which the forecast is computed anew.
-	gapMargin     = 0.9                    // Part of the gap target that a step may take.
+	gapMargin     = 0.75                   // Part of the gap target that a step may take.
 	cautiousShare = 0.6                    // Part of the memory used in a cautious time.
 )
 
@@ -54,7 +54,7 @@
 	}
 	return scheduler.Item[*permit]{
 		Value: p, Customer: r.Customer, Level: r.Level, Weight: r.Weight, Lane: lane,
-		Cost: p.expected, Work: o.work(p),
+		Cost: float64(r.uncached()) + p.expected, Work: o.work(p),
 		Arrived: r.Arrived, Order: order, Due: r.Arrived.Add(time.Duration(dueShare * float64(o.cfg.AgeBound))), Expires: expires,
 		MaxRunning: r.Limits.MaxRunning, TokensPerSecond: r.Limits.TokensPerSecond,
 	}
@@ -62,8 +62,8 @@
 
 // runTime returns how long r takes for a number of output tokens.
 func (o *Owner) runTime(r *Request, tokens float64) time.Duration {
-	prefill := float64(r.PromptTokens-r.CachedTokens) * float64(o.cfg.Step.PerPrefillToken)
-	return time.Duration(tokens*float64(o.clock.step) + max(prefill, 0))
+	prefill := float64(r.uncached()) * float64(o.cfg.Step.PerPrefillToken)
+	return time.Duration(tokens*float64(o.clock.step) + prefill)
 }
 
 // work returns the load of p in steps of the whole engine: the larger of its
@@ -104,7 +104,7 @@
 	if !o.batchHasRoom(e.Lane) {
 		return false
 	}
-	if !o.prefill.allows(p.req.PromptTokens-p.req.CachedTokens, o.prefillChunk(), o.clock.now.steps) {
+	if !o.prefill.allows(p.req.uncached(), o.prefillChunk(), o.clock.now.steps) {
 		return false
 	}
 	memory := o.memory() - float64(o.prefixCost(p))
@@ -155,8 +155,7 @@
 	asserter.That(!o.leaving, asserter.NoWorkWhileLeaving, "granted at a leaving endpoint")
 	k := p.entry.Lane
 	o.wait[k].observe(p.promised, o.now.Sub(p.enqueuedAt))
-	uncached := max(p.req.PromptTokens-p.req.CachedTokens, 0)
-	o.prefill.add(uncached, o.prefillChunk(), o.clock.now.steps)
+	o.prefill.add(p.req.uncached(), o.prefillChunk(), o.clock.now.steps)
 	p.grantedAt = o.now
 	p.startStep = o.clock.now.steps + float64(o.runTime(&p.req, 0))/float64(o.clock.step)
 	p.priority = o.enginePriority(p)
