End claims with the daemon, and wait for orders before a lease is given up

Cause: recording a claim may go on for ten minutes and outlived the daemon's own end, spinning once its context had ended; a lease could be released while an order was under way; each failure domain kept the whole rate of the weight store; a claim could be removed before its send window had passed. Ruled out: a shorter record window, which would leave more outcomes unknown.

--- a/server/claims.go
+++ b/server/claims.go
@@ -97,14 +97,18 @@
 	refuse(r claimer.Refuse)
 }
 
-// runClaim carries out the actions of one claim until it needs no more events.
-// It goes on after the caller has its answer, to record the outcome.
+// runClaim carries out the actions of one claim until it needs no more events or
+// the daemon ends. It goes on after the caller has its answer and is gone, to
+// record the outcome.
 func (s *Server) runClaim(ctx context.Context, req claimer.Request, work claimWork) {
 	s.work.records.Add(1)
 	defer s.work.records.Add(-1)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
 	c := claimer.New(claimer.DefaultSettings(), req, s.newRand())
 	queue := c.Handle(s.clock.Now(), claimer.Begin{})
-	for len(queue) > 0 {
+	for len(queue) > 0 && ctx.Err() == nil {
 		a := queue[0]
 		queue = queue[1:]
 		ev := s.doClaim(ctx, a, work)
@@ -228,10 +232,8 @@
 		Writer: s.newID(), Holder: s.cfg.Daemon.Name,
 		Target: claimer.Target{Endpoint: endpoint, Generation: c.ID}, Deadline: deadline,
 	}
-	// The claim outlives the caller, so it does not end with its context.
-	claimCtx := context.WithoutCancel(ctx)
 	s.group.Go(func() {
-		s.runClaim(claimCtx, req, work)
+		s.runClaim(ctx, req, work)
 		work.finish(responder.Reply{}, internalError(errNoVerdict))
 	})
 	res := <-work.done
--- /dev/null
+++ b/server/claims_test.go
@@ -0,0 +1,14 @@
+package server
+
+import (
+	"testing"
+
+	"monsoonspar.example/coordination/claimer"
+	"monsoonspar.example/state/parser"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestShortestRetentionOutlivesEverySend(t *testing.T) {
+	assert.NilError(t, claimer.DefaultSettings().Validate(parser.MinClaimRetention))
+}
--- a/server/genclaims.go
+++ b/server/genclaims.go
@@ -43,7 +43,7 @@
 		return
 	}
 	w.permit = p
-	g.s.runClaim(context.WithoutCancel(g.ctx), claimer.Request{
+	g.s.runClaim(g.ctx, claimer.Request{
 		Customer: g.g.Customer.Name, Key: g.g.Key, Fingerprint: g.g.Fingerprint,
 		Writer: string(id), Holder: g.s.cfg.Daemon.Name, Target: targetOf(p), Deadline: g.deadline,
 	}, w)
--- a/server/orders.go
+++ b/server/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"monsoonspar.example/coordination/leaser"
@@ -21,28 +22,60 @@
 // orders gives the orders of this daemon's failure domain while it holds the
 // lease.
 type orders struct {
-	s    *Server
+	s  *Server
+	mu sync.Mutex // Held while orders are planned and under way.
+
 	core *orderer.Orderer
+	rate float64 // Loads a minute that the core keeps to.
 }
 
 // newOrders returns orders without any under way.
-func newOrders(s *Server) *orders {
-	return &orders{s: s, core: orderer.New(orderer.DefaultSettings())}
-}
+func newOrders(s *Server) *orders { return &orders{s: s} }
 
 // run compares and orders until ctx ends.
 func (o *orders) run(ctx context.Context) {
 	for o.s.clock.Sleep(ctx, orderInterval) == nil {
-		if _, held := o.s.leases.term(); !held {
+		if _, held := o.s.leases.term(); !held || !o.configure() {
 			continue
 		}
 		view := o.look(ctx)
-		term, held := o.s.leases.term()
-		if !held {
-			continue
-		}
-		o.give(ctx, o.core.Plan(o.s.clock.Now(), term, view))
+		o.plan(ctx, view)
+	}
+}
+
+// plan gives the orders that a view asks for, unless the daemon stops.
+func (o *orders) plan(ctx context.Context, view orderer.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	term, held := o.s.leases.term()
+	if !held || o.s.stopping.Load() {
+		return
+	}
+	o.give(ctx, o.core.Plan(o.s.clock.Now(), term, view))
+}
+
+// wait waits until the orders under way have ended. While the daemon stops no
+// others follow.
+func (o *orders) wait() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+}
+
+// configure makes the core anew if this failure domain's part of the weight
+// store's rate has changed, and reports whether there is a manifest.
+func (o *orders) configure() bool {
+	m := o.s.Manifest()
+	if m == nil {
+		return false
+	}
+	rate := float64(m.Defaults.LoadsPerMinute) / float64(max(len(m.Domains), 1))
+	if o.core != nil && (o.rate == rate || o.core.Outstanding(o.s.clock.Now()) > 0) {
+		return true
 	}
+	cfg := orderer.DefaultSettings()
+	cfg.LoadsPerMinute = rate
+	o.rate, o.core = rate, orderer.New(cfg)
+	return true
 }
 
 // look reads the engines of the failure domain.
--- a/server/stop.go
+++ b/server/stop.go
@@ -83,6 +83,7 @@
 		s.group.Go(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, drainer.DefaultSettings().OwnedTimeout)
 			defer cancel()
+			s.orders.wait()
 			s.leases.release(ctx)
 		})
 	case drainer.RefuseArrivals:
--- a/state/parser/keys.go
+++ b/state/parser/keys.go
@@ -10,17 +10,20 @@
 
 // Bounds of the manifest's values.
 const (
-	maxTimeout      = 24 * time.Hour
-	maxRetention    = 30 * 24 * time.Hour
-	maxBodyBytes    = 64 << 20
-	maxTokens       = 10_000_000
-	maxMemoryTokens = 1_000_000_000
-	maxBatch        = 100_000
-	maxWeight       = 1e6
-	minWeight       = 1e-6
-	maxCount        = 1_000_000
-	maxTokenRate    = 1e9
-	maxLevel        = 1000
+	maxTimeout = 24 * time.Hour
+	// MinClaimRetention covers twice the longest time in which a claim is sent
+	// and recorded.
+	MinClaimRetention = 21 * time.Minute
+	maxRetention      = 30 * 24 * time.Hour
+	maxBodyBytes      = 64 << 20
+	maxTokens         = 10_000_000
+	maxMemoryTokens   = 1_000_000_000
+	maxBatch          = 100_000
+	maxWeight         = 1e6
+	minWeight         = 1e-6
+	maxCount          = 1_000_000
+	maxTokenRate      = 1e9
+	maxLevel          = 1000
 )
 
 // defaultManifest returns the values of absent keys.
@@ -72,7 +75,7 @@
 		duration("token_timeout", &v.TokenTimeout, 100*time.Millisecond, 10*time.Minute),
 		duration("token_gap_target", &v.TokenGapTarget, time.Millisecond, time.Minute),
 		duration("first_token_goal", &v.FirstTokenGoal, time.Millisecond, time.Hour),
-		duration("claim_retention", &v.ClaimRetention, time.Minute, maxRetention),
+		duration("claim_retention", &v.ClaimRetention, MinClaimRetention, maxRetention),
 		duration("long_job_age_bound", &v.LongJobAgeBound, time.Second, maxTimeout),
 		number("long_share", &v.LongShare, 0.01, 1),
 		number("loads_per_minute", &v.LoadsPerMinute, 1, 10_000),
