--- a/coordination/attempter/attempter_test.go
+++ b/coordination/attempter/attempter_test.go
@@ -1,13 +1,13 @@
 package attempter_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
 	"monsoonspar.example/coordination/attempter"
+	"monsoonspar.example/state/seeder"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -65,21 +65,7 @@
 	}
 }
 
-// TestMain fixes the seed of the random histories. A longer run sets
-// RAPID_CHECKS.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	checks := "2000"
-	if n := os.Getenv("RAPID_CHECKS"); n != "" {
-		checks = n
-	}
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 2000)) }
 
 // TestRandomFailures drives requests through random failures. Whether an
 // attempt ran is drawn in a way that agrees with the failure, so a wrong
--- a/coordination/leaser/leaser_test.go
+++ b/coordination/leaser/leaser_test.go
@@ -1,7 +1,6 @@
 package leaser
 
 import (
-	"flag"
 	"fmt"
 	"math/bits"
 	"math/rand/v2"
@@ -10,17 +9,13 @@
 	"testing"
 	"time"
 
+	"monsoonspar.example/state/seeder"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed and the number of histories; -rapid.seed and
-// -rapid.checks set others.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 1000)) }
 
 // step is how far a history moves on at once.
 const step = 500 * time.Millisecond
--- a/coordination/orderer/orderer_test.go
+++ b/coordination/orderer/orderer_test.go
@@ -1,7 +1,6 @@
 package orderer
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -13,15 +12,10 @@
 
 	"monsoonspar.example/coordination/leaser"
 	"monsoonspar.example/state/cataloger"
+	"monsoonspar.example/state/seeder"
 )
 
-// TestMain fixes the seed and the number of histories; -rapid.seed and
-// -rapid.checks set others.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 1000)) }
 
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/coordination/prober/prober_test.go
+++ b/coordination/prober/prober_test.go
@@ -1,24 +1,19 @@
 package prober
 
 import (
-	"flag"
 	"fmt"
 	"math/bits"
 	"os"
 	"testing"
 	"time"
 
+	"monsoonspar.example/state/seeder"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed and the number of histories; -rapid.seed and
-// -rapid.checks set others.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "1000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 1000)) }
 
 // settle is the time in which the daemons of a history must agree after the
 // last fault.
--- a/coordination/sequencer/sequencer_test.go
+++ b/coordination/sequencer/sequencer_test.go
@@ -1,13 +1,13 @@
 package sequencer_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 
 	"monsoonspar.example/coordination/sequencer"
 	"monsoonspar.example/state/asserter"
+	"monsoonspar.example/state/seeder"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -37,21 +37,7 @@
 	assert.DeepEqual(t, seen, []asserter.Invariant{asserter.TokensInOrder, asserter.OneGeneration})
 }
 
-// TestMain fixes the seed of the random histories. A longer run sets
-// RAPID_CHECKS.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	checks := "2000"
-	if n := os.Getenv("RAPID_CHECKS"); n != "" {
-		checks = n
-	}
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 2000)) }
 
 // TestRandomStreams offers tokens of several attempts late, twice, crossed and
 // with gaps, and lets the ledger check what is delivered.
--- a/protocol/responder/completion.go
+++ b/protocol/responder/completion.go
@@ -150,7 +150,7 @@
 }
 
 // assistantTurn ends a rendered chat.
-const assistantTurn = "assistant: "
+const assistantTurn = assistantRole + ": "
 
 // systemMessages returns the system messages at the start of a chat, which the
 // chats of an application have in common.
--- a/protocol/responder/stream.go
+++ b/protocol/responder/stream.go
@@ -70,9 +70,13 @@
 }
 
 type chatDelta struct {
+	Role    string `json:"role,omitempty"` // With the first token only.
 	Content string `json:"content"`
 }
 
+// assistantRole is the role of what a model says.
+const assistantRole = "assistant"
+
 type chatAnswer struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
@@ -93,6 +97,9 @@
 	if a.chat {
 		object = "chat.completion.chunk"
 		ch.Delta = &chatDelta{Content: t.Text}
+		if t.Index == 0 {
+			ch.Delta.Role = assistantRole
+		}
 	} else {
 		ch.Text = &t.Text
 	}
@@ -105,7 +112,7 @@
 	object := "text_completion"
 	if a.chat {
 		object = "chat.completion"
-		ch.Message = &chatAnswer{Role: "assistant", Content: text}
+		ch.Message = &chatAnswer{Role: assistantRole, Content: text}
 	} else {
 		ch.Text = &text
 	}
