Carry traces and deadlines on to the next hop

Cause: the caller's traceparent was not read, and engines and services were not told the time that is left. Ruled out: a point in time; clocks of VMs differ.

--- a/protocol/responder/responder.go
+++ b/protocol/responder/responder.go
@@ -16,6 +16,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/propagation"
 )
 
 // Names of header fields that are not standard.
@@ -28,6 +29,8 @@
 	HeaderOutcome       = "Outcome"
 	HeaderRequestID     = "X-Request-Id"
 	HeaderReplayed      = "Idempotency-Replayed"
+
+	headerTrace = "traceparent"
 )
 
 // Limits of what callers may send.
@@ -125,7 +128,7 @@
 		Immutable:             true,
 		ErrorHandler:          r.handleError,
 	})
-	r.app.Use(r.recoverPanic, r.closeWhileStopping)
+	r.app.Use(r.recoverPanic, r.closeWhileStopping, joinTrace)
 	r.app.Get("/healthz", r.healthz)
 	r.app.Get("/readyz", r.readyz)
 	r.app.Get("/v1/models", r.models)
@@ -185,6 +188,16 @@
 	return customer, nil
 }
 
+// joinTrace makes the caller's trace that of the request.
+func joinTrace(c *fiber.Ctx) error {
+	parent := c.Get(headerTrace)
+	if parent != "" {
+		carrier := propagation.MapCarrier{headerTrace: parent}
+		c.SetUserContext(propagation.TraceContext{}.Extract(c.UserContext(), carrier))
+	}
+	return c.Next()
+}
+
 // closeWhileStopping ends connections after their answer while the daemon stops,
 // so that none is idle when it closes them.
 func (r *Responder) closeWhileStopping(c *fiber.Ctx) error {
--- a/server/services.go
+++ b/server/services.go
@@ -103,7 +103,7 @@
 	if !s.maySend(endpoint) {
 		return responder.Reply{}, errors.Wrap(requester.ErrNotSent, "endpoint began to leave")
 	}
-	header := append(traceHeader(ctx), requester.Header{Name: headerRequestID, Value: c.ID})
+	header := append(hopHeader(ctx, s.clock.Now()), requester.Header{Name: headerRequestID, Value: c.ID})
 	if c.ContentType != "" {
 		header = append(header, requester.Header{Name: "Content-Type", Value: c.ContentType})
 	}
--- a/server/start.go
+++ b/server/start.go
@@ -76,7 +76,7 @@
 	return g.s.engines.Start(ctx, p.endpoint.Addr, generator.Request{
 		Attempt: sequencer.AttemptID(p.request.ID), Model: g.placement.Model, Version: g.placement.Version,
 		Adapter: g.placement.Adapter, Prompt: g.g.Prompt, MaxTokens: g.maxTokens, Priority: p.priority,
-	}, traceHeader(ctx))
+	}, hopHeader(ctx, g.s.clock.Now()))
 }
 
 // sendFailed decides what follows an attempt that did not begin. It returns the
--- a/server/tracing.go
+++ b/server/tracing.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"os"
+	"strconv"
+	"time"
 
 	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/protocol/responder"
 	"monsoonspar.example/state/parser"
 
 	"github.com/pkg/errors"
@@ -60,11 +63,16 @@
 	}
 }
 
-// traceHeader returns the header fields that carry the span of ctx.
-func traceHeader(ctx context.Context) []requester.Header {
+// hopHeader returns the header fields that carry the span of ctx and the time
+// that is left of its deadline to the next hop.
+func hopHeader(ctx context.Context, now time.Time) []requester.Header {
 	carrier := propagation.MapCarrier{}
 	propagator.Inject(ctx, carrier)
-	fields := make([]requester.Header, 0, len(carrier))
+	fields := make([]requester.Header, 0, len(carrier)+1)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(deadline.Sub(now).Milliseconds(), 0)
+		fields = append(fields, requester.Header{Name: responder.HeaderTimeout, Value: strconv.FormatInt(left, 10)})
+	}
 	for _, name := range carrier.Keys() {
 		fields = append(fields, requester.Header{Name: name, Value: carrier.Get(name)})
 	}
