Hold a stale read back while a peer's newer manifest is on its way

Cause: the join of a new daemon ended with the last peer's answer, before what that answer announced was fetched, so with one peer a read of an older generation that had come first was installed for a moment. Ruled out: the deadline of the join, which had not passed. The join now lasts until the fetch is done, and then ends at once in place of waiting out the deadline.

--- a/cmd/monsoonspar/apply_test.go
+++ b/cmd/monsoonspar/apply_test.go
@@ -163,6 +163,19 @@
 	assert.Assert(t, strings.Contains(stderr, "changed the same sections (customer c0)"), stderr)
 }
 
+// A pipeline that names its base keeps the mark of an endpoint that is drained.
+func TestApplyWithBaseKeepsADrain(t *testing.T) {
+	addr := startPlatform(t)
+	endpoint := "[domain d]\n[service app]\n[endpoint e]\nkind = service\ndomain = d\naddr = 127.0.0.1:1\nservice = app\n"
+	base := writeFile(t, "base.ini", manifest(1)+endpoint)
+	apply(t, addr, manifest(1)+endpoint)
+	code, _, stderr := call(t, "drain", "--platform", addr, "--deployment", "demo", "e")
+	assert.Equal(t, code, exitDone, stderr)
+	code, stdout, stderr := apply(t, addr, manifest(2)+endpoint, "--base", base)
+	assert.Equal(t, code, exitDone, stderr)
+	assert.Equal(t, stdout, "generation 3 accepted:\n- customer c0.weight = 1\n+ customer c0.weight = 2\n")
+}
+
 func TestChangesThatAreInvalidTogetherAreAConflict(t *testing.T) {
 	addr := startPlatform(t)
 	spare := "[priority spare]\nlevel = 2\n"
--- a/coordination/configurer/configurer.go
+++ b/coordination/configurer/configurer.go
@@ -111,7 +111,8 @@
 type join struct {
 	started bool
 	until   time.Time
-	asked   map[string]bool // Peers that have not answered.
+	peers   int             // Peers that were asked.
+	asked   map[string]bool // Those of them that have not answered.
 }
 
 // maxRejected bounds the memory of rejected manifests.
@@ -263,6 +264,7 @@
 func (c *Core) askPeers() []Action {
 	var actions []Action
 	for _, peer := range c.randomPeers(c.cfg.Fanout) {
+		c.join.peers++
 		c.join.asked[peer] = true
 		a := c.Announcement()
 		a.Asks = true
@@ -271,9 +273,13 @@
 	return actions
 }
 
-// joining reports whether the daemon still waits for the answers of peers.
+// joining reports whether the daemon still waits for the answers of peers, or
+// for a manifest that they have announced.
 func (c *Core) joining(now time.Time) bool {
-	return c.manifest == nil && now.Before(c.join.until) && !c.trusting
+	if c.manifest != nil || !now.Before(c.join.until) || c.trusting {
+		return false
+	}
+	return c.join.peers == 0 || len(c.join.asked) > 0 || c.fetch != nil
 }
 
 // finishJoin installs what was held back when the join is over.
--- a/coordination/configurer/configurer_test.go
+++ b/coordination/configurer/configurer_test.go
@@ -31,14 +31,17 @@
 	return s
 }
 
-// newCore returns a core that has ticked once, with peers b and c in its domain.
+// newCore returns a core that has ticked once, with peers b and c.
 func newCore() *configurer.Core {
+	return newCoreWith(configurer.Member{Name: "b", Domain: "north"}, configurer.Member{Name: "c", Domain: "south"})
+}
+
+// newCoreWith returns a core that has ticked once, with some peers.
+func newCoreWith(peers ...configurer.Member) *configurer.Core {
 	cfg := configurer.DefaultConfig()
 	cfg.Name, cfg.Domain, cfg.Deployment = "a", "north", "demo"
 	core := configurer.New(cfg, rand.New(rand.NewPCG(1, 2)))
-	core.Handle(start, configurer.MembersChanged{Members: []configurer.Member{
-		{Name: "a", Domain: "north"}, {Name: "b", Domain: "north"}, {Name: "c", Domain: "south"},
-	}})
+	core.Handle(start, configurer.MembersChanged{Members: append(peers, configurer.Member{Name: "a", Domain: "north"})})
 	core.Handle(start, configurer.Tick{})
 	return core
 }
@@ -70,24 +73,30 @@
 	return configurer.Announcement{Generation: g, Root: s.Root}
 }
 
+// A read that may be stale is held back until the peers have answered and what
+// they have announced is there; then that is installed at once.
 func TestNewDaemonWaitsForPeersBeforeItTrustsARead(t *testing.T) {
-	core := newCore()
 	stale, fresh := snapshot(t, 1, 1), snapshot(t, 1, 2)
-	core.Handle(start, configurer.HeadSeen{Head: head(7, stale)})
-	actions := core.Handle(start, configurer.PartsRead{Parts: stale.Parts})
-	assert.Equal(t, len(only[configurer.Install](actions)), 0)
-	core.Handle(start, configurer.AnnouncementReceived{From: "b", Announcement: announcement(8, fresh)})
-	core.Handle(start, configurer.AnnouncementReceived{From: "c", Announcement: announcement(8, fresh)})
-	core.Handle(start, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
-		Generation: 8, Root: fresh.Root, Digests: fresh.Digests(),
-	}})
-	actions = core.Handle(start, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
-		Generation: 8, Root: fresh.Root, Parts: fresh.Parts,
-	}})
-	actions = append(actions, core.Handle(start.Add(time.Second), configurer.Tick{})...)
-	installs := only[configurer.Install](actions)
-	assert.Equal(t, len(installs), 1)
-	assert.Equal(t, installs[0].Manifest.Generation, cataloger.Generation(8))
+	peers := []configurer.Member{{Name: "b", Domain: "north"}, {Name: "c", Domain: "south"}}
+	for n := range peers {
+		core := newCoreWith(peers[:n+1]...)
+		core.Handle(start, configurer.HeadSeen{Head: head(7, stale)})
+		actions := core.Handle(start, configurer.PartsRead{Parts: stale.Parts})
+		for _, peer := range peers[:n+1] {
+			actions = append(actions, core.Handle(start, configurer.AnnouncementReceived{
+				From: peer.Name, Announcement: announcement(8, fresh),
+			})...)
+		}
+		actions = append(actions, core.Handle(start, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
+			Generation: 8, Root: fresh.Root, Digests: fresh.Digests(),
+		}})...)
+		assert.Equal(t, len(only[configurer.Install](actions)), 0)
+		actions = core.Handle(start, configurer.DeliveryReceived{From: "b", Delivery: configurer.Delivery{
+			Generation: 8, Root: fresh.Root, Parts: fresh.Parts,
+		}})
+		assert.Equal(t, len(only[configurer.Install](actions)), 1)
+		assert.Equal(t, core.Generation(), cataloger.Generation(8))
+	}
 }
 
 func TestNewDaemonInstallsTheReadWhenNoPeerAnswers(t *testing.T) {
--- a/coordination/configurer/spread.go
+++ b/coordination/configurer/spread.go
@@ -50,7 +50,7 @@
 // older one is told.
 func (c *Core) hear(now time.Time, from string, a Announcement) []Action {
 	c.lastHeard = now
-	c.noteAnswer(now, from)
+	delete(c.join.asked, from)
 	v := version{Generation: a.Generation, Root: a.Root}
 	if a.Generation > c.inForce.Generation {
 		return append(c.answer(from, a), c.learnPeer(now, from, v)...)
@@ -70,17 +70,6 @@
 	return []Action{SendAnnouncement{To: to, Announcement: c.Announcement()}}
 }
 
-// noteAnswer ends the join when the last peer that was asked has answered.
-func (c *Core) noteAnswer(now time.Time, from string) {
-	if !c.join.asked[from] {
-		return
-	}
-	delete(c.join.asked, from)
-	if len(c.join.asked) == 0 && c.fetch == nil {
-		c.join.until = now
-	}
-}
-
 // learnPeer takes a peer as a source of v.
 func (c *Core) learnPeer(now time.Time, from string, v version) []Action {
 	f := c.pursue(v)
--- a/coordination/configurer/watch.go
+++ b/coordination/configurer/watch.go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	var actions []Action
-	if c.manifest == nil && len(c.join.asked) == 0 {
+	if c.manifest == nil && c.join.peers == 0 {
 		actions = c.askPeers()
 	}
 	return append(actions, c.tendWatch(now)...)
