Encode what the chunks of an answer share once

Cause: encoding/json took 5 allocations for each chunk, of which only the text differs. Ruled out: a json.Encoder with a kept buffer (it still reflects over the chunk). The last chunk and a text that JSON escapes go to encoding/json as before. FuzzChunkEncoder (40670 inputs) found no difference from json.Marshal.

--- a/protocol/responder/stream.go
+++ b/protocol/responder/stream.go
@@ -153,11 +153,16 @@
 		s.Close()
 		return err
 	}
+	encoder, err := newChunkEncoder(a)
+	if err != nil {
+		s.Close()
+		return err
+	}
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer s.Close()
-		e := &eventWriter{w: w, a: a, s: s, ledger: ledger}
+		e := &eventWriter{w: w, s: s, encoder: encoder, ledger: ledger}
 		if err := e.run(first); err != nil {
 			r.log.Debug().Err(err).Str("request", a.id).Msg("responder: caller went away")
 		}
@@ -183,11 +188,11 @@
 
 // eventWriter writes one answer as server-sent events.
 type eventWriter struct {
-	w      *bufio.Writer
-	a      answer
-	s      Stream
-	ledger *sequencer.Ledger
-	buf    []byte
+	w       *bufio.Writer
+	s       Stream
+	encoder *chunkEncoder
+	ledger  *sequencer.Ledger
+	buf     []byte
 }
 
 // run writes chunks until the answer or the caller ends. An error means that
@@ -216,15 +221,14 @@
 		return e.w.Flush()
 	}
 	e.ledger.Write(ch.Token)
-	body, err := json.Marshal(e.a.chunk(ch.Token, ch.Usage))
-	if err != nil {
-		return errors.Wrap(err, "encode chunk")
-	}
 	e.buf = append(e.buf[:0], "id: "...)
 	e.buf = strconv.AppendInt(e.buf, int64(ch.Token.Index), 10)
 	e.buf = append(e.buf, ch.Resume...)
 	e.buf = append(e.buf, "\ndata: "...)
-	e.buf = append(e.buf, body...)
+	var err error
+	if e.buf, err = e.encoder.appendChunk(e.buf, ch.Token, ch.Usage); err != nil {
+		return err
+	}
 	e.buf = append(e.buf, "\n\n"...)
 	if _, err := e.w.Write(e.buf); err != nil {
 		return err
