Format the details of the ledger only for a violation

Cause: the ledger built the text of two violations for each token, which took 0.33 s of 3.9 s of processor time and 13% of the bytes allocated in a profile of BenchmarkForward/daemon. It checks the same as before. Ruled out: checking samples only (each token must be checked).

--- a/coordination/sequencer/sequencer.go
+++ b/coordination/sequencer/sequencer.go
@@ -122,12 +122,15 @@
 
 // Write asserts that t is the next token of the same generation.
 func (l *Ledger) Write(t Token) {
-	if l.started {
-		asserter.That(t.Attempt == l.attempt, asserter.OneGeneration,
+	// The details are formatted only for a violation, since this runs for each token.
+	if l.started && t.Attempt != l.attempt {
+		asserter.That(false, asserter.OneGeneration,
 			fmt.Sprintf("token %d of %s after tokens of %s", t.Index, t.Attempt, l.attempt))
 	}
-	asserter.That(t.Index == l.next, asserter.TokensInOrder,
-		fmt.Sprintf("token %d of %s written in place of token %d", t.Index, t.Attempt, l.next))
+	if t.Index != l.next {
+		asserter.That(false, asserter.TokensInOrder,
+			fmt.Sprintf("token %d of %s written in place of token %d", t.Index, t.Attempt, l.next))
+	}
 	l.attempt = t.Attempt
 	l.next = t.Index + 1
 	l.started = true
