--- a/server/generation.go
+++ b/server/generation.go
@@ -211,7 +211,8 @@
 		g.complete()
 		return responder.Chunk{}, nil
 	}
-	if err == nil && g.s.clock.Now().After(g.deadline) {
+	now := g.s.clock.Now()
+	if err == nil && now.After(g.deadline) {
 		return responder.Chunk{}, g.expire()
 	}
 	if err != nil {
@@ -220,11 +221,11 @@
 	if ev.KeepAlive {
 		return responder.Chunk{KeepAlive: true}, nil
 	}
-	return g.take(ev)
+	return g.take(ev, now)
 }
 
-// take decides about one token.
-func (g *generation) take(ev generator.Event) (responder.Chunk, error) {
+// take decides about one token that came now.
+func (g *generation) take(ev generator.Event, now time.Time) (responder.Chunk, error) {
 	switch g.seq.Offer(ev.Token) {
 	case sequencer.Deliver:
 	case sequencer.Gap:
@@ -233,9 +234,9 @@
 		g.s.metrics.droppedTokens.Add(1)
 		return responder.Chunk{}, nil
 	}
-	g.observeGap()
+	g.observeGap(now)
 	g.attempts.Delivered(g.g.Stream)
-	g.s.permits.progress(g.permit, ev.Token.Index+1)
+	g.permit.produced.Store(int64(ev.Token.Index) + 1)
 	ch := responder.Chunk{Token: ev.Token, Resume: g.resume, More: g.stream.Buffered()}
 	if ev.Token.Finish != "" {
 		ch.Usage = &responder.Usage{
@@ -254,8 +255,7 @@
 }
 
 // observeGap records the time since the last token.
-func (g *generation) observeGap() {
-	now := g.s.clock.Now()
+func (g *generation) observeGap(now time.Time) {
 	if g.lastAt.IsZero() {
 		g.s.metrics.firstToken.observe(now.Sub(g.begun))
 	} else {
--- a/server/permit.go
+++ b/server/permit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"monsoonspar.example/coordination/admitter"
@@ -37,9 +38,14 @@
 type permit struct {
 	endpoint cataloger.Endpoint
 	request  admitter.Request
-	priority int    // For the engine.
-	owner    string // Daemon that granted it.
-	produced int
+	priority int          // For the engine.
+	owner    string       // Daemon that granted it.
+	produced atomic.Int64 // Tokens so far; read while it is written.
+}
+
+// held returns the permit as its owner is told of it.
+func (h *permit) held() admitter.Held {
+	return admitter.Held{Request: h.request, Produced: int(h.produced.Load())}
 }
 
 // permits asks owners for permits and keeps those that are held. Endpoints are
@@ -138,14 +144,6 @@
 	s.held[h.request.ID] = h
 }
 
-// progress notes how many tokens a permit's generation has produced.
-func (p *permits) progress(h *permit, produced int) {
-	s := p.shard(h.request.ID)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h.produced = produced
-}
-
 // release ends a permit and reports whether this daemon still held it. Where no
 // owner answers it counts as held. A permit that another reader of this daemon
 // has taken over is not held by the first one.
@@ -210,7 +208,7 @@
 // another one was granted.
 func (p *permits) adopt(ctx context.Context, h *permit) {
 	p.keep(h)
-	p.report(ctx, h.endpoint, []admitter.Held{{Request: h.request, Produced: h.produced}})
+	p.report(ctx, h.endpoint, []admitter.Held{h.held()})
 }
 
 // report sends held permits to the first owner that answers.
@@ -250,7 +248,7 @@
 				continue
 			}
 			h.owner = order[0]
-			byEndpoint[h.endpoint.Name] = append(byEndpoint[h.endpoint.Name], admitter.Held{Request: h.request, Produced: h.produced})
+			byEndpoint[h.endpoint.Name] = append(byEndpoint[h.endpoint.Name], h.held())
 			endpoints[h.endpoint.Name] = h.endpoint
 		}
 		s.mu.Unlock()
--- a/server/resume.go
+++ b/server/resume.go
@@ -33,9 +33,10 @@
 		return nil, resumeError(err)
 	}
 	p := &permit{
-		endpoint: e, produced: pos.Index + 1,
-		request: admitter.Request{ID: admitter.PermitID(pos.Attempt), Daemon: s.cfg.Daemon.Name, Customer: c.Name, Deadline: g.deadline},
+		endpoint: e,
+		request:  admitter.Request{ID: admitter.PermitID(pos.Attempt), Daemon: s.cfg.Daemon.Name, Customer: c.Name, Deadline: g.deadline},
 	}
+	p.produced.Store(int64(pos.Index) + 1)
 	s.permits.adopt(g.ctx, p)
 	g.attach(p, st)
 	return g, nil
