Write events from the goroutine that serves the connection

Cause: a stream writer of fasthttp costs a goroutine, a pipe and a 4 KiB buffer for each stream, and one more hop for each token. Ruled out: a smaller buffer for the stream writer (it is not configurable).

--- a/protocol/responder/stream.go
+++ b/protocol/responder/stream.go
@@ -1,10 +1,7 @@
 package responder
 
 import (
-	"bufio"
-	"encoding/json"
 	"io"
-	"strconv"
 	"strings"
 
 	"monsoonspar.example/coordination/sequencer"
@@ -160,13 +157,8 @@
 	}
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
-	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.Close()
-		e := &eventWriter{w: w, s: s, encoder: encoder, ledger: ledger}
-		if err := e.run(first); err != nil {
-			r.log.Debug().Err(err).Str("request", a.id).Msg("responder: caller went away")
-		}
-	})
+	events := &eventReader{s: s, first: &first, encoder: encoder, ledger: ledger}
+	c.Context().SetBodyStream(events, -1)
 	return nil
 }
 
@@ -185,68 +177,3 @@
 	}
 	return ch, err
 }
-
-// eventWriter writes one answer as server-sent events.
-type eventWriter struct {
-	w       *bufio.Writer
-	s       Stream
-	encoder *chunkEncoder
-	ledger  *sequencer.Ledger
-	buf     []byte
-}
-
-// run writes chunks until the answer or the caller ends. An error means that
-// the caller is gone.
-func (e *eventWriter) run(ch Chunk) error {
-	for {
-		if err := e.write(ch); err != nil {
-			return err
-		}
-		var err error
-		ch, err = e.s.Next()
-		if errors.Is(err, io.EOF) {
-			_, _ = e.w.WriteString("data: [DONE]\n\n")
-			return e.w.Flush()
-		}
-		if err != nil {
-			return e.fail(err)
-		}
-	}
-}
-
-// write writes one chunk, and flushes unless more is there already.
-func (e *eventWriter) write(ch Chunk) error {
-	if ch.KeepAlive {
-		_, _ = e.w.WriteString(": keep-alive\n\n")
-		return e.w.Flush()
-	}
-	e.ledger.Write(ch.Token)
-	e.buf = append(e.buf[:0], "id: "...)
-	e.buf = strconv.AppendInt(e.buf, int64(ch.Token.Index), 10)
-	e.buf = append(e.buf, ch.Resume...)
-	e.buf = append(e.buf, "\ndata: "...)
-	var err error
-	if e.buf, err = e.encoder.appendChunk(e.buf, ch.Token, ch.Usage); err != nil {
-		return err
-	}
-	e.buf = append(e.buf, "\n\n"...)
-	if _, err := e.w.Write(e.buf); err != nil {
-		return err
-	}
-	if ch.More {
-		return nil
-	}
-	return e.w.Flush()
-}
-
-// fail ends the stream with an error event.
-func (e *eventWriter) fail(err error) error {
-	body, encodeErr := json.Marshal(newErrorBody(asRequestError(err)))
-	if encodeErr != nil {
-		return errors.Wrap(encodeErr, "encode error event")
-	}
-	_, _ = e.w.WriteString("event: error\ndata: ")
-	_, _ = e.w.Write(body)
-	_, _ = e.w.WriteString("\n\n")
-	return e.w.Flush()
-}
