--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -250,7 +250,10 @@
 type daemonStatus struct {
 	Ready      bool   `json:"ready"`
 	Generation uint64 `json:"generation"`
-	Endpoints  []struct {
+	Lease      struct {
+		Held bool `json:"held"`
+	} `json:"lease"`
+	Endpoints []struct {
 		Name    string `json:"name"`
 		Leaving bool   `json:"leaving"`
 	} `json:"endpoints"`
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -18,7 +18,7 @@
 )
 
 // watchdog ends a wait that would hang a test.
-const watchdog = time.Minute
+const watchdog = 3 * time.Minute
 
 var (
 	daemonProgram  string
