--- /dev/null
+++ b/server/control_test.go
@@ -0,0 +1,136 @@
+package server_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonspar.example/demonstrator"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+)
+
+// Times of a measurement of control.
+const (
+	settleTime  = 6 * time.Second // Until membership and leases are quiet.
+	measureTime = 10 * time.Second
+)
+
+// controlCost is what a deployment has spent so far.
+type controlCost struct {
+	sent  float64        // Bytes between daemons, by all of them.
+	calls map[string]int // At the platform, by method.
+	cpu   time.Duration  // Of the whole process, stand-ins included.
+}
+
+// readJSON reads an answer in JSON.
+func readJSON(b *testing.B, url string, out any) {
+	b.Helper()
+	res, err := http.Get(url)
+	assert.NilError(b, err)
+	defer func() { _ = res.Body.Close() }()
+	assert.NilError(b, json.NewDecoder(res.Body).Decode(out))
+}
+
+// costOf reads what a deployment has spent.
+func costOf(b *testing.B, d *demonstrator.Deployment) controlCost {
+	b.Helper()
+	c := controlCost{cpu: cpuTime(b)}
+	readJSON(b, "http://"+d.PlatformAddr+"/calls", &c.calls)
+	for _, a := range d.Addrs {
+		var vars struct {
+			Daemon struct {
+				Sent float64 `json:"control_bytes_sent"`
+			} `json:"monsoonspar"`
+		}
+		readJSON(b, "http://"+a.Admin+"/debug/vars", &vars)
+		c.sent += vars.Daemon.Sent
+	}
+	return c
+}
+
+// report reports the cost between two readings, a second.
+func report(b *testing.B, before, after controlCost, daemons int) {
+	b.Helper()
+	seconds := measureTime.Seconds()
+	b.ReportMetric((after.sent-before.sent)/seconds/float64(daemons), "sent-B/s/daemon")
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		b.ReportMetric(float64(after.calls[method]-before.calls[method])/seconds, method+"/s")
+	}
+	b.ReportMetric((after.cpu-before.cpu).Seconds()/seconds/float64(daemons)*100, "cpu-%/daemon")
+	b.ReportMetric(0, "ns/op")
+}
+
+// paced calls fn rate times a second for the time of the measurement.
+func paced(rate int, fn func(i int)) {
+	if rate == 0 {
+		time.Sleep(measureTime)
+		return
+	}
+	var g conc.WaitGroup
+	defer g.Wait()
+	begun := time.Now()
+	for i := range int(measureTime.Seconds()) * rate {
+		time.Sleep(time.Until(begun.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		g.Go(func() { fn(i) })
+	}
+}
+
+// measureControl runs load against a deployment and reports what control cost.
+func measureControl(b *testing.B, daemons, rate int, load func(d *demonstrator.Deployment, i int)) {
+	d, err := demonstrator.Start(demonstrator.Config{Daemons: daemons, Engines: daemons, StepTime: time.Millisecond, Log: zerolog.Nop()})
+	assert.NilError(b, err)
+	defer d.Close()
+	for _, s := range d.Daemons {
+		for !s.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	time.Sleep(settleTime)
+	for b.Loop() {
+		before := costOf(b, d)
+		paced(rate, func(i int) { load(d, i) })
+		report(b, before, costOf(b, d), daemons)
+	}
+}
+
+// BenchmarkControl measures what control costs a deployment with as many engines
+// as daemons, idle and under generations of 20 tokens. Run it with -benchtime 1x.
+func BenchmarkControl(b *testing.B) {
+	for _, c := range []struct{ daemons, rate int }{{1, 0}, {3, 0}, {7, 0}, {14, 0}, {7, 70}, {7, 140}, {14, 140}, {14, 280}} {
+		b.Run(fmt.Sprintf("daemons=%d/requests=%d", c.daemons, c.rate), func(b *testing.B) {
+			measureControl(b, c.daemons, c.rate, func(d *demonstrator.Deployment, i int) {
+				res := open(b, d.Addrs[i%c.daemons].Callers, 20)
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			})
+		})
+	}
+}
+
+// BenchmarkClaims measures what claimed calls cost the platform. Run it with
+// -benchtime 1x.
+func BenchmarkClaims(b *testing.B) {
+	for _, rate := range []int{10, 30, 90} {
+		b.Run(fmt.Sprintf("claims=%d", rate), func(b *testing.B) {
+			measureControl(b, 3, rate, func(d *demonstrator.Deployment, i int) {
+				url := "http://" + d.Addrs[i%3].Callers + "/services/" + demonstrator.Service + "/corrections"
+				req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(`{"n":1}`))
+				assert.NilError(b, err)
+				req.Header.Set("Authorization", "Bearer "+demonstrator.APIKey)
+				req.Header.Set("Idempotency-Key", fmt.Sprintf("claim-%d", i))
+				res, err := http.DefaultClient.Do(req)
+				assert.NilError(b, err)
+				assert.Equal(b, res.StatusCode, http.StatusOK)
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			})
+		})
+	}
+}
