Bound the length estimators of endpoints that were handed over

Cause: a daemon kept the estimator of every endpoint that it had ever owned. Ruled out: keeping none, since an endpoint that moves away and back within seconds, as in a restart, would start without what was learned.

Two that are not in use are kept. TestEstimatorsAreBounded without the bound: 100 kept of 100 owned in turn, not 3; with it: passes.

--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -82,6 +82,28 @@
 	assert.Equal(t, len(m.candidates("domain-without-daemons")), 37)
 }
 
+// A daemon that owns many endpoints in turn keeps what it has learned of those it
+// owns, and of few others.
+func TestEstimatorsAreBounded(t *testing.T) {
+	m := fleetManifest(1, 100)
+	lookup := func(name string) (cataloger.Endpoint, *cataloger.Manifest, bool) {
+		return cataloger.Endpoint{Name: name, MemoryTokens: 1000, MaxBatch: 1}, m, true
+	}
+	o := newOwners(timekeeper.System{}, nil, lookup, func() []string { return nil }, nil)
+	_, err := o.shard("engine-0")
+	assert.NilError(t, err)
+	kept := o.estimators["engine-0"]
+	for _, e := range m.Endpoints[1:] {
+		_, err := o.shard(e.Name)
+		assert.NilError(t, err)
+		o.drop(e.Name)
+	}
+	assert.Equal(t, o.estimators["engine-0"], kept)
+	assert.Equal(t, len(o.estimators), 1+maxKeptEstimators)
+	_, again := o.estimators["engine-99"]
+	assert.Assert(t, again, "the estimator in use last was dropped")
+}
+
 // BenchmarkUpdateOwned is what a daemon pays to find its endpoints after a change
 // of the view.
 func BenchmarkUpdateOwned(b *testing.B) {
--- a/server/owners.go
+++ b/server/owners.go
@@ -20,6 +20,9 @@
 	errNotOwner   = errors.New("server: endpoint was handed over")
 )
 
+// maxKeptEstimators bounds the estimators of endpoints that were handed over.
+const maxKeptEstimators = 2
+
 // canceller cancels generations at engines.
 type canceller interface {
 	cancelOrphan(endpoint string, id admitter.PermitID)
@@ -79,6 +82,7 @@
 	est, ok := o.estimators[endpoint]
 	if !ok {
 		est = estimator.New()
+		o.forgetEstimators()
 		o.estimators[endpoint] = est
 	}
 	s = &ownedEndpoint{
@@ -92,6 +96,22 @@
 	return s, nil
 }
 
+// forgetEstimators makes room for one more estimator. Each takes megabytes where
+// there are many customers, and a daemon owns many endpoints in turn as others
+// are replaced. The caller holds the lock.
+func (o *owners) forgetEstimators() {
+	excess := len(o.estimators) - len(o.shards) - maxKeptEstimators + 1
+	for name := range o.estimators {
+		if excess <= 0 {
+			return
+		}
+		if _, owned := o.shards[name]; !owned {
+			delete(o.estimators, name)
+			excess--
+		}
+	}
+}
+
 // ownerConfig returns the admission policy of an endpoint.
 func ownerConfig(e cataloger.Endpoint, m *cataloger.Manifest) admitter.Config {
 	return admitter.Config{
