--- a/coordination/admitter/bench_test.go
+++ b/coordination/admitter/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,13 +11,16 @@
 
 // crowded returns an Owner with 170 running generations and 10,000 queued
 // requests of customers.
-func crowded(customers int) (*admitter.Owner, time.Time) {
+func crowded(customers int) (*admitter.Owner, time.Time) { return queued(customers, 10_000) }
+
+// queued returns an Owner with 170 running generations and some queued requests.
+func queued(customers, requests int) (*admitter.Owner, time.Time) {
 	o := admitter.NewOwner(admitter.Config{
 		MemoryTokens: 120_000, MaxBatch: 170, GapTarget: time.Second, Step: fastPrefill,
 		LongShare: 1, AgeBound: time.Hour,
 	}, learned())
 	running := 0
-	for i := range 10_170 {
+	for i := range 170 + requests {
 		r := check(fmt.Sprint(i))
 		r.Customer = fmt.Sprint("c", i%customers)
 		r.Deadline = start.Add(24 * time.Hour)
@@ -79,3 +83,29 @@
 		o.Quote(now, r)
 	}
 }
+
+// BenchmarkQueue measures the memory of queued requests, and a tick over them.
+func BenchmarkQueue(b *testing.B) {
+	for _, requests := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("queued=%d", requests), func(b *testing.B) {
+			before := heapBytes()
+			o, now := queued(130, requests)
+			held := heapBytes() - before
+			for b.Loop() {
+				now = now.Add(100 * time.Millisecond)
+				o.Tick(now)
+			}
+			b.ReportMetric(float64(held), "heap-B")
+			runtime.KeepAlive(o)
+		})
+	}
+}
+
+// heapBytes returns the bytes of the heap that are reachable.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/coordination/configurer/world_test.go
+++ b/coordination/configurer/world_test.go
@@ -34,6 +34,7 @@
 	failures    []string
 	keys        int                // Key hashes of each customer.
 	traffic     func(*daemon, int) // Told of the bytes that a daemon sends or receives.
+	calls       int                // Made at the platform by all daemons.
 }
 
 // daemon is one VM with its present process.
@@ -205,14 +206,17 @@
 	case Install:
 		w.checkInstall(d, a)
 	case Watch:
+		w.calls += 2 // A read, and the watch itself.
 		w.openWatch(d, a.ID)
 	case StopWatch:
 		if d.watch == a.ID {
 			d.watch = 0
 		}
 	case ReadHead:
+		w.calls++
 		w.readHead(d)
 	case ReadParts:
+		w.calls += len(a.Digests)
 		w.readParts(d, a.Digests)
 	case SendAnnouncement:
 		w.send(d, a.To, AnnouncementReceived{From: d.name, Announcement: a.Announcement})
--- a/coordination/router/cacheindex_test.go
+++ b/coordination/router/cacheindex_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -64,3 +65,39 @@
 		}
 	})
 }
+
+// BenchmarkCacheIndex measures an event and the memory of an index.
+func BenchmarkCacheIndex(b *testing.B) {
+	for _, prefixes := range []int{1 << 10, 1 << 12, 1 << 14} {
+		b.Run(fmt.Sprintf("prefixes=%d", prefixes), func(b *testing.B) {
+			before := heapBytes()
+			var x router.CacheIndex
+			events := make([]router.CacheEvent, 1)
+			seq := uint64(0)
+			apply := func(t router.CacheEventType, hash uint64) {
+				seq++
+				events[0] = router.CacheEvent{Seq: seq, Type: t, Hash: hash}
+				x.Apply("b", events)
+			}
+			for i := range prefixes {
+				apply(router.CacheStored, uint64(i))
+			}
+			held := heapBytes() - before
+			for b.Loop() {
+				apply(router.CacheEvicted, seq%uint64(prefixes))
+				apply(router.CacheStored, seq%uint64(prefixes))
+			}
+			b.ReportMetric(float64(held), "heap-B")
+			runtime.KeepAlive(&x)
+		})
+	}
+}
+
+// heapBytes returns the bytes of the heap that are reachable.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/protocol/generator/generator_test.go
+++ b/protocol/generator/generator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -117,3 +118,25 @@
 		}
 	}
 }
+
+// BenchmarkLoad measures reading a load report by the sequences that it lists.
+func BenchmarkLoad(b *testing.B) {
+	for _, sequences := range []int{0, 40, 170} {
+		b.Run(fmt.Sprintf("sequences=%d", sequences), func(b *testing.B) {
+			var list []string
+			for i := range sequences {
+				list = append(list, fmt.Sprintf(`{"attempt_id":"%024x","produced":%d,"prompt_tokens":300}`, i, 10*i))
+			}
+			body := `{"age_ms":40,"running":170,"waiting":0,"memory_tokens":400000,"used_tokens":300000,"block_tokens":16,"step_ms":40.5,` +
+				`"preemptions":12,"leaving":false,"role":"mixed","boot_id":"0123456789abcdef","models":[{"model":"redazione","version":"2026-11"}],` +
+				`"sequences":[` + strings.Join(list, ",") + `]}`
+			c := NewClient(fakeDoer{status: 200, body: body}, Config{})
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := c.Load(b.Context(), "", time.Unix(1, 0), true)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(len(body)), "report-B")
+		})
+	}
+}
--- a/state/estimator/estimator_test.go
+++ b/state/estimator/estimator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -155,3 +156,32 @@
 		e.Distribution(c)
 	}
 }
+
+// BenchmarkMemory measures the memory of an estimator that has seen customers
+// with two kinds of job each, at lengths from 1 to 8,000 tokens.
+func BenchmarkMemory(b *testing.B) {
+	for _, customers := range []int{10, 130, 1300} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			before := heapBytes()
+			e := estimator.New()
+			for i := range 100 * customers {
+				e.Record(estimator.Class{Model: "m", Customer: fmt.Sprint(i % customers), Kind: fmt.Sprint(i / customers % 2)}, 1+i*37%8000)
+			}
+			held := heapBytes() - before
+			for b.Loop() {
+				e.Record(estimator.Class{Model: "m", Customer: "0", Kind: "0"}, 100)
+			}
+			b.ReportMetric(float64(held), "heap-B")
+			runtime.KeepAlive(e)
+		})
+	}
+}
+
+// heapBytes returns the bytes of the heap that are reachable.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/state/parser/fuzz_test.go
+++ b/state/parser/fuzz_test.go
@@ -24,7 +24,7 @@
 }
 
 func BenchmarkParseManifest(b *testing.B) {
-	for _, customers := range []int{10, 1300} {
+	for _, customers := range []int{10, 130, 1300} {
 		text := largeManifest(customers)
 		b.Run(fmt.Sprint(customers, "-customers"), func(b *testing.B) {
 			b.ReportAllocs()
