End connections before handlers when a node closes

Cause: TestLostPeerEndsWaitingCalls failed in a landing, and in 104 of 1,000 runs (go test ./transport/framer -run LostPeer -count 1000, load average above 25). Close cancelled the handlers first; one that returned at once had its answer written before its connection was closed, so the caller took what a cut-off handler said for the peer's answer. Ruled out: the test; a call to a node that is closing must end as lost.

Close now fails the connections and then cancels, under the lock that a new connection takes to enter.

--- a/transport/framer/node.go
+++ b/transport/framer/node.go
@@ -200,7 +200,6 @@
 
 // Close ends all connections and waits for the handlers to return.
 func (n *Node) Close() {
-	n.cancel()
 	n.mu.Lock()
 	if n.listener != nil {
 		_ = n.listener.Close()
@@ -217,6 +216,8 @@
 		default:
 		}
 	}
+	// Handlers end once no connection can carry what they return when cut short.
+	n.cancel()
 	n.mu.Unlock()
 	n.group.Wait()
 }
