--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -327,6 +327,34 @@
 	assert.Equal(t, kinds(o.Enqueue(start, check("check")))[admitter.Grant], 1)
 }
 
+func TestFloodOfChecksLetsADraftPass(t *testing.T) {
+	o := admitter.NewOwner(admitter.Config{MemoryTokens: 20_000, Step: fastPrefill}, learned())
+	var held []admitter.PermitID
+	now, made := start, 0
+	flood := func(n int) {
+		for range n {
+			made++
+			for _, a := range o.Enqueue(now, check(fmt.Sprint("check", made))) {
+				held = append(held, a.ID)
+			}
+		}
+	}
+	flood(300)
+	assert.Equal(t, len(o.Enqueue(now, draft("draft"))), 0)
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		flood(1)
+		for _, a := range o.Release(now, held[0], admitter.Result{Produced: 40, Finished: true}) {
+			if a.ID == "draft" {
+				return
+			}
+			held = append(held, a.ID)
+		}
+		held = held[1:]
+	}
+	t.Fatal("the draft waits behind later checks")
+}
+
 func TestSharedPrefixCountsOnce(t *testing.T) {
 	room := func(prefix uint64) int {
 		o := admitter.NewOwner(admitter.Config{MemoryTokens: 20_000, Step: fastPrefill}, learned())
--- a/state/estimator/estimator.go
+++ b/state/estimator/estimator.go
@@ -116,19 +116,26 @@
 	return n
 }
 
-// evict removes the classes with a customer that were recorded least recently,
-// at least the older half of them by age.
+// Classes returns the number of classes held.
+func (e *Estimator) Classes() int { return len(e.classes) }
+
+// evict removes the classes below a model that were recorded least recently:
+// those not recorded since the mean time of the last records.
 func (e *Estimator) evict() {
 	var sum, count uint64
 	for c, n := range e.classes {
-		if c.Customer != "" {
+		if c.evictable() {
 			sum += n.records
 			count++
 		}
 	}
 	for c, n := range e.classes {
-		if c.Customer != "" && n.records <= sum/max(count, 1) {
+		if c.evictable() && n.records <= sum/max(count, 1) {
 			delete(e.classes, c)
 		}
 	}
 }
+
+// evictable reports whether c is not a whole model. The names of customers and
+// kinds may come from callers without end, those of models don't.
+func (c Class) evictable() bool { return c.Customer != "" || c.Kind != "" }
--- a/state/estimator/estimator_test.go
+++ b/state/estimator/estimator_test.go
@@ -136,6 +136,16 @@
 	}
 	assert.Equal(t, e.Samples(estimator.Class{Model: "m", Customer: "0", Kind: "k"}), 0.0)
 	assert.Assert(t, e.Samples(estimator.Class{Model: "m", Customer: "19999", Kind: "k"}) > 0)
+	assert.Assert(t, e.Classes() <= 4100)
+}
+
+func TestKindsNamedByCallersAreBounded(t *testing.T) {
+	e := estimator.New()
+	for i := range 20_000 {
+		e.Record(estimator.Class{Model: "m", Customer: "c", Kind: fmt.Sprint(i)}, 10)
+	}
+	assert.Assert(t, e.Classes() <= 4100, "%d classes", e.Classes())
+	assert.Assert(t, e.Samples(estimator.Class{Model: "m"}) > 0)
 }
 
 func BenchmarkAlive(b *testing.B) {
