Divide a customer's limits between the engines of a model

Cause: each owner applied the whole limit of the manifest, so a customer had it as many times as there were engines. Ruled out: handing out parts by demand, which needs messages; parts are equal and rounded up.

--- a/server/catalog.go
+++ b/server/catalog.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"monsoonspar.example/coordination/admitter"
 	"monsoonspar.example/protocol/messenger"
 	"monsoonspar.example/protocol/responder"
 	"monsoonspar.example/state/cataloger"
@@ -21,6 +22,7 @@
 	levels    map[string]int    // By name of the priority.
 	endpoints map[string]cataloger.Endpoint
 	models    map[string]cataloger.Model
+	engines   map[string]int // Engines that a model is placed on.
 }
 
 // newCatalog indexes m.
@@ -33,6 +35,7 @@
 		levels:    map[string]int{},
 		endpoints: map[string]cataloger.Endpoint{},
 		models:    map[string]cataloger.Model{},
+		engines:   map[string]int{},
 	}
 	for _, cu := range m.Customers {
 		c.byName[cu.Name] = cu
@@ -46,6 +49,7 @@
 	}
 	for _, e := range m.Endpoints {
 		c.endpoints[e.Name] = e
+		c.countModels(e)
 		c.addHash(e.Name)
 	}
 	for _, model := range m.Models {
@@ -55,6 +59,32 @@
 	return c
 }
 
+// countModels counts an engine for each model that is placed on it.
+func (c *catalog) countModels(e cataloger.Endpoint) {
+	counted := map[string]bool{}
+	for _, p := range e.Models {
+		if !counted[p.Model] && !e.Draining {
+			c.engines[p.Model]++
+			counted[p.Model] = true
+		}
+	}
+}
+
+// limits returns a customer's part of its limits at one engine of a model. The
+// parts of all engines together are at least the limits of the manifest, and
+// exceed them by less than one for each engine.
+func (c *catalog) limits(customer cataloger.Customer, model string) admitter.Limits {
+	n := max(c.engines[model], 1)
+	return admitter.Limits{
+		MaxQueued:       divideUp(customer.MaxQueued, n),
+		MaxRunning:      divideUp(customer.MaxRunning, n),
+		TokensPerSecond: customer.TokensPerSecond / float64(n),
+	}
+}
+
+// divideUp divides and rounds up.
+func divideUp(a, n int) int { return (a + n - 1) / n }
+
 // addHash makes a name known by its hash.
 func (c *catalog) addHash(name string) {
 	h := messenger.Hash(name)
--- a/server/server.go
+++ b/server/server.go
@@ -217,7 +217,7 @@
 	}
 	c := cat.byName[r.Customer]
 	r.Level, r.Weight = cat.levels[c.Priority], c.Weight
-	r.Limits = admitter.Limits{MaxQueued: c.MaxQueued, MaxRunning: c.MaxRunning, TokensPerSecond: c.TokensPerSecond}
+	r.Limits = cat.limits(c, r.Model)
 	return r
 }
 
