--- a/coordination/configurer/fetch.go
+++ b/coordination/configurer/fetch.go
@@ -189,7 +189,8 @@
 	return progress
 }
 
-// takeParts takes parts of the platform.
+// takeParts takes parts of the platform, which is asked again as long as it
+// brings parts that are missing.
 func (c *Core) takeParts(now time.Time, parts []partitioner.Part) []Action {
 	if c.fetch == nil {
 		return nil
