Watch the manifest from the present version of the platform

Cause: a watch began from the version at which the manifest was accepted. The platform forgets versions, so that after many writes of claims every watch got a 410 and the daemon read and tried anew all the time. Found by reading; the new tests fail before ("too old" in the daemon's log) and pass after. Ruled out: polling the head, which costs a call per daemon and change interval.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -53,6 +53,7 @@
 	Addr            string        `help:"Address to listen on." default:"127.0.0.1:0"`
 	WritesPerSecond float64       `help:"Limit of writes; 0 for none." default:"0"`
 	Faults          string        `help:"Faults from the start, as POST /faults takes them." default:"{}"`
+	History         int           `help:"Versions that a watch can begin from." default:"10000"`
 	ReadsPerSecond  float64       `help:"Limit of reads; 0 for none." default:"0"`
 	VMLag           time.Duration `help:"Time until a change of the VM list can be read." default:"0s" name:"vm-lag"`
 }
@@ -68,6 +69,7 @@
 		WritesPerSecond: c.WritesPerSecond,
 		ReadsPerSecond:  c.ReadsPerSecond,
 		VMLag:           c.VMLag,
+		HistoryLength:   c.History,
 	}), c.Addr)
 }
 
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -32,11 +32,12 @@
 
 // layout describes a cluster.
 type layout struct {
-	daemons     int
-	engines     int
-	engineArgs  []string
-	relayed     bool // The first daemon reaches the platform through a relay.
-	balancerLag time.Duration
+	daemons      int
+	engines      int
+	engineArgs   []string
+	platformArgs []string
+	relayed      bool // The first daemon reaches the platform through a relay.
+	balancerLag  time.Duration
 }
 
 // daemon is one process of the system.
@@ -71,7 +72,7 @@
 	t.Parallel()
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
-	c := &cluster{t: t, platform: startProcess(t, "platform", standinProgram, "platform")}
+	c := &cluster{t: t, platform: startProcess(t, "platform", standinProgram, append([]string{"platform"}, l.platformArgs...)...)}
 	for i := range l.engines {
 		args := append([]string{"engine", "--model", model + "/2026-11"}, l.engineArgs...)
 		c.engines = append(c.engines, startProcess(t, fmt.Sprint("engine ", i), standinProgram, args...))
@@ -241,6 +242,7 @@
 func (c *cluster) awaitReady(d *daemon) {
 	c.t.Helper()
 	waitFor(c.t, d.name+" to be ready", func() bool {
+		assert.Assert(c.t, d.running(), "%s has ended", d.name)
 		status, _ := get("http://" + d.admin + "/readyz")
 		return status == http.StatusOK
 	})
--- a/e2e/operation_test.go
+++ b/e2e/operation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -157,3 +159,24 @@
 		assert.Equal(t, d.generation(), first+1)
 	}
 }
+
+// The platform forgets the version that the manifest was accepted at when many
+// claims are written after it. A daemon still watches, without reading anew all
+// the time.
+func TestWatchGoesOnAfterManyOtherWrites(t *testing.T) {
+	c := startCluster(t, layout{daemons: 1, engines: 1, platformArgs: []string{"--history", "10"}})
+	for n := range 10 {
+		id := fmt.Sprint("w", n)
+		a := c.caller.Do(t.Context(), c.file(0, id, "key-"+id))
+		assert.Equal(t, a.Outcome, "ran", a.Text)
+	}
+	first := c.daemons[0].generation()
+	c.daemons[0].kill()
+	c.startDaemon(c.daemons[0])
+	c.awaitReady(c.daemons[0])
+	c.apply(c.renderManifest(9))
+	waitFor(t, "the next manifest", func() bool { return c.daemons[0].generation() == first+1 })
+	text, err := os.ReadFile(c.daemons[0].logs.path)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(text), "too old"), "a watch began from a version that is too old")
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -114,17 +114,20 @@
 // exitCode waits for the process to end by itself.
 func (p *process) exitCode() int {
 	p.t.Helper()
-	waitFor(p.t, p.name+" to end", func() bool {
-		select {
-		case <-p.done:
-			return true
-		default:
-			return false
-		}
-	})
+	waitFor(p.t, p.name+" to end", func() bool { return !p.running() })
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // waitFor polls until ok, and fails the test if that takes forever.
 func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/protocol/publisher/publisher.go
+++ b/protocol/publisher/publisher.go
@@ -32,6 +32,7 @@
 // Store is the part of the platform client that manifests need.
 type Store interface {
 	Get(ctx context.Context, resource, name string) (storer.Object, error)
+	List(ctx context.Context, resource string, selector map[string]string) (storer.List, error)
 	Create(ctx context.Context, o storer.Object) (storer.Object, error)
 	Update(ctx context.Context, o storer.Object) (storer.Object, error)
 	Watch(ctx context.Context, resource string, from uint64, fn func(storer.Event) error) error
@@ -159,14 +160,23 @@
 // Watch reads the head and calls fn with it and with each later one, and with
 // false for other signs of life. It returns the error that ends it.
 func Watch(ctx context.Context, st Store, fn func(h configurer.Head, ok bool)) error {
-	stored, err := ReadHead(ctx, st)
-	if err != nil && !errors.Is(err, ErrNoManifest) {
+	list, err := st.List(ctx, resourceHeads, nil)
+	if err != nil {
 		return err
 	}
-	if err == nil {
+	for _, o := range list.Items {
+		if o.Name != headName {
+			continue
+		}
+		stored, err := decodeStored(o)
+		if err != nil {
+			return err
+		}
 		fn(stored.Head, true)
 	}
-	return st.Watch(ctx, resourceHeads, stored.Version, func(ev storer.Event) error {
+	// The version of the list and not that of the head, which the platform may
+	// have forgotten after many writes of other objects.
+	return st.Watch(ctx, resourceHeads, list.Version, func(ev storer.Event) error {
 		if ev.Type == storer.Bookmark || ev.Type == storer.Deleted || ev.Object.Name != headName {
 			fn(configurer.Head{}, false)
 			return nil
--- a/protocol/publisher/publisher_test.go
+++ b/protocol/publisher/publisher_test.go
@@ -10,8 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"monsoonspar.example/coordination/configurer"
 	"monsoonspar.example/protocol/publisher"
 	"monsoonspar.example/protocol/storer"
+	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/parser"
 	"monsoonspar.example/state/partitioner"
 )
@@ -225,3 +227,35 @@
 		assert.ErrorIs(t, err, publisher.ErrMalformed, spec)
 	}
 }
+
+// watched notes the version that a watch begins from.
+type watched struct {
+	*store
+	from uint64
+}
+
+func (w *watched) Watch(_ context.Context, _ string, from uint64, _ func(storer.Event) error) error {
+	w.from = from
+	return storer.ErrGone
+}
+
+// A head that has stood for many writes of other objects is watched from the
+// present version, since the platform forgets old ones.
+func TestWatchBeginsFromThePresentVersion(t *testing.T) {
+	st := &watched{store: newStore()}
+	_, err := st.Create(t.Context(), storer.Object{Resource: "manifests", Name: "current", Spec: []byte(`{"generation":3}`)})
+	assert.NilError(t, err)
+	for i := range 5 {
+		_, err := st.Create(t.Context(), storer.Object{Resource: "claims", Name: fmt.Sprint(i)})
+		assert.NilError(t, err)
+	}
+	var seen []configurer.Head
+	err = publisher.Watch(t.Context(), st, func(h configurer.Head, ok bool) {
+		assert.Assert(t, ok)
+		seen = append(seen, h)
+	})
+	assert.ErrorIs(t, err, storer.ErrGone)
+	assert.Equal(t, st.from, uint64(6))
+	assert.Equal(t, len(seen), 1)
+	assert.Equal(t, seen[0].Generation, cataloger.Generation(3))
+}
