--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -255,10 +255,12 @@
 	Lease      struct {
 		Held bool `json:"held"`
 	} `json:"lease"`
-	Endpoints []struct {
-		Name    string `json:"name"`
-		Leaving bool   `json:"leaving"`
-	} `json:"endpoints"`
+	Endpoints []endpointStatus `json:"endpoints"`
+}
+
+type endpointStatus struct {
+	Name    string `json:"name"`
+	Leaving bool   `json:"leaving"`
 }
 
 func (d *daemon) status() (daemonStatus, error) {
--- a/e2e/operation_test.go
+++ b/e2e/operation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -68,15 +70,40 @@
 
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	c := startCluster(t, layout{daemons: 2, engines: 2})
+	checkNoNewWork(t, c, func(engine int) {
+		setFaults(t, c.engines[engine], "listening", `{"leaving":true}`)
+	})
+}
+
+// The engine reports nothing of it; only the platform's list says that its VM
+// is leaving.
+func TestEndpointOnALeavingVMGetsNoNewWork(t *testing.T) {
+	c := startCluster(t, layout{daemons: 2, engines: 2})
+	checkNoNewWork(t, c, func(engine int) {
+		vm := fmt.Sprintf(`{"name":"vm","addr":%q,"domain":"milano-a","role":"endpoint","state":"leaving"}`, c.engines[engine].addr("listening"))
+		res, err := http.Post("http://"+c.platform.addr("listening")+"/vms", "application/json", strings.NewReader(vm))
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusNoContent)
+	})
+}
+
+// checkNoNewWork has an engine leave while it works. Once every daemon knows of
+// it, new requests go elsewhere, and the work under way ends whole.
+func checkNoNewWork(t *testing.T, c *cluster, leave func(engine int)) {
+	t.Helper()
 	var a caller.Answer
 	var group conc.WaitGroup
 	group.Go(func() { a = c.caller.Do(t.Context(), c.generate(0, "l", 150)) })
 	engine := c.awaitProduced(5)
-	setFaults(t, c.engines[engine], "listening", `{"leaving":true}`)
+	leave(engine)
+	name := fmt.Sprint("engine-", engine)
 	for _, d := range c.daemons {
 		waitFor(t, "every daemon to know", func() bool {
 			s, err := d.status()
-			return err == nil && len(s.Endpoints) > engine+1 && s.Endpoints[engine+1].Leaving
+			return err == nil && slices.ContainsFunc(s.Endpoints, func(e endpointStatus) bool {
+				return e.Name == name && e.Leaving
+			})
 		})
 	}
 	before := c.counts(engine)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -53,6 +53,7 @@
 	stderr, err := os.Create(p.logs.path)
 	assert.NilError(t, err)
 	p.cmd = exec.Command(program, args...)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // No process outlives a killed test.
 	p.cmd.Stderr = stderr
 	stdout, err := p.cmd.StdoutPipe()
 	assert.NilError(t, err)
--- a/e2e/stream_test.go
+++ b/e2e/stream_test.go
@@ -101,12 +101,19 @@
 	c := startCluster(t, layout{daemons: 2, engines: 1})
 	a := c.caller.Do(t.Context(), c.generate(0, "o", 20))
 	assertWhole(t, a, "o")
-	for _, forged := range []string{a.LastEventID, "3" + a.LastEventID, a.LastEventID + "x", "0", strings.Repeat("9", 400)} {
-		call := c.generate(1, "o", 20)
+	_, rest, ok := strings.Cut(a.LastEventID, ".")
+	assert.Assert(t, ok, a.LastEventID)
+	early := "3." + rest
+	call := c.generate(1, "o", 20)
+	call.LastEventID = early
+	own := c.caller.Do(t.Context(), call)
+	assert.Assert(t, own.Whole, "%d %s", own.Status, own.Text)
+	assert.Equal(t, own.Tokens[0].Index, 4)
+	for _, forged := range []string{early, a.LastEventID, early + "x", "3" + early, "3", strings.Repeat("9", 400)} {
 		call.Key, call.LastEventID = otherKey, forged
-		b := c.caller.Do(t.Context(), call)
-		assert.Assert(t, b.Status >= 400, "%q: %d", forged, b.Status)
-		assert.Equal(t, len(b.Tokens), 0)
+		other := c.caller.Do(t.Context(), call)
+		assert.Assert(t, other.Status >= 400, "%q: %d", forged, other.Status)
+		assert.Equal(t, len(other.Tokens), 0)
 	}
 }
 
