Take changed limits at once, and end the daemon when a goroutine panics

Cause: an admission owner kept the limits of the manifest under which it began; token_timeout, max_body_bytes and the context of a model were not applied; a panic in a goroutine was held back by its group, so the daemon went on without it. Ruled out: dropping the owner on a change, which forgets its permits. Result: tests of each. The first run of the panic test hung for ten minutes: a shutdown of a server that has not begun to serve does nothing, so the listener is closed as well. The rate limit's test is bounded to 6.5 to 7.5 s of virtual time in place of 3 to 20 s.

--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -210,13 +210,25 @@
 	for range 1000 {
 		now = o.NextWake(now)
 		if kinds(o.Tick(now))[admitter.Grant] == 1 {
-			assert.Assert(t, now.Sub(start) > 3*time.Second && now.Sub(start) < 20*time.Second, "after %v", now.Sub(start))
+			// 200 tokens of prompt and some 32 of output at 30 a second, less a
+			// second's allowance.
+			assert.Assert(t, now.Sub(start) > 6500*time.Millisecond && now.Sub(start) < 7500*time.Millisecond, "after %v", now.Sub(start))
 			return
 		}
 	}
 	t.Fatal("never granted")
 }
 
+func TestReconfigureKeepsPermitsAndTakesLimits(t *testing.T) {
+	o := admitter.NewOwner(admitter.Config{MaxBatch: 1}, learned())
+	assert.Equal(t, kinds(o.Enqueue(start, check("a")))[admitter.Grant], 1)
+	assert.Equal(t, len(o.Enqueue(start, check("b"))), 0)
+	actions := o.Reconfigure(start.Add(time.Second), admitter.Config{MaxBatch: 2})
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].ID, admitter.PermitID("b"))
+	assert.Equal(t, len(o.Enqueue(start.Add(time.Second), check("c"))), 0)
+}
+
 func TestRequestIsRefusedAtTheAgeBound(t *testing.T) {
 	cfg := admitter.Config{MemoryTokens: 4000, LongShare: 1, AgeBound: 20 * time.Second}
 	o := admitter.NewOwner(cfg, learned())
--- a/coordination/admitter/owner.go
+++ b/coordination/admitter/owner.go
@@ -77,6 +77,22 @@
 	return o
 }
 
+// Reconfigure takes a new description of the endpoint and policy. Permits,
+// queue and what was learned of the engine stay.
+func (o *Owner) Reconfigure(now time.Time, cfg Config) []Action {
+	cfg = cfg.withDefaults()
+	o.advance(now)
+	if cfg.Quantile != o.cfg.Quantile {
+		o.margin = newMargin(cfg.Quantile)
+	}
+	if cfg.Step != o.cfg.Step {
+		o.fit = newStepFit(cfg.Step)
+	}
+	o.cfg = cfg
+	o.refresh()
+	return o.finish(o.schedule(nil))
+}
+
 // advance brings the owner's clock up to now.
 func (o *Owner) advance(now time.Time) {
 	if now.Before(o.now) {
--- a/protocol/generator/generator.go
+++ b/protocol/generator/generator.go
@@ -74,8 +74,8 @@
 
 // Config holds the time limits of a Client.
 type Config struct {
-	TokenTimeout time.Duration // Longest silence of a stream.
-	CallTimeout  time.Duration // Bound on calls other than streams.
+	TokenTimeout func() time.Duration // Longest silence of a stream; asked for each.
+	CallTimeout  time.Duration        // Bound on calls other than streams.
 }
 
 // Client calls engines. It is safe for concurrent use.
@@ -101,7 +101,7 @@
 	header := append([]requester.Header{{Name: "Content-Type", Value: "application/json"}}, trace...)
 	return c.open(ctx, requester.Request{
 		Method: "POST", Addr: addr, Path: "/v1/completions", Header: header, Body: body,
-		Silence: c.cfg.TokenTimeout,
+		Silence: c.cfg.TokenTimeout(),
 	}, r.Attempt)
 }
 
@@ -110,7 +110,7 @@
 func (c *Client) Resume(ctx context.Context, addr string, attempt sequencer.AttemptID, offset int) (*Stream, error) {
 	path := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(string(attempt)), offset)
 	return c.open(ctx, requester.Request{
-		Method: "GET", Addr: addr, Path: path, NonIdempotent: true, Silence: c.cfg.TokenTimeout,
+		Method: "GET", Addr: addr, Path: path, NonIdempotent: true, Silence: c.cfg.TokenTimeout(),
 	}, attempt)
 }
 
--- a/protocol/generator/generator_test.go
+++ b/protocol/generator/generator_test.go
@@ -28,6 +28,8 @@
 	return requester.Response{Status: d.status, Body: io.NopCloser(strings.NewReader(d.body))}, nil
 }
 
+var testConfig = Config{TokenTimeout: func() time.Duration { return time.Second }, CallTimeout: time.Second}
+
 const wholeStream = `id: 0
 data: {"attempt_id":"a","index":0,"choices":[{"index":0,"text":"x","finish_reason":null}]}
 
@@ -41,7 +43,7 @@
 `
 
 func TestStartReadsAWholeStream(t *testing.T) {
-	c := NewClient(fakeDoer{status: 200, body: wholeStream}, Config{})
+	c := NewClient(fakeDoer{status: 200, body: wholeStream}, testConfig)
 	s, err := c.Start(t.Context(), "", Request{Attempt: "a"}, nil)
 	assert.NilError(t, err)
 	var text string
@@ -74,7 +76,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s, err := NewClient(tt.doer, Config{}).Start(t.Context(), "", Request{Attempt: "a"}, nil)
+			s, err := NewClient(tt.doer, testConfig).Start(t.Context(), "", Request{Attempt: "a"}, nil)
 			if err == nil {
 				_, err = s.Next()
 			}
@@ -84,7 +86,7 @@
 }
 
 func TestLoadRefusesNonsense(t *testing.T) {
-	c := NewClient(fakeDoer{status: 200, body: `{"age_ms":-5}`}, Config{CallTimeout: time.Second})
+	c := NewClient(fakeDoer{status: 200, body: `{"age_ms":-5}`}, testConfig)
 	_, err := c.Load(t.Context(), "", time.Unix(9, 0), false)
 	assert.ErrorIs(t, err, ErrMalformed)
 }
@@ -130,7 +132,7 @@
 			body := `{"age_ms":40,"running":170,"waiting":0,"memory_tokens":400000,"used_tokens":300000,"block_tokens":16,"step_ms":40.5,` +
 				`"preemptions":12,"leaving":false,"role":"mixed","boot_id":"0123456789abcdef","models":[{"model":"redazione","version":"2026-11"}],` +
 				`"sequences":[` + strings.Join(list, ",") + `]}`
-			c := NewClient(fakeDoer{status: 200, body: body}, Config{})
+			c := NewClient(fakeDoer{status: 200, body: body}, testConfig)
 			b.ReportAllocs()
 			for b.Loop() {
 				_, err := c.Load(b.Context(), "", time.Unix(1, 0), true)
--- a/protocol/responder/completion.go
+++ b/protocol/responder/completion.go
@@ -84,11 +84,14 @@
 // parseGeneration checks the body and header of a request for a generation.
 func (r *Responder) parseGeneration(c *fiber.Ctx, customer cataloger.Customer, chat bool) (Generation, error) {
 	body := c.Body()
+	m := r.backend.Manifest()
+	if err := checkSize(body, m.Defaults); err != nil {
+		return Generation{}, err
+	}
 	req, err := decodeCompletion(body, chat)
 	if err != nil {
 		return Generation{}, err
 	}
-	m := r.backend.Manifest()
 	model, err := findModel(m, req.Model)
 	if err != nil {
 		return Generation{}, err
@@ -114,6 +117,17 @@
 	return g, nil
 }
 
+// checkSize refuses a body that exceeds the limit of the manifest.
+func checkSize(body []byte, d cataloger.Defaults) error {
+	if d.MaxBodyBytes > 0 && len(body) > d.MaxBodyBytes {
+		return &RequestError{
+			Status: fiber.StatusRequestEntityTooLarge, Code: "body_too_large",
+			Message: "the body exceeds " + strconv.Itoa(d.MaxBodyBytes) + " bytes",
+		}
+	}
+	return nil
+}
+
 // decodeCompletion decodes and checks a body.
 func decodeCompletion(body []byte, chat bool) (completionRequest, error) {
 	var req completionRequest
--- a/protocol/responder/service.go
+++ b/protocol/responder/service.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return Call{}, err
 	}
+	if err := checkSize(c.Body(), m.Defaults); err != nil {
+		return Call{}, err
+	}
 	path, err := servicePath(c, service.Name)
 	if err != nil {
 		return Call{}, err
--- a/server/admin.go
+++ b/server/admin.go
@@ -69,7 +69,12 @@
 	}
 }
 
-func (a *admin) close() { _ = a.app.ShutdownWithTimeout(adminTimeout) }
+// close stops serving. The listener is closed as well, since a server that has
+// not begun to serve ignores the shutdown.
+func (a *admin) close() {
+	_ = a.app.ShutdownWithTimeout(adminTimeout)
+	_ = a.listener.Close()
+}
 
 // Status is what a daemon tells operators of itself.
 type Status struct {
--- a/server/claims.go
+++ b/server/claims.go
@@ -232,7 +232,7 @@
 		Writer: s.newID(), Holder: s.cfg.Daemon.Name,
 		Target: claimer.Target{Endpoint: endpoint, Generation: c.ID}, Deadline: deadline,
 	}
-	s.group.Go(func() {
+	s.spawn(func() {
 		s.runClaim(ctx, req, work)
 		work.finish(responder.Reply{}, internalError(errNoVerdict))
 	})
--- a/server/config.go
+++ b/server/config.go
@@ -78,9 +78,9 @@
 			c.stop()
 		}
 	case configurer.ReadHead:
-		c.s.group.Go(func() { c.readHead(ctx) })
+		c.s.spawn(func() { c.readHead(ctx) })
 	case configurer.ReadParts:
-		c.s.group.Go(func() { c.readParts(ctx, a) })
+		c.s.spawn(func() { c.readParts(ctx, a) })
 	case configurer.SendAnnouncement:
 		c.send(ctx, a.To, a)
 	case configurer.SendRequest:
@@ -96,7 +96,7 @@
 	if !ok {
 		return
 	}
-	c.s.group.Go(func() {
+	c.s.spawn(func() {
 		ctx, cancel := context.WithTimeout(ctx, shortTimeout)
 		defer cancel()
 		_ = c.s.msg.SendConfig(ctx, addr, a) // The core sends again.
@@ -116,7 +116,7 @@
 	}
 	ctx, c.stop = context.WithCancel(ctx)
 	c.watchID = id
-	c.s.group.Go(func() {
+	c.s.spawn(func() {
 		err := publisher.Watch(ctx, c.s.store, func(h configurer.Head, ok bool) {
 			if ok {
 				c.handle(c.s.ctx, configurer.HeadSeen{Watch: id, Head: h})
--- a/server/genclaims.go
+++ b/server/genclaims.go
@@ -72,7 +72,7 @@
 	}
 	p := w.permit
 	w.permit = nil
-	w.g.s.group.Go(func() { w.g.s.giveBack(p) })
+	w.g.s.spawn(func() { w.g.s.giveBack(p) })
 }
 
 // send runs the generation and returns when it has ended.
--- a/server/generation.go
+++ b/server/generation.go
@@ -39,7 +39,6 @@
 	placement cataloger.Placement
 	limits    admitter.Request // Template of the requests for permits.
 	prefix    uint64
-	maxTokens int
 	deadline  time.Time
 	begun     time.Time
 
@@ -75,7 +74,10 @@
 	if err != nil {
 		return nil, &responder.RequestError{Status: 404, Code: "model_not_found", Message: "no such version or adapter of the model"}
 	}
-	gen := s.newGeneration(ctx, cat, g, placement)
+	if g.MaxTokens, err = outputBound(cat, g, placement); err != nil {
+		return nil, err
+	}
+	gen := s.newGeneration(ctx, g, placement)
 	if g.NonIdempotent && g.Key != "" {
 		return s.claimGeneration(gen)
 	}
@@ -84,27 +86,22 @@
 }
 
 // newGeneration returns a generation that has not begun.
-func (s *Server) newGeneration(ctx context.Context, cat *catalog, g responder.Generation, p cataloger.Placement) *generation {
+func (s *Server) newGeneration(ctx context.Context, g responder.Generation, p cataloger.Placement) *generation {
 	now := s.clock.Now()
-	d := cat.manifest.Defaults
 	deadline := now.Add(g.Timeout)
 	ctx, span := s.tracer.Start(ctx, "caller")
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	maxTokens := g.MaxTokens
-	if maxTokens == 0 {
-		maxTokens = d.MaxTokens
-	}
 	s.retries.Request()
 	s.work.begin(now)
 	gen := &generation{
 		s: s, ctx: ctx, cancel: cancel, span: span, g: g, placement: p,
-		prefix: prefixHash(g), maxTokens: maxTokens, deadline: deadline, begun: now,
+		prefix: prefixHash(g), deadline: deadline, begun: now,
 		started: make(chan startResult, 1),
 	}
 	gen.limits = admitter.Request{
 		Daemon: s.cfg.Daemon.Name, Customer: g.Customer.Name,
 		Model: p.Model, Version: p.Version, Adapter: p.Adapter, Kind: g.Kind,
-		PromptTokens: len(g.Prompt)/bytesPerToken + 1, MaxTokens: maxTokens,
+		PromptTokens: promptTokens(g), MaxTokens: g.MaxTokens,
 		Arrived: now, Deadline: deadline,
 	}
 	if n := g.SharedBytes; n > 0 {
@@ -118,6 +115,33 @@
 	return gen
 }
 
+// promptTokens estimates the length of a prompt.
+func promptTokens(g responder.Generation) int { return len(g.Prompt)/bytesPerToken + 1 }
+
+// outputBound returns the largest output of a generation: what the caller names,
+// or the default, within what the model allows after the prompt.
+func outputBound(cat *catalog, g responder.Generation, p cataloger.Placement) (int, error) {
+	n := g.MaxTokens
+	if n == 0 {
+		n = cat.manifest.Defaults.MaxTokens
+	}
+	m := cat.models[p.Model]
+	if m.MaxTokens > 0 {
+		n = min(n, m.MaxTokens)
+	}
+	if m.Context == 0 {
+		return n, nil
+	}
+	room := m.Context - promptTokens(g)
+	if room < 1 {
+		return 0, &responder.RequestError{
+			Status: 400, Code: "context_exceeded",
+			Message: fmt.Sprintf("the prompt does not fit into the model's context of %d tokens", m.Context),
+		}
+	}
+	return min(n, room), nil
+}
+
 // begin searches for an engine in the background. The attempt id is chosen here
 // unless a claim has named it.
 func (g *generation) begin(id sequencer.AttemptID) {
@@ -131,10 +155,10 @@
 		return
 	}
 	if g.claim != nil {
-		g.s.group.Go(func() { g.claim.run(id) })
+		g.s.spawn(func() { g.claim.run(id) })
 		return
 	}
-	g.s.group.Go(func() { g.started <- g.start(id) })
+	g.s.spawn(func() { g.started <- g.start(id) })
 }
 
 // First returns the first token that Next will return.
@@ -308,13 +332,13 @@
 	}
 	p := g.permit
 	g.permit = nil
-	g.s.group.Go(func() { g.s.giveBack(p) })
+	g.s.spawn(func() { g.s.giveBack(p) })
 }
 
 // releasePermit ends the permit in the background.
 func (g *generation) releasePermit(res admitter.Result) {
 	p := g.permit
-	g.s.group.Go(func() {
+	g.s.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
 		defer cancel()
 		g.s.permits.finish(ctx, p, res)
@@ -383,7 +407,7 @@
 	defer g.span.End()
 	defer g.s.work.end()
 	if g.claim != nil && !g.done {
-		g.s.group.Go(g.drainAlone)
+		g.s.spawn(g.drainAlone)
 		return
 	}
 	defer g.cancel()
@@ -394,7 +418,7 @@
 	_ = g.stream.Close()
 	grace := g.s.catalog.Load().manifest.Defaults.ResumeGrace
 	p := g.permit
-	g.s.group.Go(func() {
+	g.s.spawn(func() {
 		if g.s.clock.Sleep(g.s.ctx, grace) == nil {
 			g.s.giveBack(p)
 		}
@@ -407,7 +431,7 @@
 		return
 	}
 	g.cancel()
-	g.s.group.Go(func() {
+	g.s.spawn(func() {
 		res := <-g.started
 		if res.err == nil {
 			_ = res.stream.Close()
--- a/server/leases.go
+++ b/server/leases.go
@@ -68,7 +68,7 @@
 	if a == nil {
 		return
 	}
-	l.s.group.Go(func() { l.handle(ctx, l.call(ctx, a)) })
+	l.s.spawn(func() { l.handle(ctx, l.call(ctx, a)) })
 }
 
 // call makes one platform call and returns the event that answers it.
--- a/server/loads.go
+++ b/server/loads.go
@@ -76,7 +76,7 @@
 // broadcast tells the other daemons what is known of an endpoint.
 func (s *Server) broadcast(rep router.Report) {
 	for _, m := range s.members.others() {
-		s.group.Go(func() {
+		s.spawn(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, shortTimeout)
 			defer cancel()
 			_ = s.msg.SendNews(ctx, m.Addr, rep) // Sent again after newsInterval.
@@ -141,7 +141,7 @@
 		return
 	}
 	s.metrics.cancelled.Add(1)
-	s.group.Go(func() {
+	s.spawn(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, shortTimeout)
 		defer cancel()
 		s.cancelAt(ctx, e, id)
--- a/server/owners.go
+++ b/server/owners.go
@@ -44,9 +44,10 @@
 
 // ownedEndpoint is the owner of one endpoint and those who wait for it.
 type ownedEndpoint struct {
-	endpoint cataloger.Endpoint
+	name string
 
 	mu      sync.Mutex
+	cfg     admitter.Config // Of the owner.
 	owner   *admitter.Owner
 	waiters map[admitter.PermitID]chan admitter.Action
 	holders map[admitter.PermitID]string // Daemon that holds each permit.
@@ -85,11 +86,13 @@
 		o.forgetEstimators()
 		o.estimators[endpoint] = est
 	}
+	cfg := ownerConfig(e, m)
 	s = &ownedEndpoint{
-		endpoint: e,
-		owner:    admitter.NewOwner(ownerConfig(e, m), est),
-		waiters:  map[admitter.PermitID]chan admitter.Action{},
-		holders:  map[admitter.PermitID]string{},
+		name:    endpoint,
+		cfg:     cfg,
+		owner:   admitter.NewOwner(cfg, est),
+		waiters: map[admitter.PermitID]chan admitter.Action{},
+		holders: map[admitter.PermitID]string{},
 	}
 	s.owner.Expect(o.clock.Now(), o.daemons())
 	o.shards[endpoint] = s
@@ -144,7 +147,7 @@
 	if err != nil {
 		return messenger.Answer{}, err
 	}
-	if s.endpoint.Draining {
+	if e, _, ok := o.lookup(endpoint); !ok || e.Draining {
 		return messenger.Answer{}, errNoEndpoint
 	}
 	r = o.complete(r)
@@ -222,7 +225,7 @@
 			s.settle(a)
 		case admitter.Cancel:
 			delete(s.holders, a.ID)
-			o.canceller.cancelOrphan(s.endpoint.Name, a.ID)
+			o.canceller.cancelOrphan(s.name, a.ID)
 		}
 	}
 }
@@ -315,6 +318,25 @@
 	}
 }
 
+// reconfigure gives the owners what the manifest in force says of their
+// endpoints.
+func (o *owners) reconfigure() {
+	for _, s := range o.all() {
+		e, m, ok := o.lookup(s.name)
+		if !ok {
+			continue // It is dropped.
+		}
+		cfg := ownerConfig(e, m)
+		o.act(s, func(now time.Time) []admitter.Action {
+			if cfg == s.cfg {
+				return nil
+			}
+			s.cfg = cfg
+			return s.owner.Reconfigure(now, cfg)
+		})
+	}
+}
+
 // all returns the shards.
 func (o *owners) all() []*ownedEndpoint {
 	o.mu.RLock()
--- a/server/ownership.go
+++ b/server/ownership.go
@@ -26,6 +26,9 @@
 		if basis == last && !s.stopping.Load() {
 			continue
 		}
+		if basis.generation != last.generation {
+			s.owners.reconfigure()
+		}
 		last = basis
 		s.updateOwned()
 		s.handOver()
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,12 +37,15 @@
 
 // Time limits towards engines.
 const (
-	engineSilence = 3 * time.Second
+	engineSilence = 3 * time.Second // Where the manifest says nothing.
 	engineTimeout = 2 * time.Second
 	maxBodyBytes  = 8 << 20
 	idBytes       = 12
 )
 
+// errPanic is returned by Run after a goroutine has panicked.
+var errPanic = errors.New("server: a goroutine has panicked")
+
 // Server is one daemon.
 type Server struct {
 	cfg     parser.Settings
@@ -75,6 +79,8 @@
 	closing  atomic.Bool // New callers are refused.
 
 	work       work
+	failed     chan struct{} // Closed when a goroutine has panicked.
+	failOnce   sync.Once
 	ownedNames atomic.Pointer[[]string]
 
 	loadMu          sync.Mutex
@@ -111,7 +117,7 @@
 		sealer:          sealer.New([]byte(cfg.Peers.SharedKey)),
 		retries:         retrier.New(retrier.Config{}),
 		lastPreemptions: map[string]int{}, lastNews: map[string]sentNews{},
-		rand: newSource(),
+		rand: newSource(), failed: make(chan struct{}),
 	}
 	s.assemble(clock)
 	return s, nil
@@ -123,7 +129,7 @@
 // assemble connects the parts.
 func (s *Server) assemble(clock timekeeper.Sleeper) {
 	s.doer = dialer.New(dialer.Config{}, clock)
-	s.engines = generator.NewClient(s.doer, generator.Config{TokenTimeout: engineSilence, CallTimeout: engineTimeout})
+	s.engines = generator.NewClient(s.doer, generator.Config{TokenTimeout: s.tokenTimeout, CallTimeout: engineTimeout})
 	s.store = storer.New(storer.Config{
 		Addr: s.cfg.Platform.Addr, Deployment: s.cfg.Platform.Deployment,
 		Token: s.cfg.Platform.Token, Timeout: s.cfg.Platform.Timeout,
@@ -131,7 +137,7 @@
 	s.routers = newRouterShards(s.cfg.Daemon.Domain, s.rand)
 	s.owners = newOwners(clock, s, s.lookup, s.otherDaemons, s.complete)
 	s.node = framer.NewNode(framer.Config{Name: s.cfg.Daemon.Name, Key: []byte(s.cfg.Peers.SharedKey)},
-		messenger.NewDispatcher(s.owners, s, s, clock))
+		guard{s: s, to: messenger.NewDispatcher(s.owners, s, s, clock)})
 	s.msg = messenger.New(s.node, clock)
 	s.callers = responder.New(responder.Config{MaxBodyBytes: maxBodyBytes, RequestID: s.newID}, s, clock, s.log)
 	s.admin = newAdmin(s)
@@ -162,17 +168,17 @@
 		return Addrs{}, err
 	}
 	s.join()
-	s.group.Go(s.serveCallers)
-	s.group.Go(s.admin.serve)
-	s.group.Go(func() { s.members.run(s.ctx, s.clock) })
-	s.group.Go(func() { s.config.run(s.ctx) })
-	s.group.Go(func() { s.tickOwners(s.ctx) })
-	s.group.Go(func() { s.pollLoads(s.ctx) })
-	s.group.Go(func() { s.followMembers(s.ctx) })
-	s.group.Go(func() { s.followVMs(s.ctx) })
-	s.group.Go(func() { s.leases.run(s.ctx) })
-	s.group.Go(func() { s.orders.run(s.ctx) })
-	s.group.Go(func() { s.removeClaims(s.ctx) })
+	s.spawn(s.serveCallers)
+	s.spawn(s.admin.serve)
+	s.spawn(func() { s.members.run(s.ctx, s.clock) })
+	s.spawn(func() { s.config.run(s.ctx) })
+	s.spawn(func() { s.tickOwners(s.ctx) })
+	s.spawn(func() { s.pollLoads(s.ctx) })
+	s.spawn(func() { s.followMembers(s.ctx) })
+	s.spawn(func() { s.followVMs(s.ctx) })
+	s.spawn(func() { s.leases.run(s.ctx) })
+	s.spawn(func() { s.orders.run(s.ctx) })
+	s.spawn(func() { s.removeClaims(s.ctx) })
 	s.log.Info().Str("callers", s.addrs.Callers).Str("peers", s.addrs.Peers).Str("admin", s.addrs.Admin).Msg("server: listening")
 	return s.addrs, nil
 }
@@ -184,7 +190,7 @@
 		Incarnation: uint64(s.clock.Now().UnixNano()), State: prober.StateAlive,
 	}
 	s.members = newMembers(self, s.cfg.Peers.Seeds, s.msg, s.clock, s.newRand())
-	s.members.spawn = s.group.Go
+	s.members.spawn = s.spawn
 	s.members.notify = s.memberChanged
 	s.permits = newPermits(s.members, s.msg, s.owners, s.clock, s.log)
 	s.config = newConfiguration(s)
@@ -231,6 +237,14 @@
 	return name, ok && name != ""
 }
 
+// tokenTimeout returns the longest silence of an engine's stream.
+func (s *Server) tokenTimeout() time.Duration {
+	if m := s.Manifest(); m != nil && m.Defaults.TokenTimeout > 0 {
+		return m.Defaults.TokenTimeout
+	}
+	return engineSilence
+}
+
 // install puts a manifest in force.
 func (s *Server) install(m *cataloger.Manifest) {
 	old := s.generationInForce()
@@ -286,8 +300,47 @@
 	return hex.EncodeToString(b)
 }
 
-// Run serves until ctx ends, and then stops without cutting off a request.
+// Run serves until ctx ends, and then stops without cutting off a request. A
+// goroutine that panics ends the daemon at once, as it would end a program
+// without a group.
 func (s *Server) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return s.Stop()
+	select {
+	case <-ctx.Done():
+		return s.Stop()
+	case <-s.failed:
+		s.Close()
+		return errPanic
+	}
+}
+
+// spawn runs f in a goroutine of the daemon. The group holds a panic back until
+// the daemon ends, so it is logged here and ends the daemon.
+func (s *Server) spawn(f func()) {
+	s.group.Go(func() {
+		defer s.reportPanic()
+		f()
+	})
+}
+
+// reportPanic logs a panic, has Run end the daemon, and passes the panic on.
+func (s *Server) reportPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	s.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("server: goroutine failed")
+	s.failOnce.Do(func() { close(s.failed) })
+	panic(v)
+}
+
+// guard answers calls of other daemons and reports panics.
+type guard struct {
+	s  *Server
+	to framer.Handler
+}
+
+// HandleCall answers one call.
+func (g guard) HandleCall(ctx context.Context, peer, method string, body []byte) ([]byte, error) {
+	defer g.s.reportPanic()
+	return g.to.HandleCall(ctx, peer, method, body)
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -236,6 +236,8 @@
 		{"no key", "/v1/completions", `{}`, map[string]string{"Authorization": ""}, 401, "no_api_key"},
 		{"unknown service", "/services/x/y", `{}`, nil, 404, "service_not_found"},
 		{"long idempotency key", "/services/registro-app/corrections", `{}`, map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, 400, "idempotency_key_invalid"},
+		{"prompt beyond the context", "/v1/completions", `{"model":"redazione","prompt":"` + strings.Repeat("x", 140_000) + `"}`, nil, 400, "context_exceeded"},
+		{"body beyond the limit", "/v1/completions", `{"model":"redazione","prompt":"` + strings.Repeat("x", 2<<20) + `"}`, nil, 413, "body_too_large"},
 		{"no such path", "/v2/completions", `{}`, nil, 404, "not_found"},
 	}
 	for _, tt := range tests {
--- a/server/start.go
+++ b/server/start.go
@@ -75,7 +75,7 @@
 	g.attempts.Sending()
 	return g.s.engines.Start(ctx, p.endpoint.Addr, generator.Request{
 		Attempt: sequencer.AttemptID(p.request.ID), Model: g.placement.Model, Version: g.placement.Version,
-		Adapter: g.placement.Adapter, Prompt: g.g.Prompt, MaxTokens: g.maxTokens, Priority: p.priority,
+		Adapter: g.placement.Adapter, Prompt: g.g.Prompt, MaxTokens: g.g.MaxTokens, Priority: p.priority,
 	}, hopHeader(ctx, g.s.clock.Now()))
 }
 
@@ -94,7 +94,7 @@
 		d = g.attempts.Failed(g.s.clock.Now(), generator.FailureOf(err))
 	}
 	g.reportFailed(p.endpoint.Name, cause)
-	g.s.group.Go(func() { g.s.giveBack(p) })
+	g.s.spawn(func() { g.s.giveBack(p) })
 	return nil, d
 }
 
--- a/server/stop.go
+++ b/server/stop.go
@@ -80,7 +80,7 @@
 		s.stopping.Store(true)
 	case drainer.HandOver:
 		s.members.drain()
-		s.group.Go(func() {
+		s.spawn(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, drainer.DefaultSettings().OwnedTimeout)
 			defer cancel()
 			s.orders.wait()
--- a/state/parser/keys.go
+++ b/state/parser/keys.go
@@ -15,7 +15,7 @@
 	// and recorded.
 	MinClaimRetention = 21 * time.Minute
 	maxRetention      = 30 * 24 * time.Hour
-	maxBodyBytes      = 64 << 20
+	maxBodyBytes      = 8 << 20
 	maxTokens         = 10_000_000
 	maxMemoryTokens   = 1_000_000_000
 	maxBatch          = 100_000
