--- a/coordination/admitter/admitter_test.go
+++ b/coordination/admitter/admitter_test.go
@@ -1,7 +1,6 @@
 package admitter_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,17 +10,11 @@
 
 	"monsoonspar.example/coordination/admitter"
 	"monsoonspar.example/state/estimator"
+
+	"monsoonspar.example/state/seeder"
 )
 
-// TestMain fixes the seed of the property tests, so that each run tries the
-// same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 1000)) }
 
 // fastPrefill is a step model in which prompts cost nothing.
 var fastPrefill = admitter.StepModel{PerPrefillToken: time.Nanosecond}
--- a/coordination/admitter/config.go
+++ b/coordination/admitter/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonspar.example/state/cataloger"
+	"monsoonspar.example/state/defaulter"
 )
 
 // StepModel is the time of one step of the engine.
@@ -39,30 +40,22 @@
 
 // withDefaults returns c with each zero field replaced.
 func (c Config) withDefaults() Config {
-	setDefault(&c.MemoryTokens, 64_000)
-	setDefault(&c.BlockTokens, 16)
-	setDefault(&c.MaxBatch, 256)
-	setDefault(&c.Step.Base, 15*time.Millisecond)
-	setDefault(&c.Step.PerSequence, 150*time.Microsecond)
-	setDefault(&c.Step.PerPrefillToken, 50*time.Microsecond)
-	setDefault(&c.GapTarget, 73*time.Millisecond)
-	setDefault(&c.Quantile, 0.97)
-	setDefault(&c.LongTokens, 256)
-	setDefault(&c.LongShare, 0.9)
-	setDefault(&c.ShortShare, 0.8)
-	setDefault(&c.AgeBound, 30*time.Second)
-	setDefault(&c.MinChance, 0.5)
-	setDefault(&c.ResumeGrace, 10*time.Second)
-	setDefault(&c.RestoreWait, 3*time.Second)
-	setDefault(&c.TickEvery, 100*time.Millisecond)
-	setDefault(&c.MaxRetry, 5*time.Minute)
+	defaulter.Set(&c.MemoryTokens, 64_000)
+	defaulter.Set(&c.BlockTokens, 16)
+	defaulter.Set(&c.MaxBatch, 256)
+	defaulter.Set(&c.Step.Base, 15*time.Millisecond)
+	defaulter.Set(&c.Step.PerSequence, 150*time.Microsecond)
+	defaulter.Set(&c.Step.PerPrefillToken, 50*time.Microsecond)
+	defaulter.Set(&c.GapTarget, 73*time.Millisecond)
+	defaulter.Set(&c.Quantile, 0.97)
+	defaulter.Set(&c.LongTokens, 256)
+	defaulter.Set(&c.LongShare, 0.9)
+	defaulter.Set(&c.ShortShare, 0.8)
+	defaulter.Set(&c.AgeBound, 30*time.Second)
+	defaulter.Set(&c.MinChance, 0.5)
+	defaulter.Set(&c.ResumeGrace, 10*time.Second)
+	defaulter.Set(&c.RestoreWait, 3*time.Second)
+	defaulter.Set(&c.TickEvery, 100*time.Millisecond)
+	defaulter.Set(&c.MaxRetry, 5*time.Minute)
 	return c
 }
-
-// setDefault replaces the zero value of *field by value.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/coordination/forecaster/forecaster_test.go
+++ b/coordination/forecaster/forecaster_test.go
@@ -1,7 +1,6 @@
 package forecaster_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -13,17 +12,11 @@
 
 	"monsoonspar.example/coordination/forecaster"
 	"monsoonspar.example/state/estimator"
+
+	"monsoonspar.example/state/seeder"
 )
 
-// TestMain fixes the seed of the property tests, so that each run tries the
-// same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 1000)) }
 
 func ExampleForecast_Peak() {
 	e := estimator.New()
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"monsoonspar.example/state/defaulter"
 )
 
 // The reasons not to retry.
@@ -58,21 +60,14 @@
 
 // New returns a Retrier with a full budget.
 func New(cfg Config) *Retrier {
-	setDefault(&cfg.Ratio, 0.1)
-	setDefault(&cfg.Burst, 10)
-	setDefault(&cfg.MaxAttempts, 3)
-	setDefault(&cfg.BaseDelay, 10*time.Millisecond)
-	setDefault(&cfg.MaxDelay, time.Second)
+	defaulter.Set(&cfg.Ratio, 0.1)
+	defaulter.Set(&cfg.Burst, 10)
+	defaulter.Set(&cfg.MaxAttempts, 3)
+	defaulter.Set(&cfg.BaseDelay, 10*time.Millisecond)
+	defaulter.Set(&cfg.MaxDelay, time.Second)
 	return &Retrier{cfg: cfg, tokens: cfg.Burst}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Request counts a new request towards the budget.
 func (r *Retrier) Request() {
 	r.mu.Lock()
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -19,6 +19,7 @@
 
 	"monsoonspar.example/state/asserter"
 	"monsoonspar.example/state/cataloger"
+	"monsoonspar.example/state/defaulter"
 )
 
 // ErrNoCandidate is returned when no endpoint can take a request.
@@ -36,22 +37,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Crossing, time.Millisecond)
-	setDefault(&c.PrefillToken, 100*time.Microsecond)
-	setDefault(&c.EjectAfter, 3)
-	setDefault(&c.EjectionTime, 5*time.Second)
-	setDefault(&c.MaxEjectionTime, 2*time.Minute)
-	setDefault(&c.ProbeTimeout, 10*time.Second)
+	defaulter.Set(&c.Crossing, time.Millisecond)
+	defaulter.Set(&c.PrefillToken, 100*time.Microsecond)
+	defaulter.Set(&c.EjectAfter, 3)
+	defaulter.Set(&c.EjectionTime, 5*time.Second)
+	defaulter.Set(&c.MaxEjectionTime, 2*time.Minute)
+	defaulter.Set(&c.ProbeTimeout, 10*time.Second)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Target names what a request needs: a placement of a model on an engine, or a
 // plain service.
 type Target struct {
--- a/coordination/scheduler/scheduler_test.go
+++ b/coordination/scheduler/scheduler_test.go
@@ -1,7 +1,6 @@
 package scheduler_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -12,17 +11,11 @@
 	"pgregory.net/rapid"
 
 	"monsoonspar.example/coordination/scheduler"
+
+	"monsoonspar.example/state/seeder"
 )
 
-// TestMain fixes the seed of the property tests, so that each run tries the
-// same cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 1000)) }
 
 type (
 	item  = scheduler.Item[int]
--- a/protocol/storer/storer.go
+++ b/protocol/storer/storer.go
@@ -21,6 +21,7 @@
 
 	"monsoonspar.example/coordination/retrier"
 	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/state/defaulter"
 	"monsoonspar.example/state/timekeeper"
 )
 
@@ -67,19 +68,12 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Timeout, 2*time.Second)
-	setDefault(&c.CallTimeout, 2*c.Timeout)
-	setDefault(&c.MaxWait, 250*time.Millisecond)
-	setDefault(&c.WatchSilence, 4*time.Second)
-	setDefault(&c.CallsPerSecond, 50)
-	setDefault(&c.PageSize, 500)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaulter.Set(&c.Timeout, 2*time.Second)
+	defaulter.Set(&c.CallTimeout, 2*c.Timeout)
+	defaulter.Set(&c.MaxWait, 250*time.Millisecond)
+	defaulter.Set(&c.WatchSilence, 4*time.Second)
+	defaulter.Set(&c.CallsPerSecond, 50)
+	defaulter.Set(&c.PageSize, 500)
 }
 
 // Client calls the platform. It is safe for concurrent use.
--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -263,12 +264,14 @@
 }
 
 func TestAttemptsShareOneTimeout(t *testing.T) {
-	doer := &hang{}
-	cfg := storer.Config{Deployment: "d", Timeout: 20 * time.Millisecond, CallTimeout: 30 * time.Millisecond}
-	client := storer.New(cfg, doer, &sleeper{}, rand.New(rand.NewPCG(1, 2)))
-	_, err := client.Create(t.Context(), storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{"writer":"w"}`)})
-	assert.ErrorIs(t, err, storer.ErrUnknown)
-	assert.Equal(t, len(doer.deadlines), 2)
-	// The second attempt ends with the call, not by its own timeout.
-	assert.Assert(t, doer.deadlines[1].Sub(doer.deadlines[0]) < cfg.Timeout)
+	synctest.Test(t, func(t *testing.T) {
+		doer := &hang{}
+		cfg := storer.Config{Deployment: "d", Timeout: 20 * time.Millisecond, CallTimeout: 30 * time.Millisecond}
+		client := storer.New(cfg, doer, &sleeper{}, rand.New(rand.NewPCG(1, 2)))
+		_, err := client.Create(t.Context(), storer.Object{Resource: "claims", Name: "a", Spec: json.RawMessage(`{"writer":"w"}`)})
+		assert.ErrorIs(t, err, storer.ErrUnknown)
+		assert.Equal(t, len(doer.deadlines), 2)
+		// The second attempt ends with the call, not by its own timeout.
+		assert.Assert(t, doer.deadlines[1].Sub(doer.deadlines[0]) < cfg.Timeout)
+	})
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/standin/listener"
+	"monsoonspar.example/state/defaulter"
 )
 
 // Model is a model, version and adapter that an engine can hold ready.
@@ -43,20 +44,13 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.MemoryTokens, 100000)
-	setDefault(&c.BlockTokens, 16)
-	setDefault(&c.MaxBatch, 64)
-	setDefault(&c.CacheBlocks, 4096)
-	setDefault(&c.StepTime, 20*time.Millisecond)
-	setDefault(&c.KeepAlive, 500*time.Millisecond)
-	setDefault(&c.Retention, time.Minute)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaulter.Set(&c.MemoryTokens, 100000)
+	defaulter.Set(&c.BlockTokens, 16)
+	defaulter.Set(&c.MaxBatch, 64)
+	defaulter.Set(&c.CacheBlocks, 4096)
+	defaulter.Set(&c.StepTime, 20*time.Millisecond)
+	defaulter.Set(&c.KeepAlive, 500*time.Millisecond)
+	defaulter.Set(&c.Retention, time.Minute)
 }
 
 // Faults is what POST /faults sets. Fields that a call leaves out keep their
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/state/defaulter"
 	"monsoonspar.example/state/timekeeper"
 )
 
@@ -32,19 +33,12 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.DialTimeout, time.Second)
-	setDefault(&c.WriteTimeout, 5*time.Second)
-	setDefault(&c.Silence, 10*time.Second)
-	setDefault(&c.MaxIdleAge, 30*time.Second)
-	setDefault(&c.FreshAge, 300*time.Millisecond)
-	setDefault(&c.MaxIdle, 64)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaulter.Set(&c.DialTimeout, time.Second)
+	defaulter.Set(&c.WriteTimeout, 5*time.Second)
+	defaulter.Set(&c.Silence, 10*time.Second)
+	defaulter.Set(&c.MaxIdleAge, 30*time.Second)
+	defaulter.Set(&c.FreshAge, 300*time.Millisecond)
+	defaulter.Set(&c.MaxIdle, 64)
 }
 
 // Dialer is a requester.Doer. It is safe for concurrent use.
