--- a/server/genclaims.go
+++ b/server/genclaims.go
@@ -44,7 +44,7 @@
 	}
 	w.permit = p
 	g.s.runClaim(g.ctx, claimer.Request{
-		Customer: g.g.Customer.Name, Key: g.g.Key, Fingerprint: g.g.Fingerprint,
+		Customer: g.req.Customer.Name, Key: g.req.Key, Fingerprint: g.req.Fingerprint,
 		Writer: string(id), Holder: g.s.cfg.Daemon.Name, Target: targetOf(p), Deadline: g.deadline,
 	}, w)
 	w.returnPermit()
--- a/server/generation.go
+++ b/server/generation.go
@@ -35,9 +35,9 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	span      trace.Span
-	g         responder.Generation
+	req       responder.Generation
 	placement cataloger.Placement
-	limits    admitter.Request // Template of the requests for permits.
+	template  admitter.Request // Template of the requests for permits.
 	prefix    uint64
 	deadline  time.Time
 	begun     time.Time
@@ -94,19 +94,19 @@
 	s.retries.Request()
 	s.work.begin(now)
 	gen := &generation{
-		s: s, ctx: ctx, cancel: cancel, span: span, g: g, placement: p,
+		s: s, ctx: ctx, cancel: cancel, span: span, req: g, placement: p,
 		prefix: prefixHash(g), deadline: deadline, begun: now,
 		started: make(chan startResult, 1),
 	}
-	gen.limits = admitter.Request{
+	gen.template = admitter.Request{
 		Daemon: s.cfg.Daemon.Name, Customer: g.Customer.Name,
 		Model: p.Model, Version: p.Version, Adapter: p.Adapter, Kind: g.Kind,
 		PromptTokens: promptTokens(g), MaxTokens: g.MaxTokens,
 		Arrived: now, Deadline: deadline,
 	}
 	if n := g.SharedBytes; n > 0 {
-		gen.limits.Prefix = uint64(uint32(hashString(g.Prompt[:n])))
-		gen.limits.CachedTokens = n / bytesPerToken
+		gen.template.Prefix = uint64(uint32(hashString(g.Prompt[:n])))
+		gen.template.CachedTokens = n / bytesPerToken
 	}
 	gen.attempts = attempter.New(attempter.Config{
 		Streamed: g.Stream, NonIdempotent: g.NonIdempotent, Resumable: true,
@@ -225,7 +225,7 @@
 func (g *generation) attach(p *permit, st *generator.Stream) {
 	g.permit = p
 	g.stream = st
-	g.resume = g.s.sealer.Stream(g.g.Customer.Name, p.endpoint.Name, st.Attempt())
+	g.resume = g.s.sealer.Stream(g.req.Customer.Name, p.endpoint.Name, st.Attempt())
 }
 
 // read returns the next event of the engine's stream.
@@ -259,7 +259,7 @@
 		return responder.Chunk{}, nil
 	}
 	g.observeGap(now)
-	g.attempts.Delivered(g.g.Stream)
+	g.attempts.Delivered(g.req.Stream)
 	g.permit.produced.Store(int64(ev.Token.Index) + 1)
 	ch := responder.Chunk{Token: ev.Token, Resume: g.resume, More: g.stream.Buffered()}
 	if ev.Token.Finish != "" {
@@ -271,7 +271,7 @@
 	if g.claim != nil && g.claim.text.Len() < maxClaimText {
 		g.claim.text.WriteString(ev.Token.Text)
 	}
-	if g.g.Stream {
+	if g.req.Stream {
 		return ch, nil
 	}
 	g.buffered = append(g.buffered, ch)
@@ -348,7 +348,7 @@
 // recover decides what follows a failure of the stream.
 func (g *generation) recover(f attempter.Failure, cause error) error {
 	now := g.s.clock.Now()
-	g.s.log.Info().Err(cause).Str("request", g.g.ID).Str("endpoint", g.permit.endpoint.Name).Msg("generation: stream failed")
+	g.s.log.Info().Err(cause).Str("request", g.req.ID).Str("endpoint", g.permit.endpoint.Name).Msg("generation: stream failed")
 	d := g.attempts.Failed(now, f)
 	for d.Step == attempter.Resume {
 		_ = g.stream.Close()
@@ -367,7 +367,7 @@
 		return g.giveUp(d.Outcome, "the engine was lost")
 	}
 	g.buffered = nil
-	if !g.g.Stream {
+	if !g.req.Stream {
 		g.seq = nil
 	}
 	g.beginAfter(d.Delay)
@@ -401,62 +401,6 @@
 	}
 }
 
-// Close ends the reading. An answer that is not complete stays open to be
-// resumed for the grace time.
-func (g *generation) Close() {
-	defer g.span.End()
-	defer g.s.work.end()
-	if g.claim != nil && !g.done {
-		g.s.spawn(g.drainAlone)
-		return
-	}
-	defer g.cancel()
-	if g.done || g.stream == nil {
-		g.abandonStart()
-		return
-	}
-	_ = g.stream.Close()
-	grace := g.s.catalog.Load().manifest.Defaults.ResumeGrace
-	p := g.permit
-	g.s.spawn(func() {
-		if g.s.clock.Sleep(g.s.ctx, grace) == nil {
-			g.s.giveBack(p)
-		}
-	})
-}
-
-// abandonStart gives up a search that is still going on.
-func (g *generation) abandonStart() {
-	if g.done || g.stream != nil {
-		return
-	}
-	g.cancel()
-	g.s.spawn(func() {
-		res := <-g.started
-		if res.err == nil {
-			_ = res.stream.Close()
-			g.s.giveBack(res.permit)
-		}
-	})
-}
-
-// giveBack ends the permit of an answer that nobody reads, and cancels its
-// generation unless another reader has taken it over.
-func (s *Server) giveBack(p *permit) {
-	ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
-	defer cancel()
-	if s.permits.release(ctx, p, admitter.Result{}) {
-		s.cancelAt(ctx, p.endpoint, p.request.ID)
-	}
-}
-
-// cancelAt cancels a generation at its engine.
-func (s *Server) cancelAt(ctx context.Context, e cataloger.Endpoint, id admitter.PermitID) {
-	if err := s.engines.Cancel(ctx, e.Addr, sequencer.AttemptID(id)); err != nil {
-		s.log.Warn().Err(err).Str("endpoint", e.Name).Msg("generation: cancel failed")
-	}
-}
-
 // internalError returns the final answer for a fault of our own.
 func internalError(err error) error {
 	return &responder.RequestError{Status: 500, Code: "internal", Message: fmt.Sprint(err), Outcome: attempter.Unknown}
--- a/server/resume.go
+++ b/server/resume.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	g := &generation{
 		s: s, ctx: ctx, cancel: cancel, span: span, deadline: deadline, begun: now, lastAt: now,
-		g:   responder.Generation{ID: s.newID(), Customer: c, Stream: true},
+		req: responder.Generation{ID: s.newID(), Customer: c, Stream: true},
 		seq: sequencer.New(id, next), started: make(chan startResult, 1),
 	}
 	g.attempts = attempter.New(attempter.Config{
--- a/server/start.go
+++ b/server/start.go
@@ -75,7 +75,7 @@
 	g.attempts.Sending()
 	return g.s.engines.Start(ctx, p.endpoint.Addr, generator.Request{
 		Attempt: sequencer.AttemptID(p.request.ID), Model: g.placement.Model, Version: g.placement.Version,
-		Adapter: g.placement.Adapter, Prompt: g.g.Prompt, MaxTokens: g.g.MaxTokens, Priority: p.priority,
+		Adapter: g.placement.Adapter, Prompt: g.req.Prompt, MaxTokens: g.req.MaxTokens, Priority: p.priority,
 	}, hopHeader(ctx, g.s.clock.Now()))
 }
 
@@ -83,7 +83,7 @@
 // stream if the same generation could be reached after all, and otherwise gives
 // the permit back.
 func (g *generation) sendFailed(ctx context.Context, p *permit, err error) (*generator.Stream, attempter.Decision) {
-	g.s.log.Info().Err(err).Str("request", g.g.ID).Str("endpoint", p.endpoint.Name).Msg("generation: attempt failed")
+	g.s.log.Info().Err(err).Str("request", g.req.ID).Str("endpoint", p.endpoint.Name).Msg("generation: attempt failed")
 	cause := err
 	d := g.attempts.Failed(g.s.clock.Now(), generator.FailureOf(err))
 	for d.Step == attempter.Resume {
@@ -116,7 +116,7 @@
 func (g *generation) admit(ctx context.Context, id sequencer.AttemptID) (*permit, error) {
 	ctx, span := g.s.tracer.Start(ctx, "permit")
 	defer span.End()
-	req := g.limits
+	req := g.template
 	req.ID = admitter.PermitID(id)
 	asked := g.s.clock.Now()
 	var last admitter.Action
@@ -145,7 +145,7 @@
 // request queues where the forecast wait is shorter.
 func (g *generation) askCandidates(ctx context.Context, req admitter.Request) (*permit, admitter.Action, error) {
 	cands, err := g.s.candidates(router.Request{
-		Target: router.Target{Placement: g.placement}, PrefixHash: g.prefix, Exclude: g.failed, NoProbe: g.g.NonIdempotent,
+		Target: router.Target{Placement: g.placement}, PrefixHash: g.prefix, Exclude: g.failed, NoProbe: g.req.NonIdempotent,
 	})
 	if err != nil {
 		return nil, admitter.Action{}, err
