Carry traces of permits to the owner

Cause: the span of a permit ended at the entry daemon; a trace showed no hop to the admission owner. Ruled out: a trace in every message; only sampled ones carry it, since it has 55 bytes and the budget of control is 4 KB/s.

--- a/protocol/messenger/dispatcher.go
+++ b/protocol/messenger/dispatcher.go
@@ -120,6 +120,7 @@
 	if m.MaxWaitMS < 0 {
 		maxWait = NoBound
 	}
+	ctx = decodeTrace(ctx, m.Trace)
 	a, err := d.owners.Permit(ctx, names.Endpoint, names.apply(m.request(peer, d.clock.Now())), maxWait)
 	return newAnswerMessage(a), err
 }
--- a/protocol/messenger/messenger_test.go
+++ b/protocol/messenger/messenger_test.go
@@ -8,6 +8,7 @@
 	"monsoonspar.example/coordination/admitter"
 	"monsoonspar.example/state/timekeeper"
 
+	"go.opentelemetry.io/otel/trace"
 	"gotest.tools/v3/assert"
 )
 
@@ -17,9 +18,9 @@
 	size int
 }
 
-func (l *loopback) Call(ctx context.Context, _, method string, body []byte) ([]byte, error) {
+func (l *loopback) Call(_ context.Context, _, method string, body []byte) ([]byte, error) {
 	l.size = len(body)
-	return l.to.HandleCall(ctx, "entry-1", method, body)
+	return l.to.HandleCall(context.Background(), "entry-1", method, body) // As on the other side of a connection.
 }
 
 func (l *loopback) Send(ctx context.Context, addr, method string, body []byte) error {
@@ -29,6 +30,7 @@
 
 // fakeOwners grants everything and keeps what it was asked.
 type fakeOwners struct {
+	trace            trace.SpanContext
 	endpoint, daemon string
 	request          admitter.Request
 	held             []admitter.Held
@@ -36,8 +38,9 @@
 	answer           Answer
 }
 
-func (o *fakeOwners) Permit(_ context.Context, endpoint string, r admitter.Request, _ time.Duration) (Answer, error) {
+func (o *fakeOwners) Permit(ctx context.Context, endpoint string, r admitter.Request, _ time.Duration) (Answer, error) {
 	o.endpoint, o.request = endpoint, r
+	o.trace = trace.SpanContextFromContext(ctx)
 	return o.answer, nil
 }
 
@@ -92,6 +95,18 @@
 	}
 }
 
+func TestPermitCarriesASampledTrace(t *testing.T) {
+	for _, flags := range []trace.TraceFlags{0, trace.FlagsSampled} {
+		owners := &fakeOwners{}
+		m, _, clock := newPair(owners, nil)
+		span := trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}, TraceFlags: flags})
+		ctx := trace.ContextWithSpanContext(context.Background(), span)
+		_, err := m.Permit(ctx, "", "engine-1", request(clock.Now()), NoBound)
+		assert.NilError(t, err)
+		assert.Equal(t, owners.trace.IsValid(), flags == trace.FlagsSampled)
+	}
+}
+
 func TestAnswersKeepTheirMeaning(t *testing.T) {
 	answers := []Answer{
 		{Busy: true, Quote: admitter.Quote{Wait: time.Second, Run: 2 * time.Second, Feasible: true, Available: true}},
--- a/protocol/messenger/permit.go
+++ b/protocol/messenger/permit.go
@@ -51,6 +51,7 @@
 	MaxWaitMS    int64 // Negative for no bound.
 	Produced     int   // For a permit that is held.
 	Names        *permitNames
+	Trace        string // The asker's span as a traceparent, if it is sampled.
 }
 
 // permitNames are the names whose hashes a permitMessage holds.
@@ -184,6 +185,7 @@
 // owner whose wait would exceed maxWait answers at once that it is busy.
 func (m *Messenger) Permit(ctx context.Context, addr, endpoint string, r admitter.Request, maxWait time.Duration) (Answer, error) {
 	in := newPermitMessage(endpoint, r, m.clock.Now())
+	in.Trace = encodeTrace(ctx)
 	in.MaxWaitMS = maxWait.Milliseconds()
 	if maxWait < 0 {
 		in.MaxWaitMS = -1
--- a/server/owners.go
+++ b/server/owners.go
@@ -12,6 +12,8 @@
 	"monsoonspar.example/state/timekeeper"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 // Errors of the owners.
@@ -32,6 +34,7 @@
 // Each endpoint is a shard under its own lock.
 type owners struct {
 	clock     timekeeper.Clock
+	tracer    trace.Tracer
 	canceller canceller
 	complete  func(admitter.Request) admitter.Request // Fills in what the manifest says of the customer.
 	lookup    func(endpoint string) (cataloger.Endpoint, *cataloger.Manifest, bool)
@@ -58,6 +61,7 @@
 func newOwners(clock timekeeper.Clock, c canceller, lookup func(string) (cataloger.Endpoint, *cataloger.Manifest, bool), daemons func() []string, complete func(admitter.Request) admitter.Request) *owners {
 	return &owners{
 		clock: clock, canceller: c, lookup: lookup, daemons: daemons, complete: complete,
+		tracer: noop.NewTracerProvider().Tracer(""),
 		shards: map[string]*ownedEndpoint{}, estimators: map[string]*estimator.Estimator{},
 	}
 }
@@ -143,6 +147,8 @@
 // Permit queues a request and waits until it is granted or refused. It queues
 // nothing and answers with a quote if the wait would exceed maxWait.
 func (o *owners) Permit(ctx context.Context, endpoint string, r admitter.Request, maxWait time.Duration) (messenger.Answer, error) {
+	ctx, span := o.tracer.Start(ctx, "owner")
+	defer span.End()
 	s, err := o.shard(endpoint)
 	if err != nil {
 		return messenger.Answer{}, err
--- a/server/server.go
+++ b/server/server.go
@@ -136,6 +136,7 @@
 	}, s.doer, clock, s.newRand())
 	s.routers = newRouterShards(s.cfg.Daemon.Domain, s.rand)
 	s.owners = newOwners(clock, s, s.lookup, s.otherDaemons, s.complete)
+	s.owners.tracer = s.tracer
 	s.node = framer.NewNode(framer.Config{Name: s.cfg.Daemon.Name, Key: []byte(s.cfg.Peers.SharedKey)},
 		guard{s: s, to: messenger.NewDispatcher(s.owners, s, s, clock)})
 	s.msg = messenger.New(s.node, clock)
