Create or replace an object in one place

Cause: reading the whole change again, the choice between creating an object and replacing one stood three times: for claims, leases and the head of the manifest. Ruled out: a method of the platform client, which each fake of its users would have to repeat; a function over the two calls serves all.

--- a/protocol/publisher/publish.go
+++ b/protocol/publisher/publish.go
@@ -81,12 +81,7 @@
 	if err != nil {
 		return Stored{}, errors.Wrap(err, "encode head")
 	}
-	o := storer.Object{Resource: resourceHeads, Name: headName, Version: base.Version, Spec: spec}
-	if base.Version == 0 {
-		o, err = st.Create(ctx, o)
-	} else {
-		o, err = st.Update(ctx, o)
-	}
+	o, err := storer.Put(ctx, st, storer.Object{Resource: resourceHeads, Name: headName, Version: base.Version, Spec: spec})
 	if err == nil {
 		want.Version = o.Version
 		return want, nil
--- a/protocol/storer/write.go
+++ b/protocol/storer/write.go
@@ -72,3 +72,18 @@
 	}
 	return Object{}, unknown
 }
+
+// Writer is the part of a Client that Put needs.
+type Writer interface {
+	Create(ctx context.Context, o Object) (Object, error)
+	Update(ctx context.Context, o Object) (Object, error)
+}
+
+// Put creates an object whose version is zero, and otherwise replaces the one of
+// that version.
+func Put(ctx context.Context, w Writer, o Object) (Object, error) {
+	if o.Version == 0 {
+		return w.Create(ctx, o)
+	}
+	return w.Update(ctx, o)
+}
--- a/server/claims.go
+++ b/server/claims.go
@@ -152,12 +152,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode claim")
 	}
-	o := storer.Object{Resource: resourceClaims, Name: name, Version: version, Spec: spec}
-	if version == 0 {
-		o, err = s.store.Create(ctx, o)
-	} else {
-		o, err = s.store.Update(ctx, o)
-	}
+	o, err := storer.Put(ctx, s.store, storer.Object{Resource: resourceClaims, Name: name, Version: version, Spec: spec})
 	return o.Version, err
 }
 
--- a/server/leases.go
+++ b/server/leases.go
@@ -93,12 +93,9 @@
 	if err != nil {
 		return leaser.WriteResult{Result: leaser.ResultUnavailable}
 	}
-	o := storer.Object{Resource: resourceLeases, Name: l.s.cfg.Daemon.Domain, Version: version, Spec: spec}
-	if version == 0 {
-		o, err = l.s.store.Create(ctx, o)
-	} else {
-		o, err = l.s.store.Update(ctx, o)
-	}
+	o, err := storer.Put(ctx, l.s.store, storer.Object{
+		Resource: resourceLeases, Name: l.s.cfg.Daemon.Domain, Version: version, Spec: spec,
+	})
 	return leaser.WriteResult{Result: leaseResult(err), Version: o.Version}
 }
 
