--- /dev/null
+++ b/cmd/monsoonspar/forward.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"monsoonspar.example/forwarder"
+	"monsoonspar.example/platform"
+	"monsoonspar.example/state/asserter"
+	"monsoonspar.example/state/timekeeper"
+	"monsoonspar.example/transport/dialer"
+)
+
+// forwardCmd runs one daemon on the users' platform.
+type forwardCmd struct {
+	Settings string `arg:"" optional:"" type:"path" help:"File with the settings; by default the one that the platform names."`
+}
+
+// Help describes the command at length.
+func (*forwardCmd) Help() string {
+	return `Runs one daemon that forwards requests to the workers of the platform, until
+SIGTERM or SIGINT. Then it says that it is not ready, and ends with its last
+request.`
+}
+
+// Limits of the garbage collector.
+const (
+	heapShare  = 0.6 // Of the memory limit; the rest is for stacks, buffers of the kernel and growth.
+	heapGrowth = 200 // Percent; a small heap is collected less often for less processor time.
+	mebibyte   = 1 << 20
+)
+
+// Run serves until a signal comes and the last request has ended.
+func (cmd *forwardCmd) Run(ctx context.Context, c console) error {
+	file := cmd.Settings
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	cfg, err := forwarder.ParseSettings(text)
+	if err != nil {
+		return errors.Wrap(err, file)
+	}
+	if cfg.Daemon.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Daemon.MemoryMB) * mebibyte))
+	}
+	debug.SetGCPercent(heapGrowth)
+	level, err := zerolog.ParseLevel(cfg.Log.Level)
+	if err != nil {
+		return errors.Wrap(err, "log.level")
+	}
+	log := zerolog.New(c.Stdout).Level(level).With().Timestamp().Str("daemon", cfg.Daemon.Name).Logger()
+	asserter.SetHandler(violationHandler(log, false))
+	clock := timekeeper.System{}
+	d := dialer.New(dialer.Config{DialTimeout: dialTimeout}, clock)
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	f := forwarder.New(cfg, platform.NewStore(d, cfg.Store.Addr, log), platform.NewWorkers(d), clock, rnd, log)
+	f.SetCodec(platform.Codec{})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := f.Start(); err != nil {
+		return err
+	}
+	return f.Run(ctx)
+}
+
+// dialTimeout bounds the wait for a connection to a worker in a neighbouring
+// failure domain, a few milliseconds away.
+const dialTimeout = 300 * time.Millisecond
--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -41,6 +41,7 @@
 // cli lists the commands. Each has a file of its own.
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run one daemon."`
+	Forward forwardCmd `cmd:"" help:"Run one daemon on the users' platform."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on loopback."`
 	Status  statusCmd  `cmd:"" help:"Show daemons, endpoints and leases."`
 	Apply   applyCmd   `cmd:"" help:"Make a manifest the accepted one."`
--- /dev/null
+++ b/coordination/placer/engine.go
@@ -0,0 +1,129 @@
+package placer
+
+import (
+	"time"
+
+	"monsoonspar.example/coordination/forecaster"
+	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/registrar"
+)
+
+// engine is what is known of one engine.
+type engine struct {
+	endpoint   registrar.Endpoint
+	reported   time.Time // Zero before the first report.
+	report     Report
+	mine       map[string]*running
+	known      map[string]bool // Sequences in the report.
+	avoidUntil time.Time       // After a refusal.
+
+	// Derived from the report and mine by refresh.
+	forecast  forecaster.Forecast
+	copies    float64 // Memory held by other things than sequences.
+	sequences int
+	prefill   float64 // Prompt tokens still to be read.
+	dirty     bool
+}
+
+// refresh computes the forecast anew.
+func (e *engine) refresh(p *Placer, now time.Time) {
+	if !e.dirty {
+		return
+	}
+	e.dirty = false
+	e.forecast = forecaster.Forecast{}
+	e.sequences, e.prefill = 0, 0
+	held := 0.0
+	age := now.Sub(e.reported) + p.cfg.ReportLag
+	grown := max(int(age/p.cfg.StepTime), 0)
+	for i := range e.report.Sequences {
+		s := &e.report.Sequences[i]
+		held += float64(s.Tokens)
+		if r := e.mine[s.ID]; r == nil && p.ended(s.ID) {
+			continue
+		}
+		e.addReported(p, s, grown)
+	}
+	e.copies = 0
+	if !e.reported.IsZero() {
+		e.copies = max(float64(e.report.MemoryUsed)-held, 0)
+	}
+	unseen := 0
+	for id, r := range e.mine {
+		if e.known[id] {
+			continue
+		}
+		unseen++
+		e.forecast.Add(&r.moments)
+		e.sequences++
+		if r.started.IsZero() {
+			e.prefill += float64(r.job.Prompt)
+		}
+	}
+	e.addQueued(p, max(e.report.Queued-unseen, 0))
+}
+
+// addReported counts a sequence of the report.
+func (e *engine) addReported(p *Placer, s *Sequence, grown int) {
+	produced := s.Events * p.cfg.Stride
+	prompt := max(s.Tokens-produced, 0)
+	if s.Events > 0 {
+		produced += grown
+	} else {
+		e.prefill += float64(max(p.meanPrompt()-s.Tokens, 0))
+		prompt = max(prompt, p.meanPrompt())
+	}
+	length := estimator.Bounded{Dist: p.distribution(s.Priority)}
+	if r := e.mine[s.ID]; r != nil {
+		length = p.length(&r.job)
+		prompt = r.job.Prompt
+	}
+	m := forecaster.MomentsOf(forecaster.Sequence{Prompt: prompt, Produced: produced, Length: length}, p.cfg.Block)
+	e.forecast.Add(&m)
+	e.sequences++
+}
+
+// addQueued counts n sequences that wait at the engine and of which nothing
+// else is known.
+func (e *engine) addQueued(p *Placer, n int) {
+	if n == 0 {
+		return
+	}
+	m := forecaster.MomentsOf(forecaster.Sequence{Prompt: p.meanPrompt(), Length: estimator.Bounded{Dist: p.distribution(0)}}, p.cfg.Block)
+	for range n {
+		e.forecast.Add(&m)
+	}
+	e.sequences += n
+	e.prefill += float64(n * p.meanPrompt())
+}
+
+// peak returns the forecast peak of memory with m added, as a part of all.
+func (e *engine) peak(p *Placer, m *forecaster.Moments) float64 {
+	total := float64(p.cfg.MemoryTokens)
+	if e.report.MemoryTotal > 0 {
+		total = float64(e.report.MemoryTotal)
+	}
+	return (e.forecast.Peak(m, p.cfg.Deviations) + e.copies) / total
+}
+
+// cost returns what it costs a job to run on the engine, in milliseconds until
+// its first event.
+func (e *engine) cost(p *Placer, peak float64, domain string, now time.Time) float64 {
+	cost := e.prefill/p.cfg.PrefillPerMs*prefillShare + float64(e.sequences)*sequenceCostMs
+	if peak > easyPeak {
+		cost += (peak - easyPeak) * crowdedCostMs
+	}
+	if e.endpoint.ColdFor > 0 {
+		cost += coldCostMs
+	}
+	if e.reported.IsZero() {
+		cost += unknownCostMs
+	}
+	if now.Before(e.avoidUntil) {
+		cost += refusedCostMs
+	}
+	if e.endpoint.Domain != domain {
+		cost += crossingCostMs
+	}
+	return cost
+}
--- /dev/null
+++ b/coordination/placer/job.go
@@ -0,0 +1,84 @@
+// Package placer decides which engine runs a generation, and when.
+//
+// Engines report their load late, and several daemons place generations on the
+// same engines. A Placer therefore adds to each report what its own daemon has
+// sent since, lets the reported sequences grow by the time that has passed, and
+// forecasts the memory that all of them will hold. A generation goes to the
+// engine where it costs least among those where the forecast leaves room;
+// otherwise it waits in the Placer's queue, or is refused if it could not be
+// served in time.
+package placer
+
+import (
+	"time"
+
+	"monsoonspar.example/coordination/forecaster"
+	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/registrar"
+)
+
+// Job is a generation to be placed.
+type Job struct {
+	ID        string
+	Class     estimator.Class
+	Prompt    int // Prompt tokens.
+	MaxTokens int // Bound on output tokens; zero means none.
+	Hint      int // The client's estimate of the output tokens; zero means none.
+	Rank      int // 0 is the most urgent.
+	Value     float64
+	FirstBy   time.Time // When the first event should be there.
+	Deadline  time.Time // When the answer is worth nothing any more.
+	Backups   bool      // The engine may copy the memory to another one.
+}
+
+// Placement is where a job runs.
+type Placement struct {
+	Engine registrar.Endpoint
+	Backup registrar.Endpoint // Zero without one.
+	Peak   float64            // Forecast peak of memory, as a part of all of it.
+	Age    time.Duration      // Age of the report that decided; negative without one.
+}
+
+// Sequence is one generation in an engine's report.
+type Sequence struct {
+	ID       string
+	Tokens   int // In memory.
+	Events   int // Produced so far.
+	Priority int // As sent to the engine.
+}
+
+// Report is what an engine tells of its load. The figures are older than the
+// report by the engine's lag.
+type Report struct {
+	Running     int
+	Queued      int
+	MemoryUsed  int // Tokens that cannot yield, copies included.
+	MemoryTotal int
+	Leaving     bool
+	LeavesIn    time.Duration // Zero if not known.
+	Sequences   []Sequence
+}
+
+// Outcome is what the Placer decided about a waiting job.
+type Outcome struct {
+	Job       Job
+	Placement Placement
+	Refused   bool          // The job can't be served in time.
+	ComeBack  time.Duration // With Refused, when room is expected.
+	Waited    time.Duration
+}
+
+// waiting is a job in the queue.
+type waiting struct {
+	job     Job
+	since   time.Time
+	exclude map[registrar.Identity]bool
+}
+
+// running is a job that was placed by this daemon.
+type running struct {
+	job     Job
+	since   time.Time
+	started time.Time // First event; zero before it.
+	moments forecaster.Moments
+}
--- /dev/null
+++ b/coordination/placer/placer.go
@@ -0,0 +1,323 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"monsoonspar.example/coordination/forecaster"
+	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/registrar"
+)
+
+// Costs are in milliseconds until the first event, and bounds in parts of an
+// engine's memory.
+const (
+	prefillShare   = 2.0  // Reading a prompt takes turns with the steps of other sequences.
+	sequenceCostMs = 4.0  // A step slows down by a fraction of this with each sequence.
+	easyPeak       = 0.6  // Below this forecast peak an engine counts as empty.
+	crowdedCostMs  = 1500 // For a forecast peak of all memory.
+	coldCostMs     = 300  // An engine that has just started is slow.
+	unknownCostMs  = 60   // Nothing is known of the engine's load yet.
+	refusedCostMs  = 1000 // The engine has just refused a job.
+	crossingCostMs = 1.5  // Another failure domain.
+	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
+
+	fullPeak     = 0.97 // No job is placed above this forecast peak.
+	backupPeak   = 0.75 // No backup is placed above this one: it would take the room of jobs.
+	avoidTime    = 300 * time.Millisecond
+	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
+	minimalSteps = 16              // Output that a job must have time for to be started.
+)
+
+// Config describes the engines of one service. All fields are needed.
+type Config struct {
+	Domain       string // Failure domain of the daemon.
+	Slots        int
+	MemoryTokens int
+	Block        int // Tokens that memory is allocated by.
+	Stride       int // Tokens in one event.
+	StepTime     time.Duration
+	PrefillPerMs float64
+	ReportLag    time.Duration
+	Deviations   float64 // Standard deviations of the forecast that must fit.
+}
+
+// Placer places the jobs of one service for one daemon. It is safe for
+// concurrent use. Use New to make one.
+type Placer struct {
+	mu      sync.Mutex
+	cfg     Config
+	rand    *rand.Rand
+	lengths *estimator.Estimator
+	engines map[registrar.Identity]*engine
+	jobs    map[string]registrar.Identity // Engine of each placed job.
+	endedAt map[string]time.Time
+	queue   []*waiting
+	prompts float64 // Average prompt tokens.
+	model   string
+}
+
+// New returns a Placer without engines.
+func New(cfg Config, r *rand.Rand) *Placer {
+	return &Placer{
+		cfg: cfg, rand: r, lengths: estimator.New(),
+		engines: map[registrar.Identity]*engine{}, jobs: map[string]registrar.Identity{},
+		endedAt: map[string]time.Time{},
+	}
+}
+
+// SetEngines takes the engines that accept new jobs. Those that don't any more
+// keep their running jobs until Done.
+func (p *Placer) SetEngines(endpoints []registrar.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	present := make(map[registrar.Identity]bool, len(endpoints))
+	for _, ep := range endpoints {
+		present[ep.Identity] = true
+		if e := p.engines[ep.Identity]; e != nil {
+			e.endpoint = ep
+			continue
+		}
+		p.engines[ep.Identity] = &engine{endpoint: ep, mine: map[string]*running{}, known: map[string]bool{}}
+	}
+	for id := range p.engines {
+		if !present[id] {
+			delete(p.engines, id)
+		}
+	}
+}
+
+// Observe takes a report of an engine.
+func (p *Placer) Observe(id registrar.Identity, r Report, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[id]
+	if e == nil {
+		return
+	}
+	e.report, e.reported, e.dirty = r, now, true
+	clear(e.known)
+	for i := range r.Sequences {
+		e.known[r.Sequences[i].ID] = true
+	}
+	for job, at := range p.endedAt {
+		if now.Sub(at) > endedKept {
+			delete(p.endedAt, job)
+		}
+	}
+}
+
+// Submit places a job, or puts it into the queue. It reports false if the job
+// waits; its outcome then comes from Next.
+func (p *Placer) Submit(job Job, exclude map[registrar.Identity]bool, now time.Time) (Placement, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learnPrompt(job)
+	if len(p.queue) == 0 || p.first(&job, now) {
+		if pl, ok := p.place(&job, exclude, now); ok {
+			return pl, true
+		}
+	}
+	p.queue = append(p.queue, &waiting{job: job, since: now, exclude: exclude})
+	return Placement{}, false
+}
+
+// Next returns the outcomes of waiting jobs that can be decided now.
+func (p *Placer) Next(now time.Time) []Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.queue) == 0 {
+		return nil
+	}
+	p.sortQueue(now)
+	var outcomes []Outcome
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		if p.hopeless(&w.job, now) {
+			outcomes = append(outcomes, Outcome{Job: w.job, Refused: true, ComeBack: p.comeBack(), Waited: now.Sub(w.since)})
+			continue
+		}
+		if pl, ok := p.place(&w.job, w.exclude, now); ok {
+			outcomes = append(outcomes, Outcome{Job: w.job, Placement: pl, Waited: now.Sub(w.since)})
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+	return outcomes
+}
+
+// Withdraw takes a job out of the queue.
+func (p *Placer) Withdraw(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, w := range p.queue {
+		if w.job.ID == id {
+			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Waiting returns the number of jobs in the queue.
+func (p *Placer) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.queue)
+}
+
+// Started notes the first event of a job.
+func (p *Placer) Started(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[p.jobs[id]]; e != nil && e.mine[id] != nil {
+		e.mine[id].started = now
+		e.dirty = true
+	}
+}
+
+// Moved notes that a job runs on another engine now, and returns a new backup
+// for it.
+func (p *Placer) Moved(job Job, to registrar.Endpoint, now time.Time) registrar.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave(job.ID)
+	e := p.engines[to.Identity]
+	if e == nil {
+		return registrar.Endpoint{}
+	}
+	p.join(e, &job, now)
+	e.mine[job.ID].started = now
+	return p.backup(&job, e, now)
+}
+
+// Destination returns an engine with room for a running job that must leave its
+// engine.
+func (p *Placer) Destination(job Job, exclude map[registrar.Identity]bool, now time.Time) (registrar.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.moments(&job)
+	e, _ := p.cheapest(&m, exclude, 1, now)
+	if e == nil {
+		return registrar.Endpoint{}, false
+	}
+	return e.endpoint, true
+}
+
+// Refused notes that an engine refused a job before running it.
+func (p *Placer) Refused(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[p.jobs[id]]; e != nil {
+		e.avoidUntil = now.Add(avoidTime)
+	}
+	p.leave(id)
+}
+
+// Done ends a placed job. A job that was answered in full teaches its length;
+// tokens is its output.
+func (p *Placer) Done(job Job, tokens int, complete bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave(job.ID)
+	p.endedAt[job.ID] = now
+	switch {
+	case complete && tokens > 0:
+		p.lengths.Record(job.Class, tokens)
+	case tokens > 0:
+		p.lengths.RecordCensored(job.Class, tokens)
+	}
+}
+
+// leave takes a job off its engine. The mutex is held.
+func (p *Placer) leave(id string) {
+	if e := p.engines[p.jobs[id]]; e != nil {
+		delete(e.mine, id)
+		e.dirty = true
+	}
+	delete(p.jobs, id)
+}
+
+// join puts a job on an engine. The mutex is held.
+func (p *Placer) join(e *engine, job *Job, now time.Time) {
+	e.mine[job.ID] = &running{job: *job, since: now, moments: p.moments(job)}
+	p.jobs[job.ID] = e.endpoint.Identity
+	e.dirty = true
+}
+
+// ended reports whether a job of this daemon has ended. The mutex is held.
+func (p *Placer) ended(id string) bool {
+	_, ok := p.endedAt[id]
+	return ok
+}
+
+// place puts a job on the engine where it costs least. The mutex is held.
+func (p *Placer) place(job *Job, exclude map[registrar.Identity]bool, now time.Time) (Placement, bool) {
+	m := p.moments(job)
+	e, peak := p.cheapest(&m, exclude, fullPeak, now)
+	if e == nil {
+		return Placement{}, false
+	}
+	age := time.Duration(-1)
+	if !e.reported.IsZero() {
+		age = now.Sub(e.reported)
+	}
+	p.join(e, job, now)
+	return Placement{Engine: e.endpoint, Backup: p.backup(job, e, now), Peak: peak, Age: age}, true
+}
+
+// cheapest returns the engine with the least cost whose forecast peak with m is
+// below the bound. The mutex is held.
+func (p *Placer) cheapest(m *forecaster.Moments, exclude map[registrar.Identity]bool, bound float64, now time.Time) (*engine, float64) {
+	var best *engine
+	var bestCost, bestPeak float64
+	for id, e := range p.engines {
+		if exclude[id] {
+			continue
+		}
+		e.refresh(p, now)
+		peak := e.peak(p, m)
+		if e.sequences >= p.cfg.Slots || (peak > bound && e.sequences > 0) {
+			continue
+		}
+		cost := e.cost(p, peak, p.cfg.Domain, now) + jitterCostMs*p.rand.Float64()
+		if best == nil || cost < bestCost {
+			best, bestCost, bestPeak = e, cost, peak
+		}
+	}
+	return best, bestPeak
+}
+
+// backup returns the engine that should keep a copy of the job's memory: the
+// emptiest, with the domain of the engine first. The mutex is held.
+func (p *Placer) backup(job *Job, on *engine, now time.Time) registrar.Endpoint {
+	if !job.Backups {
+		return registrar.Endpoint{}
+	}
+	m := p.moments(job)
+	var best *engine
+	var bestCost float64
+	for _, e := range p.engines {
+		if e == on {
+			continue
+		}
+		e.refresh(p, now)
+		peak := e.peak(p, &m)
+		if peak > backupPeak || e.endpoint.ColdFor > 0 {
+			continue
+		}
+		cost := peak + 0.1*p.rand.Float64()
+		if e.endpoint.Domain != on.endpoint.Domain {
+			cost += 0.1
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return registrar.Endpoint{}
+	}
+	return best.endpoint
+}
--- /dev/null
+++ b/forwarder/follow.go
@@ -0,0 +1,366 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/state/matcher"
+	"monsoonspar.example/state/registrar"
+)
+
+// Times of the calls to the store and to engines.
+const (
+	watchWait      = 20 * time.Second // The store allows 30 s.
+	retryBase      = 100 * time.Millisecond
+	retryLimit     = 800 * time.Millisecond // A returned store is found well within the bound of a configuration.
+	awayAfter      = time.Second            // A store that has not answered for this long was away.
+	daemonsEvery   = 10 * time.Second
+	pollInterval   = 700 * time.Millisecond // Of each engine's report.
+	pollTimeout    = 400 * time.Millisecond
+	pollsFailed    = 2 // Reports in a row without an answer that make an engine dead.
+	queueTick      = 50 * time.Millisecond
+	listTimeout    = 2 * time.Second
+	watchOvertime  = 1500 * time.Millisecond // Beyond the wait before a watch counts as silent.
+	announceTries  = 5
+	withdrawWithin = time.Second
+)
+
+// backoff returns the delay before the next call after failures in a row.
+func (f *Forwarder) backoff(failures int) time.Duration {
+	bound := min(retryBase<<min(failures, 8), retryLimit)
+	return time.Duration((0.5 + 0.5*f.random()) * float64(bound))
+}
+
+// dependency follows whether the store answers, for one kind of calls.
+type dependency struct {
+	f        *Forwarder
+	name     string
+	failures int
+	lost     time.Time // Since when it does not answer; zero while it does.
+}
+
+// answered notes a call that was answered. It reports whether the store was
+// away before.
+func (d *dependency) answered() bool {
+	away := d.failures > 0 && d.f.clock.Now().Sub(d.lost) > awayAfter
+	if d.failures > 0 {
+		d.f.log.Info().Str("dependency", d.name).Int("failures", d.failures).Dur("away_ms", d.f.clock.Now().Sub(d.lost)).Msg("forwarder: dependency regained")
+	}
+	d.failures, d.lost = 0, time.Time{}
+	return away
+}
+
+// failed notes a call without an answer and waits before the next one.
+func (d *dependency) failed(ctx context.Context, err error) error {
+	if d.failures == 0 {
+		d.lost = d.f.clock.Now()
+		d.f.log.Warn().Err(err).Str("dependency", d.name).Msg("forwarder: dependency lost")
+	}
+	d.failures++
+	d.f.metrics.count("store_failures")
+	return d.f.clock.Sleep(ctx, d.f.backoff(d.failures))
+}
+
+// followManifest keeps the newest manifest in force until ctx ends.
+func (f *Forwarder) followManifest(ctx context.Context) {
+	d := &dependency{f: f, name: "store_manifest"}
+	revision := int64(0)
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, watchWait+watchOvertime)
+		var m *matcher.Manifest
+		var err error
+		if revision == 0 {
+			m, revision, err = f.store.Manifest(c)
+		} else {
+			m, revision, err = f.store.WatchManifest(c, revision, watchWait)
+		}
+		cancel()
+		f.metrics.count("store_calls")
+		switch {
+		case err == nil:
+			d.answered()
+			f.useManifest(m, "store")
+		case errors.Is(err, ErrHistoryGone):
+			revision = 0
+		default:
+			revision = 0
+			if d.failed(ctx, err) != nil {
+				return
+			}
+		}
+	}
+}
+
+// useManifest puts m in force unless a newer one is.
+func (f *Forwarder) useManifest(m *matcher.Manifest, source string) {
+	if m == nil {
+		return
+	}
+	for {
+		old := f.table.Load()
+		if old != nil && old.Manifest.Version >= m.Version {
+			return
+		}
+		if f.table.CompareAndSwap(old, matcher.NewTable(m)) {
+			break
+		}
+	}
+	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Msg("forwarder: manifest in force")
+}
+
+// followEndpoints keeps the list of endpoints until ctx ends.
+func (f *Forwarder) followEndpoints(ctx context.Context) {
+	d := &dependency{f: f, name: "store_endpoints"}
+	revision, list := int64(0), true
+	wasAway := false
+	for ctx.Err() == nil {
+		f.metrics.count("store_calls")
+		if list {
+			c, cancel := context.WithTimeout(ctx, listTimeout)
+			l, err := f.store.Endpoints(c)
+			cancel()
+			if err != nil {
+				if d.failed(ctx, err) != nil {
+					return
+				}
+				continue
+			}
+			wasAway = d.answered() || wasAway
+			now := f.clock.Now()
+			f.endpointsChanged(f.registry.Replace(l.Endpoints, l.Revision, wasAway, now))
+			revision, list, wasAway = l.Revision, false, false
+			continue
+		}
+		c, cancel := context.WithTimeout(ctx, watchWait+watchOvertime)
+		changes, next, err := f.store.WatchEndpoints(c, revision, watchWait)
+		cancel()
+		switch {
+		case err == nil:
+			d.answered()
+			revision = next
+			f.applyEndpoints(changes)
+		case errors.Is(err, ErrHistoryGone):
+			f.log.Info().Int64("revision", revision).Msg("forwarder: the store dropped its history; listing endpoints anew")
+			list = true
+		default:
+			list = true
+			if d.failed(ctx, err) != nil {
+				return
+			}
+		}
+	}
+}
+
+// applyEndpoints takes the changes of a watch.
+func (f *Forwarder) applyEndpoints(changes []EndpointChange) {
+	var all []registrar.Change
+	for _, c := range changes {
+		if c.Gone {
+			all = append(all, f.registry.Remove(c.Name, c.Revision)...)
+			continue
+		}
+		all = append(all, f.registry.Set(c.Endpoint, c.Revision)...)
+	}
+	f.endpointsChanged(all)
+}
+
+// endpointsChanged tells the parts what has changed.
+func (f *Forwarder) endpointsChanged(changes []registrar.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		if c.New || c.Leaving {
+			f.log.Info().Str("endpoint", c.Endpoint.Name).Str("service", c.Endpoint.Service).Str("addr", c.Endpoint.Addr).Str("failure_domain", c.Endpoint.Domain).
+				Bool("leaving", c.Leaving).Bool("new", c.New).Msg("forwarder: endpoint changed")
+		}
+	}
+	f.refreshServices()
+	for _, c := range changes {
+		if c.Leaving {
+			f.leaveEngine(c.Endpoint.Identity, 0)
+		}
+	}
+}
+
+// refreshServices gives placers and balancers their endpoints.
+func (f *Forwarder) refreshServices() {
+	f.servicesMu.Lock()
+	defer f.servicesMu.Unlock()
+	for name, p := range f.placers {
+		p.SetEngines(f.registry.Usable(name))
+	}
+	for name, b := range f.balancers {
+		b.Retain(f.registry.Usable(name))
+	}
+}
+
+// followDaemons announces this daemon and counts the others until ctx ends.
+func (f *Forwarder) followDaemons(ctx context.Context) {
+	self := Daemon{Name: f.cfg.Daemon.Name, Addr: f.cfg.Daemon.Peers, Domain: f.cfg.Daemon.Domain}
+	d := &dependency{f: f, name: "store_daemons"}
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, listTimeout)
+		err := f.store.Announce(c, self)
+		cancel()
+		f.metrics.count("store_calls")
+		if err == nil {
+			break
+		}
+		if d.failed(ctx, err) != nil {
+			return
+		}
+	}
+	d.answered()
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, listTimeout)
+		all, err := f.store.Daemons(c)
+		cancel()
+		f.metrics.count("store_calls")
+		if err != nil {
+			if d.failed(ctx, err) != nil {
+				return
+			}
+			continue
+		}
+		d.answered()
+		f.budget.SetDaemons(len(all))
+		if f.clock.Sleep(ctx, daemonsEvery) != nil {
+			return
+		}
+	}
+}
+
+// engineList returns the endpoints of services that generate.
+func (f *Forwarder) engineList() []registrar.Endpoint {
+	t := f.table.Load()
+	if t == nil {
+		return nil
+	}
+	var all []registrar.Endpoint
+	for _, e := range f.registry.All() {
+		if t.Manifest.Services[e.Service].Engine != nil {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// poll is the state of the polling of one engine.
+type poll struct {
+	next     time.Time
+	busy     bool
+	failures int
+}
+
+// pollReports asks the engines for their load, and moves the queues and the
+// streams of leaving engines on, until ctx ends.
+func (f *Forwarder) pollReports(ctx context.Context) {
+	polls := map[registrar.Identity]*poll{}
+	results := make(chan pollResult, 64)
+	for f.clock.Sleep(ctx, queueTick) == nil {
+		now := f.clock.Now()
+		f.takeResults(polls, results, now)
+		present := map[registrar.Identity]bool{}
+		for _, e := range f.engineList() {
+			present[e.Identity] = true
+			p := polls[e.Identity]
+			if p == nil {
+				p = &poll{next: now.Add(time.Duration(f.random() * float64(pollInterval) / 4))}
+				polls[e.Identity] = p
+			}
+			if p.busy || now.Before(p.next) {
+				continue
+			}
+			p.busy = true
+			p.next = now.Add(time.Duration((0.85 + 0.3*f.random()) * float64(pollInterval)))
+			f.group.Go(func() { f.askReport(ctx, e, results) })
+		}
+		for id, p := range polls {
+			if !present[id] && !p.busy {
+				delete(polls, id)
+			}
+		}
+		f.endpointsChanged(f.registry.Expire(now))
+		f.runMoves(now)
+		f.settleQueues(now)
+	}
+}
+
+// pollResult is a report or why there is none.
+type pollResult struct {
+	endpoint registrar.Endpoint
+	report   placer.Report
+	err      error
+}
+
+// askReport asks one engine.
+func (f *Forwarder) askReport(ctx context.Context, e registrar.Endpoint, results chan<- pollResult) {
+	c, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	r, err := f.endpoints.Report(c, e)
+	select {
+	case results <- pollResult{endpoint: e, report: r, err: err}:
+	case <-ctx.Done():
+	}
+}
+
+// takeResults takes the reports that have come.
+func (f *Forwarder) takeResults(polls map[registrar.Identity]*poll, results <-chan pollResult, now time.Time) {
+	for {
+		select {
+		case r := <-results:
+			f.takeResult(polls[r.endpoint.Identity], r, now)
+		default:
+			return
+		}
+	}
+}
+
+// takeResult takes one report.
+func (f *Forwarder) takeResult(p *poll, r pollResult, now time.Time) {
+	p.busy = false
+	f.metrics.count("reports_asked")
+	if r.err != nil {
+		p.failures++
+		if p.failures == pollsFailed {
+			f.log.Warn().Err(r.err).Str("endpoint", r.endpoint.Name).Str("addr", r.endpoint.Addr).Msg("forwarder: dependency lost: engine does not report")
+		}
+		if p.failures >= pollsFailed {
+			f.abandonEngine(r.endpoint.Identity, now)
+		}
+		p.next = now.Add(pollTimeout / 2)
+		return
+	}
+	if p.failures >= pollsFailed {
+		f.log.Info().Str("endpoint", r.endpoint.Name).Msg("forwarder: dependency regained: engine reports")
+	}
+	p.failures = 0
+	f.servicesMu.Lock()
+	pl := f.placers[r.endpoint.Service]
+	f.servicesMu.Unlock()
+	if pl != nil {
+		pl.Observe(r.endpoint.Identity, r.report, now)
+	}
+	if r.report.Leaving && f.registry.MarkLeaving(r.endpoint.Identity) {
+		f.log.Info().Str("endpoint", r.endpoint.Name).Dur("leaves_in_ms", r.report.LeavesIn).Msg("forwarder: engine reports that it leaves")
+		f.refreshServices()
+		f.leaveEngine(r.endpoint.Identity, r.report.LeavesIn)
+	}
+}
+
+// settleQueues decides the waiting jobs of all services.
+func (f *Forwarder) settleQueues(now time.Time) {
+	f.servicesMu.Lock()
+	all := make([]*placement, 0, len(f.placers))
+	for _, p := range f.placers {
+		all = append(all, p)
+	}
+	f.servicesMu.Unlock()
+	for _, p := range all {
+		p.settle(now)
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,185 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"monsoonspar.example/coordination/balancer"
+	"monsoonspar.example/coordination/budgeter"
+	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/state/matcher"
+	"monsoonspar.example/state/registrar"
+	"monsoonspar.example/state/timekeeper"
+)
+
+// Forwarder is one daemon. Use New to make one.
+type Forwarder struct {
+	cfg       Settings
+	log       zerolog.Logger
+	clock     timekeeper.Sleeper
+	store     Store
+	endpoints Endpoints
+	metrics   *metrics
+
+	ctx    context.Context // Ends when the daemon gives up its last request.
+	cancel context.CancelFunc
+	group  conc.WaitGroup
+
+	table    atomic.Pointer[matcher.Table]
+	registry *registrar.Registrar
+	budget   *budgeter.Budgeter
+	stopping atomic.Bool
+
+	servicesMu sync.Mutex
+	balancers  map[string]*balancer.Balancer
+	placers    map[string]*placement
+	randMu     sync.Mutex
+	rand       *rand.Rand
+
+	streamsMu sync.Mutex
+	streams   map[*stream]struct{}
+	presence  *presence
+	inFlight  atomic.Int64
+	codec     Codec
+	server    *fasthttp.Server
+
+	callers net.Listener
+	ready   net.Listener
+	figures net.Listener
+}
+
+// New returns a daemon that does not listen yet.
+func New(cfg Settings, store Store, endpoints Endpoints, clock timekeeper.Sleeper, r *rand.Rand, log zerolog.Logger) *Forwarder {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Forwarder{
+		cfg: cfg, log: log, clock: clock, store: store, endpoints: endpoints, metrics: newMetrics(),
+		ctx: ctx, cancel: cancel, rand: r,
+		registry: registrar.New(time.Duration(cfg.Bounds.ReturnGraceMillis) * time.Millisecond),
+		budget: budgeter.New(budgeter.Config{
+			Ratio: cfg.Bounds.RetryRatio, Slack: cfg.Bounds.RetrySlack,
+			Window: time.Duration(cfg.Bounds.RetryWindow * float64(time.Second)),
+		}),
+		balancers: map[string]*balancer.Balancer{}, placers: map[string]*placement{},
+		streams: map[*stream]struct{}{}, presence: newPresence(),
+	}
+	f.budget.SetDaemons(assumedDaemons)
+	return f
+}
+
+// Start listens and begins to follow the store.
+func (f *Forwarder) Start() error {
+	var err error
+	if f.ready, err = net.Listen("tcp", f.cfg.Daemon.Ready); err != nil {
+		return errors.Wrap(err, "listen for the balancer's probes")
+	}
+	if f.figures, err = net.Listen("tcp", f.cfg.Daemon.Metrics); err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	if f.callers, err = net.Listen("tcp", f.cfg.Daemon.Callers); err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	f.group.Go(f.serveCallers)
+	f.group.Go(f.serveReady)
+	f.group.Go(f.serveMetrics)
+	f.group.Go(func() { f.followManifest(f.ctx) })
+	f.group.Go(func() { f.followEndpoints(f.ctx) })
+	f.group.Go(func() { f.followDaemons(f.ctx) })
+	f.group.Go(func() { f.pollReports(f.ctx) })
+	f.group.Go(func() { f.watchClients(f.ctx) })
+	f.log.Info().Str("callers", f.cfg.Daemon.Callers).Str("failure_domain", f.cfg.Daemon.Domain).Msg("forwarder: started")
+	return nil
+}
+
+// isReady reports whether new connections should come here.
+func (f *Forwarder) isReady() bool {
+	return f.table.Load() != nil && f.registry.Revision() > 0 && !f.stopping.Load()
+}
+
+// newRand returns a random source for one owner.
+func (f *Forwarder) newRand() *rand.Rand {
+	f.randMu.Lock()
+	defer f.randMu.Unlock()
+	return rand.New(rand.NewPCG(f.rand.Uint64(), f.rand.Uint64()))
+}
+
+// random returns a number in [0, 1).
+func (f *Forwarder) random() float64 {
+	f.randMu.Lock()
+	defer f.randMu.Unlock()
+	return f.rand.Float64()
+}
+
+// balancer returns the balancer of a plain service.
+func (f *Forwarder) balancer(service string) *balancer.Balancer {
+	f.servicesMu.Lock()
+	defer f.servicesMu.Unlock()
+	b := f.balancers[service]
+	if b == nil {
+		b = balancer.New(f.cfg.Daemon.Domain, f.newRand())
+		f.balancers[service] = b
+	}
+	return b
+}
+
+// placement is the placer of a service and the streams that wait in it.
+type placement struct {
+	*placer.Placer
+	engine  matcher.Engine
+	mu      sync.Mutex
+	waiters map[string]chan placer.Outcome
+}
+
+// placement returns the placer of an engine service.
+func (f *Forwarder) placement(service string, e *matcher.Engine) *placement {
+	f.servicesMu.Lock()
+	defer f.servicesMu.Unlock()
+	p := f.placers[service]
+	if p == nil {
+		p = &placement{
+			Placer: placer.New(placer.Config{
+				Domain: f.cfg.Daemon.Domain, Slots: e.Slots, MemoryTokens: e.MemoryTokens, Block: memoryBlock,
+				Stride: max(e.Stride, 1), StepTime: stepTime, PrefillPerMs: prefillPerMs, ReportLag: reportLag,
+				Deviations: memoryDeviations,
+			}, f.newRand()),
+			engine:  *e,
+			waiters: map[string]chan placer.Outcome{},
+		}
+		f.placers[service] = p
+		p.SetEngines(f.registry.Usable(service))
+	}
+	return p
+}
+
+// Engine figures that the manifest does not tell.
+const (
+	memoryBlock      = 16                     // Tokens; engines page their memory in such blocks.
+	stepTime         = 8 * time.Millisecond   // A step of the published engines with a few sequences.
+	prefillPerMs     = 14                     // Prompt tokens read in a millisecond by the published engines.
+	reportLag        = 500 * time.Millisecond // Reports are as of some hundred milliseconds ago.
+	memoryDeviations = 0.5                    // A quantile of 0.69: a preemption costs less than an empty engine.
+	assumedDaemons   = 16                     // Share of the retry budget before the others are known.
+)
+
+// settle hands the outcomes of waiting jobs to their streams.
+func (p *placement) settle(now time.Time) {
+	for _, o := range p.Next(now) {
+		p.mu.Lock()
+		ch := p.waiters[o.Job.ID]
+		delete(p.waiters, o.Job.ID)
+		p.mu.Unlock()
+		if ch != nil {
+			ch <- o
+			continue
+		}
+		p.Done(o.Job, 0, false, now)
+	}
+}
--- /dev/null
+++ b/forwarder/metrics.go
@@ -0,0 +1,73 @@
+package forwarder
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+)
+
+// metrics are the counters and latency histograms of one daemon.
+type metrics struct {
+	counters *expvar.Map
+
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram // In microseconds.
+}
+
+func newMetrics() *metrics {
+	return &metrics{counters: new(expvar.Map).Init(), histograms: map[string]*hdrhistogram.Histogram{}}
+}
+
+// count adds one to a counter.
+func (m *metrics) count(name string) { m.counters.Add(name, 1) }
+
+// Bounds of the latency histograms in microseconds.
+const (
+	lowestLatency  = 10
+	highestLatency = 120_000_000
+)
+
+// observe records a duration.
+func (m *metrics) observe(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.histograms[name]
+	if h == nil {
+		h = hdrhistogram.New(lowestLatency, highestLatency, 2)
+		m.histograms[name] = h
+	}
+	// The value is clamped, so that the library has no error to return.
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestLatency), highestLatency))
+}
+
+// write prints all figures as lines of a name and a value.
+func (m *metrics) write(w io.Writer) {
+	m.counters.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, "%s %s\n", kv.Key, kv.Value) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, h := range m.histograms {
+		fmt.Fprintf(w, "%s_count %d\n", name, h.TotalCount())
+		for _, q := range []float64{50, 90, 99} {
+			fmt.Fprintf(w, "%s_us{quantile=\"%g\"} %d\n", name, q/100, h.ValueAtQuantile(q))
+		}
+	}
+}
+
+// serveMetrics answers on the metrics address until the listener closes.
+func (f *Forwarder) serveMetrics() {
+	s := &fasthttp.Server{
+		NoDefaultServerHeader: true,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("text/plain; charset=utf-8")
+			f.metrics.write(ctx)
+		},
+	}
+	if err := s.Serve(f.figures); err != nil && f.ctx.Err() == nil {
+		f.log.Error().Err(err).Msg("forwarder: metrics listener failed")
+	}
+}
--- /dev/null
+++ b/forwarder/resume.go
@@ -0,0 +1,160 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"monsoonspar.example/state/registrar"
+)
+
+// Times of moves.
+const (
+	noticeTime     = 1200 * time.Millisecond // From the first sign that an engine leaves; it is gone after 1.5 s at the earliest.
+	moveSpread     = 400 * time.Millisecond  // Streams of one engine leave it within this time, not at once.
+	deadSilence    = 600 * time.Millisecond  // A stream of an engine that does not answer is dead after this silence.
+	lostSilence    = 900 * time.Millisecond  // A silent stream of an engine that goes on producing is on a dead connection.
+	lostEvents     = 8                       // Events that an engine must be ahead of a silent stream.
+	moveTimeout    = 900 * time.Millisecond  // A move that takes longer makes a pause that clients notice.
+	moveTick       = 100 * time.Millisecond
+	maxResumes     = 6 // Of one stream.
+	resumeStatusOK = fasthttp.StatusOK
+)
+
+// errNoCopy means that no copy of the run could be continued.
+var errNoCopy = errors.New("no copy of the generation's memory could be continued")
+
+// resume continues the generation after its engine was lost or has to be left:
+// from the backup, else from a move, as long as the source still runs.
+func (s *stream) resume(cause error) (Answer, error) {
+	s.mu.Lock()
+	source, backup := s.engine, s.backup
+	s.mu.Unlock()
+	s.ledger.join()
+	began := s.f.clock.Now()
+	if answer, ok := s.resumeFromBackup(source, backup, cause); ok {
+		return answer, nil
+	}
+	if s.ctx.Err() != nil {
+		return Answer{}, context.Cause(s.ctx)
+	}
+	answer, err := s.resumeByMove(source, backup, cause)
+	if err != nil {
+		s.f.metrics.count("resumes_failed")
+		s.f.describe(s.f.log.Warn(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.Name).Str("backup", backup.Name).
+			Dur("took_ms", s.f.clock.Now().Sub(began)).Int("events", s.ledger.events).Msg("forwarder: generation lost")
+	}
+	return answer, err
+}
+
+// resumeFromBackup continues from the copy that the backup engine keeps.
+func (s *stream) resumeFromBackup(source, backup registrar.Endpoint, cause error) (Answer, bool) {
+	if backup.Name == "" || s.f.registry.Leaving(backup.Identity) {
+		return Answer{}, false
+	}
+	return s.continueAt(backup, Resume{Copy: s.f.endpoints.CopyOf(backup, s.x.req.ID), LastEvent: s.lastEvent()}, source, "backup", cause)
+}
+
+// resumeByMove stops the run at its engine, copies it and continues it there.
+func (s *stream) resumeByMove(source, backup registrar.Endpoint, cause error) (Answer, error) {
+	exclude := map[registrar.Identity]bool{source.Identity: true, backup.Identity: true}
+	to, ok := s.place.Destination(s.job, exclude, s.f.clock.Now())
+	if !ok {
+		return Answer{}, errNoCopy
+	}
+	c, cancel := context.WithTimeout(s.ctx, moveTimeout)
+	defer cancel()
+	copied, err := s.f.endpoints.Move(c, source, s.x.req.ID, to.Addr, true)
+	if err != nil && copied.Handle == "" {
+		return Answer{}, errors.Wrap(err, "move")
+	}
+	if err != nil {
+		to = source // The copy failed; the source keeps the memory.
+	}
+	from := Resume{Copy: s.f.endpoints.CopyOf(source, copied.Handle), LastEvent: s.lastEvent()}
+	if answer, ok := s.continueAt(to, from, source, "move", cause); ok {
+		return answer, nil
+	}
+	return Answer{}, errNoCopy
+}
+
+// lastEvent returns the id of the last event that was received.
+func (s *stream) lastEvent() string {
+	if id := s.ledger.lastEvent(); id != "" {
+		return id
+	}
+	return "0"
+}
+
+// continueAt sends the request to the engine that holds a copy.
+func (s *stream) continueAt(to registrar.Endpoint, from Resume, source registrar.Endpoint, way string, cause error) (Answer, bool) {
+	now := s.f.clock.Now()
+	if s.x.attempts > maxResumes || !s.f.budget.Repeat(s.x.service, 0, now) {
+		s.f.describe(s.f.log.Warn(), s.x).Str("way", way).Msg("forwarder: no retry left to continue the generation")
+		return Answer{}, false
+	}
+	s.x.attempts++
+	backup := s.place.Moved(s.job, to, now)
+	answer, err := s.send(to, backup, from)
+	if err == nil && answer.Status == resumeStatusOK && answer.Genuine {
+		s.f.metrics.count("resumes_" + way)
+		s.f.metrics.observe("resume_time", s.f.clock.Now().Sub(now))
+		s.f.describe(s.f.log.Info(), s.x).AnErr("cause", cause).Str("way", way).Str("from", source.Name).Str("endpoint", to.Name).Str("backup", backup.Name).
+			Str("last_event", from.LastEvent).Dur("took_ms", s.f.clock.Now().Sub(now)).Msg("forwarder: generation continued")
+		return answer, true
+	}
+	if err == nil {
+		_ = answer.Body.Close()
+	}
+	s.f.describe(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", to.Name).Int("status", answer.Status).Bool("not_run", answer.NotRun).
+		Msg("forwarder: copy could not be continued")
+	return Answer{}, false
+}
+
+// leaveEngine plans that the streams of a leaving engine go on elsewhere. The
+// engine is gone after the notice.
+func (f *Forwarder) leaveEngine(id registrar.Identity, notice time.Duration) {
+	if notice <= 0 {
+		notice = noticeTime
+	}
+	now := f.clock.Now()
+	latest := max(notice-moveSpread, 0)
+	for _, s := range f.runningStreams() {
+		s.mu.Lock()
+		if s.engine.Identity == id && s.moveAt.IsZero() {
+			s.moveAt = now.Add(min(latest, time.Duration(f.random()*float64(moveSpread))))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// runMoves interrupts the streams whose time to leave has come.
+func (f *Forwarder) runMoves(now time.Time) {
+	for _, s := range f.runningStreams() {
+		s.mu.Lock()
+		due := !s.moveAt.IsZero() && !now.Before(s.moveAt) && s.events > 0
+		interrupt := s.interrupt
+		if due {
+			s.moveAt = time.Time{}
+		}
+		s.mu.Unlock()
+		if due {
+			interrupt(errLeaving)
+		}
+	}
+}
+
+// abandonEngine interrupts the streams of an engine that does not answer.
+func (f *Forwarder) abandonEngine(id registrar.Identity, now time.Time) {
+	for _, s := range f.runningStreams() {
+		s.mu.Lock()
+		dead := s.engine.Identity == id && now.Sub(s.lastBytes) > deadSilence
+		interrupt := s.interrupt
+		s.mu.Unlock()
+		if dead {
+			interrupt(errDead)
+		}
+	}
+}
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -35,6 +35,7 @@
 type Request struct {
 	Method string
 	Addr   string // IP address and port.
+	Host   string // The Host field; Addr if empty.
 	Path   string // With the query.
 	Header []Header
 	Body   []byte
@@ -45,6 +46,10 @@
 	// Silence is the longest wait for the next bytes of the answer, its head
 	// included. Zero takes the default of the transport.
 	Silence time.Duration
+	// Echo is a field that the answer repeats from the request. An answer that
+	// carries another value belongs to an earlier request on the connection and
+	// is dropped. The zero value checks nothing.
+	Echo Header
 }
 
 // Response is the answer to a request. Body must be closed; a connection whose
@@ -53,6 +58,7 @@
 	Status int
 	Header []Header
 	Body   io.ReadCloser
+	Length int // Of the body in bytes; negative if it is not known ahead.
 }
 
 // Get returns the first value of a header field, empty if there is none. Case
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -5,13 +5,13 @@
 	"context"
 	"net"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/timekeeper"
+	"monsoonspar.example/transport/peeker"
 )
 
 // conn is a connection with the count of bytes written for the request in
@@ -79,21 +79,7 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
+	return peeker.Peek(c.raw) == peeker.Quiet
 }
 
 // ofConnection reports whether a field concerns one connection only and is set
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -9,9 +9,12 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/protocol/requester"
@@ -22,6 +25,13 @@
 // readBufferBytes bounds the head of an answer.
 const readBufferBytes = 4 << 10
 
+// maxStrays bounds the answers to earlier requests that are dropped before a
+// connection is given up. A faulty server sends one.
+const maxStrays = 4
+
+// errStrays ends a connection that brings only answers to earlier requests.
+var errStrays = errors.New("too many answers to earlier requests")
+
 // Config sets up a Dialer. Zero fields take the defaults.
 type Config struct {
 	DialTimeout  time.Duration // 1 s by default.
@@ -47,8 +57,14 @@
 	clock timekeeper.Clock
 	pool  pool
 	net   net.Dialer
+
+	strays atomic.Int64
 }
 
+// Strays returns the number of answers dropped because they belonged to
+// earlier requests.
+func (d *Dialer) Strays() int64 { return d.strays.Load() }
+
 // New returns a Dialer without connections.
 func New(cfg Config, clock timekeeper.Clock) *Dialer {
 	cfg.setDefaults()
@@ -115,7 +131,12 @@
 	defer fasthttp.ReleaseRequest(r)
 	r.Header.SetMethod(req.Method)
 	r.Header.SetRequestURI(req.Path)
-	r.Header.SetHost(req.Addr)
+	r.Header.SetNoDefaultContentType(true)
+	host := req.Host
+	if host == "" {
+		host = req.Addr
+	}
+	r.Header.SetHost(host)
 	for _, h := range req.Header {
 		if !ofConnection(h.Name) {
 			r.Header.Add(h.Name, h.Value)
@@ -130,14 +151,48 @@
 	return err
 }
 
+// receive reads the head of the answer that belongs to req. Answers to earlier
+// requests on the connection are read to their end and dropped.
 func (d *Dialer) receive(ctx context.Context, c *conn, req requester.Request) (requester.Response, error) {
+	for range maxStrays + 1 {
+		r, err := readHead(c, req)
+		if err != nil {
+			return requester.Response{}, err
+		}
+		if !isStray(r, req.Echo) {
+			return d.response(ctx, c, r), nil
+		}
+		d.strays.Add(1)
+		if r.BodyStream() == nil {
+			continue
+		}
+		if _, err := io.Copy(io.Discard, r.BodyStream()); err != nil {
+			return requester.Response{}, errors.Wrap(err, "answer to an earlier request")
+		}
+	}
+	return requester.Response{}, errStrays
+}
+
+// readHead reads an answer up to its body.
+func readHead(c *conn, req requester.Request) (*fasthttp.Response, error) {
 	r := &fasthttp.Response{StreamBody: true}
 	r.SkipBody = req.Method == fasthttp.MethodHead
 	r.Header.SetNoDefaultContentType(true)
-	if err := r.ReadLimitBody(c.r, 0); err != nil {
-		return requester.Response{}, err
+	return r, r.ReadLimitBody(c.r, 0)
+}
+
+// isStray reports whether r repeats another value than that of the request.
+func isStray(r *fasthttp.Response, echo requester.Header) bool {
+	if echo.Name == "" {
+		return false
 	}
-	res := requester.Response{Status: r.StatusCode()}
+	got := r.Header.Peek(echo.Name)
+	return len(got) > 0 && string(got) != echo.Value
+}
+
+// response describes an answer whose head has been read.
+func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response) requester.Response {
+	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1)}
 	for name, value := range r.Header.All() {
 		if !ofConnection(string(name)) {
 			res.Header = append(res.Header, requester.Header{Name: string(name), Value: string(value)})
@@ -151,5 +206,5 @@
 		reusable: !r.ConnectionClose(),
 		ended:    r.BodyStream() == nil,
 	}
-	return res, nil
+	return res
 }
