--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -16,6 +16,7 @@
 	mine       map[string]*running
 	known      map[string]bool // Sequences in the report.
 	avoidUntil time.Time       // After a refusal.
+	arrival    time.Time       // When a move was last sent here.
 
 	// Derived from the report and mine by refresh.
 	forecast  forecaster.Forecast
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -23,8 +23,14 @@
 	crossingCostMs = 1.5  // Another failure domain.
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
 
+	// Of destinations of moves, in parts of an engine's memory.
+	moveJitter = 0.1
+	farMove    = 0.3                    // A move to another failure domain takes twice as long.
+	busyLink   = 0.2                    // Another move goes there.
+	linkBusy   = 300 * time.Millisecond // Time in which a link carries the memory of one long run.
+
 	fullPeak     = 0.97 // No job is placed above this forecast peak.
-	backupPeak   = 0.75 // No backup is placed above this one: it would take the room of jobs.
+	backupPeak   = 0.5  // No backup is placed above this one: it would take the room of jobs.
 	avoidTime    = 300 * time.Millisecond
 	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
 	minimalSteps = 16              // Output that a job must have time for to be started.
@@ -193,17 +199,50 @@
 	return p.backup(&job, e, now)
 }
 
-// Destination returns an engine with room for a running job that must leave its
-// engine.
-func (p *Placer) Destination(job Job, exclude map[registrar.Identity]bool, now time.Time) (registrar.Endpoint, bool) {
+// Destination returns an engine with room for a running job that must leave the
+// source. One in the failure domain of the source is preferred, since a move to
+// another one takes twice as long, and one that is not the destination of
+// another move, since a link carries one after the other.
+func (p *Placer) Destination(job Job, source registrar.Endpoint, now time.Time) (registrar.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.moments(&job)
-	e, _ := p.cheapest(&m, exclude, 1, now)
-	if e == nil {
+	var best *engine
+	var bestCost float64
+	for id, e := range p.engines {
+		if id == source.Identity {
+			continue
+		}
+		e.refresh(p, now)
+		peak := e.peak(p, &m)
+		if e.sequences >= p.cfg.Slots || peak > 1 {
+			continue
+		}
+		cost := peak + moveJitter*p.rand.Float64()
+		if e.endpoint.Domain != source.Domain {
+			cost += farMove
+		}
+		if now.Sub(e.arrival) < linkBusy {
+			cost += busyLink
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
 		return registrar.Endpoint{}, false
 	}
-	return e.endpoint, true
+	best.arrival = now
+	return best.endpoint, true
+}
+
+// Rest returns the expected time until the end of a job that has produced
+// tokens.
+func (p *Placer) Rest(job Job, produced int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, _ := p.length(&job).Residual(produced)
+	return time.Duration(mean * float64(p.cfg.StepTime))
 }
 
 // Refused notes that an engine refused a job before running it.
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -181,7 +181,7 @@
 	f.refreshServices()
 	for _, c := range changes {
 		if c.Leaving {
-			f.leaveEngine(c.Endpoint.Identity, 0)
+			f.evacuate(c.Endpoint.Identity, 0)
 		}
 	}
 }
@@ -285,7 +285,6 @@
 			}
 		}
 		f.endpointsChanged(f.registry.Expire(now))
-		f.runMoves(now)
 		f.settleQueues(now)
 	}
 }
@@ -348,7 +347,7 @@
 	if r.report.Leaving && f.registry.MarkLeaving(r.endpoint.Identity) {
 		f.log.Info().Str("endpoint", r.endpoint.Name).Dur("leaves_in_ms", r.report.LeavesIn).Msg("forwarder: engine reports that it leaves")
 		f.refreshServices()
-		f.leaveEngine(r.endpoint.Identity, r.report.LeavesIn)
+		f.evacuate(r.endpoint.Identity, r.report.LeavesIn)
 	}
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -12,13 +12,8 @@
 
 // Times of moves.
 const (
-	noticeTime     = 1200 * time.Millisecond // From the first sign that an engine leaves; it is gone after 1.5 s at the earliest.
-	moveSpread     = 400 * time.Millisecond  // Streams of one engine leave it within this time, not at once.
 	deadSilence    = 600 * time.Millisecond  // A stream of an engine that does not answer is dead after this silence.
-	lostSilence    = 900 * time.Millisecond  // A silent stream of an engine that goes on producing is on a dead connection.
-	lostEvents     = 8                       // Events that an engine must be ahead of a silent stream.
 	moveTimeout    = 900 * time.Millisecond  // A move that takes longer makes a pause that clients notice.
-	moveTick       = 100 * time.Millisecond
 	maxResumes     = 6 // Of one stream.
 	resumeStatusOK = fasthttp.StatusOK
 )
@@ -40,7 +35,7 @@
 	if s.ctx.Err() != nil {
 		return Answer{}, context.Cause(s.ctx)
 	}
-	answer, err := s.resumeByMove(source, backup, cause)
+	answer, err := s.resumeByMove(source, cause)
 	if err != nil {
 		s.f.metrics.count("resumes_failed")
 		s.f.describe(s.f.log.Warn(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.Name).Str("backup", backup.Name).
@@ -57,27 +52,61 @@
 	return s.continueAt(backup, Resume{Copy: s.f.endpoints.CopyOf(backup, s.x.req.ID), LastEvent: s.lastEvent()}, source, "backup", cause)
 }
 
-// resumeByMove stops the run at its engine, copies it and continues it there.
-func (s *stream) resumeByMove(source, backup registrar.Endpoint, cause error) (Answer, error) {
-	exclude := map[registrar.Identity]bool{source.Identity: true, backup.Identity: true}
-	to, ok := s.place.Destination(s.job, exclude, s.f.clock.Now())
+// resumeByMove continues where a move has brought the run, or stops the run at
+// its engine, copies it and continues it there.
+func (s *stream) resumeByMove(source registrar.Endpoint, cause error) (Answer, error) {
+	m, ok := s.awaitMove()
 	if !ok {
-		return Answer{}, errNoCopy
+		var err error
+		if m, err = s.moveNow(source); err != nil {
+			return Answer{}, err
+		}
+	}
+	from := Resume{Copy: s.f.endpoints.CopyOf(source, m.handle), LastEvent: s.lastEvent()}
+	if answer, ok := s.continueAt(m.to, from, source, "move", cause); ok {
+		return answer, nil
+	}
+	return Answer{}, errNoCopy
+}
+
+// awaitMove returns the move of the run that is under way.
+func (s *stream) awaitMove() (moved, bool) {
+	s.mu.Lock()
+	under := s.moving
+	s.mu.Unlock()
+	if under == nil {
+		return moved{}, false
+	}
+	select {
+	case m, ok := <-under:
+		return m, ok
+	case <-s.ctx.Done():
+		return moved{}, false
+	}
+}
+
+// moveNow stops the run and copies it to an engine with room.
+func (s *stream) moveNow(source registrar.Endpoint) (moved, error) {
+	to, ok := s.place.Destination(s.job, source, s.f.clock.Now())
+	if !ok {
+		return moved{}, errNoCopy
 	}
 	c, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
-	copied, err := s.f.endpoints.Move(c, source, s.x.req.ID, to.Addr, true)
+	return s.lastMove(c, source, to)
+}
+
+// lastMove stops the run at its engine and completes its copy. Where the copy
+// can't be completed, the run goes on from the memory that the source keeps.
+func (s *stream) lastMove(ctx context.Context, source, to registrar.Endpoint) (moved, error) {
+	copied, err := s.f.endpoints.Move(ctx, source, s.x.req.ID, to.Addr, true)
 	if err != nil && copied.Handle == "" {
-		return Answer{}, errors.Wrap(err, "move")
+		return moved{}, errors.Wrap(err, "move")
 	}
 	if err != nil {
-		to = source // The copy failed; the source keeps the memory.
-	}
-	from := Resume{Copy: s.f.endpoints.CopyOf(source, copied.Handle), LastEvent: s.lastEvent()}
-	if answer, ok := s.continueAt(to, from, source, "move", cause); ok {
-		return answer, nil
+		to = source
 	}
-	return Answer{}, errNoCopy
+	return moved{to: to, handle: copied.Handle}, nil
 }
 
 // lastEvent returns the id of the last event that was received.
@@ -113,39 +142,6 @@
 	return Answer{}, false
 }
 
-// leaveEngine plans that the streams of a leaving engine go on elsewhere. The
-// engine is gone after the notice.
-func (f *Forwarder) leaveEngine(id registrar.Identity, notice time.Duration) {
-	if notice <= 0 {
-		notice = noticeTime
-	}
-	now := f.clock.Now()
-	latest := max(notice-moveSpread, 0)
-	for _, s := range f.runningStreams() {
-		s.mu.Lock()
-		if s.engine.Identity == id && s.moveAt.IsZero() {
-			s.moveAt = now.Add(min(latest, time.Duration(f.random()*float64(moveSpread))))
-		}
-		s.mu.Unlock()
-	}
-}
-
-// runMoves interrupts the streams whose time to leave has come.
-func (f *Forwarder) runMoves(now time.Time) {
-	for _, s := range f.runningStreams() {
-		s.mu.Lock()
-		due := !s.moveAt.IsZero() && !now.Before(s.moveAt) && s.events > 0
-		interrupt := s.interrupt
-		if due {
-			s.moveAt = time.Time{}
-		}
-		s.mu.Unlock()
-		if due {
-			interrupt(errLeaving)
-		}
-	}
-}
-
 // abandonEngine interrupts the streams of an engine that does not answer.
 func (f *Forwarder) abandonEngine(id registrar.Identity, now time.Time) {
 	for _, s := range f.runningStreams() {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -20,7 +20,6 @@
 var (
 	errLeaving = errors.New("the engine is leaving")
 	errDead    = errors.New("the engine does not answer")
-	errLostWay = errors.New("the connection is silent while the engine goes on")
 )
 
 // readChunk is the size of reads from an engine.
@@ -50,7 +49,9 @@
 	interrupt context.CancelCauseFunc // Ends the present attempt.
 	events    int                     // Received so far.
 	lastBytes time.Time               // When the engine last sent anything.
-	moveAt    time.Time               // When to leave a leaving engine; zero if it stays.
+	leaving   bool                    // Being taken off its engine.
+	moving    chan moved              // Brings the result of the move under way; nil without one.
+	closed    bool
 }
 
 // serveStream serves a generation. The stream calls release at its end.
@@ -195,7 +196,7 @@
 	c, cancel := context.WithCancelCause(s.ctx)
 	s.mu.Lock()
 	s.engine, s.backup, s.interrupt = to, backup, cancel
-	s.lastBytes, s.moveAt = now, time.Time{}
+	s.lastBytes, s.leaving, s.moving = now, false, nil
 	s.mu.Unlock()
 	s.f.rememberStream(s)
 	d := Dispatch{
@@ -308,6 +309,9 @@
 	if s.release == nil {
 		return nil
 	}
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	if s.body != nil {
 		// A connection that is closed early has nothing more to tell.
 		_ = s.body.Close()
