--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -24,9 +24,9 @@
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
 
 	// Of destinations of moves, in parts of an engine's memory.
-	moveJitter = 0.1
-	farMove    = 0.3                    // A move to another failure domain takes twice as long.
-	busyLink   = 0.2                    // Another move goes there.
+	moveJitter = 0.8                    // Daemons that leave the same engine should not choose the same link.
+	farMove    = 0.4                    // A move to another failure domain takes twice as long.
+	busyLink   = 0.3                    // Another move goes there.
 	linkBusy   = 300 * time.Millisecond // Time in which a link carries the memory of one long run.
 
 	fullPeak     = 0.97 // No job is placed above this forecast peak.
@@ -215,7 +215,7 @@
 		}
 		e.refresh(p, now)
 		peak := e.peak(p, &m)
-		if e.sequences >= p.cfg.Slots || peak > 1 {
+		if e.sequences >= p.cfg.Slots || peak > fullPeak {
 			continue
 		}
 		cost := peak + moveJitter*p.rand.Float64()
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -14,19 +14,11 @@
 	noticeTime   = 1500 * time.Millisecond // From the first sign that an engine leaves; the shortest notice of the platform.
 	movesAtOnce  = 1                       // Of one daemon's streams from one engine; its link sends one after the other.
 	moveRetry    = 100 * time.Millisecond  // Until a run that could not be moved yet is tried again.
-	closeTime    = 60 * time.Millisecond   // A stopped run's connection is closed within a round trip.
 	worthMoving  = 1.0                     // Expected rest of a run, in parts of the time that its engine has left.
 	moveGiveUp   = 250 * time.Millisecond  // No move is begun with less time left.
 	moveAttempts = 3
 )
 
-// moved is the result of a move: where the run goes on, and the name of its
-// copy.
-type moved struct {
-	to     registrar.Endpoint
-	handle string
-}
-
 // evacuate moves the streams of a leaving engine to others. The engine is gone
 // after the notice.
 func (f *Forwarder) evacuate(id registrar.Identity, notice time.Duration) {
@@ -37,7 +29,7 @@
 	turns := make(chan struct{}, movesAtOnce)
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
-		due := s.engine.Identity == id && !s.leaving
+		due := s.run.engine.Identity == id && !s.leaving
 		s.leaving = s.leaving || due
 		s.mu.Unlock()
 		if due {
@@ -71,7 +63,7 @@
 func (s *stream) runsAt(id registrar.Identity) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.engine.Identity == id && !s.closed
+	return s.run.engine.Identity == id && !s.closed
 }
 
 // produced returns the output tokens received so far.
@@ -84,55 +76,60 @@
 // tryLeave moves the run once. It reports whether nothing is left to do.
 func (s *stream) tryLeave(id registrar.Identity, gone time.Time) bool {
 	s.mu.Lock()
-	source, backup, interrupt := s.engine, s.backup, s.interrupt
+	source := s.run
 	s.mu.Unlock()
-	if source.Identity != id {
+	if source.engine.Identity != id {
 		return true
 	}
-	if backup.Name != "" && !s.f.registry.Leaving(backup.Identity) {
-		interrupt(errLeaving)
+	if s.handOver(source, func() (run, error) { return s.continueFromBackup(source, errLeaving) }) == nil {
 		return true
 	}
-	to, ok := s.place.Destination(s.job, source, s.f.clock.Now())
+	to, ok := s.place.Destination(s.job, source.engine, s.f.clock.Now())
 	if !ok {
-		s.f.describe(s.f.log.Info(), s.x).Str("endpoint", source.Name).Msg("forwarder: no engine has room for a run that must leave")
+		s.f.describe(s.f.log.Info(), s.x).Str("endpoint", source.engine.Name).Msg("forwarder: no engine has room for a run that must leave")
 		return false
 	}
 	began := s.f.clock.Now()
 	c, cancel := context.WithTimeout(s.ctx, max(gone.Sub(began), moveTimeout)+moveTimeout)
 	defer cancel()
-	_, err := s.f.endpoints.Move(c, source, s.x.req.ID, to.Addr, false)
-	if err != nil {
-		s.logMove(source, to, began, err)
-		return errors.Is(err, ErrNoRun) && s.produced() > 0
+	_, err := s.f.endpoints.Move(c, source.engine, s.x.req.ID, to.Addr, false)
+	if err == nil {
+		err = s.handOver(source, func() (run, error) { return s.continueByMove(c, source, to, errLeaving) })
 	}
-	return s.finishMove(c, source, to, began, interrupt)
+	s.logMove(source.engine, to, began, err)
+	return err == nil || errors.Is(err, ErrNoRun)
 }
 
-// finishMove stops the run, copies the rest and lets the reader go on at the
-// destination.
-func (s *stream) finishMove(ctx context.Context, source, to registrar.Endpoint, began time.Time, interrupt context.CancelCauseFunc) bool {
-	result := make(chan moved, 1)
+// handOver makes a run elsewhere while the stream still reads from the source.
+// The source is left once the new run has begun, so that nothing is lost if it
+// does not.
+func (s *stream) handOver(source run, begin func() (run, error)) error {
+	next := make(chan run, 1)
 	s.mu.Lock()
-	s.moving = result
-	s.mu.Unlock()
-	m, err := s.lastMove(ctx, source, to)
-	s.logMove(source, to, began, err)
-	if err == nil {
-		result <- m
-	}
-	close(result)
-	if err != nil {
-		s.mu.Lock()
-		s.moving = nil
+	if s.closed || s.run.engine.Identity != source.engine.Identity {
 		s.mu.Unlock()
-		return errors.Is(err, ErrNoRun)
+		return ErrNoRun
+	}
+	s.next = next
+	s.mu.Unlock()
+	r, err := begin()
+	s.mu.Lock()
+	closed := s.closed
+	if err != nil && s.next == next {
+		s.next = nil
 	}
-	// The engine closes the stopped run's connection after its last event.
-	if s.f.clock.Sleep(s.ctx, closeTime) == nil && s.runsAt(source.Identity) {
-		interrupt(errLeaving)
+	s.mu.Unlock()
+	if err != nil || closed {
+		if err == nil {
+			r.end()
+		}
+		close(next)
+		return err
 	}
-	return true
+	next <- r
+	close(next)
+	source.interrupt(errLeaving)
+	return nil
 }
 
 // logMove logs what came of a move.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -37,21 +37,30 @@
 
 	// Used by the goroutine that serves the client only.
 	ledger eventLedger
-	body   io.ReadCloser
 	chunk  []byte
+	first  time.Duration // From arrival to the first event.
+	pause  time.Duration // The longest between events.
+	resent int           // Times that the generation went on elsewhere.
 	out    []byte // Passed on next.
 	sent   int    // Bytes of out that were passed on.
 	ended  bool
 
 	mu        sync.Mutex
+	run       run
+	events    int       // Received so far.
+	lastEvent string    // Id of the last event that was received.
+	lastBytes time.Time // When the engine last sent anything.
+	leaving   bool      // Being taken off its engine.
+	next      chan run  // Brings the run to go on with; nil unless it is being made.
+	closed    bool
+}
+
+// run is one attempt to serve a stream at an engine.
+type run struct {
 	engine    registrar.Endpoint
 	backup    registrar.Endpoint
-	interrupt context.CancelCauseFunc // Ends the present attempt.
-	events    int                     // Received so far.
-	lastBytes time.Time               // When the engine last sent anything.
-	leaving   bool                    // Being taken off its engine.
-	moving    chan moved              // Brings the result of the move under way; nil without one.
-	closed    bool
+	interrupt context.CancelCauseFunc
+	answer    Answer
 }
 
 // serveStream serves a generation. The stream calls release at its end.
@@ -62,7 +71,7 @@
 	}
 	s := &stream{f: f, x: x, ctx: ctx, place: f.placement(x.service, service.Engine), release: release}
 	s.job = s.newJob(service.Engine)
-	answer, refusal, cause := s.open()
+	refusal, cause := s.open()
 	if refusal != nil {
 		f.forgetStream(s)
 		s.place.Done(s.job, 0, false, f.clock.Now())
@@ -70,10 +79,9 @@
 		release()
 		return
 	}
-	copyHeader(out, &answer)
-	s.body = answer.Body
+	copyHeader(out, &s.run.answer)
 	s.chunk = make([]byte, readChunk)
-	out.Response.SetBodyStream(s, answer.Length)
+	out.Response.SetBodyStream(s, s.run.answer.Length)
 }
 
 // defaultSlots stands in where a manifest says nothing of a streaming service.
@@ -92,29 +100,29 @@
 // rankOfCustomer makes the priority of a customer precede that of the route.
 const rankOfCustomer = 3
 
-// open sends the request to an engine that takes it. It returns the head of the
-// answer, or why there is none.
-func (s *stream) open() (Answer, *Refusal, error) {
+// open sends the request to an engine that takes it, or returns why there is
+// none.
+func (s *stream) open() (*Refusal, error) {
 	exclude := map[registrar.Identity]bool{}
 	for {
 		pl, refusal := s.waitForPlace(exclude)
 		if refusal != nil {
-			return Answer{}, refusal, nil
+			return refusal, nil
 		}
 		if s.x.attempts > 0 && !s.f.budget.Repeat(s.x.service, 0, s.f.clock.Now()) {
-			return Answer{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: notReadyReturn}, nil
+			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: notReadyReturn}, nil
 		}
 		s.x.attempts++
-		answer, err := s.send(pl.Engine, pl.Backup, Resume{})
-		if err == nil && !answer.NotRun && !answer.Moved && (answer.Genuine || answer.Status >= fasthttp.StatusInternalServerError) {
-			return answer, nil, nil
+		r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.use)
+		a := &r.answer
+		if err == nil && !a.NotRun && (a.Genuine || a.Status >= fasthttp.StatusInternalServerError) {
+			s.use(r)
+			return nil, nil
 		}
-		if err == nil {
-			_ = answer.Body.Close()
-		}
-		refused := err == nil && (answer.NotRun || answer.Moved) || err != nil && notRun(err)
-		s.f.noteMoved(pl.Engine, answer)
-		s.f.describe(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", answer.Status).
+		refused := err == nil && a.NotRun || err != nil && notRun(err)
+		r.end()
+		s.f.noteMoved(pl.Engine, *a)
+		s.f.describe(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", a.Status).
 			Msg("forwarder: engine did not take the request")
 		if !refused {
 			return s.reopen(err)
@@ -122,27 +130,24 @@
 		exclude[pl.Engine.Identity] = true
 		s.place.Refused(s.job.ID, s.f.clock.Now())
 		if r, ended := failureOf(s.ctx, false); ended {
-			return Answer{}, &r, err
+			return &r, err
 		}
 		if s.x.attempts >= maxRefusals {
-			return Answer{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRefused, RetryAfter: notReadyReturn}, err
+			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRefused, RetryAfter: notReadyReturn}, err
 		}
 	}
 }
 
 // reopen goes on after a request was sent and got no answer. Only a copy of the
 // run can be continued, since the request may have run.
-func (s *stream) reopen(err error) (Answer, *Refusal, error) {
-	if s.ctx.Err() == nil {
-		answer, resumed := s.resume(err)
-		if resumed == nil {
-			return answer, nil, nil
-		}
+func (s *stream) reopen(err error) (*Refusal, error) {
+	if s.ctx.Err() == nil && s.resume(err) == nil {
+		return nil, nil
 	}
 	if r, ended := failureOf(s.ctx, true); ended {
-		return Answer{}, &r, err
+		return &r, err
 	}
-	return Answer{}, &Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonUnknown}, err
+	return &Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonUnknown}, err
 }
 
 // waitForPlace returns where the request may run, when it may.
@@ -191,26 +196,47 @@
 }
 
 // send sends the request to an engine and waits for the head of its answer.
-func (s *stream) send(to, backup registrar.Endpoint, from Resume) (Answer, error) {
+// The run is handed to register, if that is set, before it is sent.
+func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
 	c, cancel := context.WithCancelCause(s.ctx)
-	s.mu.Lock()
-	s.engine, s.backup, s.interrupt = to, backup, cancel
-	s.lastBytes, s.leaving, s.moving = now, false, nil
-	s.mu.Unlock()
-	s.f.rememberStream(s)
-	d := Dispatch{
+	r := run{engine: to, backup: backup, interrupt: cancel}
+	if register != nil {
+		register(r)
+	}
+	var err error
+	r.answer, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
 		Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
 		Priority: s.job.Rank, Backup: backup.Addr, Resume: from,
-	}
-	answer, err := s.f.endpoints.Send(c, s.x.req, d)
+	})
 	if err == nil {
-		return answer, nil
+		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
 		err = requester.FailureError{Kind: kindOf(err), Cause: cause}
 	}
-	return answer, err
+	return r, err
+}
+
+// use makes r the run that the stream reads from.
+func (s *stream) use(r run) {
+	s.mu.Lock()
+	s.run = r
+	if s.events == 0 {
+		s.lastBytes = s.f.clock.Now()
+	}
+	s.leaving, s.next = false, nil
+	s.mu.Unlock()
+	s.f.rememberStream(s)
+}
+
+// end closes the connection of a run that is not read any more.
+func (r *run) end() {
+	if r.answer.Body != nil {
+		// A connection that is closed early has nothing more to tell.
+		_ = r.answer.Body.Close()
+	}
+	r.interrupt(nil)
 }
 
 // kindOf returns what err says about the request.
@@ -242,7 +268,7 @@
 
 // fill reads from the engine, and goes on at another one if it must.
 func (s *stream) fill() error {
-	n, err := s.body.Read(s.chunk)
+	n, err := s.run.answer.Body.Read(s.chunk)
 	if n > 0 {
 		if err := s.received(s.chunk[:n]); err != nil {
 			return err
@@ -259,13 +285,8 @@
 	if s.ctx.Err() != nil {
 		return context.Cause(s.ctx)
 	}
-	_ = s.body.Close()
-	answer, err := s.resume(err)
-	if err != nil {
-		return err
-	}
-	s.body = answer.Body
-	return nil
+	s.run.end()
+	return s.resume(err)
 }
 
 // received passes the whole events in p on.
@@ -278,13 +299,15 @@
 	now := s.f.clock.Now()
 	s.mu.Lock()
 	gap := now.Sub(s.lastBytes)
-	s.events = s.ledger.events
+	s.events, s.lastEvent = s.ledger.events, s.ledger.lastEvent()
 	s.lastBytes = now
 	s.mu.Unlock()
 	if before == 0 && s.ledger.events > 0 {
 		s.place.Started(s.job.ID, now)
-		s.f.metrics.observe("first_event", now.Sub(s.x.arrived))
+		s.first = now.Sub(s.x.arrived)
+		s.f.metrics.observe("first_event", s.first)
 	} else if before > 0 {
+		s.pause = max(s.pause, gap)
 		s.f.metrics.observe("event_gap", gap)
 	}
 	return nil
@@ -300,7 +323,7 @@
 		reason = ReasonTimeout
 	}
 	s.f.metrics.count("streams_" + string(reason))
-	s.f.describe(s.f.log.Warn(), s.x).Err(err).Str("reason", string(reason)).Str("endpoint", s.engine.Name).Int("events", s.ledger.events).
+	s.f.describe(s.f.log.Warn(), s.x).Err(err).Str("reason", string(reason)).Str("endpoint", s.run.engine.Name).Int("events", s.ledger.events).
 		Msg("forwarder: stream ended early")
 }
 
@@ -312,17 +335,15 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	if s.body != nil {
-		// A connection that is closed early has nothing more to tell.
-		_ = s.body.Close()
-	}
+	s.run.end()
+	s.dropNext()
 	s.f.forgetStream(s)
 	s.place.Done(s.job, s.ledger.events*max(s.place.engine.Stride, 1), s.ended, s.f.clock.Now())
 	s.place.settle(s.f.clock.Now())
 	if s.ended {
 		s.f.metrics.count("streams_answered")
-		s.f.describe(s.f.log.WithLevel(zerolog.InfoLevel), s.x).Str("endpoint", s.engine.Name).Int("events", s.ledger.events).
-			Str("reason", string(ReasonServed)).Msg("forwarder: stream answered")
+		s.f.describe(s.f.log.WithLevel(zerolog.InfoLevel), s.x).Str("endpoint", s.run.engine.Name).Int("events", s.ledger.events).
+			Dur("first_event_ms", s.first).Dur("longest_pause_ms", s.pause).Int("resumed", s.resent).Str("reason", string(ReasonServed)).Msg("forwarder: stream answered")
 	}
 	s.release()
 	s.release = nil
