Tell peers of placements, reports and leaving engines at once

Daemons now tell each other what they placed, began and ended; one asks an engine for its report and tells the others; daemons take manifest and endpoints from peers when the store does not answer them; runs of a leaving engine take turns on its link.

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"monsoonspar.example/coordination/forecaster"
@@ -13,12 +15,13 @@
 	endpoint   registrar.Endpoint
 	reported   time.Time // Zero before the first report.
 	report     Report
-	mine       map[string]*running
-	known      map[string]bool // Sequences in the report.
-	avoidUntil time.Time       // After a refusal.
-	arrival    time.Time       // When a move was last sent here.
+	runs       map[string]*running // Of this daemon and of peers that tell.
+	known      map[string]bool     // Sequences in the report.
+	avoidUntil time.Time           // After a refusal.
+	arrival    time.Time           // When a move was last sent here.
+	leaving    time.Time           // Since when it takes no jobs; zero while it does.
 
-	// Derived from the report and mine by refresh.
+	// Derived from the report and the runs by refresh.
 	forecast  forecaster.Forecast
 	copies    float64 // Memory held by other things than sequences.
 	sequences int
@@ -40,7 +43,7 @@
 	for i := range e.report.Sequences {
 		s := &e.report.Sequences[i]
 		held += float64(s.Tokens)
-		if r := e.mine[s.ID]; r == nil && p.ended(s.ID) {
+		if e.runs[s.ID] == nil && p.elsewhere(s.ID) {
 			continue
 		}
 		e.addReported(p, s, grown)
@@ -50,7 +53,7 @@
 		e.copies = max(float64(e.report.MemoryUsed)-held, 0)
 	}
 	unseen := 0
-	for id, r := range e.mine {
+	for id, r := range e.runs {
 		if e.known[id] {
 			continue
 		}
@@ -75,7 +78,7 @@
 		prompt = max(prompt, p.meanPrompt())
 	}
 	length := estimator.Bounded{Dist: p.distribution(s.Priority)}
-	if r := e.mine[s.ID]; r != nil {
+	if r := e.runs[s.ID]; r != nil {
 		length = p.length(&r.job)
 		prompt = r.job.Prompt
 	}
@@ -128,3 +131,45 @@
 	}
 	return cost
 }
+
+// Times of an evacuation.
+const (
+	turnPause = 15 * time.Millisecond  // Calls and the last part of a move, besides the copy.
+	turnSlack = 1.1                    // Copies share the link with backups.
+	shortRest = 250 * time.Millisecond // A run that ends so soon needs no move.
+)
+
+// turns returns when the runs of the engine leave it, the most urgent first,
+// those with a backup at once.
+func (e *engine) turns(p *Placer, tokensPerSecond float64, now time.Time) map[string]Turn {
+	ids := make([]string, 0, len(e.runs))
+	for id := range e.runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(e.runs[a].job.Rank, e.runs[b].job.Rank), cmp.Compare(a, b))
+	})
+	turns := make(map[string]Turn, len(ids))
+	after := time.Duration(0)
+	for _, id := range ids {
+		r := e.runs[id]
+		if b := p.engines[r.backup]; b != nil && b.leaving.IsZero() {
+			turns[id] = Turn{Mine: !r.remote}
+			continue
+		}
+		turns[id] = Turn{After: after, Mine: !r.remote}
+		if p.rest(&r.job, e.produced(p, r, now)) > shortRest {
+			held := float64(r.job.Prompt + e.produced(p, r, now))
+			after += turnPause + time.Duration(turnSlack*held/tokensPerSecond*float64(time.Second))
+		}
+	}
+	return turns
+}
+
+// produced returns the expected output of a run so far.
+func (e *engine) produced(p *Placer, r *running, now time.Time) int {
+	if r.started.IsZero() {
+		return 0
+	}
+	return int(now.Sub(r.started) / p.cfg.StepTime)
+}
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -75,10 +75,35 @@
 	exclude map[registrar.Identity]bool
 }
 
-// running is a job that was placed by this daemon.
+// running is a job on an engine, placed by this daemon or by a peer.
 type running struct {
 	job     Job
+	remote  bool
+	backup  registrar.Identity // Keeps a copy of the memory; zero without one.
 	since   time.Time
 	started time.Time // First event; zero before it.
 	moments forecaster.Moments
 }
+
+// News is what a daemon tells its peers about a job of its own.
+type News struct {
+	JobID   string
+	Event   Event
+	Engine  registrar.Identity // For Placed.
+	Backup  registrar.Identity // For Placed; zero without one.
+	Prompt  int
+	Limit   int // Bound on output tokens; zero means none.
+	Rank    int
+	Model   string
+	Running bool // For Placed: the job already produces output.
+}
+
+// Event is what happened to a job.
+type Event uint8
+
+// The events.
+const (
+	Placed  Event = iota + 1 // It was sent to an engine.
+	Started                  // Its first event came.
+	Ended                    // It runs nowhere any more.
+)
--- /dev/null
+++ b/coordination/placer/news.go
@@ -0,0 +1,100 @@
+package placer
+
+import (
+	"time"
+
+	"monsoonspar.example/state/registrar"
+)
+
+const (
+	maxNews     = 4096            // News that wait to be taken; more mean that nobody takes them.
+	remoteKept  = 3 * time.Second // A peer's job that no report shows for this long has ended unnoticed.
+	remoteLimit = 60 * time.Second
+)
+
+// tell adds the news that a job was placed. The mutex is held.
+func (p *Placer) tell(r *running, e *engine) {
+	p.news = append(p.news, News{
+		JobID: r.job.ID, Event: Placed, Engine: e.endpoint.Identity, Backup: r.backup, Prompt: r.job.Prompt,
+		Limit: r.job.MaxTokens, Rank: r.job.Rank, Model: r.job.Class.Model, Running: !r.started.IsZero(),
+	})
+}
+
+// TakeNews returns the news since the last call.
+func (p *Placer) TakeNews() []News {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	news := p.news
+	p.news = nil
+	if len(news) > maxNews {
+		news = news[len(news)-maxNews:]
+	}
+	return news
+}
+
+// Learn takes the news of a peer.
+func (p *Placer) Learn(news []News, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range news {
+		p.learn(&news[i], now)
+	}
+}
+
+// learn takes one piece of news. The mutex is held.
+func (p *Placer) learn(n *News, now time.Time) {
+	if e := p.engines[p.jobs[n.JobID]]; e != nil && e.runs[n.JobID] != nil && !e.runs[n.JobID].remote {
+		return // The daemon knows its own jobs best.
+	}
+	switch n.Event {
+	case Placed:
+		p.leave(n.JobID)
+		e := p.engines[n.Engine]
+		if e == nil {
+			return
+		}
+		job := Job{ID: n.JobID, Class: ClassOf(n.Model, n.Rank), Prompt: n.Prompt, MaxTokens: n.Limit, Rank: n.Rank}
+		r := p.join(e, &job, n.Backup, now)
+		r.remote = true
+		if n.Running {
+			r.started = now
+		}
+	case Started:
+		p.begun(n.JobID, now)
+	case Ended:
+		p.leave(n.JobID)
+		p.endedAt[n.JobID] = now
+	}
+}
+
+// forgetLost drops the jobs of peers on an engine whose end went unnoticed: the
+// report does not show them. The mutex is held.
+func (p *Placer) forgetLost(e *engine, now time.Time) {
+	for id, r := range e.runs {
+		if !r.remote || e.known[id] {
+			continue
+		}
+		if age := now.Sub(r.since); age > remoteLimit || (age > remoteKept && e.report.Queued == 0) {
+			p.leave(id)
+		}
+	}
+}
+
+// Turn is when a run should leave its engine.
+type Turn struct {
+	After time.Duration // From the start of the evacuation.
+	Mine  bool
+}
+
+// Evacuation returns the turns of the runs of an engine that is leaving. All
+// daemons that know of the same runs compute the same turns, so that the runs
+// follow one another on the link of the engine without talk.
+func (p *Placer) Evacuation(id registrar.Identity, linkBytesPerSecond float64, tokenBytes int64, now time.Time) map[string]Turn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[id]
+	if e == nil {
+		return nil
+	}
+	return e.turns(p, linkBytesPerSecond/float64(max(tokenBytes, 1)), now)
+}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -20,7 +20,7 @@
 	coldCostMs     = 300  // An engine that has just started is slow.
 	unknownCostMs  = 60   // Nothing is known of the engine's load yet.
 	refusedCostMs  = 1000 // The engine has just refused a job.
-	crossingCostMs = 1.5  // Another failure domain.
+	crossingCostMs = 400  // Another failure domain.
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
 
 	// Of destinations of moves, in parts of an engine's memory.
@@ -29,8 +29,9 @@
 	busyLink   = 0.3                    // Another move goes there.
 	linkBusy   = 300 * time.Millisecond // Time in which a link carries the memory of one long run.
 
-	fullPeak     = 0.97 // No job is placed above this forecast peak.
-	backupPeak   = 0.5  // No backup is placed above this one: it would take the room of jobs.
+	fullPeak     = 0.97             // No job is placed above this forecast peak.
+	backupPeak   = 0.5              // No backup is placed above this one: it would take the room of jobs.
+	leavingKept  = 20 * time.Second // Longer than an engine serves after its notice.
 	avoidTime    = 300 * time.Millisecond
 	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
 	minimalSteps = 16              // Output that a job must have time for to be started.
@@ -60,6 +61,7 @@
 	jobs    map[string]registrar.Identity // Engine of each placed job.
 	endedAt map[string]time.Time
 	queue   []*waiting
+	news    []News  // For the peers; taken by News.
 	prompts float64 // Average prompt tokens.
 	model   string
 }
@@ -74,21 +76,25 @@
 }
 
 // SetEngines takes the engines that accept new jobs. Those that don't any more
-// keep their running jobs until Done.
-func (p *Placer) SetEngines(endpoints []registrar.Endpoint) {
+// are kept for a while, since their runs have to leave them.
+func (p *Placer) SetEngines(endpoints []registrar.Endpoint, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	present := make(map[registrar.Identity]bool, len(endpoints))
 	for _, ep := range endpoints {
 		present[ep.Identity] = true
 		if e := p.engines[ep.Identity]; e != nil {
-			e.endpoint = ep
+			e.endpoint, e.leaving = ep, time.Time{}
 			continue
 		}
-		p.engines[ep.Identity] = &engine{endpoint: ep, mine: map[string]*running{}, known: map[string]bool{}}
+		p.engines[ep.Identity] = &engine{endpoint: ep, runs: map[string]*running{}, known: map[string]bool{}}
 	}
-	for id := range p.engines {
-		if !present[id] {
+	for id, e := range p.engines {
+		switch {
+		case present[id]:
+		case e.leaving.IsZero():
+			e.leaving = now
+		case now.Sub(e.leaving) > leavingKept:
 			delete(p.engines, id)
 		}
 	}
@@ -99,7 +105,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[id]
-	if e == nil {
+	if e == nil || now.Before(e.reported) {
 		return
 	}
 	e.report, e.reported, e.dirty = r, now, true
@@ -107,6 +113,7 @@
 	for i := range r.Sequences {
 		e.known[r.Sequences[i].ID] = true
 	}
+	p.forgetLost(e, now)
 	for job, at := range p.endedAt {
 		if now.Sub(at) > endedKept {
 			delete(p.endedAt, job)
@@ -114,6 +121,20 @@
 	}
 }
 
+// ReportAge returns the age of the newest report of an engine.
+func (p *Placer) ReportAge(id registrar.Identity, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[id]
+	if e == nil || e.reported.IsZero() {
+		return noReport
+	}
+	return now.Sub(e.reported)
+}
+
+// noReport is the age of a report that never came.
+const noReport = time.Hour
+
 // Submit places a job, or puts it into the queue. It reports false if the job
 // waits; its outcome then comes from Next.
 func (p *Placer) Submit(job Job, exclude map[registrar.Identity]bool, now time.Time) (Placement, bool) {
@@ -174,12 +195,18 @@
 	return len(p.queue)
 }
 
-// Started notes the first event of a job.
-func (p *Placer) Started(id string, now time.Time) {
+// Begun notes the first event of a job.
+func (p *Placer) Begun(id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.engines[p.jobs[id]]; e != nil && e.mine[id] != nil {
-		e.mine[id].started = now
+	p.begun(id, now)
+	p.news = append(p.news, News{JobID: id, Event: Started})
+}
+
+// begun notes the first event of a job. The mutex is held.
+func (p *Placer) begun(id string, now time.Time) {
+	if e := p.engines[p.jobs[id]]; e != nil && e.runs[id] != nil {
+		e.runs[id].started = now
 		e.dirty = true
 	}
 }
@@ -192,11 +219,14 @@
 	p.leave(job.ID)
 	e := p.engines[to.Identity]
 	if e == nil {
+		p.news = append(p.news, News{JobID: job.ID, Event: Ended})
 		return registrar.Endpoint{}
 	}
-	p.join(e, &job, now)
-	e.mine[job.ID].started = now
-	return p.backup(&job, e, now)
+	backup := p.backup(&job, e, now)
+	r := p.join(e, &job, backup.Identity, now)
+	r.started = now
+	p.tell(r, e)
+	return backup
 }
 
 // Destination returns an engine with room for a running job that must leave the
@@ -210,7 +240,7 @@
 	var best *engine
 	var bestCost float64
 	for id, e := range p.engines {
-		if id == source.Identity {
+		if id == source.Identity || !e.leaving.IsZero() {
 			continue
 		}
 		e.refresh(p, now)
@@ -236,12 +266,17 @@
 	return best.endpoint, true
 }
 
-// Rest returns the expected time until the end of a job that has produced
-// tokens.
-func (p *Placer) Rest(job Job, produced int) time.Duration {
+// Outlasts returns the probability that a job which has produced tokens will
+// run for longer than d.
+func (p *Placer) Outlasts(job Job, produced int, d time.Duration) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	mean, _ := p.length(&job).Residual(produced)
+	return p.length(&job).Alive(produced, int(max(d, 0)/p.cfg.StepTime))
+}
+
+// rest returns the expected time until the end of a job. The mutex is held.
+func (p *Placer) rest(job *Job, produced int) time.Duration {
+	mean, _ := p.length(job).Residual(produced)
 	return time.Duration(mean * float64(p.cfg.StepTime))
 }
 
@@ -253,6 +288,7 @@
 		e.avoidUntil = now.Add(avoidTime)
 	}
 	p.leave(id)
+	p.news = append(p.news, News{JobID: id, Event: Ended})
 }
 
 // Done ends a placed job. A job that was answered in full teaches its length;
@@ -262,6 +298,7 @@
 	defer p.mu.Unlock()
 	p.leave(job.ID)
 	p.endedAt[job.ID] = now
+	p.news = append(p.news, News{JobID: job.ID, Event: Ended})
 	switch {
 	case complete && tokens > 0:
 		p.lengths.Record(job.Class, tokens)
@@ -273,23 +310,29 @@
 // leave takes a job off its engine. The mutex is held.
 func (p *Placer) leave(id string) {
 	if e := p.engines[p.jobs[id]]; e != nil {
-		delete(e.mine, id)
+		delete(e.runs, id)
 		e.dirty = true
 	}
 	delete(p.jobs, id)
 }
 
 // join puts a job on an engine. The mutex is held.
-func (p *Placer) join(e *engine, job *Job, now time.Time) {
-	e.mine[job.ID] = &running{job: *job, since: now, moments: p.moments(job)}
+func (p *Placer) join(e *engine, job *Job, backup registrar.Identity, now time.Time) *running {
+	r := &running{job: *job, since: now, backup: backup, moments: p.moments(job)}
+	e.runs[job.ID] = r
 	p.jobs[job.ID] = e.endpoint.Identity
 	e.dirty = true
+	return r
 }
 
-// ended reports whether a job of this daemon has ended. The mutex is held.
-func (p *Placer) ended(id string) bool {
-	_, ok := p.endedAt[id]
-	return ok
+// elsewhere reports whether a job is known to have ended or to run on another
+// engine than the report says. The mutex is held.
+func (p *Placer) elsewhere(id string) bool {
+	if _, ended := p.endedAt[id]; ended {
+		return true
+	}
+	_, placed := p.jobs[id]
+	return placed
 }
 
 // place puts a job on the engine where it costs least. The mutex is held.
@@ -303,8 +346,9 @@
 	if !e.reported.IsZero() {
 		age = now.Sub(e.reported)
 	}
-	p.join(e, job, now)
-	return Placement{Engine: e.endpoint, Backup: p.backup(job, e, now), Peak: peak, Age: age}, true
+	backup := p.backup(job, e, now)
+	p.tell(p.join(e, job, backup.Identity, now), e)
+	return Placement{Engine: e.endpoint, Backup: backup, Peak: peak, Age: age}, true
 }
 
 // cheapest returns the engine with the least cost whose forecast peak with m is
@@ -313,7 +357,7 @@
 	var best *engine
 	var bestCost, bestPeak float64
 	for id, e := range p.engines {
-		if exclude[id] {
+		if exclude[id] || !e.leaving.IsZero() {
 			continue
 		}
 		e.refresh(p, now)
@@ -339,7 +383,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range p.engines {
-		if e == on {
+		if e == on || !e.leaving.IsZero() {
 			continue
 		}
 		e.refresh(p, now)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -123,7 +123,10 @@
 
 // noteMoved drops an endpoint at whose address another one answers.
 func (f *Forwarder) noteMoved(e registrar.Endpoint, a Answer) {
-	if a.Moved && f.registry.MarkLeaving(e.Identity) {
+	if !a.Moved {
+		return
+	}
+	if _, news := f.registry.MarkLeaving(e.Identity); news {
 		f.log.Warn().Str("endpoint", e.Name).Str("addr", e.Addr).Msg("forwarder: another endpoint answers at the address; no more requests go there")
 	}
 }
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/coordination/placer"
@@ -18,7 +19,9 @@
 	retryLimit     = 800 * time.Millisecond // A returned store is found well within the bound of a configuration.
 	awayAfter      = time.Second            // A store that has not answered for this long was away.
 	daemonsEvery   = 10 * time.Second
-	pollInterval   = 700 * time.Millisecond // Of each engine's report.
+	daemonsSoon    = 3                      // Lists after a start that follow one another sooner, since daemons start together.
+	pollInterval   = 300 * time.Millisecond // Of the report of an engine that this daemon asks for all.
+	pollFallback   = 900 * time.Millisecond // Age of a report at which a daemon asks itself.
 	pollTimeout    = 400 * time.Millisecond
 	pollsFailed    = 2 // Reports in a row without an answer that make an engine dead.
 	queueTick      = 50 * time.Millisecond
@@ -123,11 +126,13 @@
 			l, err := f.store.Endpoints(c)
 			cancel()
 			if err != nil {
+				f.storeFresh.Store(false)
 				if d.failed(ctx, err) != nil {
 					return
 				}
 				continue
 			}
+			f.storeFresh.Store(true)
 			wasAway = d.answered() || wasAway
 			now := f.clock.Now()
 			f.endpointsChanged(f.registry.Replace(l.Endpoints, l.Revision, wasAway, now))
@@ -147,6 +152,7 @@
 			list = true
 		default:
 			list = true
+			f.storeFresh.Store(false)
 			if d.failed(ctx, err) != nil {
 				return
 			}
@@ -181,7 +187,7 @@
 	f.refreshServices()
 	for _, c := range changes {
 		if c.Leaving {
-			f.evacuate(c.Endpoint.Identity, 0)
+			f.evacuate(c.Endpoint, 0)
 		}
 	}
 }
@@ -191,7 +197,7 @@
 	f.servicesMu.Lock()
 	defer f.servicesMu.Unlock()
 	for name, p := range f.placers {
-		p.SetEngines(f.registry.Usable(name))
+		p.SetEngines(f.registry.Usable(name), f.clock.Now())
 	}
 	for name, b := range f.balancers {
 		b.Retain(f.registry.Usable(name))
@@ -215,7 +221,7 @@
 		}
 	}
 	d.answered()
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		c, cancel := context.WithTimeout(ctx, listTimeout)
 		all, err := f.store.Daemons(c)
 		cancel()
@@ -228,7 +234,12 @@
 		}
 		d.answered()
 		f.budget.SetDaemons(len(all))
-		if f.clock.Sleep(ctx, daemonsEvery) != nil {
+		f.peers.setDaemons(all)
+		wait := daemonsEvery
+		if n < daemonsSoon {
+			wait = daemonsEvery / 8
+		}
+		if f.clock.Sleep(ctx, wait) != nil {
 			return
 		}
 	}
@@ -272,7 +283,7 @@
 				p = &poll{next: now.Add(time.Duration(f.random() * float64(pollInterval) / 4))}
 				polls[e.Identity] = p
 			}
-			if p.busy || now.Before(p.next) {
+			if p.busy || now.Before(p.next) || !f.shouldAsk(e, now) {
 				continue
 			}
 			p.busy = true
@@ -289,6 +300,33 @@
 	}
 }
 
+// shouldAsk reports whether this daemon asks an engine for its report. One
+// daemon does so for all that it talks to, preferably one in the engine's
+// failure domain; another one does if its news stay away.
+func (f *Forwarder) shouldAsk(e registrar.Endpoint, now time.Time) bool {
+	p := f.knownPlacement(e.Service)
+	if p == nil {
+		return false
+	}
+	self := Daemon{Name: f.cfg.Daemon.Name, Domain: f.cfg.Daemon.Domain}
+	best, bestScore := self, askScore(self, e)
+	for _, d := range f.peers.living() {
+		if score := askScore(d, e); score > bestScore {
+			best, bestScore = d, score
+		}
+	}
+	return best.Name == self.Name || p.ReportAge(e.Identity, now) > pollFallback
+}
+
+// askScore orders the daemons that could ask an engine for its report.
+func askScore(d Daemon, e registrar.Endpoint) uint64 {
+	score := xxhash.Sum64String(d.Name+"/"+e.Name) >> 1
+	if d.Domain == e.Domain {
+		score |= 1 << 63
+	}
+	return score
+}
+
 // pollResult is a report or why there is none.
 type pollResult struct {
 	endpoint registrar.Endpoint
@@ -338,28 +376,31 @@
 		f.log.Info().Str("endpoint", r.endpoint.Name).Msg("forwarder: dependency regained: engine reports")
 	}
 	p.failures = 0
-	f.servicesMu.Lock()
-	pl := f.placers[r.endpoint.Service]
-	f.servicesMu.Unlock()
-	if pl != nil {
+	if pl := f.knownPlacement(r.endpoint.Service); pl != nil {
 		pl.Observe(r.endpoint.Identity, r.report, now)
 	}
-	if r.report.Leaving && f.registry.MarkLeaving(r.endpoint.Identity) {
-		f.log.Info().Str("endpoint", r.endpoint.Name).Dur("leaves_in_ms", r.report.LeavesIn).Msg("forwarder: engine reports that it leaves")
-		f.refreshServices()
-		f.evacuate(r.endpoint.Identity, r.report.LeavesIn)
+	f.peers.tellReport(r.endpoint.Service, r.endpoint.Identity, r.report)
+	if r.report.Leaving && f.engineLeaves(r.endpoint.Identity, r.report.LeavesIn, "report") {
+		f.peers.tellLeaving(r.endpoint.Identity, r.report.LeavesIn)
+	}
+}
+
+// engineLeaves takes the sign that an engine leaves. It reports whether that
+// was news.
+func (f *Forwarder) engineLeaves(id registrar.Identity, notice time.Duration, source string) bool {
+	e, news := f.registry.MarkLeaving(id)
+	if !news {
+		return false
 	}
+	f.log.Info().Str("endpoint", id.Name).Dur("leaves_in_ms", notice).Str("source", source).Msg("forwarder: engine leaves")
+	f.refreshServices()
+	f.evacuate(e, notice)
+	return true
 }
 
 // settleQueues decides the waiting jobs of all services.
 func (f *Forwarder) settleQueues(now time.Time) {
-	f.servicesMu.Lock()
-	all := make([]*placement, 0, len(f.placers))
-	for _, p := range f.placers {
-		all = append(all, p)
-	}
-	f.servicesMu.Unlock()
-	for _, p := range all {
+	for _, p := range f.allPlacements() {
 		p.settle(now)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -49,8 +50,11 @@
 	streams   map[*stream]struct{}
 	presence  *presence
 	inFlight  atomic.Int64
-	codec     Codec
-	server    *fasthttp.Server
+	peers     *peers
+	// storeFresh tells that the store answers the watch of endpoints.
+	storeFresh atomic.Bool
+	codec      Codec
+	server     *fasthttp.Server
 
 	callers net.Listener
 	ready   net.Listener
@@ -71,6 +75,7 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*placement{},
 		streams: map[*stream]struct{}{}, presence: newPresence(),
 	}
+	f.peers = newPeers(f)
 	f.budget.SetDaemons(assumedDaemons)
 	return f
 }
@@ -84,6 +89,9 @@
 	if f.figures, err = net.Listen("tcp", f.cfg.Daemon.Metrics); err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
+	if _, err = f.peers.node.Listen(f.cfg.Daemon.Peers); err != nil {
+		return err
+	}
 	if f.callers, err = net.Listen("tcp", f.cfg.Daemon.Callers); err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
@@ -95,6 +103,7 @@
 	f.group.Go(func() { f.followDaemons(f.ctx) })
 	f.group.Go(func() { f.pollReports(f.ctx) })
 	f.group.Go(func() { f.watchClients(f.ctx) })
+	f.group.Go(func() { f.peers.spread(f.ctx) })
 	f.log.Info().Str("callers", f.cfg.Daemon.Callers).Str("failure_domain", f.cfg.Daemon.Domain).Msg("forwarder: started")
 	return nil
 }
@@ -154,11 +163,33 @@
 			waiters: map[string]chan placer.Outcome{},
 		}
 		f.placers[service] = p
-		p.SetEngines(f.registry.Usable(service))
+		p.SetEngines(f.registry.Usable(service), f.clock.Now())
 	}
 	return p
 }
 
+// knownPlacement returns the placer of a service, or nil.
+func (f *Forwarder) knownPlacement(service string) *placement {
+	f.servicesMu.Lock()
+	p := f.placers[service]
+	f.servicesMu.Unlock()
+	if p != nil {
+		return p
+	}
+	t := f.table.Load()
+	if t == nil || t.Manifest.Services[service].Engine == nil {
+		return nil
+	}
+	return f.placement(service, t.Manifest.Services[service].Engine)
+}
+
+// allPlacements returns the placers by service.
+func (f *Forwarder) allPlacements() map[string]*placement {
+	f.servicesMu.Lock()
+	defer f.servicesMu.Unlock()
+	return maps.Clone(f.placers)
+}
+
 // Engine figures that the manifest does not tell.
 const (
 	memoryBlock      = 16                     // Tokens; engines page their memory in such blocks.
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -6,52 +6,60 @@
 
 	"github.com/pkg/errors"
 
+	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/state/registrar"
 )
 
 // Times of leaving an engine.
 const (
-	noticeTime   = 1500 * time.Millisecond // From the first sign that an engine leaves; the shortest notice of the platform.
-	movesAtOnce  = 1                       // Of one daemon's streams from one engine; its link sends one after the other.
-	moveRetry    = 100 * time.Millisecond  // Until a run that could not be moved yet is tried again.
-	worthMoving  = 1.0                     // Expected rest of a run, in parts of the time that its engine has left.
-	moveGiveUp   = 250 * time.Millisecond  // No move is begun with less time left.
-	moveAttempts = 3
+	noticeTime  = 1500 * time.Millisecond // From the first sign that an engine leaves; the shortest notice of the platform.
+	moveRetry   = 100 * time.Millisecond  // Until a run that could not be moved yet is tried again.
+	worthMoving = 1.0                     // Expected rest of a run, in parts of the time that its engine has left.
+	moveGiveUp  = 250 * time.Millisecond  // No move is begun with less time left.
 )
 
 // evacuate moves the streams of a leaving engine to others. The engine is gone
 // after the notice.
-func (f *Forwarder) evacuate(id registrar.Identity, notice time.Duration) {
+func (f *Forwarder) evacuate(e registrar.Endpoint, notice time.Duration) {
 	if notice <= 0 {
 		notice = noticeTime
 	}
-	gone := f.clock.Now().Add(notice)
-	turns := make(chan struct{}, movesAtOnce)
+	now := f.clock.Now()
+	var turns map[string]placer.Turn
+	f.servicesMu.Lock()
+	if p := f.placers[e.Service]; p != nil {
+		turns = p.Evacuation(e.Identity, p.engine.LinkMbps*bytesPerMbit, p.engine.TokenBytes, now)
+	}
+	f.servicesMu.Unlock()
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
-		due := s.run.engine.Identity == id && !s.leaving
+		due := s.run.engine.Identity == e.Identity && !s.leaving
 		s.leaving = s.leaving || due
 		s.mu.Unlock()
 		if due {
-			f.group.Go(func() { s.leave(id, gone, turns) })
+			f.group.Go(func() { s.leave(e.Identity, now.Add(turns[s.job.ID].After), now.Add(notice)) })
 		}
 	}
 }
 
-// leave takes the stream off a leaving engine, unless it ends there in time.
-func (s *stream) leave(id registrar.Identity, gone time.Time, turns chan struct{}) {
-	for range moveAttempts * int(noticeTime/moveRetry) {
+// bytesPerMbit converts the rate of a link.
+const bytesPerMbit = 1e6 / 8
+
+// leave takes the stream off a leaving engine when its turn has come, unless it
+// ends there in time.
+func (s *stream) leave(id registrar.Identity, turn, gone time.Time) {
+	now := s.f.clock.Now()
+	if s.f.clock.Sleep(s.ctx, min(turn.Sub(now), gone.Sub(now)-moveGiveUp)) != nil {
+		return
+	}
+	for {
 		now := s.f.clock.Now()
 		if s.ctx.Err() != nil || !s.runsAt(id) || gone.Sub(now) < moveGiveUp {
 			return
 		}
-		if s.place.Rest(s.job, s.produced()) > time.Duration(worthMoving*float64(gone.Sub(now))) && s.produced() > 0 {
-			turns <- struct{}{}
-			done := s.tryLeave(id, gone)
-			<-turns
-			if done {
-				return
-			}
+		produced := s.produced()
+		if produced > 0 && s.place.Outlasts(s.job, produced, gone.Sub(now)) > worthMoving && s.tryLeave(id, gone) {
+			return
 		}
 		if s.f.clock.Sleep(s.ctx, moveRetry) != nil {
 			return
--- /dev/null
+++ b/forwarder/peers.go
@@ -0,0 +1,361 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/state/matcher"
+	"monsoonspar.example/state/registrar"
+	"monsoonspar.example/transport/framer"
+)
+
+// Times and bounds of the talk between daemons.
+const (
+	newsInterval  = 40 * time.Millisecond  // A placement is known to the peers before the next of the same engine.
+	greetInterval = time.Second            // Tells versions, and finds a peer that does not answer.
+	greetTimeout  = 600 * time.Millisecond // Several round trips between failure domains.
+	peerRetry     = time.Second
+	meshLimit     = 16 // More daemons than this tell only those of their own failure domain.
+	newsQueue     = 64 // Batches that wait for one peer; one that takes none for longer is behind anyway.
+)
+
+// Methods between daemons.
+const (
+	methodNews      = "news"
+	methodGreet     = "greet"
+	methodManifest  = "manifest"
+	methodEndpoints = "endpoints"
+)
+
+// errMethod means that a peer asks for something that this version does not know.
+var errMethod = errors.New("unknown method")
+
+// newsMessage is the wire form of a batch of news.
+type newsMessage struct {
+	Service []serviceNews `msgpack:"services,omitempty"`
+	Reports []reportNews  `msgpack:"reports,omitempty"`
+	Leaving []leavingNews `msgpack:"leaving,omitempty"`
+}
+
+type serviceNews struct {
+	Service string        `msgpack:"service"`
+	News    []placer.News `msgpack:"news"`
+}
+
+// reportNews is an engine's report that a peer has asked for.
+type reportNews struct {
+	Service string             `msgpack:"service"`
+	Engine  registrar.Identity `msgpack:"engine"`
+	AgeMs   int64              `msgpack:"age_ms"`
+	Report  placer.Report      `msgpack:"report"`
+}
+
+type leavingNews struct {
+	Engine  registrar.Identity `msgpack:"engine"`
+	LeaveMs int64              `msgpack:"leave_ms"`
+}
+
+// greeting tells what a daemon knows.
+type greeting struct {
+	Daemon   Daemon `msgpack:"daemon"`
+	Manifest int64  `msgpack:"manifest"`
+	Revision int64  `msgpack:"revision"`
+	Fresh    bool   `msgpack:"fresh"` // The daemon hears from the store.
+}
+
+// endpointsMessage is the wire form of a list of endpoints.
+type endpointsMessage struct {
+	Endpoints []registrar.Endpoint `msgpack:"endpoints"`
+	Revision  int64                `msgpack:"revision"`
+}
+
+// peers are the other daemons that this one talks to.
+type peers struct {
+	f    *Forwarder
+	node *framer.Node
+
+	mu      sync.Mutex
+	known   map[string]*peer // By name.
+	reports []reportNews
+	leaving []leavingNews
+}
+
+// peer is one other daemon.
+type peer struct {
+	daemon Daemon
+	queue  chan []byte
+	cancel context.CancelFunc
+	alive  bool
+}
+
+func newPeers(f *Forwarder) *peers {
+	p := &peers{f: f, known: map[string]*peer{}}
+	p.node = framer.NewNode(framer.Config{Name: f.cfg.Daemon.Name, Key: []byte(f.cfg.Daemon.PeersKey)}, p)
+	return p
+}
+
+// setDaemons takes the list of daemons and talks to those in reach.
+func (p *peers) setDaemons(all []Daemon) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := map[string]Daemon{}
+	for _, d := range all {
+		if d.Name != p.f.cfg.Daemon.Name && d.Addr != "" && (len(all) <= meshLimit || d.Domain == p.f.cfg.Daemon.Domain) {
+			wanted[d.Name] = d
+		}
+	}
+	for name, o := range p.known {
+		if d, ok := wanted[name]; !ok || d.Addr != o.daemon.Addr {
+			o.cancel()
+			delete(p.known, name)
+		}
+	}
+	for name, d := range wanted {
+		if p.known[name] == nil {
+			p.add(d)
+		}
+	}
+}
+
+// add begins to talk to a daemon. The mutex is held.
+func (p *peers) add(d Daemon) {
+	ctx, cancel := context.WithCancel(p.f.ctx)
+	o := &peer{daemon: d, queue: make(chan []byte, newsQueue), cancel: cancel}
+	p.known[d.Name] = o
+	p.f.group.Go(func() { p.talk(ctx, o) })
+}
+
+// alive returns the names of the peers that answer, and their failure domains.
+func (p *peers) living() []Daemon {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Daemon
+	for _, o := range p.known {
+		if o.alive {
+			all = append(all, o.daemon)
+		}
+	}
+	return all
+}
+
+// talk sends news to one peer and greets it, until ctx ends.
+func (p *peers) talk(ctx context.Context, o *peer) {
+	for ctx.Err() == nil {
+		err := p.greet(ctx, o)
+		p.setAlive(o, err)
+		if err != nil {
+			if p.f.clock.Sleep(ctx, peerRetry) != nil {
+				return
+			}
+			continue
+		}
+		if err := p.sendNews(ctx, o); err != nil {
+			p.setAlive(o, err)
+		}
+	}
+}
+
+// setAlive notes whether a peer answers.
+func (p *peers) setAlive(o *peer, err error) {
+	p.mu.Lock()
+	was := o.alive
+	o.alive = err == nil
+	p.mu.Unlock()
+	switch {
+	case was && err != nil:
+		p.f.log.Warn().Err(err).Str("peer", o.daemon.Name).Msg("forwarder: dependency lost: peer")
+	case !was && err == nil:
+		p.f.log.Info().Str("peer", o.daemon.Name).Msg("forwarder: dependency regained: peer")
+	}
+}
+
+// sendNews sends what is queued for a peer until the next greeting is due.
+func (p *peers) sendNews(ctx context.Context, o *peer) error {
+	c, cancel := context.WithTimeout(ctx, greetInterval)
+	defer cancel()
+	for {
+		select {
+		case body := <-o.queue:
+			if err := p.node.Send(ctx, o.daemon.Addr, methodNews, body); err != nil {
+				return err
+			}
+		case <-c.Done():
+			return nil
+		}
+	}
+}
+
+// greet exchanges versions with a peer and takes what it knows better.
+func (p *peers) greet(ctx context.Context, o *peer) error {
+	c, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	var g greeting
+	if err := p.call(c, o, methodGreet, p.greeting(), &g); err != nil {
+		return err
+	}
+	own := p.greeting()
+	if g.Manifest > own.Manifest {
+		var m matcher.Manifest
+		if err := p.call(c, o, methodManifest, own, &m); err != nil {
+			return err
+		}
+		p.f.useManifest(&m, "peer "+o.daemon.Name)
+	}
+	if g.Revision > own.Revision && g.Fresh && !own.Fresh {
+		var l endpointsMessage
+		if err := p.call(c, o, methodEndpoints, own, &l); err != nil {
+			return err
+		}
+		p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints taken from a peer")
+		p.f.endpointsChanged(p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now()))
+	}
+	return nil
+}
+
+// greeting returns what this daemon knows.
+func (p *peers) greeting() greeting {
+	g := greeting{
+		Daemon:   Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
+		Revision: p.f.registry.Revision(), Fresh: p.f.storeFresh.Load(),
+	}
+	if t := p.f.table.Load(); t != nil {
+		g.Manifest = t.Manifest.Version
+	}
+	return g
+}
+
+// call makes a call to a peer.
+func (p *peers) call(ctx context.Context, o *peer, method string, in, out any) error {
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode "+method)
+	}
+	answer, err := p.node.Call(ctx, o.daemon.Addr, method, body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(msgpack.Unmarshal(answer, out), "decode "+method)
+}
+
+// HandleCall answers a peer.
+func (p *peers) HandleCall(_ context.Context, name, method string, body []byte) ([]byte, error) {
+	switch method {
+	case methodNews:
+		var m newsMessage
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			p.f.log.Warn().Err(err).Str("peer", name).Msg("forwarder: unreadable news dropped")
+			return nil, err
+		}
+		p.takeNews(&m)
+		return nil, nil
+	case methodGreet:
+		var g greeting
+		if err := msgpack.Unmarshal(body, &g); err != nil {
+			return nil, err
+		}
+		p.meet(g.Daemon)
+		return msgpack.Marshal(p.greeting())
+	case methodManifest:
+		t := p.f.table.Load()
+		if t == nil {
+			return nil, ErrNotFound
+		}
+		return msgpack.Marshal(t.Manifest)
+	case methodEndpoints:
+		return msgpack.Marshal(endpointsMessage{Endpoints: p.f.registry.All(), Revision: p.f.registry.Revision()})
+	default:
+		return nil, errMethod
+	}
+}
+
+// meet learns of a daemon that calls and is not on the list yet.
+func (p *peers) meet(d Daemon) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d.Name == "" || d.Addr == "" || d.Name == p.f.cfg.Daemon.Name || len(p.known) >= meshLimit {
+		return
+	}
+	if o := p.known[d.Name]; o == nil {
+		p.add(d)
+	}
+}
+
+// takeNews takes a batch of a peer.
+func (p *peers) takeNews(m *newsMessage) {
+	now := p.f.clock.Now()
+	for i := range m.Service {
+		if pl := p.f.knownPlacement(m.Service[i].Service); pl != nil {
+			pl.Learn(m.Service[i].News, now)
+		}
+	}
+	for i := range m.Reports {
+		r := &m.Reports[i]
+		if pl := p.f.knownPlacement(r.Service); pl != nil {
+			pl.Observe(r.Engine, r.Report, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
+		}
+	}
+	for _, l := range m.Leaving {
+		p.f.engineLeaves(l.Engine, time.Duration(l.LeaveMs)*time.Millisecond, "peer")
+	}
+}
+
+// spread queues the news of this daemon for the peers until ctx ends.
+func (p *peers) spread(ctx context.Context) {
+	for p.f.clock.Sleep(ctx, newsInterval) == nil {
+		var m newsMessage
+		for name, pl := range p.f.allPlacements() {
+			if news := pl.TakeNews(); len(news) > 0 {
+				m.Service = append(m.Service, serviceNews{Service: name, News: news})
+			}
+		}
+		p.mu.Lock()
+		m.Reports, p.reports = p.reports, nil
+		m.Leaving, p.leaving = p.leaving, nil
+		p.mu.Unlock()
+		if len(m.Service) == 0 && len(m.Reports) == 0 && len(m.Leaving) == 0 {
+			continue
+		}
+		body, err := msgpack.Marshal(&m)
+		if err != nil {
+			p.f.log.Error().Err(err).Msg("forwarder: news could not be encoded")
+			continue
+		}
+		p.queue(body)
+	}
+}
+
+// queue hands a batch to the senders of all peers. A peer that is too far
+// behind misses it; reports correct what it believes.
+func (p *peers) queue(body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.known {
+		if !o.alive {
+			continue
+		}
+		select {
+		case o.queue <- body:
+		default:
+			p.f.metrics.count("news_dropped")
+		}
+	}
+}
+
+// tellReport queues an engine's report for the peers.
+func (p *peers) tellReport(service string, id registrar.Identity, r placer.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reports = append(p.reports, reportNews{Service: service, Engine: id, Report: r})
+}
+
+// tellLeaving queues the news that an engine leaves.
+func (p *peers) tellLeaving(id registrar.Identity, notice time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = append(p.leaving, leavingNews{Engine: id, LeaveMs: notice.Milliseconds()})
+}
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -26,6 +26,7 @@
 	Callers  string   `ini:"callers_listen"`
 	Ready    string   `ini:"ready_listen"`
 	Peers    string   `ini:"peers_listen"`
+	PeersKey string   `ini:"peers_key"` // Shared by all daemons of the deployment.
 	Metrics  string   `ini:"metrics_listen"`
 	Seeds    []string `ini:"seeds"`
 	MemoryMB int      `ini:"memory_mb"`
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -41,8 +41,8 @@
 	first  time.Duration // From arrival to the first event.
 	pause  time.Duration // The longest between events.
 	resent int           // Times that the generation went on elsewhere.
-	out    []byte // Passed on next.
-	sent   int    // Bytes of out that were passed on.
+	out    []byte        // Passed on next.
+	sent   int           // Bytes of out that were passed on.
 	ended  bool
 
 	mu        sync.Mutex
@@ -303,7 +303,7 @@
 	s.lastBytes = now
 	s.mu.Unlock()
 	if before == 0 && s.ledger.events > 0 {
-		s.place.Started(s.job.ID, now)
+		s.place.Begun(s.job.ID, now)
 		s.first = now.Sub(s.x.arrived)
 		s.f.metrics.observe("first_event", s.first)
 	} else if before > 0 {
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -171,18 +171,18 @@
 }
 
 // MarkLeaving notes a sign that the endpoint is leaving which came from
-// elsewhere than its entry. It reports whether that was news.
-func (g *Registrar) MarkLeaving(id Identity) bool {
+// elsewhere than its entry. It returns the endpoint and whether that was news.
+func (g *Registrar) MarkLeaving(id Identity) (Endpoint, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.records[id.Name]
 	if r == nil || r.endpoint.Identity != id || r.leaving {
-		return false
+		return Endpoint{}, false
 	}
 	r.leaving = true
 	news := !r.endpoint.Draining
 	g.rebuild()
-	return news
+	return r.endpoint, news
 }
 
 // set stores e. The mutex is held.
