Let the runs of a leaving engine go one after the other

Runs now wait for those ahead of them, destinations in the failure domain of the source are preferred, short runs get no backup, and runs are spread over engines.

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -135,7 +135,7 @@
 // Times of an evacuation.
 const (
 	turnPause = 15 * time.Millisecond  // Calls and the last part of a move, besides the copy.
-	turnSlack = 1.1                    // Copies share the link with backups.
+	turnSlack = 1.3                    // Copies share the links with backups.
 	shortRest = 250 * time.Millisecond // A run that ends so soon needs no move.
 )
 
@@ -151,14 +151,16 @@
 	})
 	turns := make(map[string]Turn, len(ids))
 	after := time.Duration(0)
+	ahead := 0
 	for _, id := range ids {
 		r := e.runs[id]
 		if b := p.engines[r.backup]; b != nil && b.leaving.IsZero() {
 			turns[id] = Turn{Mine: !r.remote}
 			continue
 		}
-		turns[id] = Turn{After: after, Mine: !r.remote}
+		turns[id] = Turn{After: after, Ahead: ahead, Mine: !r.remote}
 		if p.rest(&r.job, e.produced(p, r, now)) > shortRest {
+			ahead++
 			held := float64(r.job.Prompt + e.produced(p, r, now))
 			after += turnPause + time.Duration(turnSlack*held/tokensPerSecond*float64(time.Second))
 		}
--- a/coordination/placer/news.go
+++ b/coordination/placer/news.go
@@ -82,13 +82,14 @@
 
 // Turn is when a run should leave its engine.
 type Turn struct {
-	After time.Duration // From the start of the evacuation.
+	After time.Duration // From now, as far as the sizes of the runs ahead tell.
+	Ahead int           // Runs that go first.
 	Mine  bool
 }
 
 // Evacuation returns the turns of the runs of an engine that is leaving. All
 // daemons that know of the same runs compute the same turns, so that the runs
-// follow one another on the link of the engine without talk.
+// follow one another on the link of the engine.
 func (p *Placer) Evacuation(id registrar.Identity, linkBytesPerSecond float64, tokenBytes int64, now time.Time) map[string]Turn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -14,7 +14,7 @@
 // engine's memory.
 const (
 	prefillShare   = 2.0  // Reading a prompt takes turns with the steps of other sequences.
-	sequenceCostMs = 4.0  // A step slows down by a fraction of this with each sequence.
+	sequenceCostMs = 30.0 // A run slows the steps of others, and has to leave with them when the engine goes.
 	easyPeak       = 0.6  // Below this forecast peak an engine counts as empty.
 	crowdedCostMs  = 1500 // For a forecast peak of all memory.
 	coldCostMs     = 300  // An engine that has just started is slow.
@@ -24,14 +24,15 @@
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
 
 	// Of destinations of moves, in parts of an engine's memory.
-	moveJitter = 0.8                    // Daemons that leave the same engine should not choose the same link.
-	farMove    = 0.4                    // A move to another failure domain takes twice as long.
+	moveJitter = 0.5                    // Daemons that leave the same engine should not choose the same link.
+	farMove    = 1.0                    // A move to another failure domain takes twice as long.
 	busyLink   = 0.3                    // Another move goes there.
 	linkBusy   = 300 * time.Millisecond // Time in which a link carries the memory of one long run.
 
-	fullPeak     = 0.97             // No job is placed above this forecast peak.
-	backupPeak   = 0.5              // No backup is placed above this one: it would take the room of jobs.
-	leavingKept  = 20 * time.Second // Longer than an engine serves after its notice.
+	fullPeak     = 0.97                    // No job is placed above this forecast peak.
+	worthBackup  = 1500 * time.Millisecond // Shorter runs end within the notice of an engine that leaves.
+	backupPeak   = 0.5                     // No backup is placed above this one: it would take the room of jobs.
+	leavingKept  = 20 * time.Second        // Longer than an engine serves after its notice.
 	avoidTime    = 300 * time.Millisecond
 	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
 	minimalSteps = 16              // Output that a job must have time for to be started.
@@ -376,7 +377,7 @@
 // backup returns the engine that should keep a copy of the job's memory: the
 // emptiest, with the domain of the engine first. The mutex is held.
 func (p *Placer) backup(job *Job, on *engine, now time.Time) registrar.Endpoint {
-	if !job.Backups {
+	if !job.Backups || p.rest(job, 0) < worthBackup {
 		return registrar.Endpoint{}
 	}
 	m := p.moments(job)
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -288,7 +288,7 @@
 			}
 			p.busy = true
 			p.next = now.Add(time.Duration((0.85 + 0.3*f.random()) * float64(pollInterval)))
-			f.group.Go(func() { f.askReport(ctx, e, results) })
+			f.spawn(func() { f.askReport(ctx, e, results) })
 		}
 		for id, p := range polls {
 			if !present[id] && !p.busy {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,9 @@
 	codec      Codec
 	server     *fasthttp.Server
 
+	failed   chan struct{} // Closed when a goroutine has panicked.
+	failOnce sync.Once
+
 	callers net.Listener
 	ready   net.Listener
 	figures net.Listener
@@ -73,7 +77,7 @@
 			Window: time.Duration(cfg.Bounds.RetryWindow * float64(time.Second)),
 		}),
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*placement{},
-		streams: map[*stream]struct{}{}, presence: newPresence(),
+		failed: make(chan struct{}), streams: map[*stream]struct{}{}, presence: newPresence(),
 	}
 	f.peers = newPeers(f)
 	f.budget.SetDaemons(assumedDaemons)
@@ -95,19 +99,39 @@
 	if f.callers, err = net.Listen("tcp", f.cfg.Daemon.Callers); err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	f.group.Go(f.serveCallers)
-	f.group.Go(f.serveReady)
-	f.group.Go(f.serveMetrics)
-	f.group.Go(func() { f.followManifest(f.ctx) })
-	f.group.Go(func() { f.followEndpoints(f.ctx) })
-	f.group.Go(func() { f.followDaemons(f.ctx) })
-	f.group.Go(func() { f.pollReports(f.ctx) })
-	f.group.Go(func() { f.watchClients(f.ctx) })
-	f.group.Go(func() { f.peers.spread(f.ctx) })
+	f.spawn(f.serveCallers)
+	f.spawn(f.serveReady)
+	f.spawn(f.serveMetrics)
+	f.spawn(func() { f.followManifest(f.ctx) })
+	f.spawn(func() { f.followEndpoints(f.ctx) })
+	f.spawn(func() { f.followDaemons(f.ctx) })
+	f.spawn(func() { f.pollReports(f.ctx) })
+	f.spawn(func() { f.watchClients(f.ctx) })
+	f.spawn(func() { f.peers.spread(f.ctx) })
 	f.log.Info().Str("callers", f.cfg.Daemon.Callers).Str("failure_domain", f.cfg.Daemon.Domain).Msg("forwarder: started")
 	return nil
 }
 
+// spawn starts a goroutine of the daemon. A panic in it is logged and ends the
+// daemon, since it may have left state behind that others rely on.
+func (f *Forwarder) spawn(run func()) {
+	f.group.Go(func() {
+		defer f.reportPanic()
+		run()
+	})
+}
+
+// reportPanic logs a panic and has Run end the daemon.
+func (f *Forwarder) reportPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	f.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("forwarder: goroutine failed")
+	f.failOnce.Do(func() { close(f.failed) })
+	panic(v)
+}
+
 // isReady reports whether new connections should come here.
 func (f *Forwarder) isReady() bool {
 	return f.table.Load() != nil && f.registry.Revision() > 0 && !f.stopping.Load()
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -13,8 +13,8 @@
 // Times of leaving an engine.
 const (
 	noticeTime  = 1500 * time.Millisecond // From the first sign that an engine leaves; the shortest notice of the platform.
-	moveRetry   = 100 * time.Millisecond  // Until a run that could not be moved yet is tried again.
-	worthMoving = 1.0                     // Expected rest of a run, in parts of the time that its engine has left.
+	moveRetry   = 25 * time.Millisecond   // Until it is seen again whether a run can move.
+	worthMoving = 0.2                     // Chance that a run outlasts its engine; a move costs far less than a lost run.
 	moveGiveUp  = 250 * time.Millisecond  // No move is begun with less time left.
 )
 
@@ -25,40 +25,42 @@
 		notice = noticeTime
 	}
 	now := f.clock.Now()
-	var turns map[string]placer.Turn
-	f.servicesMu.Lock()
-	if p := f.placers[e.Service]; p != nil {
-		turns = p.Evacuation(e.Identity, p.engine.LinkMbps*bytesPerMbit, p.engine.TokenBytes, now)
-	}
-	f.servicesMu.Unlock()
+	turns := f.turns(e, now)
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
 		due := s.run.engine.Identity == e.Identity && !s.leaving
 		s.leaving = s.leaving || due
 		s.mu.Unlock()
 		if due {
-			f.group.Go(func() { s.leave(e.Identity, now.Add(turns[s.job.ID].After), now.Add(notice)) })
+			f.spawn(func() { s.leave(e, now.Add(turns[s.job.ID].After), now.Add(notice)) })
 		}
 	}
 }
 
+// turns returns when the runs of a leaving engine should move.
+func (f *Forwarder) turns(e registrar.Endpoint, now time.Time) map[string]placer.Turn {
+	p := f.knownPlacement(e.Service)
+	if p == nil {
+		return nil
+	}
+	return p.Evacuation(e.Identity, p.engine.LinkMbps*bytesPerMbit, p.engine.TokenBytes, now)
+}
+
 // bytesPerMbit converts the rate of a link.
 const bytesPerMbit = 1e6 / 8
 
 // leave takes the stream off a leaving engine when its turn has come, unless it
-// ends there in time.
-func (s *stream) leave(id registrar.Identity, turn, gone time.Time) {
-	now := s.f.clock.Now()
-	if s.f.clock.Sleep(s.ctx, min(turn.Sub(now), gone.Sub(now)-moveGiveUp)) != nil {
-		return
-	}
+// ends there in time. The turn comes when the runs ahead have left, or should
+// have.
+func (s *stream) leave(e registrar.Endpoint, latest, gone time.Time) {
 	for {
 		now := s.f.clock.Now()
-		if s.ctx.Err() != nil || !s.runsAt(id) || gone.Sub(now) < moveGiveUp {
+		if s.ctx.Err() != nil || !s.runsAt(e.Identity) || gone.Sub(now) < moveGiveUp {
 			return
 		}
 		produced := s.produced()
-		if produced > 0 && s.place.Outlasts(s.job, produced, gone.Sub(now)) > worthMoving && s.tryLeave(id, gone) {
+		turn := !now.Before(latest) || s.f.turns(e, now)[s.job.ID].Ahead == 0
+		if turn && produced > 0 && s.place.Outlasts(s.job, produced, gone.Sub(now)) > worthMoving && s.tryLeave(e.Identity, gone) {
 			return
 		}
 		if s.f.clock.Sleep(s.ctx, moveRetry) != nil {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -16,7 +16,7 @@
 
 // Times and bounds of the talk between daemons.
 const (
-	newsInterval  = 40 * time.Millisecond  // A placement is known to the peers before the next of the same engine.
+	newsInterval  = 25 * time.Millisecond  // A placement is known to the peers before the next of the same engine.
 	greetInterval = time.Second            // Tells versions, and finds a peer that does not answer.
 	greetTimeout  = 600 * time.Millisecond // Several round trips between failure domains.
 	peerRetry     = time.Second
@@ -127,7 +127,7 @@
 	ctx, cancel := context.WithCancel(p.f.ctx)
 	o := &peer{daemon: d, queue: make(chan []byte, newsQueue), cancel: cancel}
 	p.known[d.Name] = o
-	p.f.group.Go(func() { p.talk(ctx, o) })
+	p.f.spawn(func() { p.talk(ctx, o) })
 }
 
 // alive returns the names of the peers that answer, and their failure domains.
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -15,6 +15,9 @@
 	stopTick    = 50 * time.Millisecond
 )
 
+// errPanic ends a daemon in which a goroutine has panicked.
+var errPanic = errors.New("a goroutine has panicked")
+
 // serveReady answers the balancer's probes until the listener closes.
 func (f *Forwarder) serveReady() {
 	s := &fasthttp.Server{
@@ -35,7 +38,11 @@
 // Run serves until ctx ends, and then until the last request has ended or the
 // time for a stop is over.
 func (f *Forwarder) Run(ctx context.Context) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-f.failed:
+		return errPanic
+	}
 	f.stopping.Store(true)
 	began := f.clock.Now()
 	f.log.Info().Int64("in_flight", f.inFlight.Load()).Msg("forwarder: stopping; no longer ready")
@@ -56,7 +63,7 @@
 
 // withdraw removes the entry of this daemon.
 func (f *Forwarder) withdraw() {
-	f.group.Go(func() {
+	f.spawn(func() {
 		c, cancel := context.WithTimeout(f.ctx, withdrawWithin)
 		defer cancel()
 		if err := f.store.Withdraw(c, f.cfg.Daemon.Name); err != nil {
