Take no generation that would outlast a stopping daemon

A stopping daemon now refuses generations that would probably outlast it and closes idle connections once the balancer looks away.

--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -48,6 +48,7 @@
 	ReasonTimeout     Reason = "timeout"
 	ReasonClientGone  Reason = "client_gone"
 	ReasonCut         Reason = "stream_cut"
+	ReasonStopping    Reason = "daemon_stopping"
 	ReasonTooBig      Reason = "exceeds_engine_memory"
 )
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -39,7 +39,9 @@
 	table    atomic.Pointer[matcher.Table]
 	registry *registrar.Registrar
 	budget   *budgeter.Budgeter
-	stopping atomic.Bool
+	stopping atomic.Bool               // No longer ready.
+	closing  atomic.Bool               // Connections are closed after their answer.
+	stopBy   atomic.Pointer[time.Time] // When a stopping daemon ends.
 
 	servicesMu sync.Mutex
 	balancers  map[string]*balancer.Balancer
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -13,6 +13,8 @@
 	balancerLag = 3 * time.Second        // The balancer asks each second and looks away after two misses.
 	stopMargin  = 400 * time.Millisecond // Before the kill, to say what happened.
 	stopTick    = 50 * time.Millisecond
+	elsewhere   = 10 * time.Millisecond // A client that comes back reaches another daemon at once.
+	worthTaking = 0.25                  // Chance up to which a generation may outlast the daemon that takes it.
 )
 
 // errPanic ends a daemon in which a goroutine has panicked.
@@ -48,6 +50,8 @@
 	f.log.Info().Int64("in_flight", f.inFlight.Load()).Msg("forwarder: stopping; no longer ready")
 	f.withdraw()
 	latest := began.Add(f.cfg.Bounds.StopTime - stopMargin)
+	f.stopBy.Store(&latest)
+	f.spawn(f.closeIdle)
 	for {
 		now := f.clock.Now()
 		if !now.Before(latest) || (now.Sub(began) > balancerLag && f.inFlight.Load() == 0) {
@@ -61,6 +65,30 @@
 	return nil
 }
 
+// closeIdle stops accepting connections and closes idle ones once the balancer
+// looks away.
+func (f *Forwarder) closeIdle() {
+	if f.clock.Sleep(f.ctx, balancerLag) != nil {
+		return
+	}
+	f.closing.Store(true)
+	c, cancel := context.WithTimeout(f.ctx, f.cfg.Bounds.StopTime)
+	defer cancel()
+	if err := f.server.ShutdownWithContext(c); err != nil && f.ctx.Err() == nil {
+		f.log.Warn().Err(err).Msg("forwarder: connections of clients were still open at the end of the stop")
+	}
+}
+
+// outlasts reports whether a generation that begins now would probably run for
+// longer than the daemon, which is stopping.
+func (s *stream) outlasts(now time.Time) bool {
+	latest := s.f.stopBy.Load()
+	if latest == nil {
+		return false
+	}
+	return s.f.closing.Load() || s.place.Outlasts(s.job, 0, latest.Sub(now)-s.x.route.Target) > worthTaking
+}
+
 // withdraw removes the entry of this daemon.
 func (f *Forwarder) withdraw() {
 	f.spawn(func() {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -156,6 +156,9 @@
 	if s.place.engine.MemoryTokens > 0 && s.job.Prompt >= s.place.engine.MemoryTokens {
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Reason: ReasonTooBig}
 	}
+	if s.outlasts(now) {
+		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonStopping, RetryAfter: elsewhere}
+	}
 	if len(s.f.registry.Usable(s.x.service)) == 0 {
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: notReadyReturn}
 	}
