Let four daemons watch the store and tell the others

Four, chosen by rendezvous, watch; they tell changes at once, greetings compare digests each second, and a daemon that hears from no watcher watches itself. Endpoints carry the revision of their entry, so news may cross.

--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"monsoonspar.example/forwarder"
 	"monsoonspar.example/platform"
@@ -44,13 +45,9 @@
 	if file == "" {
 		file = os.Getenv(platform.SettingsVariable)
 	}
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return errors.Wrap(err, "settings")
-	}
-	cfg, err := forwarder.ParseSettings(text)
+	cfg, err := readForwarderSettings(file)
 	if err != nil {
-		return errors.Wrap(err, file)
+		return err
 	}
 	if cfg.Daemon.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(cfg.Daemon.MemoryMB) * mebibyte))
@@ -72,9 +69,44 @@
 	if err := f.Start(); err != nil {
 		return err
 	}
+	var group conc.WaitGroup
+	group.Go(func() { reloadOnHangup(ctx, file, f, log) })
+	defer group.Wait()
+	defer stop()
 	return f.Run(ctx)
 }
 
+// readForwarderSettings reads and checks a settings file.
+func readForwarderSettings(file string) (forwarder.Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return forwarder.Settings{}, errors.Wrap(err, "settings")
+	}
+	cfg, err := forwarder.ParseSettings(text)
+	return cfg, errors.Wrap(err, file)
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP until ctx ends. A file
+// with an error leaves the old settings in force.
+func reloadOnHangup(ctx context.Context, file string, f *forwarder.Forwarder, log zerolog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		cfg, err := readForwarderSettings(file)
+		if err != nil {
+			log.Error().Err(err).Msg("forward: settings not reloaded; the old ones stay in force")
+			continue
+		}
+		f.Reload(cfg)
+	}
+}
+
 // dialTimeout bounds the wait for a connection to a worker in a neighbouring
 // failure domain, a few milliseconds away.
 const dialTimeout = 300 * time.Millisecond
--- a/coordination/budgeter/budgeter.go
+++ b/coordination/budgeter/budgeter.go
@@ -55,6 +55,13 @@
 	b.daemons = max(n, 1)
 }
 
+// SetLimits changes the ratio and the fixed number. The window stays.
+func (b *Budgeter) SetLimits(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Ratio, b.cfg.Slack = ratio, slack
+}
+
 // Request counts a client's request for a service.
 func (b *Budgeter) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -19,11 +19,13 @@
 	retryLimit     = 800 * time.Millisecond // A returned store is found well within the bound of a configuration.
 	awayAfter      = time.Second            // A store that has not answered for this long was away.
 	daemonsEvery   = 10 * time.Second
-	daemonsSoon    = 3                      // Lists after a start that follow one another sooner, since daemons start together.
-	pollInterval   = 300 * time.Millisecond // Of the report of an engine that this daemon asks for all.
-	pollFallback   = 900 * time.Millisecond // Age of a report at which a daemon asks itself.
+	daemonsSoon    = 3                       // Lists after a start that follow one another sooner, since daemons start together.
+	pollInterval   = 400 * time.Millisecond  // Of the report of an engine that this daemon asks for all.
+	pollFallback   = 1500 * time.Millisecond // Age of a report at which a daemon asks itself.
 	pollTimeout    = 400 * time.Millisecond
-	pollsFailed    = 2 // Reports in a row without an answer that make an engine dead.
+	pollsFailed    = 2                      // Reports in a row without an answer that make an engine dead.
+	followerTick   = 100 * time.Millisecond // Until a daemon sees that it has to watch itself.
+	watchers       = 4                      // Daemons that watch the store; the others hear from them.
 	queueTick      = 50 * time.Millisecond
 	listTimeout    = 2 * time.Second
 	watchOvertime  = 1500 * time.Millisecond // Beyond the wait before a watch counts as silent.
@@ -72,6 +74,13 @@
 	d := &dependency{f: f, name: "store_manifest"}
 	revision := int64(0)
 	for ctx.Err() == nil {
+		if !f.watches() {
+			revision = 0
+			if f.clock.Sleep(ctx, followerTick) != nil {
+				return
+			}
+			continue
+		}
 		c, cancel := context.WithTimeout(ctx, watchWait+watchOvertime)
 		var m *matcher.Manifest
 		var err error
@@ -97,6 +106,23 @@
 	}
 }
 
+// watches reports whether this daemon watches the store: a few do, by rendezvous
+// among those that answer each other, and every daemon that hears from no
+// watcher.
+func (f *Forwarder) watches() bool {
+	if f.table.Load() == nil || f.registry.Revision() == 0 || !f.peers.hearsWatcher() {
+		return true
+	}
+	ahead := 0
+	own := xxhash.Sum64String(f.cfg.Daemon.Name)
+	for _, d := range f.peers.living() {
+		if xxhash.Sum64String(d.Name) < own {
+			ahead++
+		}
+	}
+	return ahead < watchers
+}
+
 // useManifest puts m in force unless a newer one is.
 func (f *Forwarder) useManifest(m *matcher.Manifest, source string) {
 	if m == nil {
@@ -111,6 +137,7 @@
 			break
 		}
 	}
+	f.peers.tellManifest(m.Version)
 	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Msg("forwarder: manifest in force")
 }
 
@@ -120,6 +147,14 @@
 	revision, list := int64(0), true
 	wasAway := false
 	for ctx.Err() == nil {
+		if !f.watches() {
+			list = true
+			f.storeFresh.Store(false)
+			if f.clock.Sleep(ctx, followerTick) != nil {
+				return
+			}
+			continue
+		}
 		f.metrics.count("store_calls")
 		if list {
 			c, cancel := context.WithTimeout(ctx, listTimeout)
@@ -147,6 +182,7 @@
 			d.answered()
 			revision = next
 			f.applyEndpoints(changes)
+			f.peers.tellEndpoints(changes)
 		case errors.Is(err, ErrHistoryGone):
 			f.log.Info().Int64("revision", revision).Msg("forwarder: the store dropped its history; listing endpoints anew")
 			list = true
@@ -168,7 +204,7 @@
 			all = append(all, f.registry.Remove(c.Name, c.Revision)...)
 			continue
 		}
-		all = append(all, f.registry.Set(c.Endpoint, c.Revision)...)
+		all = append(all, f.registry.Set(c.Endpoint)...)
 	}
 	f.endpointsChanged(all)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -39,6 +39,7 @@
 	table    atomic.Pointer[matcher.Table]
 	registry *registrar.Registrar
 	budget   *budgeter.Budgeter
+	stopTime atomic.Int64              // Nanoseconds from SIGTERM to the end.
 	stopping atomic.Bool               // No longer ready.
 	closing  atomic.Bool               // Connections are closed after their answer.
 	stopBy   atomic.Pointer[time.Time] // When a stopping daemon ends.
@@ -81,6 +82,7 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*placement{},
 		failed: make(chan struct{}), streams: map[*stream]struct{}{}, presence: newPresence(),
 	}
+	f.stopTime.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
 	f.budget.SetDaemons(assumedDaemons)
 	return f
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -16,12 +16,13 @@
 
 // Times and bounds of the talk between daemons.
 const (
-	newsInterval  = 25 * time.Millisecond  // A placement is known to the peers before the next of the same engine.
-	greetInterval = time.Second            // Tells versions, and finds a peer that does not answer.
-	greetTimeout  = 600 * time.Millisecond // Several round trips between failure domains.
+	newsInterval  = 25 * time.Millisecond   // A placement is known to the peers before the next of the same engine.
+	greetInterval = time.Second             // Tells versions, and finds a peer that does not answer.
+	greetTimeout  = 600 * time.Millisecond  // Several round trips between failure domains.
+	freshKept     = 2500 * time.Millisecond // Two greetings; a daemon that hears from no watcher for longer watches itself.
 	peerRetry     = time.Second
-	meshLimit     = 16 // More daemons than this tell only those of their own failure domain.
-	newsQueue     = 64 // Batches that wait for one peer; one that takes none for longer is behind anyway.
+	meshLimit     = 128 // More daemons than this tell only those of their own failure domain.
+	newsQueue     = 64  // Batches that wait for one peer; one that takes none for longer is behind anyway.
 )
 
 // Methods between daemons.
@@ -40,6 +41,9 @@
 	Service []serviceNews `msgpack:"services,omitempty"`
 	Reports []reportNews  `msgpack:"reports,omitempty"`
 	Leaving []leavingNews `msgpack:"leaving,omitempty"`
+	// Manifest is the version that the sender has just put in force.
+	Manifest  int64            `msgpack:"manifest,omitempty"`
+	Endpoints []EndpointChange `msgpack:"endpoints,omitempty"`
 }
 
 type serviceNews struct {
@@ -64,8 +68,8 @@
 type greeting struct {
 	Daemon   Daemon `msgpack:"daemon"`
 	Manifest int64  `msgpack:"manifest"`
-	Revision int64  `msgpack:"revision"`
-	Fresh    bool   `msgpack:"fresh"` // The daemon hears from the store.
+	Digest   uint64 `msgpack:"digest"` // Of the endpoints.
+	Fresh    bool   `msgpack:"fresh"`  // The daemon hears from the store.
 }
 
 // endpointsMessage is the wire form of a list of endpoints.
@@ -79,10 +83,9 @@
 	f    *Forwarder
 	node *framer.Node
 
-	mu      sync.Mutex
-	known   map[string]*peer // By name.
-	reports []reportNews
-	leaving []leavingNews
+	mu    sync.Mutex
+	known map[string]*peer // By name.
+	next  newsMessage      // Sent with the next batch, besides the news of placers.
 }
 
 // peer is one other daemon.
@@ -91,6 +94,7 @@
 	queue  chan []byte
 	cancel context.CancelFunc
 	alive  bool
+	fresh  time.Time // When it last said that it hears from the store.
 }
 
 func newPeers(f *Forwarder) *peers {
@@ -198,15 +202,14 @@
 	if err := p.call(c, o, methodGreet, p.greeting(), &g); err != nil {
 		return err
 	}
+	p.noteFresh(o, g.Fresh)
 	own := p.greeting()
 	if g.Manifest > own.Manifest {
-		var m matcher.Manifest
-		if err := p.call(c, o, methodManifest, own, &m); err != nil {
+		if err := p.fetchManifest(c, o); err != nil {
 			return err
 		}
-		p.f.useManifest(&m, "peer "+o.daemon.Name)
 	}
-	if g.Revision > own.Revision && g.Fresh && !own.Fresh {
+	if g.Digest != own.Digest && g.Fresh && !own.Fresh {
 		var l endpointsMessage
 		if err := p.call(c, o, methodEndpoints, own, &l); err != nil {
 			return err
@@ -217,11 +220,45 @@
 	return nil
 }
 
+// fetchManifest puts the manifest of a peer in force if it is newer.
+func (p *peers) fetchManifest(ctx context.Context, o *peer) error {
+	var m matcher.Manifest
+	if err := p.call(ctx, o, methodManifest, p.greeting(), &m); err != nil {
+		return err
+	}
+	p.f.useManifest(&m, "peer "+o.daemon.Name)
+	return nil
+}
+
+// noteFresh notes whether a peer hears from the store.
+func (p *peers) noteFresh(o *peer, fresh bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o.fresh = time.Time{}
+	if fresh {
+		o.fresh = p.f.clock.Now()
+	}
+}
+
+// hearsWatcher reports whether a peer that hears from the store has said so of
+// late.
+func (p *peers) hearsWatcher() bool {
+	now := p.f.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.known {
+		if o.alive && !o.fresh.IsZero() && now.Sub(o.fresh) < freshKept {
+			return true
+		}
+	}
+	return false
+}
+
 // greeting returns what this daemon knows.
 func (p *peers) greeting() greeting {
 	g := greeting{
-		Daemon:   Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
-		Revision: p.f.registry.Revision(), Fresh: p.f.storeFresh.Load(),
+		Daemon: Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
+		Digest: p.f.registry.Digest(), Fresh: p.f.storeFresh.Load(),
 	}
 	if t := p.f.table.Load(); t != nil {
 		g.Manifest = t.Manifest.Version
@@ -251,7 +288,7 @@
 			p.f.log.Warn().Err(err).Str("peer", name).Msg("forwarder: unreadable news dropped")
 			return nil, err
 		}
-		p.takeNews(&m)
+		p.takeNews(name, &m)
 		return nil, nil
 	case methodGreet:
 		var g greeting
@@ -286,7 +323,7 @@
 }
 
 // takeNews takes a batch of a peer.
-func (p *peers) takeNews(m *newsMessage) {
+func (p *peers) takeNews(name string, m *newsMessage) {
 	now := p.f.clock.Now()
 	for i := range m.Service {
 		if pl := p.f.knownPlacement(m.Service[i].Service); pl != nil {
@@ -299,25 +336,47 @@
 			pl.Observe(r.Engine, r.Report, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
 		}
 	}
+	if len(m.Endpoints) > 0 {
+		p.f.applyEndpoints(m.Endpoints)
+	}
+	if t := p.f.table.Load(); m.Manifest > 0 && (t == nil || t.Manifest.Version < m.Manifest) {
+		p.hurryManifest(name)
+	}
 	for _, l := range m.Leaving {
 		p.f.engineLeaves(l.Engine, time.Duration(l.LeaveMs)*time.Millisecond, "peer")
 	}
 }
 
+// hurryManifest fetches the manifest of the named peer.
+func (p *peers) hurryManifest(name string) {
+	p.mu.Lock()
+	o := p.known[name]
+	p.mu.Unlock()
+	if o == nil {
+		return
+	}
+	p.f.spawn(func() {
+		c, cancel := context.WithTimeout(p.f.ctx, greetTimeout)
+		defer cancel()
+		if err := p.fetchManifest(c, o); err != nil {
+			p.f.log.Info().Err(err).Str("peer", name).Msg("forwarder: manifest of a peer not fetched; the next greeting tries again")
+		}
+	})
+}
+
 // spread queues the news of this daemon for the peers until ctx ends.
 func (p *peers) spread(ctx context.Context) {
 	for p.f.clock.Sleep(ctx, newsInterval) == nil {
-		var m newsMessage
+		p.mu.Lock()
+		m := p.next
+		p.next = newsMessage{}
+		p.mu.Unlock()
 		for name, pl := range p.f.allPlacements() {
 			if news := pl.TakeNews(); len(news) > 0 {
 				m.Service = append(m.Service, serviceNews{Service: name, News: news})
 			}
 		}
-		p.mu.Lock()
-		m.Reports, p.reports = p.reports, nil
-		m.Leaving, p.leaving = p.leaving, nil
-		p.mu.Unlock()
-		if len(m.Service) == 0 && len(m.Reports) == 0 && len(m.Leaving) == 0 {
+		if len(m.Service)+len(m.Reports)+len(m.Leaving)+len(m.Endpoints) == 0 && m.Manifest == 0 {
 			continue
 		}
 		body, err := msgpack.Marshal(&m)
@@ -350,12 +409,26 @@
 func (p *peers) tellReport(service string, id registrar.Identity, r placer.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reports = append(p.reports, reportNews{Service: service, Engine: id, Report: r})
+	p.next.Reports = append(p.next.Reports, reportNews{Service: service, Engine: id, Report: r})
 }
 
 // tellLeaving queues the news that an engine leaves.
 func (p *peers) tellLeaving(id registrar.Identity, notice time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leaving = append(p.leaving, leavingNews{Engine: id, LeaveMs: notice.Milliseconds()})
+	p.next.Leaving = append(p.next.Leaving, leavingNews{Engine: id, LeaveMs: notice.Milliseconds()})
+}
+
+// tellManifest queues the version that is in force now.
+func (p *peers) tellManifest(version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next.Manifest = max(p.next.Manifest, version)
+}
+
+// tellEndpoints queues changes that the store has told.
+func (p *peers) tellEndpoints(changes []EndpointChange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next.Endpoints = append(p.next.Endpoints, changes...)
 }
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// Reload takes the settings that may change while the daemon runs: the retry
+// budget and the time of a stop. Names and addresses need a restart.
+func (f *Forwarder) Reload(cfg Settings) {
+	f.budget.SetLimits(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack)
+	f.stopTime.Store(int64(cfg.Bounds.StopTime))
+	f.log.Info().Float64("retry_ratio", cfg.Bounds.RetryRatio).Float64("retry_slack", cfg.Bounds.RetrySlack).
+		Dur("stop_ms", cfg.Bounds.StopTime).Msg("forwarder: settings reloaded")
+}
+
 // Run serves until ctx ends, and then until the last request has ended or the
 // time for a stop is over.
 func (f *Forwarder) Run(ctx context.Context) error {
@@ -49,7 +58,7 @@
 	began := f.clock.Now()
 	f.log.Info().Int64("in_flight", f.inFlight.Load()).Msg("forwarder: stopping; no longer ready")
 	f.withdraw()
-	latest := began.Add(f.cfg.Bounds.StopTime - stopMargin)
+	latest := began.Add(time.Duration(f.stopTime.Load()) - stopMargin)
 	f.stopBy.Store(&latest)
 	f.spawn(f.closeIdle)
 	for {
@@ -72,7 +81,7 @@
 		return
 	}
 	f.closing.Store(true)
-	c, cancel := context.WithTimeout(f.ctx, f.cfg.Bounds.StopTime)
+	c, cancel := context.WithTimeout(f.ctx, time.Duration(f.stopTime.Load()))
 	defer cancel()
 	if err := f.server.ShutdownWithContext(c); err != nil && f.ctx.Err() == nil {
 		f.log.Warn().Err(err).Msg("forwarder: connections of clients were still open at the end of the stop")
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -128,7 +128,7 @@
 	Endpoint registrar.Endpoint
 	Name     string
 	Gone     bool
-	Revision int64
+	Revision int64 // Of the end, if it is gone.
 }
 
 // Store holds the manifest and the entries of endpoints and daemons.
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -7,8 +7,11 @@
 package registrar
 
 import (
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Identity names one run of an endpoint.
@@ -26,6 +29,7 @@
 	Slots    int
 	Draining bool
 	ColdFor  time.Duration // How much longer it is slow after its start.
+	Revision int64         // Of the entry in its source.
 }
 
 // Change is an endpoint that has come, changed or begun to leave.
@@ -47,6 +51,7 @@
 type Registrar struct {
 	mu       sync.RWMutex
 	records  map[string]*record
+	removed  map[string]int64      // Revisions at which entries went.
 	services map[string][]Endpoint // Usable ones; rebuilt after each change.
 	revision int64
 	grace    time.Duration
@@ -55,7 +60,7 @@
 // New returns a Registrar that knows no endpoints. Entries that are missing
 // after an outage of their source are held for grace.
 func New(grace time.Duration) *Registrar {
-	return &Registrar{records: map[string]*record{}, services: map[string][]Endpoint{}, grace: grace}
+	return &Registrar{records: map[string]*record{}, removed: map[string]int64{}, services: map[string][]Endpoint{}, grace: grace}
 }
 
 // Revision returns the revision of the source that the endpoints reflect.
@@ -96,15 +101,12 @@
 }
 
 // Replace takes a complete list as of a revision. Entries that are not in it
-// are gone, or held for the grace time if the source was away before. A list
-// that is older than what is known changes nothing.
+// are gone, or held for the grace time if the source was away before. What is
+// known from a later revision stays.
 func (g *Registrar) Replace(list []Endpoint, revision int64, wasAway bool, now time.Time) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if revision < g.revision {
-		return nil
-	}
-	g.revision = revision
+	g.revision = max(g.revision, revision)
 	present := make(map[string]bool, len(list))
 	var changes []Change
 	for _, e := range list {
@@ -112,7 +114,7 @@
 		changes = append(changes, g.set(e)...)
 	}
 	for name, r := range g.records {
-		if present[name] {
+		if present[name] || r.endpoint.Revision > revision {
 			continue
 		}
 		if wasAway && !r.leaving && !r.endpoint.Draining {
@@ -121,20 +123,17 @@
 			}
 			continue
 		}
-		changes = append(changes, g.remove(name)...)
+		changes = append(changes, g.remove(name, revision)...)
 	}
 	g.rebuild()
 	return changes
 }
 
-// Set takes one entry as of a revision.
-func (g *Registrar) Set(e Endpoint, revision int64) []Change {
+// Set takes one entry. One that is older than what is known changes nothing.
+func (g *Registrar) Set(e Endpoint) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if revision < g.revision {
-		return nil
-	}
-	g.revision = revision
+	g.revision = max(g.revision, e.Revision)
 	changes := g.set(e)
 	g.rebuild()
 	return changes
@@ -144,15 +143,29 @@
 func (g *Registrar) Remove(name string, revision int64) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if revision < g.revision {
+	g.revision = max(g.revision, revision)
+	if r := g.records[name]; r != nil && r.endpoint.Revision > revision {
 		return nil
 	}
-	g.revision = revision
-	changes := g.remove(name)
+	changes := g.remove(name, revision)
 	g.rebuild()
 	return changes
 }
 
+// Digest returns a number that two registrars share if they hold the same
+// entries.
+func (g *Registrar) Digest() uint64 {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	sum := uint64(0)
+	for name, r := range g.records {
+		if r.missing.IsZero() {
+			sum += xxhash.Sum64String(name + "/" + strconv.FormatInt(r.endpoint.Revision, 10))
+		}
+	}
+	return sum
+}
+
 // Expire removes the entries that have been missing for longer than the grace
 // time.
 func (g *Registrar) Expire(now time.Time) []Change {
@@ -161,7 +174,7 @@
 	var changes []Change
 	for name, r := range g.records {
 		if !r.missing.IsZero() && now.Sub(r.missing) >= g.grace {
-			changes = append(changes, g.remove(name)...)
+			changes = append(changes, g.remove(name, r.endpoint.Revision)...)
 		}
 	}
 	if changes != nil {
@@ -188,6 +201,9 @@
 // set stores e. The mutex is held.
 func (g *Registrar) set(e Endpoint) []Change {
 	old := g.records[e.Name]
+	if (old != nil && old.endpoint.Revision > e.Revision) || g.removed[e.Name] > e.Revision {
+		return nil
+	}
 	if old == nil || old.endpoint.Identity != e.Identity {
 		var changes []Change
 		if old != nil {
@@ -197,7 +213,9 @@
 		return append(changes, Change{Endpoint: e, Leaving: e.Draining, New: true})
 	}
 	began := e.Draining && !old.endpoint.Draining
-	changed := began || old.endpoint != e
+	known := old.endpoint
+	known.Revision = e.Revision
+	changed := began || known != e
 	old.endpoint = e
 	old.missing = time.Time{}
 	if !changed {
@@ -207,7 +225,11 @@
 }
 
 // remove drops the entry. The mutex is held.
-func (g *Registrar) remove(name string) []Change {
+func (g *Registrar) remove(name string, revision int64) []Change {
+	g.removed[name] = max(g.removed[name], revision)
+	if len(g.removed) > maxRemoved {
+		g.forgetRemoved()
+	}
 	r := g.records[name]
 	if r == nil {
 		return nil
@@ -216,6 +238,22 @@
 	return []Change{{Endpoint: r.endpoint, Leaving: true}}
 }
 
+// maxRemoved bounds the ends of entries that are remembered, so that older news
+// of the same entries is recognized.
+const maxRemoved = 4096
+
+// forgetRemoved drops the older half of the remembered ends. The mutex is held.
+func (g *Registrar) forgetRemoved() {
+	for name, revision := range g.removed {
+		if revision < g.revision-maxRemoved {
+			delete(g.removed, name)
+		}
+	}
+	if len(g.removed) > maxRemoved {
+		clear(g.removed)
+	}
+}
+
 // rebuild collects the usable endpoints by service. The mutex is held.
 func (g *Registrar) rebuild() {
 	services := make(map[string][]Endpoint, len(g.services))
