--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -16,6 +16,7 @@
 	reported   time.Time // Zero before the first report.
 	report     Report
 	runs       map[string]*running // Of this daemon and of peers that tell.
+	arrivals   map[string]*running // Runs whose memory is being copied here.
 	known      map[string]bool     // Sequences in the report.
 	avoidUntil time.Time           // After a refusal.
 	arrival    time.Time           // When a move was last sent here.
@@ -48,6 +49,15 @@
 		}
 		e.addReported(p, s, grown)
 	}
+	for id, r := range e.arrivals {
+		if now.Sub(r.since) > arrivalKept || e.runs[id] != nil {
+			delete(e.arrivals, id)
+			continue
+		}
+		held += float64(r.job.Prompt)
+		e.forecast.Add(&r.moments)
+		e.sequences++
+	}
 	e.copies = 0
 	if !e.reported.IsZero() {
 		e.copies = max(float64(e.report.MemoryUsed)-held, 0)
@@ -134,9 +144,10 @@
 
 // Times of an evacuation.
 const (
-	turnPause = 15 * time.Millisecond  // Calls and the last part of a move, besides the copy.
-	turnSlack = 1.3                    // Copies share the links with backups.
-	shortRest = 250 * time.Millisecond // A run that ends so soon needs no move.
+	arrivalKept = 2500 * time.Millisecond // Longer than a move takes; the engine frees a copy that is not used.
+	turnPause   = 15 * time.Millisecond   // Calls and the last part of a move, besides the copy.
+	turnSlack   = 1.3                     // Copies share the links with backups.
+	shortRest   = 250 * time.Millisecond  // A run that ends so soon needs no move.
 )
 
 // turns returns when the runs of the engine leave it, the most urgent first,
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -103,7 +103,8 @@
 
 // The events.
 const (
-	Placed  Event = iota + 1 // It was sent to an engine.
-	Started                  // Its first event came.
-	Ended                    // It runs nowhere any more.
+	Placed   Event = iota + 1 // It was sent to an engine.
+	Started                   // Its first event came.
+	Ended                     // It runs nowhere any more.
+	Arriving                  // Its memory is being copied to an engine.
 )
--- a/coordination/placer/news.go
+++ b/coordination/placer/news.go
@@ -53,12 +53,18 @@
 		if e == nil {
 			return
 		}
-		job := Job{ID: n.JobID, Class: ClassOf(n.Model, n.Rank), Prompt: n.Prompt, MaxTokens: n.Limit, Rank: n.Rank}
+		job := n.job()
 		r := p.join(e, &job, n.Backup, now)
 		r.remote = true
 		if n.Running {
 			r.started = now
 		}
+	case Arriving:
+		if e := p.engines[n.Engine]; e != nil {
+			job := n.job()
+			e.arrival = now
+			p.expect(e, &job, p.moments(&job), now)
+		}
 	case Started:
 		p.begun(n.JobID, now)
 	case Ended:
@@ -67,6 +73,11 @@
 	}
 }
 
+// job returns the job that the news are about, as far as peers know it.
+func (n *News) job() Job {
+	return Job{ID: n.JobID, Class: ClassOf(n.Model, n.Rank), Prompt: n.Prompt, MaxTokens: n.Limit, Rank: n.Rank}
+}
+
 // forgetLost drops the jobs of peers on an engine whose end went unnoticed: the
 // report does not show them. The mutex is held.
 func (p *Placer) forgetLost(e *engine, now time.Time) {
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -88,7 +88,7 @@
 			e.endpoint, e.leaving = ep, time.Time{}
 			continue
 		}
-		p.engines[ep.Identity] = &engine{endpoint: ep, runs: map[string]*running{}, known: map[string]bool{}}
+		p.engines[ep.Identity] = &engine{endpoint: ep, runs: map[string]*running{}, arrivals: map[string]*running{}, known: map[string]bool{}}
 	}
 	for id, e := range p.engines {
 		switch {
@@ -264,9 +264,21 @@
 		return registrar.Endpoint{}, false
 	}
 	best.arrival = now
+	p.expect(best, &job, m, now)
+	p.news = append(p.news, News{
+		JobID: job.ID, Event: Arriving, Engine: best.endpoint.Identity, Prompt: job.Prompt, Limit: job.MaxTokens,
+		Rank: job.Rank, Model: job.Class.Model,
+	})
 	return best.endpoint, true
 }
 
+// expect keeps room for a run whose memory is copied to an engine. The mutex is
+// held.
+func (p *Placer) expect(e *engine, job *Job, m forecaster.Moments, now time.Time) {
+	e.arrivals[job.ID] = &running{job: *job, since: now, moments: m}
+	e.dirty = true
+}
+
 // Outlasts returns the probability that a job which has produced tokens will
 // run for longer than d.
 func (p *Placer) Outlasts(job Job, produced int, d time.Duration) float64 {
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -312,6 +312,7 @@
 		now := f.clock.Now()
 		f.takeResults(polls, results, now)
 		present := map[registrar.Identity]bool{}
+		living := f.peers.living()
 		for _, e := range f.engineList() {
 			present[e.Identity] = true
 			p := polls[e.Identity]
@@ -319,7 +320,11 @@
 				p = &poll{next: now.Add(time.Duration(f.random() * float64(pollInterval) / 4))}
 				polls[e.Identity] = p
 			}
-			if p.busy || now.Before(p.next) || !f.shouldAsk(e, now) {
+			if p.busy || now.Before(p.next) {
+				continue
+			}
+			if !f.shouldAsk(e, living, now) {
+				p.next = now.Add(pollInterval / 2)
 				continue
 			}
 			p.busy = true
@@ -339,14 +344,14 @@
 // shouldAsk reports whether this daemon asks an engine for its report. One
 // daemon does so for all that it talks to, preferably one in the engine's
 // failure domain; another one does if its news stay away.
-func (f *Forwarder) shouldAsk(e registrar.Endpoint, now time.Time) bool {
+func (f *Forwarder) shouldAsk(e registrar.Endpoint, living []Daemon, now time.Time) bool {
 	p := f.knownPlacement(e.Service)
 	if p == nil {
 		return false
 	}
 	self := Daemon{Name: f.cfg.Daemon.Name, Domain: f.cfg.Daemon.Domain}
 	best, bestScore := self, askScore(self, e)
-	for _, d := range f.peers.living() {
+	for _, d := range living {
 		if score := askScore(d, e); score > bestScore {
 			best, bestScore = d, score
 		}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -17,6 +17,8 @@
 // Times and bounds of the talk between daemons.
 const (
 	newsInterval  = 25 * time.Millisecond   // A placement is known to the peers before the next of the same engine.
+	farInterval   = 400 * time.Millisecond  // A daemon places little on the engines of other failure domains.
+	nearLimit     = 100                     // Fewer daemons tell all others at once.
 	greetInterval = time.Second             // Tells versions, and finds a peer that does not answer.
 	greetTimeout  = 600 * time.Millisecond  // Several round trips between failure domains.
 	freshKept     = 2500 * time.Millisecond // Two greetings; a daemon that hears from no watcher for longer watches itself.
@@ -364,37 +366,70 @@
 	})
 }
 
-// spread queues the news of this daemon for the peers until ctx ends.
+// spread queues the news of this daemon for the peers until ctx ends: at once
+// for those that place on the same engines, in larger batches for the others.
 func (p *peers) spread(ctx context.Context) {
+	var far newsMessage
+	var farSent time.Time
 	for p.f.clock.Sleep(ctx, newsInterval) == nil {
-		p.mu.Lock()
-		m := p.next
-		p.next = newsMessage{}
-		p.mu.Unlock()
-		for name, pl := range p.f.allPlacements() {
-			if news := pl.TakeNews(); len(news) > 0 {
-				m.Service = append(m.Service, serviceNews{Service: name, News: news})
-			}
-		}
-		if len(m.Service)+len(m.Reports)+len(m.Leaving)+len(m.Endpoints) == 0 && m.Manifest == 0 {
-			continue
+		m := p.takeNext()
+		p.queue(&m, true)
+		far.add(&m)
+		if now := p.f.clock.Now(); now.Sub(farSent) >= farInterval {
+			p.queue(&far, false)
+			far, farSent = newsMessage{}, now
 		}
-		body, err := msgpack.Marshal(&m)
-		if err != nil {
-			p.f.log.Error().Err(err).Msg("forwarder: news could not be encoded")
-			continue
+	}
+}
+
+// takeNext returns what there is to tell.
+func (p *peers) takeNext() newsMessage {
+	p.mu.Lock()
+	m := p.next
+	p.next = newsMessage{}
+	p.mu.Unlock()
+	for name, pl := range p.f.allPlacements() {
+		if news := pl.TakeNews(); len(news) > 0 {
+			m.Service = append(m.Service, serviceNews{Service: name, News: news})
 		}
-		p.queue(body)
 	}
+	return m
 }
 
-// queue hands a batch to the senders of all peers. A peer that is too far
-// behind misses it; reports correct what it believes.
-func (p *peers) queue(body []byte) {
+// add appends a later message.
+func (m *newsMessage) add(later *newsMessage) {
+	m.Service = append(m.Service, later.Service...)
+	m.Reports = append(m.Reports, later.Reports...)
+	m.Leaving = append(m.Leaving, later.Leaving...)
+	m.Endpoints = append(m.Endpoints, later.Endpoints...)
+	m.Manifest = max(m.Manifest, later.Manifest)
+}
+
+// empty reports whether there is nothing to tell.
+func (m *newsMessage) empty() bool {
+	return len(m.Service)+len(m.Reports)+len(m.Leaving)+len(m.Endpoints) == 0 && m.Manifest == 0
+}
+
+// near reports whether a peer gets news at once. The mutex is held.
+func (p *peers) near(o *peer) bool {
+	return o.daemon.Domain == p.f.cfg.Daemon.Domain || len(p.known) < nearLimit
+}
+
+// queue hands a batch to the senders of the near or the far peers. A peer that
+// is too far behind misses it; reports and greetings correct what it believes.
+func (p *peers) queue(m *newsMessage, near bool) {
+	if m.empty() {
+		return
+	}
+	body, err := msgpack.Marshal(m)
+	if err != nil {
+		p.f.log.Error().Err(err).Msg("forwarder: news could not be encoded")
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.known {
-		if !o.alive {
+		if !o.alive || p.near(o) != near {
 			continue
 		}
 		select {
