--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -11,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 	"github.com/sourcegraph/conc"
 
 	"monsoonspar.example/forwarder"
@@ -32,6 +34,10 @@
 request.`
 }
 
+// logLines bounds the lines that wait for a reader of the log: some seconds at
+// the target size's rate of requests.
+const logLines = 1 << 12
+
 // Limits of the garbage collector.
 const (
 	heapShare  = 0.6 // Of the memory limit; the rest is for stacks, buffers of the kernel and growth.
@@ -57,7 +63,11 @@
 	if err != nil {
 		return errors.Wrap(err, "log.level")
 	}
-	log := zerolog.New(c.Stdout).Level(level).With().Timestamp().Str("daemon", cfg.Daemon.Name).Logger()
+	out := diode.NewWriter(c.Stdout, logLines, 0, func(missed int) {
+		fmt.Fprintf(c.Stderr, "forward: %d log lines dropped, since the output was not read\n", missed)
+	})
+	defer func() { _ = out.Close() }() // Nothing is left to tell of an error.
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", cfg.Daemon.Name).Logger()
 	asserter.SetHandler(violationHandler(log, false))
 	clock := timekeeper.System{}
 	d := dialer.New(dialer.Config{DialTimeout: dialTimeout}, clock)
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -17,7 +17,6 @@
 var (
 	errClientGone = errors.New("the client has closed its connection")
 	errTimeout    = errors.New("the deadline of the request has passed")
-	errStopped    = errors.New("the daemon has stopped")
 )
 
 // Limits of connections until a manifest says more, and beyond it.
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -141,14 +141,13 @@
 	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Msg("forwarder: manifest in force")
 }
 
-// followEndpoints keeps the list of endpoints until ctx ends.
+// followEndpoints keeps the list of endpoints until ctx ends: by a watch, or
+// through peers that watch.
 func (f *Forwarder) followEndpoints(ctx context.Context) {
-	d := &dependency{f: f, name: "store_endpoints"}
-	revision, list := int64(0), true
-	wasAway := false
+	w := &endpointWatch{f: f, d: &dependency{f: f, name: "store_endpoints"}, list: true}
 	for ctx.Err() == nil {
 		if !f.watches() {
-			list = true
+			w.list = true
 			f.storeFresh.Store(false)
 			if f.clock.Sleep(ctx, followerTick) != nil {
 				return
@@ -156,46 +155,65 @@
 			continue
 		}
 		f.metrics.count("store_calls")
-		if list {
-			c, cancel := context.WithTimeout(ctx, listTimeout)
-			l, err := f.store.Endpoints(c)
-			cancel()
-			if err != nil {
-				f.storeFresh.Store(false)
-				if d.failed(ctx, err) != nil {
-					return
-				}
-				continue
-			}
-			f.storeFresh.Store(true)
-			wasAway = d.answered() || wasAway
-			now := f.clock.Now()
-			f.endpointsChanged(f.registry.Replace(l.Endpoints, l.Revision, wasAway, now))
-			revision, list, wasAway = l.Revision, false, false
+		err := w.step(ctx)
+		if err == nil {
 			continue
 		}
-		c, cancel := context.WithTimeout(ctx, watchWait+watchOvertime)
-		changes, next, err := f.store.WatchEndpoints(c, revision, watchWait)
-		cancel()
-		switch {
-		case err == nil:
-			d.answered()
-			revision = next
-			f.applyEndpoints(changes)
-			f.peers.tellEndpoints(changes)
-		case errors.Is(err, ErrHistoryGone):
-			f.log.Info().Int64("revision", revision).Msg("forwarder: the store dropped its history; listing endpoints anew")
-			list = true
-		default:
-			list = true
-			f.storeFresh.Store(false)
-			if d.failed(ctx, err) != nil {
-				return
-			}
+		f.storeFresh.Store(false)
+		if w.d.failed(ctx, err) != nil {
+			return
 		}
 	}
 }
 
+// endpointWatch is the position of a daemon in the changes of the endpoints.
+type endpointWatch struct {
+	f        *Forwarder
+	d        *dependency
+	list     bool // The whole list is needed before the next watch.
+	wasAway  bool // The store did not answer for a while before the list.
+	revision int64
+}
+
+// step makes one call to the store and takes its answer.
+func (w *endpointWatch) step(ctx context.Context) error {
+	if w.list {
+		return w.readList(ctx)
+	}
+	c, cancel := context.WithTimeout(ctx, watchWait+watchOvertime)
+	defer cancel()
+	changes, next, err := w.f.store.WatchEndpoints(c, w.revision, watchWait)
+	if errors.Is(err, ErrHistoryGone) {
+		w.f.log.Info().Int64("revision", w.revision).Msg("forwarder: the store dropped its history; listing endpoints anew")
+		w.list = true
+		return nil
+	}
+	if err != nil {
+		w.list = true
+		return err
+	}
+	w.d.answered()
+	w.revision = next
+	w.f.applyEndpoints(changes)
+	w.f.peers.tellEndpoints(changes)
+	return nil
+}
+
+// readList takes the whole list.
+func (w *endpointWatch) readList(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, err := w.f.store.Endpoints(c)
+	if err != nil {
+		return err
+	}
+	w.f.storeFresh.Store(true)
+	away := w.d.answered() || w.wasAway
+	w.f.endpointsChanged(w.f.registry.Replace(l.Endpoints, l.Revision, away, w.f.clock.Now()))
+	w.revision, w.list, w.wasAway = l.Revision, false, false
+	return nil
+}
+
 // applyEndpoints takes the changes of a watch.
 func (f *Forwarder) applyEndpoints(changes []EndpointChange) {
 	var all []registrar.Change
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -75,8 +75,11 @@
 		return errors.Wrap(ErrSettings, "daemon.name is missing")
 	}
 	for _, a := range []struct{ key, value string }{
-		{"daemon.callers_listen", s.Daemon.Callers}, {"daemon.ready_listen", s.Daemon.Ready},
-		{"daemon.peers_listen", s.Daemon.Peers}, {"daemon.metrics_listen", s.Daemon.Metrics}, {"store.addr", s.Store.Addr},
+		{"daemon.callers_listen", s.Daemon.Callers},
+		{"daemon.ready_listen", s.Daemon.Ready},
+		{"daemon.peers_listen", s.Daemon.Peers},
+		{"daemon.metrics_listen", s.Daemon.Metrics},
+		{"store.addr", s.Store.Addr},
 	} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return errors.Wrapf(ErrSettings, "%s: %q is no address", a.key, a.value)
