--- /dev/null
+++ b/coordination/balancer/balancer_test.go
@@ -0,0 +1,98 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonspar.example/coordination/balancer"
+	"monsoonspar.example/state/registrar"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func endpoints(n int) []registrar.Endpoint {
+	var all []registrar.Endpoint
+	for i := range n {
+		all = append(all, registrar.Endpoint{Identity: registrar.Identity{Name: fmt.Sprint(i)}, Slots: 6, Domain: fmt.Sprint("zone-", i)})
+	}
+	return all
+}
+
+// run sends n requests one after the other and returns how many each got.
+func run(b *balancer.Balancer, all []registrar.Endpoint, n int, result func(name string) balancer.Result) map[string]int {
+	got := map[string]int{}
+	now := start
+	for range n {
+		e, _ := b.Pick(all, nil, now)
+		got[e.Name]++
+		now = now.Add(25 * time.Millisecond)
+		b.Done(e.Identity, result(e.Name), now)
+	}
+	return got
+}
+
+func newBalancer() *balancer.Balancer {
+	return balancer.New("zone-0", rand.New(rand.NewPCG(1, 1)))
+}
+
+// A worker that fails two of five requests while its probe is good loses most
+// of its work, and none is sent there while it is ejected.
+func TestGreyEndpointLosesItsWork(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 3))
+	got := run(newBalancer(), endpoints(3), 1000, func(name string) balancer.Result {
+		return balancer.Result{Failed: name == "1" && r.Float64() < 0.4, Latency: 15 * time.Millisecond}
+	})
+	assert.Assert(t, got["1"] < 150, "%v", got)
+}
+
+func TestSlowEndpointLosesItsWork(t *testing.T) {
+	got := run(newBalancer(), endpoints(3), 1000, func(name string) balancer.Result {
+		if name == "2" {
+			return balancer.Result{Latency: 120 * time.Millisecond}
+		}
+		return balancer.Result{Latency: 15 * time.Millisecond}
+	})
+	assert.Assert(t, got["2"] < 150, "%v", got)
+}
+
+func TestRecoveredEndpointGetsWorkAgain(t *testing.T) {
+	b, all := newBalancer(), endpoints(2)
+	run(b, all, 50, func(name string) balancer.Result {
+		return balancer.Result{Failed: name == "0", Latency: time.Millisecond}
+	})
+	later := start.Add(time.Hour)
+	got := map[string]int{}
+	for range 400 {
+		e, _ := b.Pick(all, nil, later)
+		got[e.Name]++
+		later = later.Add(20 * time.Millisecond)
+		b.Done(e.Identity, balancer.Result{Latency: time.Millisecond}, later)
+	}
+	assert.Assert(t, got["1"] > 0)
+	e, ok := b.Pick(all, map[registrar.Identity]bool{all[1].Identity: true}, later)
+	assert.Assert(t, ok && e.Name == "0")
+}
+
+// Requests in flight count: a burst is spread.
+func TestBurstIsSpread(t *testing.T) {
+	b, all := newBalancer(), endpoints(3)
+	got := map[string]int{}
+	for range 18 {
+		e, ok := b.Pick(all, nil, start)
+		assert.Assert(t, ok)
+		got[e.Name]++
+	}
+	for _, e := range all {
+		assert.Assert(t, got[e.Name] >= 5, "%v", got)
+	}
+}
+
+func TestNoEndpointIsLeft(t *testing.T) {
+	all := endpoints(1)
+	_, ok := newBalancer().Pick(all, map[registrar.Identity]bool{all[0].Identity: true}, start)
+	assert.Assert(t, !ok)
+}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -15,12 +15,12 @@
 const (
 	prefillShare   = 2.0  // Reading a prompt takes turns with the steps of other sequences.
 	sequenceCostMs = 30.0 // A run slows the steps of others, and has to leave with them when the engine goes.
-	easyPeak       = 0.6  // Below this forecast peak an engine counts as empty.
-	crowdedCostMs  = 1500 // For a forecast peak of all memory.
+	easyPeak       = 0.3  // Below this forecast peak an engine counts as empty.
+	crowdedCostMs  = 3000 // For a forecast peak of all memory.
 	coldCostMs     = 300  // An engine that has just started is slow.
 	unknownCostMs  = 60   // Nothing is known of the engine's load yet.
 	refusedCostMs  = 1000 // The engine has just refused a job.
-	crossingCostMs = 400  // Another failure domain.
+	crossingCostMs = 150  // Another failure domain.
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
 
 	// Of destinations of moves, in parts of an engine's memory.
--- /dev/null
+++ b/coordination/placer/placer_test.go
@@ -0,0 +1,280 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/state/registrar"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// cfg describes the engines of the users' sheets.
+var cfg = placer.Config{
+	Domain: "a", Slots: 24, MemoryTokens: 34298, Block: 16, Stride: 4, StepTime: 8 * time.Millisecond,
+	PrefillPerMs: 14, ReportLag: 500 * time.Millisecond, Deviations: 0.5,
+}
+
+func engines(n int, domain string) []registrar.Endpoint {
+	var all []registrar.Endpoint
+	for i := range n {
+		all = append(all, registrar.Endpoint{
+			Identity: registrar.Identity{Name: fmt.Sprint(domain, i)}, Domain: domain, Addr: fmt.Sprint("10.0.0.", i, ":80"), Slots: 24,
+		})
+	}
+	return all
+}
+
+func newPlacer(seed uint64, all []registrar.Endpoint) *placer.Placer {
+	p := placer.New(cfg, rand.New(rand.NewPCG(seed, 1)))
+	p.SetEngines(all, start)
+	return p
+}
+
+func job(id string, prompt, rank int, now time.Time) placer.Job {
+	return placer.Job{
+		ID: id, Class: placer.ClassOf("m", rank), Prompt: prompt, MaxTokens: 2200, Rank: rank,
+		FirstBy: now.Add(1800 * time.Millisecond), Deadline: now.Add(39 * time.Second), Backups: true,
+	}
+}
+
+// learn teaches outputs of 400 to 1,300 tokens.
+func learn(p *placer.Placer, rank int) {
+	for i := range 200 {
+		p.Done(job(fmt.Sprint("past", i), 3000, rank, start), 400+900*i/200, true, start)
+	}
+	p.TakeNews()
+}
+
+// Burst on a new engine: eleven engines are busy and one has just come, when
+// seven daemons place at the same time. With news of each other's placements
+// the new one gets a few of them; without, one of each daemon at least.
+func TestNewsKeepDaemonsFromHerding(t *testing.T) {
+	told, untold := onNewEngine(t, true), onNewEngine(t, false)
+	// Each daemon alone sends its first there.
+	assert.Assert(t, untold >= 7, "%d", untold)
+	assert.Assert(t, told <= 4, "%d", told)
+}
+
+// onNewEngine returns how many of 14 placements by 7 daemons go to the one
+// empty engine of 12.
+func onNewEngine(t *testing.T, tell bool) int {
+	t.Helper()
+	all := engines(12, "a")
+	var daemons []*placer.Placer
+	for i := range 7 {
+		p := newPlacer(uint64(i+1), all)
+		learn(p, 0)
+		for k, e := range all[1:] {
+			p.Observe(e.Identity, busyReport(k), start)
+		}
+		daemons = append(daemons, p)
+	}
+	got := 0
+	for i := range 14 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		p := daemons[i%7]
+		pl, ok := p.Submit(job(fmt.Sprint("j", i), 3000, 0, now), nil, now)
+		assert.Assert(t, ok)
+		if pl.Engine.Name == all[0].Name {
+			got++
+		}
+		news := p.TakeNews()
+		for _, other := range daemons {
+			if tell && other != p {
+				other.Learn(news, now)
+			}
+		}
+	}
+	return got
+}
+
+// busyReport shows six running sequences.
+func busyReport(k int) placer.Report {
+	r := placer.Report{Running: 6, MemoryUsed: 20000, MemoryTotal: 34298}
+	for i := range 6 {
+		r.Sequences = append(r.Sequences, placer.Sequence{ID: fmt.Sprint("o", k, "-", i), Tokens: 3300, Events: 75})
+	}
+	return r
+}
+
+// Crowded engines: a job waits until memory is free, then goes first if it can
+// still be on time, the more urgent before the less urgent.
+func TestFullEnginesKeepJobsWaitingInOrder(t *testing.T) {
+	p := newPlacer(1, engines(1, "a"))
+	learn(p, 0)
+	learn(p, 1)
+	placed := fill(p)
+	assert.Assert(t, placed >= 6 && placed <= 11, "%d", placed)
+	assert.Equal(t, len(p.Next(start)), 0)
+	_, ok := p.Submit(job("urgent", 2000, 0, start), nil, start)
+	assert.Assert(t, !ok)
+	waiting := p.Waiting()
+	now := start.Add(100 * time.Millisecond)
+	p.Done(job("f0", 3000, 1, start), 900, true, now)
+	outcomes := p.Next(now)
+	assert.Assert(t, len(outcomes) > 0 && len(outcomes) < waiting, "%d", len(outcomes))
+	assert.Equal(t, outcomes[0].Job.ID, "urgent")
+}
+
+// fill submits jobs until one has to wait, and returns how many were placed.
+func fill(p *placer.Placer) int {
+	for i := 0; ; i++ {
+		if _, ok := p.Submit(job(fmt.Sprint("f", i), 3000, 1, start), nil, start); !ok {
+			return i
+		}
+	}
+}
+
+// A job that can't be answered before its deadline is refused at once, with a
+// time to come back.
+func TestHopelessJobIsRefused(t *testing.T) {
+	p := newPlacer(1, engines(1, "a"))
+	learn(p, 1)
+	fill(p)
+	late := job("late", 3000, 0, start)
+	late.Deadline = start.Add(200 * time.Millisecond)
+	_, ok := p.Submit(late, nil, start)
+	assert.Assert(t, !ok)
+	outcomes := p.Next(start)
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Job.ID, "late")
+	assert.Assert(t, outcomes[0].Refused && outcomes[0].ComeBack > 0)
+}
+
+// Engines of the daemon's own failure domain go first, so that a cut between
+// domains breaks few streams.
+func TestOwnFailureDomainGoesFirst(t *testing.T) {
+	p := newPlacer(1, append(engines(4, "a"), engines(8, "b")...))
+	learn(p, 0)
+	for i := range 8 {
+		pl, ok := p.Submit(job(fmt.Sprint("j", i), 3000, 0, start), nil, start)
+		assert.Assert(t, ok)
+		assert.Equal(t, pl.Engine.Domain, "a")
+		p.Begun(fmt.Sprint("j", i), start)
+	}
+}
+
+// Reclaim: the runs of a leaving engine take turns on its link; all daemons
+// compute the same ones, and runs with a backup go at once.
+func TestRunsOfALeavingEngineTakeTurns(t *testing.T) {
+	all := engines(2, "a")
+	p, other := newPlacer(1, all[:1]), newPlacer(2, all[:1])
+	learn(p, 0)
+	learn(other, 0)
+	for i := range 4 {
+		pl, ok := p.Submit(job(fmt.Sprint("r", i), 3000, 0, start), nil, start)
+		assert.Assert(t, ok && pl.Backup.Name == "")
+		p.Begun(fmt.Sprint("r", i), start)
+	}
+	other.Learn(p.TakeNews(), start)
+	p.SetEngines(all[1:], start)
+	other.SetEngines(all[1:], start)
+	const linkBytes, tokenBytes = 19e9 / 8, 131072
+	turns := p.Evacuation(all[0].Identity, linkBytes, tokenBytes, start)
+	theirs := other.Evacuation(all[0].Identity, linkBytes, tokenBytes, start)
+	assert.Equal(t, len(turns), 4)
+	seen := map[int]bool{}
+	for id, turn := range turns {
+		assert.Assert(t, turn.Mine && !theirs[id].Mine)
+		assert.Equal(t, turn.After, theirs[id].After)
+		assert.Assert(t, turn.After >= time.Duration(turn.Ahead)*165*time.Millisecond)
+		seen[turn.Ahead] = true
+	}
+	assert.Equal(t, len(seen), 4)
+}
+
+// Reclaim: room is kept for a run while its memory is copied, here and at the
+// peers.
+func TestArrivingRunKeepsItsRoom(t *testing.T) {
+	all := engines(2, "a")
+	p, other := newPlacer(1, all), newPlacer(2, all)
+	for _, x := range []*placer.Placer{p, other} {
+		learn(x, 0)
+	}
+	for i := range 9 {
+		to, ok := p.Destination(job(fmt.Sprint("m", i), 3000, 0, start), all[0], start)
+		assert.Assert(t, ok == (i < 8), "move %d", i)
+		assert.Assert(t, !ok || to.Name == all[1].Name)
+		if !ok {
+			break
+		}
+	}
+	other.Learn(p.TakeNews(), start)
+	_, ok := other.Destination(job("x", 3000, 0, start), all[0], start)
+	assert.Assert(t, !ok)
+	_, ok = other.Destination(job("x", 3000, 0, start), all[0], start.Add(3*time.Second))
+	assert.Assert(t, !ok || other.ReportAge(all[1].Identity, start) > 0)
+}
+
+// Hidden load: what a report shows of unknown jobs counts, grown by its age.
+func TestReportedSequencesCount(t *testing.T) {
+	all := engines(2, "a")
+	p := newPlacer(1, all)
+	learn(p, 0)
+	r := placer.Report{Running: 9, MemoryUsed: 33000, MemoryTotal: 34298}
+	for i := range 9 {
+		r.Sequences = append(r.Sequences, placer.Sequence{ID: fmt.Sprint("o", i), Tokens: 3600, Events: 150})
+	}
+	p.Observe(all[0].Identity, r, start)
+	p.Observe(all[1].Identity, placer.Report{MemoryTotal: 34298}, start)
+	for i := range 5 {
+		pl, ok := p.Submit(job(fmt.Sprint("j", i), 3000, 0, start), nil, start)
+		assert.Assert(t, ok)
+		assert.Equal(t, pl.Engine.Name, all[1].Name)
+	}
+}
+
+// A peer that dies tells nothing of the end of its jobs; reports do.
+func TestJobsOfALostPeerAreForgotten(t *testing.T) {
+	all := engines(1, "a")
+	p, lost := newPlacer(1, all), newPlacer(2, all)
+	learn(p, 1)
+	learn(lost, 1)
+	fill(lost)
+	p.Learn(lost.TakeNews(), start)
+	_, ok := p.Submit(job("j", 3000, 1, start), nil, start)
+	assert.Assert(t, !ok)
+	later := start.Add(4 * time.Second)
+	p.Observe(all[0].Identity, placer.Report{MemoryTotal: 34298}, later)
+	outcomes := p.Next(later)
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Placement.Engine.Name, all[0].Name)
+}
+
+// Short jobs get no backup, since they end within an engine's notice.
+func TestOnlyLongJobsGetABackup(t *testing.T) {
+	all := engines(4, "a")
+	p := newPlacer(1, all)
+	learn(p, 0)
+	for i := range 200 {
+		p.Done(job(fmt.Sprint("short", i), 2500, 1, start), 12, true, start)
+	}
+	long, _ := p.Submit(job("long", 3000, 0, start), nil, start)
+	assert.Assert(t, long.Backup.Name != "" && long.Backup.Name != long.Engine.Name)
+	short, _ := p.Submit(job("short", 3000, 1, start), nil, start)
+	assert.Equal(t, short.Backup.Name, "")
+}
+
+func BenchmarkSubmit(b *testing.B) {
+	all := append(engines(15, "a"), engines(30, "b")...)
+	p := newPlacer(1, all)
+	learn(p, 0)
+	for i := range 180 {
+		p.Submit(job(fmt.Sprint("r", i), 3000, 0, start), nil, start)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := fmt.Sprint("b", i)
+		j := job(id, 3000, 0, start)
+		p.Submit(j, nil, start)
+		p.Withdraw(id)
+		p.Done(j, 0, false, start)
+		p.TakeNews()
+	}
+}
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -171,7 +171,6 @@
 	f        *Forwarder
 	d        *dependency
 	list     bool // The whole list is needed before the next watch.
-	wasAway  bool // The store did not answer for a while before the list.
 	revision int64
 }
 
@@ -208,9 +207,9 @@
 		return err
 	}
 	w.f.storeFresh.Store(true)
-	away := w.d.answered() || w.wasAway
+	away := w.d.answered()
 	w.f.endpointsChanged(w.f.registry.Replace(l.Endpoints, l.Revision, away, w.f.clock.Now()))
-	w.revision, w.list, w.wasAway = l.Revision, false, false
+	w.revision, w.list = l.Revision, false
 	return nil
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -224,7 +224,7 @@
 	stepTime         = 8 * time.Millisecond   // A step of the published engines with a few sequences.
 	prefillPerMs     = 14                     // Prompt tokens read in a millisecond by the published engines.
 	reportLag        = 500 * time.Millisecond // Reports are as of some hundred milliseconds ago.
-	memoryDeviations = 0.5                    // A quantile of 0.69: a preemption costs less than an empty engine.
+	memoryDeviations = 1.2                    // A quantile of 0.88: a preempted run is read again and pauses.
 	assumedDaemons   = 16                     // Share of the retry budget before the others are known.
 )
 
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,6 +99,19 @@
 	return s.f.closing.Load() || s.place.Outlasts(s.job, 0, latest.Sub(now)-s.x.route.Target) > worthTaking
 }
 
+// Close ends the daemon at once, with all that it serves.
+func (f *Forwarder) Close() {
+	f.stopping.Store(true)
+	f.cancel()
+	for _, l := range []net.Listener{f.callers, f.ready, f.figures} {
+		if l != nil {
+			_ = l.Close() // Nothing is accepted any more.
+		}
+	}
+	f.peers.node.Close()
+	f.group.Wait()
+}
+
 // withdraw removes the entry of this daemon.
 func (f *Forwarder) withdraw() {
 	f.spawn(func() {
