--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -67,6 +67,7 @@
 		fmt.Fprintf(c.Stderr, "forward: %d log lines dropped, since the output was not read\n", missed)
 	})
 	defer func() { _ = out.Close() }() // Nothing is left to tell of an error.
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", cfg.Daemon.Name).Logger()
 	asserter.SetHandler(violationHandler(log, false))
 	clock := timekeeper.System{}
@@ -119,4 +120,4 @@
 
 // dialTimeout bounds the wait for a connection to a worker in a neighbouring
 // failure domain, a few milliseconds away.
-const dialTimeout = 300 * time.Millisecond
+const dialTimeout = 150 * time.Millisecond
--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -42,6 +42,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run one daemon."`
 	Forward forwardCmd `cmd:"" help:"Run one daemon on the users' platform."`
+	Explain explainCmd `cmd:"" help:"Tell what became of a request, from the logs of daemons."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on loopback."`
 	Status  statusCmd  `cmd:"" help:"Show daemons, endpoints and leases."`
 	Apply   applyCmd   `cmd:"" help:"Make a manifest the accepted one."`
--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -38,6 +38,7 @@
 type Result struct {
 	Failed  bool          // No answer, a broken one, or a server error.
 	Refused bool          // Not run, because the endpoint is full.
+	Cut     bool          // Not run, because the endpoint can't be reached.
 	Latency time.Duration // Zero if there was no answer.
 	Load    *Load         // Nil if the endpoint told none.
 }
@@ -141,7 +142,10 @@
 		return
 	}
 	failed := 0.0
-	if r.Failed {
+	if r.Cut {
+		s.consecutive = max(s.consecutive, ejectAfter-1) // Nothing is learnt by trying an unreachable endpoint again.
+	}
+	if r.Failed || r.Cut {
 		failed = 1
 		s.consecutive++
 	} else {
--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -19,6 +19,7 @@
 	arrivals   map[string]*running // Runs whose memory is being copied here.
 	known      map[string]bool     // Sequences in the report.
 	avoidUntil time.Time           // After a refusal.
+	cutUntil   time.Time           // After it could not be reached.
 	arrival    time.Time           // When a move was last sent here.
 	leaving    time.Time           // Since when it takes no jobs; zero while it does.
 
@@ -136,6 +137,9 @@
 	if now.Before(e.avoidUntil) {
 		cost += refusedCostMs
 	}
+	if now.Before(e.cutUntil) {
+		cost += cutCostMs
+	}
 	if e.endpoint.Domain != domain {
 		cost += crossingCostMs
 	}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -19,6 +19,7 @@
 	crowdedCostMs  = 3000 // For a forecast peak of all memory.
 	coldCostMs     = 300  // An engine that has just started is slow.
 	unknownCostMs  = 60   // Nothing is known of the engine's load yet.
+	cutCostMs      = 6000 // The engine could not be reached just now.
 	refusedCostMs  = 1000 // The engine has just refused a job.
 	crossingCostMs = 150  // Another failure domain.
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
@@ -33,6 +34,7 @@
 	worthBackup  = 1500 * time.Millisecond // Shorter runs end within the notice of an engine that leaves.
 	backupPeak   = 0.5                     // No backup is placed above this one: it would take the room of jobs.
 	leavingKept  = 20 * time.Second        // Longer than an engine serves after its notice.
+	cutTime      = 1500 * time.Millisecond // Until an engine that could not be reached is tried again.
 	avoidTime    = 300 * time.Millisecond
 	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
 	minimalSteps = 16              // Output that a job must have time for to be started.
@@ -253,6 +255,9 @@
 		if e.endpoint.Domain != source.Domain {
 			cost += farMove
 		}
+		if now.Before(e.cutUntil) {
+			continue
+		}
 		if now.Sub(e.arrival) < linkBusy {
 			cost += busyLink
 		}
@@ -293,17 +298,30 @@
 	return time.Duration(mean * float64(p.cfg.StepTime))
 }
 
-// Refused notes that an engine refused a job before running it.
-func (p *Placer) Refused(id string, now time.Time) {
+// Refused notes that an engine refused a job before running it, or could not be
+// reached at all.
+func (p *Placer) Refused(id string, unreachable bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.engines[p.jobs[id]]; e != nil {
 		e.avoidUntil = now.Add(avoidTime)
+		if unreachable {
+			e.cutUntil = now.Add(cutTime)
+		}
 	}
 	p.leave(id)
 	p.news = append(p.news, News{JobID: id, Event: Ended})
 }
 
+// Unreachable notes that an engine does not answer this daemon.
+func (p *Placer) Unreachable(id registrar.Identity, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[id]; e != nil {
+		e.cutUntil = now.Add(cutTime)
+	}
+}
+
 // Done ends a placed job. A job that was answered in full teaches its length;
 // tokens is its output.
 func (p *Placer) Done(job Job, tokens int, complete bool, now time.Time) {
@@ -396,7 +414,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range p.engines {
-		if e == on || !e.leaving.IsZero() {
+		if e == on || !e.leaving.IsZero() || now.Before(e.cutUntil) {
 			continue
 		}
 		e.refresh(p, now)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -44,12 +44,11 @@
 		if !ok {
 			break
 		}
-		if x.attempts > 0 && !f.budget.Repeat(x.service, reserveFor(mayHaveRun), f.clock.Now()) {
+		if x.arrivals > 0 && !f.budget.Repeat(x.service, reserveFor(mayHaveRun), f.clock.Now()) {
 			f.balancer(x.service).Done(e.Identity, balancer.Result{}, f.clock.Now())
 			reason = ReasonRetryBudget
 			break
 		}
-		x.attempts++
 		last = f.callOnce(ctx, x, e, runs+1 < x.route.Attempts)
 		exclude[e.Identity] = true
 		if last.err == nil && !last.notRun && last.answer.Status < fasthttp.StatusInternalServerError {
@@ -78,6 +77,7 @@
 
 // callOnce sends a call to an endpoint and reads the whole answer.
 func (f *Forwarder) callOnce(ctx context.Context, x *exchange, e registrar.Endpoint, mayRepeat bool) callAttempt {
+	x.attempts++
 	start := f.clock.Now()
 	limit := x.deadline
 	if mayRepeat && x.route.Kind == matcher.Safe {
@@ -92,10 +92,14 @@
 	if err == nil {
 		a = readCall(answer)
 	}
-	r := balancer.Result{Load: answer.Load, Refused: a.notRun && a.err == nil, Latency: f.clock.Now().Sub(start)}
-	r.Failed = !r.Refused && (a.err != nil || answer.Status >= fasthttp.StatusInternalServerError)
+	cut := a.err != nil && a.notRun
+	if !cut {
+		x.arrivals++
+	}
+	r := balancer.Result{Cut: cut, Load: answer.Load, Refused: a.notRun && a.err == nil, Latency: f.clock.Now().Sub(start)}
+	r.Failed = !r.Refused && !cut && (a.err != nil || answer.Status >= fasthttp.StatusInternalServerError)
 	if a.err != nil && ctx.Err() != nil && errors.Is(context.Cause(ctx), errClientGone) {
-		r.Failed = false
+		r.Failed, r.Cut = false, false
 	}
 	f.balancer(x.service).Done(e.Identity, r, f.clock.Now())
 	f.noteMoved(e, answer)
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -77,6 +77,7 @@
 	arrived  time.Time
 	deadline time.Time
 	attempts int // Sends, refused ones included.
+	arrivals int // Sends that may have reached an endpoint; those after the first draw on the retry budget.
 }
 
 // SetCodec sets the protocol of clients. It is called before Start.
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -427,6 +427,9 @@
 		if p.failures >= pollsFailed {
 			f.abandonEngine(r.endpoint.Identity, now)
 		}
+		if pl := f.knownPlacement(r.endpoint.Service); pl != nil {
+			pl.Unreachable(r.endpoint.Identity, now)
+		}
 		p.next = now.Add(pollTimeout / 2)
 		return
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -109,17 +109,21 @@
 		if refusal != nil {
 			return refusal, nil
 		}
-		if s.x.attempts > 0 && !s.f.budget.Repeat(s.x.service, 0, s.f.clock.Now()) {
+		if s.x.arrivals > 0 && !s.f.budget.Repeat(s.x.service, 0, s.f.clock.Now()) {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: notReadyReturn}, nil
 		}
 		s.x.attempts++
 		r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.use)
+		cut := err != nil && notRun(err)
+		if !cut {
+			s.x.arrivals++
+		}
 		a := &r.answer
 		if err == nil && !a.NotRun && (a.Genuine || a.Status >= fasthttp.StatusInternalServerError) {
 			s.use(r)
 			return nil, nil
 		}
-		refused := err == nil && a.NotRun || err != nil && notRun(err)
+		refused := err == nil && a.NotRun || cut
 		r.end()
 		s.f.noteMoved(pl.Engine, *a)
 		s.f.describe(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", a.Status).
@@ -128,7 +132,7 @@
 			return s.reopen(err)
 		}
 		exclude[pl.Engine.Identity] = true
-		s.place.Refused(s.job.ID, s.f.clock.Now())
+		s.place.Refused(s.job.ID, cut, s.f.clock.Now())
 		if r, ended := failureOf(s.ctx, false); ended {
 			return &r, err
 		}
