--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -32,7 +32,7 @@
 
 	fullPeak     = 0.97                    // No job is placed above this forecast peak.
 	worthBackup  = 1500 * time.Millisecond // Shorter runs end within the notice of an engine that leaves.
-	backupPeak   = 0.5                     // No backup is placed above this one: it would take the room of jobs.
+	backupPeak   = 0.3                     // No backup is placed above this one: it would take the room of jobs.
 	leavingKept  = 20 * time.Second        // Longer than an engine serves after its notice.
 	cutTime      = 1500 * time.Millisecond // Until an engine that could not be reached is tried again.
 	avoidTime    = 300 * time.Millisecond
