--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -92,14 +92,12 @@
 	if err == nil {
 		a = readCall(answer)
 	}
-	cut := a.err != nil && a.notRun
-	if !cut {
+	if a.err == nil || !a.notRun {
 		x.arrivals++
 	}
-	r := balancer.Result{Cut: cut, Load: answer.Load, Refused: a.notRun && a.err == nil, Latency: f.clock.Now().Sub(start)}
-	r.Failed = !r.Refused && !cut && (a.err != nil || answer.Status >= fasthttp.StatusInternalServerError)
-	if a.err != nil && ctx.Err() != nil && errors.Is(context.Cause(ctx), errClientGone) {
-		r.Failed, r.Cut = false, false
+	r := a.result(f.clock.Now().Sub(start))
+	if errors.Is(context.Cause(ctx), errClientGone) {
+		r.Failed, r.Cut = false, false // The endpoint is not to blame.
 	}
 	f.balancer(x.service).Done(e.Identity, r, f.clock.Now())
 	f.noteMoved(e, answer)
@@ -110,6 +108,13 @@
 	return a
 }
 
+// result returns what the attempt tells of its endpoint.
+func (a *callAttempt) result(took time.Duration) balancer.Result {
+	r := balancer.Result{Load: a.answer.Load, Latency: took, Cut: a.err != nil && a.notRun, Refused: a.err == nil && a.notRun}
+	r.Failed = !r.Cut && !r.Refused && (a.err != nil || a.answer.Status >= fasthttp.StatusInternalServerError)
+	return r
+}
+
 // readCall reads an answer to its end and checks it.
 func readCall(answer Answer) callAttempt {
 	defer func() { _ = answer.Body.Close() }()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -112,27 +112,14 @@
 		if s.x.arrivals > 0 && !s.f.budget.Repeat(s.x.service, 0, s.f.clock.Now()) {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: notReadyReturn}, nil
 		}
-		s.x.attempts++
-		r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.use)
-		cut := err != nil && notRun(err)
-		if !cut {
-			s.x.arrivals++
-		}
-		a := &r.answer
-		if err == nil && !a.NotRun && (a.Genuine || a.Status >= fasthttp.StatusInternalServerError) {
-			s.use(r)
+		taken, refused, err := s.try(pl)
+		if taken {
 			return nil, nil
 		}
-		refused := err == nil && a.NotRun || cut
-		r.end()
-		s.f.noteMoved(pl.Engine, *a)
-		s.f.describe(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", a.Status).
-			Msg("forwarder: engine did not take the request")
 		if !refused {
 			return s.reopen(err)
 		}
 		exclude[pl.Engine.Identity] = true
-		s.place.Refused(s.job.ID, cut, s.f.clock.Now())
 		if r, ended := failureOf(s.ctx, false); ended {
 			return &r, err
 		}
@@ -142,6 +129,31 @@
 	}
 }
 
+// try sends the request to one engine. It reports whether the engine has taken
+// it, and else whether that proves that it has not run.
+func (s *stream) try(pl placer.Placement) (taken, refused bool, err error) {
+	s.x.attempts++
+	r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.use)
+	cut := err != nil && notRun(err)
+	if !cut {
+		s.x.arrivals++
+	}
+	a := &r.answer
+	if err == nil && !a.NotRun && (a.Genuine || a.Status >= fasthttp.StatusInternalServerError) {
+		s.use(r)
+		return true, false, nil
+	}
+	refused = cut || err == nil && a.NotRun
+	r.end()
+	s.f.noteMoved(pl.Engine, *a)
+	s.f.describe(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", a.Status).
+		Msg("forwarder: engine did not take the request")
+	if refused {
+		s.place.Refused(s.job.ID, cut, s.f.clock.Now())
+	}
+	return false, refused, err
+}
+
 // reopen goes on after a request was sent and got no answer. Only a copy of the
 // run can be continued, since the request may have run.
 func (s *stream) reopen(err error) (*Refusal, error) {
