Refuse at once what no reachable endpoint can serve

Cause: during a cut each call to a plain service waited 0.15 s for each endpoint that could not be reached.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -23,8 +23,9 @@
 	maxSlowRatio   = 8.0                    // Multiples of the fastest latency that count.
 	ejectAfter     = 3                      // Consecutive failures.
 	ejectionTime   = 1500 * time.Millisecond
-	crossingLoad   = 0.02 // Load units of another failure domain; decides between equals.
-	jitterLoad     = 0.05 // Spreads the choices of daemons that see the same loads.
+	probeInterval  = 250 * time.Millisecond // Between requests to an endpoint that could not be reached; the others don't wait for it.
+	crossingLoad   = 0.02                   // Load units of another failure domain; decides between equals.
+	jitterLoad     = 0.05                   // Spreads the choices of daemons that see the same loads.
 )
 
 // Load is what an endpoint tells of its load.
@@ -52,7 +53,8 @@
 	latency      float64 // Seconds.
 	consecutive  int
 	ejectedUntil time.Time
-	seen         time.Time
+	cutUntil     time.Time // After it could not be reached.
+	seen         time.Time // When a request was last sent there.
 }
 
 // Balancer chooses among the endpoints of one service. It is safe for
@@ -71,7 +73,8 @@
 }
 
 // Pick returns the endpoint that should get the next request and counts the
-// request there until Done. It reports false if all are excluded.
+// request there until Done. It reports false if all are excluded or could not be
+// reached just now.
 func (b *Balancer) Pick(endpoints []registrar.Endpoint, exclude map[registrar.Identity]bool, now time.Time) (registrar.Endpoint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -83,6 +86,9 @@
 			continue
 		}
 		s := b.state(e.Identity)
+		if now.Before(s.cutUntil) && now.Sub(s.seen) < probeInterval {
+			continue
+		}
 		ejected := now.Before(s.ejectedUntil)
 		cost := b.cost(e, s, fastest, now)
 		if best < 0 || (bestEjected && !ejected) || (ejected == bestEjected && cost < bestCost) {
@@ -143,14 +149,15 @@
 	}
 	failed := 0.0
 	if r.Cut {
-		s.consecutive = max(s.consecutive, ejectAfter-1) // Nothing is learnt by trying an unreachable endpoint again.
+		s.consecutive = max(s.consecutive, ejectAfter-1)
+		s.cutUntil = now.Add(ejectionTime)
 	}
 	if r.Failed || r.Cut {
 		failed = 1
 		s.consecutive++
 	} else {
 		s.consecutive = 0
-		s.ejectedUntil = time.Time{}
+		s.ejectedUntil, s.cutUntil = time.Time{}, time.Time{}
 	}
 	s.failing += learnRate * (failed - s.failing)
 	if s.consecutive >= ejectAfter {
--- a/coordination/balancer/balancer_test.go
+++ b/coordination/balancer/balancer_test.go
@@ -96,3 +96,26 @@
 	_, ok := newBalancer().Pick(all, map[registrar.Identity]bool{all[0].Identity: true}, start)
 	assert.Assert(t, !ok)
 }
+
+// Cut: when no endpoint can be reached, a request now and then tries, and the
+// others are told at once.
+func TestUnreachableEndpointsAreProbed(t *testing.T) {
+	b, all := newBalancer(), endpoints(2)
+	tried := 0
+	now := start
+	for range 100 {
+		if e, ok := b.Pick(all, nil, now); ok {
+			tried++
+			b.Done(e.Identity, balancer.Result{Cut: true}, now)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	assert.Assert(t, tried >= 6 && tried <= 10, "%d", tried)
+	e, ok := b.Pick(all, nil, now.Add(time.Second))
+	assert.Assert(t, ok)
+	b.Done(e.Identity, balancer.Result{Latency: time.Millisecond}, now.Add(time.Second))
+	for range 10 {
+		_, ok = b.Pick(all, nil, now.Add(time.Second))
+		assert.Assert(t, ok)
+	}
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -42,6 +42,7 @@
 	for {
 		e, ok := f.balancer(x.service).Pick(f.registry.Usable(x.service), exclude, f.clock.Now())
 		if !ok {
+			reason = f.reasonForNone(x, last)
 			break
 		}
 		if x.arrivals > 0 && !f.budget.Repeat(x.service, reserveFor(mayHaveRun), f.clock.Now()) {
@@ -67,6 +68,14 @@
 	f.failCall(ctx, out, x, last, mayHaveRun, reason)
 }
 
+// reasonForNone says why no endpoint is left to try.
+func (f *Forwarder) reasonForNone(x *exchange, last callAttempt) Reason {
+	if last.err != nil || len(f.registry.Usable(x.service)) > 0 {
+		return ReasonUnreachable
+	}
+	return ReasonNoEndpoint
+}
+
 // reserveFor returns the part of the retry budget that a repeat must leave.
 func reserveFor(mayHaveRun bool) float64 {
 	if mayHaveRun {
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -40,6 +40,7 @@
 	ReasonUnknownKey  Reason = "unknown_key"
 	ReasonTooLarge    Reason = "too_large"
 	ReasonNoEndpoint  Reason = "no_endpoint"
+	ReasonUnreachable Reason = "endpoints_unreachable"
 	ReasonNoRoom      Reason = "no_room"
 	ReasonRefused     Reason = "refused_by_endpoints"
 	ReasonRetryBudget Reason = "retry_budget_spent"
