--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -60,7 +60,7 @@
 			mayHaveRun = true
 			runs++
 		}
-		if ctx.Err() != nil || (mayHaveRun && x.route.Kind != matcher.Safe) || runs >= max(x.route.Attempts, 1) || x.attempts >= maxRefusals {
+		if ctx.Err() != nil || (mayHaveRun && x.route.Kind != matcher.Safe) || runs >= max(x.route.Attempts, 1) || x.attempts.Load() >= maxRefusals {
 			reason = ReasonRefused
 			break
 		}
@@ -86,7 +86,7 @@
 
 // callOnce sends a call to an endpoint and reads the whole answer.
 func (f *Forwarder) callOnce(ctx context.Context, x *exchange, e registrar.Endpoint, mayRepeat bool) callAttempt {
-	x.attempts++
+	x.attempts.Add(1)
 	start := f.clock.Now()
 	limit := x.deadline
 	if mayRepeat && x.route.Kind == matcher.Safe {
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,9 +24,9 @@
 const (
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 8 << 20
-	idleTimeout    = 2 * time.Minute  // Above the limits that manifests set for idle connections.
-	writeTimeout   = 60 * time.Second // Above the timeouts of routes.
-	notReadyReturn = time.Second      // A daemon without a manifest usually has one by then.
+	idleTimeout    = 2 * time.Minute // Above the limits that manifests set for idle connections.
+	writeGrace     = 2 * time.Second // Beyond the deadline, for a client that reads slowly.
+	notReadyReturn = time.Second     // A daemon without a manifest usually has one by then.
 )
 
 // Reason says in logs why a request got the answer that it got.
@@ -77,8 +78,8 @@
 	version  int64
 	arrived  time.Time
 	deadline time.Time
-	attempts int // Sends, refused ones included.
-	arrivals int // Sends that may have reached an endpoint; those after the first draw on the retry budget.
+	attempts atomic.Int64 // Sends, refused ones included.
+	arrivals int          // Sends that may have reached an endpoint; those after the first draw on the retry budget.
 }
 
 // SetCodec sets the protocol of clients. It is called before Start.
@@ -92,7 +93,6 @@
 		ReadBufferSize:        maxHeaderBytes,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadTimeout:           0,
-		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -136,6 +136,7 @@
 		ctx.SetConnectionClose()
 	}
 	now := f.clock.Now()
+	f.limitWriting(ctx, now.Add(writeGrace))
 	req, err := f.codec.Decode(ctx)
 	if err != nil {
 		f.log.Warn().Err(err).Msg("forwarder: malformed request refused")
@@ -148,6 +149,7 @@
 		f.refuse(ctx, x, *refusal, nil)
 		return
 	}
+	f.limitWriting(ctx, x.deadline.Add(writeGrace))
 	f.budget.Request(x.service, now)
 	f.inFlight.Add(1)
 	c, cancel := context.WithCancelCause(f.ctx)
@@ -167,6 +169,14 @@
 	f.serveCall(c, ctx, x)
 }
 
+// limitWriting bounds how long a client that does not read can hold the answer
+// up.
+func (f *Forwarder) limitWriting(ctx *fasthttp.RequestCtx, until time.Time) {
+	if err := ctx.Conn().SetWriteDeadline(until); err != nil {
+		f.log.Debug().Err(err).Msg("forwarder: connection closed before its answer")
+	}
+}
+
 // admit finds route, customer and service of a request.
 func (f *Forwarder) admit(req *Request, now time.Time) (*exchange, *Refusal) {
 	x := &exchange{req: req, arrived: now}
@@ -209,7 +219,7 @@
 // describe adds what identifies a request and its course to a line.
 func (f *Forwarder) describe(e *zerolog.Event, x *exchange) *zerolog.Event {
 	now := f.clock.Now()
-	e.Str("request", x.req.ID).Int64("manifest", x.version).Dur("held_ms", now.Sub(x.arrived)).Int("attempts", x.attempts)
+	e.Str("request", x.req.ID).Int64("manifest", x.version).Dur("held_ms", now.Sub(x.arrived)).Int64("attempts", x.attempts.Load())
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("service", x.service).Dur("left_ms", x.deadline.Sub(now))
 	}
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -129,8 +129,8 @@
 	now := s.f.clock.Now()
 	s.mu.Lock()
 	from := Resume{Copy: name, LastEvent: s.lastEvent}
-	spent := s.x.attempts > maxResumes
-	s.x.attempts++
+	spent := s.x.attempts.Load() > maxResumes
+	s.x.attempts.Add(1)
 	s.mu.Unlock()
 	if from.LastEvent == "" {
 		from.LastEvent = "0"
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -123,7 +123,7 @@
 		if r, ended := failureOf(s.ctx, false); ended {
 			return &r, err
 		}
-		if s.x.attempts >= maxRefusals {
+		if s.x.attempts.Load() >= maxRefusals {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRefused, RetryAfter: notReadyReturn}, err
 		}
 	}
@@ -132,7 +132,7 @@
 // try sends the request to one engine. It reports whether the engine has taken
 // it, and else whether that proves that it has not run.
 func (s *stream) try(pl placer.Placement) (taken, refused bool, err error) {
-	s.x.attempts++
+	s.x.attempts.Add(1)
 	r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.use)
 	cut := err != nil && notRun(err)
 	if !cut {
