--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -5,14 +5,12 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/coordination/balancer"
@@ -20,6 +18,7 @@
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
+	"monsoonspar.example/state/spawner"
 	"monsoonspar.example/state/timekeeper"
 )
 
@@ -34,7 +33,7 @@
 
 	ctx    context.Context // Ends when the daemon gives up its last request.
 	cancel context.CancelFunc
-	group  conc.WaitGroup
+	group  *spawner.Spawner
 
 	table    atomic.Pointer[matcher.Table]
 	registry *registrar.Registrar
@@ -60,9 +59,6 @@
 	codec      Codec
 	server     *fasthttp.Server
 
-	failed   chan struct{} // Closed when a goroutine has panicked.
-	failOnce sync.Once
-
 	callers net.Listener
 	ready   net.Listener
 	figures net.Listener
@@ -80,7 +76,7 @@
 			Window: time.Duration(cfg.Bounds.RetryWindow * float64(time.Second)),
 		}),
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*placement{},
-		failed: make(chan struct{}), streams: map[*stream]struct{}{}, presence: newPresence(),
+		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, presence: newPresence(),
 	}
 	f.stopTime.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
@@ -116,25 +112,8 @@
 	return nil
 }
 
-// spawn starts a goroutine of the daemon. A panic in it is logged and ends the
-// daemon, since it may have left state behind that others rely on.
-func (f *Forwarder) spawn(run func()) {
-	f.group.Go(func() {
-		defer f.reportPanic()
-		run()
-	})
-}
-
-// reportPanic logs a panic and has Run end the daemon.
-func (f *Forwarder) reportPanic() {
-	v := recover()
-	if v == nil {
-		return
-	}
-	f.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("forwarder: goroutine failed")
-	f.failOnce.Do(func() { close(f.failed) })
-	panic(v)
-}
+// spawn starts a goroutine of the daemon. A panic in it ends the daemon.
+func (f *Forwarder) spawn(run func()) { f.group.Go(run) }
 
 // isReady reports whether new connections should come here.
 func (f *Forwarder) isReady() bool {
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -52,7 +52,7 @@
 func (f *Forwarder) Run(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
-	case <-f.failed:
+	case <-f.group.Failed():
 		return errPanic
 	}
 	f.stopping.Store(true)
--- a/server/server.go
+++ b/server/server.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"net"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,13 +24,13 @@
 	"monsoonspar.example/state/asserter"
 	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/parser"
+	"monsoonspar.example/state/spawner"
 	"monsoonspar.example/state/timekeeper"
 	"monsoonspar.example/transport/dialer"
 	"monsoonspar.example/transport/framer"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -53,7 +52,7 @@
 	log     zerolog.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
-	group   conc.WaitGroup
+	group   *spawner.Spawner
 	metrics *metrics
 	tracing *tracing
 	tracer  trace.Tracer
@@ -79,8 +78,6 @@
 	closing  atomic.Bool // New callers are refused.
 
 	work       work
-	failed     chan struct{} // Closed when a goroutine has panicked.
-	failOnce   sync.Once
 	ownedNames atomic.Pointer[[]string]
 
 	loadMu          sync.Mutex
@@ -117,7 +114,7 @@
 		sealer:          sealer.New([]byte(cfg.Peers.SharedKey)),
 		retries:         retrier.New(retrier.Config{}),
 		lastPreemptions: map[string]int{}, lastNews: map[string]sentNews{},
-		rand: newSource(), failed: make(chan struct{}),
+		rand: newSource(), group: spawner.New(log, "server"),
 	}
 	s.assemble(clock)
 	return s, nil
@@ -308,31 +305,14 @@
 	select {
 	case <-ctx.Done():
 		return s.Stop()
-	case <-s.failed:
+	case <-s.group.Failed():
 		s.Close()
 		return errPanic
 	}
 }
 
-// spawn runs f in a goroutine of the daemon. The group holds a panic back until
-// the daemon ends, so it is logged here and ends the daemon.
-func (s *Server) spawn(f func()) {
-	s.group.Go(func() {
-		defer s.reportPanic()
-		f()
-	})
-}
-
-// reportPanic logs a panic, has Run end the daemon, and passes the panic on.
-func (s *Server) reportPanic() {
-	v := recover()
-	if v == nil {
-		return
-	}
-	s.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("server: goroutine failed")
-	s.failOnce.Do(func() { close(s.failed) })
-	panic(v)
-}
+// spawn starts a goroutine of the daemon. A panic in it ends the daemon.
+func (s *Server) spawn(f func()) { s.group.Go(f) }
 
 // guard answers calls of other daemons and reports panics.
 type guard struct {
@@ -342,6 +322,6 @@
 
 // HandleCall answers one call.
 func (g guard) HandleCall(ctx context.Context, peer, method string, body []byte) ([]byte, error) {
-	defer g.s.reportPanic()
+	defer g.s.group.ReportPanic()
 	return g.to.HandleCall(ctx, peer, method, body)
 }
