--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -17,8 +17,8 @@
 // Times and bounds of the talk between daemons.
 const (
 	newsInterval  = 25 * time.Millisecond   // A placement is known to the peers before the next of the same engine.
-	farInterval   = 400 * time.Millisecond  // A daemon places little on the engines of other failure domains.
-	nearLimit     = 100                     // Fewer daemons tell all others at once.
+	lazyInterval  = 300 * time.Millisecond  // For the ends of jobs and for reports; a tenth of a job's time.
+	smallMesh     = 16                      // Fewer daemons tell everything at once.
 	greetInterval = time.Second             // Tells versions, and finds a peer that does not answer.
 	greetTimeout  = 600 * time.Millisecond  // Several round trips between failure domains.
 	freshKept     = 2500 * time.Millisecond // Two greetings; a daemon that hears from no watcher for longer watches itself.
@@ -366,22 +366,33 @@
 	})
 }
 
-// spread queues the news of this daemon for the peers until ctx ends: at once
-// for those that place on the same engines, in larger batches for the others.
+// spread queues the news of this daemon for the peers until ctx ends: what
+// changes where the others place at once, the rest in larger batches.
 func (p *peers) spread(ctx context.Context) {
-	var far newsMessage
-	var farSent time.Time
+	var m newsMessage
+	var sent time.Time
 	for p.f.clock.Sleep(ctx, newsInterval) == nil {
-		m := p.takeNext()
-		p.queue(&m, true)
-		far.add(&m)
-		if now := p.f.clock.Now(); now.Sub(farSent) >= farInterval {
-			p.queue(&far, false)
-			far, farSent = newsMessage{}, now
+		next := p.takeNext()
+		m.add(&next)
+		now := p.f.clock.Now()
+		if m.empty() || (!next.urgent() && now.Sub(sent) < p.batchInterval()) {
+			continue
 		}
+		p.queue(&m)
+		m, sent = newsMessage{}, now
 	}
 }
 
+// batchInterval returns how long news that are not urgent may wait.
+func (p *peers) batchInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.known) < smallMesh {
+		return 0
+	}
+	return lazyInterval
+}
+
 // takeNext returns what there is to tell.
 func (p *peers) takeNext() newsMessage {
 	p.mu.Lock()
@@ -405,22 +416,30 @@
 	m.Manifest = max(m.Manifest, later.Manifest)
 }
 
+// urgent reports whether the news change where the others place, or what they
+// hold in force.
+func (m *newsMessage) urgent() bool {
+	if len(m.Leaving)+len(m.Endpoints) > 0 || m.Manifest > 0 {
+		return true
+	}
+	for _, s := range m.Service {
+		for i := range s.News {
+			if s.News[i].Event == placer.Placed || s.News[i].Event == placer.Arriving {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // empty reports whether there is nothing to tell.
 func (m *newsMessage) empty() bool {
 	return len(m.Service)+len(m.Reports)+len(m.Leaving)+len(m.Endpoints) == 0 && m.Manifest == 0
 }
 
-// near reports whether a peer gets news at once. The mutex is held.
-func (p *peers) near(o *peer) bool {
-	return o.daemon.Domain == p.f.cfg.Daemon.Domain || len(p.known) < nearLimit
-}
-
-// queue hands a batch to the senders of the near or the far peers. A peer that
-// is too far behind misses it; reports and greetings correct what it believes.
-func (p *peers) queue(m *newsMessage, near bool) {
-	if m.empty() {
-		return
-	}
+// queue hands a batch to the senders of all peers. A peer that is too far behind
+// misses it; reports and greetings correct what it believes.
+func (p *peers) queue(m *newsMessage) {
 	body, err := msgpack.Marshal(m)
 	if err != nil {
 		p.f.log.Error().Err(err).Msg("forwarder: news could not be encoded")
@@ -429,7 +448,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.known {
-		if !o.alive || p.near(o) != near {
+		if !o.alive {
 			continue
 		}
 		select {
