Keep waiting daemons from rushing to free room, and tell lengths and backups

Daemons begin to use a new engine within 0.3 s at random, and a queue is tried in two of five ticks. Lengths of complete answers are told, so that a daemon with a dozen of its own knows them; room of backups counts before reports show it.

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -17,6 +17,8 @@
 	report     Report
 	runs       map[string]*running // Of this daemon and of peers that tell.
 	arrivals   map[string]*running // Runs whose memory is being copied here.
+	backups    map[string]*running // Runs elsewhere whose memory is copied here as it grows.
+	usable     time.Time           // When this daemon begins to use a new engine.
 	known      map[string]bool     // Sequences in the report.
 	avoidUntil time.Time           // After a refusal.
 	cutUntil   time.Time           // After it could not be reached.
@@ -59,6 +61,10 @@
 		e.forecast.Add(&r.moments)
 		e.sequences++
 	}
+	for _, r := range e.backups {
+		held += float64(r.job.Prompt)
+		e.forecast.Add(&r.moments)
+	}
 	e.copies = 0
 	if !e.reported.IsZero() {
 		e.copies = max(float64(e.report.MemoryUsed)-held, 0)
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -96,6 +96,7 @@
 	Rank    int
 	Model   string
 	Running bool // For Placed: the job already produces output.
+	Tokens  int  // For Ended: the output, if it is complete; else zero.
 }
 
 // Event is what happened to a job.
--- a/coordination/placer/news.go
+++ b/coordination/placer/news.go
@@ -68,6 +68,9 @@
 	case Started:
 		p.begun(n.JobID, now)
 	case Ended:
+		if e := p.engines[p.jobs[n.JobID]]; e != nil && e.runs[n.JobID] != nil && n.Tokens > 0 {
+			p.lengths.Record(e.runs[n.JobID].job.Class, n.Tokens)
+		}
 		p.leave(n.JobID)
 		p.endedAt[n.JobID] = now
 	}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -34,6 +34,8 @@
 	worthBackup  = 1500 * time.Millisecond // Shorter runs end within the notice of an engine that leaves.
 	backupPeak   = 0.3                     // No backup is placed above this one: it would take the room of jobs.
 	leavingKept  = 20 * time.Second        // Longer than an engine serves after its notice.
+	newSpread    = 300 * time.Millisecond  // Daemons begin to use a new engine within this time, so that they hear of each other's placements.
+	retryChance  = 0.4                     // Part of the waiting jobs that are tried at a time, for the same reason.
 	cutTime      = 1500 * time.Millisecond // Until an engine that could not be reached is tried again.
 	avoidTime    = 300 * time.Millisecond
 	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
@@ -84,13 +86,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	present := make(map[registrar.Identity]bool, len(endpoints))
+	atStart := len(p.engines) == 0
 	for _, ep := range endpoints {
 		present[ep.Identity] = true
 		if e := p.engines[ep.Identity]; e != nil {
 			e.endpoint, e.leaving = ep, time.Time{}
 			continue
 		}
-		p.engines[ep.Identity] = &engine{endpoint: ep, runs: map[string]*running{}, arrivals: map[string]*running{}, known: map[string]bool{}}
+		usable := now
+		if !atStart {
+			usable = now.Add(time.Duration(p.rand.Float64() * float64(newSpread)))
+		}
+		p.engines[ep.Identity] = &engine{usable: usable, endpoint: ep, runs: map[string]*running{}, arrivals: map[string]*running{}, backups: map[string]*running{}, known: map[string]bool{}}
 	}
 	for id, e := range p.engines {
 		switch {
@@ -153,7 +160,9 @@
 	return Placement{}, false
 }
 
-// Next returns the outcomes of waiting jobs that can be decided now.
+// Next returns the outcomes of waiting jobs that can be decided now. It is
+// called again and again: of several calls one places jobs, at random, so that
+// daemons whose jobs wait for the same room don't all take it at once.
 func (p *Placer) Next(now time.Time) []Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -162,12 +171,17 @@
 	}
 	p.sortQueue(now)
 	var outcomes []Outcome
+	try := p.rand.Float64() < retryChance
 	kept := p.queue[:0]
 	for _, w := range p.queue {
 		if p.hopeless(&w.job, now) {
 			outcomes = append(outcomes, Outcome{Job: w.job, Refused: true, ComeBack: p.comeBack(), Waited: now.Sub(w.since)})
 			continue
 		}
+		if !try {
+			kept = append(kept, w)
+			continue
+		}
 		if pl, ok := p.place(&w.job, w.exclude, now); ok {
 			outcomes = append(outcomes, Outcome{Job: w.job, Placement: pl, Waited: now.Sub(w.since)})
 			continue
@@ -329,7 +343,11 @@
 	defer p.mu.Unlock()
 	p.leave(job.ID)
 	p.endedAt[job.ID] = now
-	p.news = append(p.news, News{JobID: job.ID, Event: Ended})
+	news := News{JobID: job.ID, Event: Ended}
+	if complete {
+		news.Tokens = tokens
+	}
+	p.news = append(p.news, news)
 	switch {
 	case complete && tokens > 0:
 		p.lengths.Record(job.Class, tokens)
@@ -341,6 +359,9 @@
 // leave takes a job off its engine. The mutex is held.
 func (p *Placer) leave(id string) {
 	if e := p.engines[p.jobs[id]]; e != nil {
+		if r := e.runs[id]; r != nil {
+			p.dropBackup(r)
+		}
 		delete(e.runs, id)
 		e.dirty = true
 	}
@@ -353,9 +374,21 @@
 	e.runs[job.ID] = r
 	p.jobs[job.ID] = e.endpoint.Identity
 	e.dirty = true
+	if b := p.engines[backup]; b != nil {
+		b.backups[job.ID] = r
+		b.dirty = true
+	}
 	return r
 }
 
+// dropBackup frees the room of a run's backup. The mutex is held.
+func (p *Placer) dropBackup(r *running) {
+	if b := p.engines[r.backup]; b != nil {
+		delete(b.backups, r.job.ID)
+		b.dirty = true
+	}
+}
+
 // elsewhere reports whether a job is known to have ended or to run on another
 // engine than the report says. The mutex is held.
 func (p *Placer) elsewhere(id string) bool {
@@ -388,7 +421,7 @@
 	var best *engine
 	var bestCost, bestPeak float64
 	for id, e := range p.engines {
-		if exclude[id] || !e.leaving.IsZero() {
+		if exclude[id] || !e.leaving.IsZero() || now.Before(e.usable) {
 			continue
 		}
 		e.refresh(p, now)
