Greet the daemons that the settings name

Cause: a daemon that starts while the store is away knew no other daemon and was not ready until the store was back (TestDaemonStartsWhileTheStoreIsAway).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -99,6 +99,7 @@
 	if f.callers, err = net.Listen("tcp", f.cfg.Daemon.Callers); err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
+	f.peers.addSeeds(f.cfg.Daemon.Seeds)
 	f.spawn(f.serveCallers)
 	f.spawn(f.serveReady)
 	f.spawn(f.serveMetrics)
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -136,13 +137,32 @@
 	p.f.spawn(func() { p.talk(ctx, o) })
 }
 
-// alive returns the names of the peers that answer, and their failure domains.
+// addSeeds greets daemons of which only the address is known, so that a daemon
+// that starts while the store is away hears of the others. The list of daemons
+// takes their place.
+func (p *peers) addSeeds(addrs []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, addr := range addrs {
+		if addr != "" && addr != p.f.cfg.Daemon.Peers {
+			p.add(Daemon{Name: seedName + addr, Addr: addr})
+		}
+	}
+}
+
+// seedName begins the name of a daemon of which only the address is known.
+const seedName = "seed "
+
+// isSeed reports whether only the address of the peer is known.
+func (o *peer) isSeed() bool { return strings.HasPrefix(o.daemon.Name, seedName) }
+
+// living returns the peers that answer.
 func (p *peers) living() []Daemon {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var all []Daemon
 	for _, o := range p.known {
-		if o.alive {
+		if o.alive && !o.isSeed() {
 			all = append(all, o.daemon)
 		}
 	}
@@ -205,6 +225,7 @@
 		return err
 	}
 	p.noteFresh(o, g.Fresh)
+	p.meet(g.Daemon)
 	own := p.greeting()
 	if g.Manifest > own.Manifest {
 		if err := p.fetchManifest(c, o); err != nil {
@@ -448,7 +469,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.known {
-		if !o.alive {
+		if !o.alive || o.isSeed() {
 			continue
 		}
 		select {
