--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -21,11 +21,10 @@
 type Job struct {
 	ID        string
 	Class     estimator.Class
-	Prompt    int // Prompt tokens.
-	MaxTokens int // Bound on output tokens; zero means none.
-	Hint      int // The client's estimate of the output tokens; zero means none.
-	Rank      int // 0 is the most urgent.
-	Value     float64
+	Prompt    int       // Prompt tokens.
+	MaxTokens int       // Bound on output tokens; zero means none.
+	Hint      int       // The client's estimate of the output tokens; zero means none.
+	Rank      int       // 0 is the most urgent.
 	FirstBy   time.Time // When the first event should be there.
 	Deadline  time.Time // When the answer is worth nothing any more.
 	Backups   bool      // The engine may copy the memory to another one.
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -23,7 +23,6 @@
 	watchers       = 4                      // Daemons that watch the store; the others hear from them.
 	listTimeout    = 2 * time.Second
 	watchOvertime  = 1500 * time.Millisecond // Beyond the wait before a watch counts as silent.
-	announceTries  = 5
 	withdrawWithin = time.Second
 )
 
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -85,7 +85,6 @@
 	Genuine bool           // The endpoint vouches for the answer.
 	NotRun  bool           // The endpoint says that it has not run the request.
 	Moved   bool           // Another endpoint answers at the address.
-	Leaving bool           // The endpoint will close the connection.
 	Load    *balancer.Load // Nil if not told.
 	Length  int            // Of the body in bytes; negative if not known.
 }
