Read a pending claim again before a repeat is told that it is in progress

Cause of TestFilingRunsOnceUnderOneKey (KNOWN-RED, once 409 unknown for a repeat at another daemon): a holder answers its caller before the outcome is written to the store. A repeat that reads the claim in between met it pending and was refused at once. Beside load the write is late enough for the test's next call. Ruled out: a lost write and a stale read (the stand-in's reads are current).

Now the repeat reads the claim again, after the claim's usual delays and up to its usual number of calls. A claim that was seen pending and can't be read again ends as in progress with an unknown outcome, not as not run, and one that has vanished is not made anew.

--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -235,6 +235,8 @@
 	switch {
 	case res.Result == ResultOK:
 		return c.meet(now, res)
+	case c.seen.Claim.State == StatePending:
+		return c.awaitRecord()
 	case res.Result == ResultNotFound && c.tries < c.cfg.MaxTries:
 		return c.create()
 	default:
--- a/coordination/claimer/claimer_test.go
+++ b/coordination/claimer/claimer_test.go
@@ -113,12 +113,46 @@
 	}
 }
 
+// TestRepeatWhileFirstRuns reads a claim that stays pending, and one that can't
+// be read any more, until the tries are used up.
 func TestRepeatWhileFirstRuns(t *testing.T) {
-	acts := met(t, request("w2"), ReadResult{Claim: claimOf("w1", StatePending), HolderAlive: true})
-	ref := acts[0].(Refuse)
-	assert.Equal(t, ref.Reason, ReasonInProgress)
-	assert.Equal(t, ref.Outcome, OutcomeUnknown)
-	assert.Assert(t, ref.RetryAfter > 0)
+	pending := ReadResult{Claim: claimOf("w1", StatePending), HolderAlive: true}
+	for _, later := range []ReadResult{pending, {Result: ResultUnavailable}, {Result: ResultNotFound}} {
+		c, acts := repeatOf(pending)
+		reads := 1
+		for ; !c.Finished(); reads++ {
+			_, waits := acts[0].(Wait)
+			assert.Assert(t, waits, "%v", acts)
+			assert.DeepEqual(t, c.Handle(begin, Tick{}), []Action{Read{Name: Name("c", "k")}})
+			acts = c.Handle(begin, later)
+		}
+		assert.Equal(t, reads, DefaultSettings().MaxTries-1)
+		ref := acts[0].(Refuse)
+		assert.Equal(t, ref.Reason, ReasonInProgress)
+		assert.Equal(t, ref.Outcome, OutcomeUnknown)
+		assert.Assert(t, ref.RetryAfter > 0)
+	}
+}
+
+// TestRepeatBeforeTheRecordGetsTheAnswer repeats a request whose caller has its
+// answer while the outcome is still being written to the store.
+func TestRepeatBeforeTheRecordGetsTheAnswer(t *testing.T) {
+	c, acts := repeatOf(ReadResult{Claim: claimOf("w1", StatePending), HolderAlive: true})
+	_, waits := acts[0].(Wait)
+	assert.Assert(t, waits, "%v", acts)
+	c.Handle(begin, Tick{})
+	ran := claimOf("w1", StateRan)
+	ran.Answer = &StoredAnswer{Status: 201, Body: []byte("filed")}
+	acts = c.Handle(begin, ReadResult{Claim: ran, HolderAlive: true})
+	assert.DeepEqual(t, acts[0], Answer{Outcome: OutcomeRan, Stored: ran.Answer, Replayed: true})
+}
+
+// repeatOf returns a repeat that has met res, and what it does next.
+func repeatOf(res ReadResult) (*Claimer, []Action) {
+	c := newClaimer(request("w2"))
+	c.Handle(begin, Begin{})
+	c.Handle(begin, CreateResult{Result: ResultExists})
+	return c, c.Handle(begin, res)
 }
 
 func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
--- a/coordination/claimer/meet.go
+++ b/coordination/claimer/meet.go
@@ -76,7 +76,18 @@
 	if overdue || !c.seen.HolderAlive {
 		return c.replay(OutcomeUnknown, nil)
 	}
-	return c.inProgress()
+	return c.awaitRecord()
+}
+
+// awaitRecord reads the pending claim again after a pause, since a holder
+// answers its caller before it records the outcome. A claim that stays pending
+// is in progress.
+func (c *Claimer) awaitRecord() []Action {
+	if c.tries >= c.cfg.MaxTries {
+		return c.inProgress()
+	}
+	c.phase = phaseReading
+	return []Action{Wait{Duration: c.backoff(c.tries)}}
 }
 
 func (c *Claimer) inProgress() []Action {
