Order waiting jobs alike at all daemons, and see engines' memory as it is

Cause, from logs of the grown sites beside the engines' reports: (1) a report does not list the sequence whose prompt is being read, but its memory is in use; it was counted twice, as a run and as a copy, 1,100 to 4,000 of 21,835 tokens an engine. (2) A new engine has no report, which counted as an old one: all daemons asked it, 4.7 reports an engine and second in place of 1.8. (3) 66 daemons decided on the same free room at the same time, and each ordered only its own queue: room went to jobs that were late already. (4) Prompts that an engine had still to read counted as read once a report showed their memory. (5) Arriving runs of more urgent customers made running ones yield. (7) Two loops took one stream off the same engine (409 from its own move).

Change: daemons tell each other what waits, order all of it alike, and each carries out the decisions on its own jobs; room of others is held meanwhile. The sequence that is read counts once. Unread prompts are the prompts of what has not begun, less what can have been read since. New runs have one urgency at engines, moved ones go first. Runs that must leave may go where their memory fits now, spread over destinations in the order of the engines that leave, and new jobs leave them room; a failed move frees it. A job that can be on time waits rather than go where it would be late (measured next).

Ruled out: lag of the news (placements were told within 25 ms already).

--- a/coordination/forecaster/forecaster.go
+++ b/coordination/forecaster/forecaster.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// Now returns the tokens held now, with those of the sequence with moments m.
+func (f *Forecast) Now(m *Moments) float64 { return f.at(0, m, 0, 0) }
+
 // Peak returns the largest number of tokens held at any horizon, exceeded there
 // with the probability that Deviations was given the complement of. The
 // sequence with moments m counts as added; m may be nil.
--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"monsoonspar.example/coordination/forecaster"
-	"monsoonspar.example/state/estimator"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -18,18 +17,22 @@
 	runs       map[string]*running // Of this daemon and of peers that tell.
 	arrivals   map[string]*running // Runs whose memory is being copied here.
 	backups    map[string]*running // Runs elsewhere whose memory is copied here as it grows.
-	usable     time.Time           // When this daemon begins to use a new engine.
-	known      map[string]bool     // Sequences in the report.
-	avoidUntil time.Time           // After a refusal.
-	cutUntil   time.Time           // After it could not be reached.
-	arrival    time.Time           // When a move was last sent here.
-	leaving    time.Time           // Since when it takes no jobs; zero while it does.
+	added      time.Time
+	hash       uint64          // Of the name.
+	holds      []*running      // Jobs that go before the one that is decided on.
+	known      map[string]bool // Sequences in the report.
+	avoidUntil time.Time       // After a refusal.
+	cutUntil   time.Time       // After it could not be reached.
+	arrival    time.Time       // When a move was last sent here.
+	fullUntil  time.Time       // After it had no room for a move.
+	leaving    time.Time       // Since when it takes no jobs; zero while it does.
+	progress   time.Time       // When a job last began to produce.
 
 	// Derived from the report and the runs by refresh.
 	forecast  forecaster.Forecast
 	copies    float64 // Memory held by other things than sequences.
 	sequences int
-	prefill   float64 // Prompt tokens still to be read.
+	unread    backlog
 	dirty     bool
 }
 
@@ -40,7 +43,21 @@
 	}
 	e.dirty = false
 	e.forecast = forecaster.Forecast{}
-	e.sequences, e.prefill = 0, 0
+	e.sequences, e.unread = 0, backlog{since: e.progress}
+	held := e.countReported(p, now) + e.countCopies(p, now)
+	unlisted := e.countUnlisted()
+	reading := max(e.report.Running-len(e.report.Sequences), 0)
+	held += p.heldUnread(unlisted, reading, e.reported.Add(-p.cfg.ReportLag))
+	e.copies = 0
+	if !e.reported.IsZero() {
+		e.copies = max(float64(e.report.MemoryUsed)-held, 0)
+	}
+	e.addQueued(p, max(e.report.Queued+reading-len(unlisted), 0))
+}
+
+// countReported counts the sequences on the list of the report, and returns the
+// memory that they held then.
+func (e *engine) countReported(p *Placer, now time.Time) float64 {
 	held := 0.0
 	age := now.Sub(e.reported) + p.cfg.ReportLag
 	grown := max(int(age/p.cfg.StepTime), 0)
@@ -52,12 +69,20 @@
 		}
 		e.addReported(p, s, grown)
 	}
+	return held
+}
+
+// countCopies counts the runs elsewhere whose memory comes here, and returns
+// what it holds.
+func (e *engine) countCopies(p *Placer, now time.Time) float64 {
+	held := 0.0
 	for id, r := range e.arrivals {
 		if now.Sub(r.since) > arrivalKept || e.runs[id] != nil {
 			delete(e.arrivals, id)
+			delete(p.arriving, id)
 			continue
 		}
-		held += float64(r.job.Prompt)
+		held += float64(r.job.Prompt + r.job.Produced)
 		e.forecast.Add(&r.moments)
 		e.sequences++
 	}
@@ -65,23 +90,50 @@
 		held += float64(r.job.Prompt)
 		e.forecast.Add(&r.moments)
 	}
-	e.copies = 0
-	if !e.reported.IsZero() {
-		e.copies = max(float64(e.report.MemoryUsed)-held, 0)
-	}
-	unseen := 0
+	return held
+}
+
+// countUnlisted counts the runs that the report does not list, and the jobs that
+// go before the one that is decided on. It returns the former.
+func (e *engine) countUnlisted() []*running {
+	var unlisted []*running
 	for id, r := range e.runs {
+		if r.started.IsZero() {
+			e.unread.add(r)
+		}
 		if e.known[id] {
 			continue
 		}
-		unseen++
+		unlisted = append(unlisted, r)
 		e.forecast.Add(&r.moments)
 		e.sequences++
-		if r.started.IsZero() {
-			e.prefill += float64(r.job.Prompt)
+	}
+	for _, r := range e.holds {
+		e.unread.add(r)
+		e.forecast.Add(&r.moments)
+		e.sequences++
+	}
+	return unlisted
+}
+
+// heldUnread returns the memory of n sequences whose prompts the engine was
+// reading at the time of its report, which lists them only afterwards. They are
+// the first of the unlisted runs that were placed by then; of others nothing is
+// known.
+func (p *Placer) heldUnread(unlisted []*running, n int, asOf time.Time) float64 {
+	if n == 0 {
+		return 0
+	}
+	slices.SortFunc(unlisted, func(a, b *running) int { return a.since.Compare(b.since) })
+	held := 0.0
+	for _, r := range unlisted {
+		if n == 0 || r.since.After(asOf) {
+			break
 		}
+		held += float64(r.job.Prompt + r.job.Produced)
+		n--
 	}
-	e.addQueued(p, max(e.report.Queued-unseen, 0))
+	return held + float64(n*p.meanPrompt())
 }
 
 // addReported counts a sequence of the report.
@@ -91,13 +143,16 @@
 	if s.Events > 0 {
 		produced += grown
 	} else {
-		e.prefill += float64(max(p.meanPrompt()-s.Tokens, 0))
 		prompt = max(prompt, p.meanPrompt())
 	}
-	length := estimator.Bounded{Dist: p.distribution(s.Priority)}
-	if r := e.runs[s.ID]; r != nil {
+	length := p.anyLength()
+	r := e.runs[s.ID]
+	if r == nil && s.Events == 0 {
+		e.unread.tokens += float64(prompt)
+	}
+	if r != nil {
 		length = p.length(&r.job)
-		prompt = r.job.Prompt
+		prompt, produced = r.job.Prompt, max(produced, r.job.Produced)
 	}
 	m := forecaster.MomentsOf(forecaster.Sequence{Prompt: prompt, Produced: produced, Length: length}, p.cfg.Block)
 	e.forecast.Add(&m)
@@ -110,27 +165,45 @@
 	if n == 0 {
 		return
 	}
-	m := forecaster.MomentsOf(forecaster.Sequence{Prompt: p.meanPrompt(), Length: estimator.Bounded{Dist: p.distribution(0)}}, p.cfg.Block)
+	m := forecaster.MomentsOf(forecaster.Sequence{Prompt: p.meanPrompt(), Length: p.anyLength()}, p.cfg.Block)
 	for range n {
 		e.forecast.Add(&m)
 	}
 	e.sequences += n
-	e.prefill += float64(n * p.meanPrompt())
+	e.unread.tokens += float64(n * p.meanPrompt())
 }
 
 // peak returns the forecast peak of memory with m added, as a part of all.
 func (e *engine) peak(p *Placer, m *forecaster.Moments) float64 {
-	total := float64(p.cfg.MemoryTokens)
+	return (e.forecast.Peak(m, p.cfg.Deviations) + e.copies) / e.total(p)
+}
+
+// fitsNow reports whether m fits into the memory that is free now.
+func (e *engine) fitsNow(p *Placer, m *forecaster.Moments) bool {
+	return e.forecast.Now(m)+e.copies <= e.total(p)
+}
+
+// total returns the memory of the engine in tokens.
+func (e *engine) total(p *Placer) float64 {
 	if e.report.MemoryTotal > 0 {
-		total = float64(e.report.MemoryTotal)
+		return float64(e.report.MemoryTotal)
 	}
-	return (e.forecast.Peak(m, p.cfg.Deviations) + e.copies) / total
+	return float64(p.cfg.MemoryTokens)
 }
 
+// readWait returns the time until the engine has read the prompts that it has.
+func (e *engine) readWait(p *Placer, now time.Time) time.Duration {
+	rate := p.cfg.PrefillPerMs / prefillShare
+	return time.Duration(e.unread.left(now, rate) / rate * float64(time.Millisecond))
+}
+
+// milliseconds returns d in milliseconds.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // cost returns what it costs a job to run on the engine, in milliseconds until
 // its first event.
-func (e *engine) cost(p *Placer, peak float64, domain string, now time.Time) float64 {
-	cost := e.prefill/p.cfg.PrefillPerMs*prefillShare + float64(e.sequences)*sequenceCostMs
+func (e *engine) cost(p *Placer, w *waiting, peak float64, now time.Time) float64 {
+	cost := milliseconds(e.readWait(p, now)) + float64(e.sequences)*sequenceCostMs
 	if peak > easyPeak {
 		cost += (peak - easyPeak) * crowdedCostMs
 	}
@@ -146,12 +219,41 @@
 	if now.Before(e.cutUntil) {
 		cost += cutCostMs
 	}
-	if e.endpoint.Domain != domain {
+	if e.endpoint.Domain != w.domain {
 		cost += crossingCostMs
 	}
 	return cost
 }
 
+// backlog is the prompts that an engine has still to read, one after the other.
+type backlog struct {
+	tokens float64
+	head   float64   // The prompt that is read first.
+	first  time.Time // When the head was placed; zero without one.
+	since  time.Time // When the engine last ended a prompt.
+}
+
+// add counts the prompt of a run that has not begun.
+func (b *backlog) add(r *running) {
+	b.tokens += float64(r.job.Prompt)
+	if b.first.IsZero() || r.since.Before(b.first) {
+		b.first, b.head = r.since, float64(r.job.Prompt)
+	}
+}
+
+// left returns the tokens that are unread now, at a rate in tokens a
+// millisecond. More than the head can't have been read unnoticed for longer
+// than peers take to tell.
+func (b *backlog) left(now time.Time, rate float64) float64 {
+	since := b.since
+	if b.first.After(since) {
+		since = b.first
+	}
+	read := rate * float64(max(now.Sub(since), 0)) / float64(time.Millisecond)
+	read = min(read, b.head+rate*float64(beginLag)/float64(time.Millisecond))
+	return max(b.tokens-read, 0)
+}
+
 // Times of an evacuation.
 const (
 	arrivalKept = 2500 * time.Millisecond // Longer than a move takes; the engine frees a copy that is not used.
@@ -194,5 +296,5 @@
 	if r.started.IsZero() {
 		return 0
 	}
-	return int(now.Sub(r.started) / p.cfg.StepTime)
+	return r.job.Produced + int(now.Sub(r.started)/p.cfg.StepTime)
 }
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -24,6 +24,7 @@
 	Prompt    int       // Prompt tokens.
 	MaxTokens int       // Bound on output tokens; zero means none.
 	Hint      int       // The client's estimate of the output tokens; zero means none.
+	Produced  int       // Output tokens so far, of a job that moves.
 	Rank      int       // 0 is the most urgent.
 	FirstBy   time.Time // When the first event should be there.
 	Deadline  time.Time // When the answer is worth nothing any more.
@@ -40,10 +41,9 @@
 
 // Sequence is one generation in an engine's report.
 type Sequence struct {
-	ID       string
-	Tokens   int // In memory.
-	Events   int // Produced so far.
-	Priority int // As sent to the engine.
+	ID     string
+	Tokens int // In memory.
+	Events int // Produced so far.
 }
 
 // Report is what an engine tells of its load. The figures are older than the
@@ -72,6 +72,9 @@
 	job     Job
 	since   time.Time
 	exclude map[registrar.Identity]bool
+	domain  string    // Failure domain of the daemon where it waits.
+	told    time.Time // When the peers were last told, or told this daemon.
+	remote  bool      // It waits at a peer.
 }
 
 // running is a job on an engine, placed by this daemon or by a peer.
@@ -94,8 +97,12 @@
 	Limit   int // Bound on output tokens; zero means none.
 	Rank    int
 	Model   string
-	Running bool // For Placed: the job already produces output.
-	Tokens  int  // For Ended: the output, if it is complete; else zero.
+	Domain  string        // For Queued: the failure domain of the daemon.
+	FirstIn time.Duration // For Queued: when the first event should be there, from now.
+	Running bool          // For Placed: the job already produces output.
+	// Produced is the output so far of a job that moves, in tokens.
+	Produced int
+	Tokens   int // For Ended: the output, if it is complete; else zero.
 }
 
 // Event is what happened to a job.
@@ -106,5 +113,6 @@
 	Placed   Event = iota + 1 // It was sent to an engine.
 	Started                   // Its first event came.
 	Ended                     // It runs nowhere any more.
-	Arriving                  // Its memory is being copied to an engine.
+	Queued                    // It waits for room.
+	Arriving                  // Its memory is being copied to an engine; to none any more if that is zero.
 )
--- a/coordination/placer/news.go
+++ b/coordination/placer/news.go
@@ -16,7 +16,7 @@
 func (p *Placer) tell(r *running, e *engine) {
 	p.news = append(p.news, News{
 		JobID: r.job.ID, Event: Placed, Engine: e.endpoint.Identity, Backup: r.backup, Prompt: r.job.Prompt,
-		Limit: r.job.MaxTokens, Rank: r.job.Rank, Model: r.job.Class.Model, Running: !r.started.IsZero(),
+		Limit: r.job.MaxTokens, Rank: r.job.Rank, Model: r.job.Class.Model, Running: !r.started.IsZero(), Produced: r.job.Produced,
 	})
 }
 
@@ -46,9 +46,15 @@
 	if e := p.engines[p.jobs[n.JobID]]; e != nil && e.runs[n.JobID] != nil && !e.runs[n.JobID].remote {
 		return // The daemon knows its own jobs best.
 	}
+	delete(p.others, n.JobID)
 	switch n.Event {
+	case Queued:
+		job := n.job()
+		job.FirstBy = now.Add(n.FirstIn)
+		p.others[n.JobID] = &waiting{job: job, since: now, domain: n.Domain, told: now, remote: true}
 	case Placed:
 		p.leave(n.JobID)
+		p.unexpect(n.JobID)
 		e := p.engines[n.Engine]
 		if e == nil {
 			return
@@ -60,6 +66,7 @@
 			r.started = now
 		}
 	case Arriving:
+		p.unexpect(n.JobID)
 		if e := p.engines[n.Engine]; e != nil {
 			job := n.job()
 			e.arrival = now
@@ -72,13 +79,14 @@
 			p.lengths.Record(e.runs[n.JobID].job.Class, n.Tokens)
 		}
 		p.leave(n.JobID)
+		p.unexpect(n.JobID)
 		p.endedAt[n.JobID] = now
 	}
 }
 
 // job returns the job that the news are about, as far as peers know it.
 func (n *News) job() Job {
-	return Job{ID: n.JobID, Class: ClassOf(n.Model, n.Rank), Prompt: n.Prompt, MaxTokens: n.Limit, Rank: n.Rank}
+	return Job{ID: n.JobID, Class: ClassOf(n.Model, n.Rank), Prompt: n.Prompt, MaxTokens: n.Limit, Produced: n.Produced, Rank: n.Rank}
 }
 
 // forgetLost drops the jobs of peers on an engine whose end went unnoticed: the
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonspar.example/coordination/forecaster"
 	"monsoonspar.example/state/estimator"
 	"monsoonspar.example/state/registrar"
@@ -25,21 +27,24 @@
 	jitterCostMs   = 40   // Spreads the choices of daemons that see the same reports.
 
 	// Of destinations of moves, in parts of an engine's memory.
-	moveJitter = 0.5                    // Daemons that leave the same engine should not choose the same link.
+	moveJitter = 0.05                   // Among engines that are alike.
+	spreadCost = 0.5                    // Engines that leave together choose among those that cost no more than this above the best.
 	farMove    = 1.0                    // A move to another failure domain takes twice as long.
 	busyLink   = 0.3                    // Another move goes there.
+	overfull   = 3.0                    // The run may have to yield there, or make another one yield; it is lost where it is.
+	leaveTime  = 2 * time.Second        // The runs of an engine have left it, or are lost; the notice of the platform is shorter.
+	fullTime   = 200 * time.Millisecond // Until an engine without room for a move is tried again.
 	linkBusy   = 300 * time.Millisecond // Time in which a link carries the memory of one long run.
 
 	fullPeak     = 0.97                    // No job is placed above this forecast peak.
 	worthBackup  = 1500 * time.Millisecond // Shorter runs end within the notice of an engine that leaves.
 	backupPeak   = 0.3                     // No backup is placed above this one: it would take the room of jobs.
 	leavingKept  = 20 * time.Second        // Longer than an engine serves after its notice.
-	newSpread    = 300 * time.Millisecond  // Daemons begin to use a new engine within this time, so that they hear of each other's placements.
-	retryChance  = 0.4                     // Part of the waiting jobs that are tried at a time, for the same reason.
 	cutTime      = 1500 * time.Millisecond // Until an engine that could not be reached is tried again.
 	avoidTime    = 300 * time.Millisecond
-	endedKept    = 3 * time.Second // An engine's report may show a sequence this long after its end.
-	minimalSteps = 16              // Output that a job must have time for to be started.
+	beginLag     = 300 * time.Millisecond // Until peers tell that a job has begun.
+	endedKept    = 3 * time.Second        // An engine's report may show a sequence this long after its end.
+	minimalSteps = 16                     // Output that a job must have time for to be started.
 )
 
 // Config describes the engines of one service. All fields are needed.
@@ -65,10 +70,13 @@
 	engines map[registrar.Identity]*engine
 	jobs    map[string]registrar.Identity // Engine of each placed job.
 	endedAt map[string]time.Time
-	queue   []*waiting
-	news    []News  // For the peers; taken by News.
-	prompts float64 // Average prompt tokens.
-	model   string
+	// arriving holds the engine that each moving job's memory is copied to.
+	arriving map[string]registrar.Identity
+	queue    []*waiting
+	news     []News              // For the peers; taken by News.
+	others   map[string]*waiting // Jobs that wait at peers, by ID.
+	prompts  float64             // Average prompt tokens.
+	model    string
 }
 
 // New returns a Placer without engines.
@@ -76,7 +84,7 @@
 	return &Placer{
 		cfg: cfg, rand: r, lengths: estimator.New(),
 		engines: map[registrar.Identity]*engine{}, jobs: map[string]registrar.Identity{},
-		endedAt: map[string]time.Time{},
+		endedAt: map[string]time.Time{}, arriving: map[string]registrar.Identity{}, others: map[string]*waiting{},
 	}
 }
 
@@ -86,18 +94,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	present := make(map[registrar.Identity]bool, len(endpoints))
-	atStart := len(p.engines) == 0
 	for _, ep := range endpoints {
 		present[ep.Identity] = true
 		if e := p.engines[ep.Identity]; e != nil {
 			e.endpoint, e.leaving = ep, time.Time{}
 			continue
 		}
-		usable := now
-		if !atStart {
-			usable = now.Add(time.Duration(p.rand.Float64() * float64(newSpread)))
-		}
-		p.engines[ep.Identity] = &engine{usable: usable, endpoint: ep, runs: map[string]*running{}, arrivals: map[string]*running{}, backups: map[string]*running{}, known: map[string]bool{}}
+		p.engines[ep.Identity] = &engine{added: now, hash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*running{}, arrivals: map[string]*running{}, backups: map[string]*running{}, known: map[string]bool{}}
 	}
 	for id, e := range p.engines {
 		switch {
@@ -131,66 +134,20 @@
 	}
 }
 
-// ReportAge returns the age of the newest report of an engine.
+// ReportAge returns the age of the newest report of an engine, or of the engine
+// itself before its first one.
 func (p *Placer) ReportAge(id registrar.Identity, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[id]
-	if e == nil || e.reported.IsZero() {
-		return noReport
-	}
-	return now.Sub(e.reported)
-}
-
-// noReport is the age of a report that never came.
-const noReport = time.Hour
-
-// Submit places a job, or puts it into the queue. It reports false if the job
-// waits; its outcome then comes from Next.
-func (p *Placer) Submit(job Job, exclude map[registrar.Identity]bool, now time.Time) (Placement, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.learnPrompt(job)
-	if len(p.queue) == 0 || p.first(&job, now) {
-		if pl, ok := p.place(&job, exclude, now); ok {
-			return pl, true
-		}
-	}
-	p.queue = append(p.queue, &waiting{job: job, since: now, exclude: exclude})
-	return Placement{}, false
-}
-
-// Next returns the outcomes of waiting jobs that can be decided now. It is
-// called again and again: of several calls one places jobs, at random, so that
-// daemons whose jobs wait for the same room don't all take it at once.
-func (p *Placer) Next(now time.Time) []Outcome {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.queue) == 0 {
-		return nil
-	}
-	p.sortQueue(now)
-	var outcomes []Outcome
-	try := p.rand.Float64() < retryChance
-	kept := p.queue[:0]
-	for _, w := range p.queue {
-		if p.hopeless(&w.job, now) {
-			outcomes = append(outcomes, Outcome{Job: w.job, Refused: true, ComeBack: p.comeBack(), Waited: now.Sub(w.since)})
-			continue
-		}
-		if !try {
-			kept = append(kept, w)
-			continue
-		}
-		if pl, ok := p.place(&w.job, w.exclude, now); ok {
-			outcomes = append(outcomes, Outcome{Job: w.job, Placement: pl, Waited: now.Sub(w.since)})
-			continue
-		}
-		kept = append(kept, w)
+	switch {
+	case e == nil:
+		return 0
+	case e.reported.IsZero():
+		return now.Sub(e.added)
+	default:
+		return now.Sub(e.reported)
 	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
-	return outcomes
 }
 
 // Withdraw takes a job out of the queue.
@@ -200,6 +157,7 @@
 	for i, w := range p.queue {
 		if w.job.ID == id {
 			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			p.news = append(p.news, News{JobID: id, Event: Ended})
 			return
 		}
 	}
@@ -224,6 +182,7 @@
 func (p *Placer) begun(id string, now time.Time) {
 	if e := p.engines[p.jobs[id]]; e != nil && e.runs[id] != nil {
 		e.runs[id].started = now
+		e.progress = now
 		e.dirty = true
 	}
 }
@@ -234,6 +193,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leave(job.ID)
+	p.unexpect(job.ID)
 	e := p.engines[to.Identity]
 	if e == nil {
 		p.news = append(p.news, News{JobID: job.ID, Event: Ended})
@@ -249,44 +209,31 @@
 // Destination returns an engine with room for a running job that must leave the
 // source. One in the failure domain of the source is preferred, since a move to
 // another one takes twice as long, and one that is not the destination of
-// another move, since a link carries one after the other.
+// another move, since a link carries one after the other. If no forecast leaves
+// room, one where the memory fits now will do, since the run is lost otherwise.
 func (p *Placer) Destination(job Job, source registrar.Endpoint, now time.Time) (registrar.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.moments(&job)
-	var best *engine
-	var bestCost float64
+	var candidates []destination
 	for id, e := range p.engines {
-		if id == source.Identity || !e.leaving.IsZero() {
-			continue
-		}
-		e.refresh(p, now)
-		peak := e.peak(p, &m)
-		if e.sequences >= p.cfg.Slots || peak > fullPeak {
-			continue
-		}
-		cost := peak + moveJitter*p.rand.Float64()
-		if e.endpoint.Domain != source.Domain {
-			cost += farMove
-		}
-		if now.Before(e.cutUntil) {
+		if id == source.Identity || !e.leaving.IsZero() || now.Before(e.fullUntil) || now.Before(e.cutUntil) {
 			continue
 		}
-		if now.Sub(e.arrival) < linkBusy {
-			cost += busyLink
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		if cost, ok := e.moveCost(p, &m, source.Domain, now); ok {
+			candidates = append(candidates, destination{engine: e, cost: cost})
 		}
 	}
-	if best == nil {
+	if len(candidates) == 0 {
 		return registrar.Endpoint{}, false
 	}
+	best := p.spread(candidates, source)
 	best.arrival = now
+	p.unexpect(job.ID)
 	p.expect(best, &job, m, now)
 	p.news = append(p.news, News{
 		JobID: job.ID, Event: Arriving, Engine: best.endpoint.Identity, Prompt: job.Prompt, Limit: job.MaxTokens,
-		Rank: job.Rank, Model: job.Class.Model,
+		Produced: job.Produced, Rank: job.Rank, Model: job.Class.Model,
 	})
 	return best.endpoint, true
 }
@@ -296,6 +243,28 @@
 func (p *Placer) expect(e *engine, job *Job, m forecaster.Moments, now time.Time) {
 	e.arrivals[job.ID] = &running{job: *job, since: now, moments: m}
 	e.dirty = true
+	p.arriving[job.ID] = e.endpoint.Identity
+}
+
+// unexpect frees the room that is kept for a run. The mutex is held.
+func (p *Placer) unexpect(id string) {
+	if e := p.engines[p.arriving[id]]; e != nil {
+		delete(e.arrivals, id)
+		e.dirty = true
+	}
+	delete(p.arriving, id)
+}
+
+// MoveFailed notes that a job's memory does not come to its destination,
+// because that one had no room if full is set.
+func (p *Placer) MoveFailed(id string, full bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[p.arriving[id]]; e != nil && full {
+		e.fullUntil = now.Add(fullTime)
+	}
+	p.unexpect(id)
+	p.news = append(p.news, News{JobID: id, Event: Arriving})
 }
 
 // Outlasts returns the probability that a job which has produced tokens will
@@ -342,6 +311,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leave(job.ID)
+	p.unexpect(job.ID)
 	p.endedAt[job.ID] = now
 	news := News{JobID: job.ID, Event: Ended}
 	if complete {
@@ -399,48 +369,10 @@
 	return placed
 }
 
-// place puts a job on the engine where it costs least. The mutex is held.
-func (p *Placer) place(job *Job, exclude map[registrar.Identity]bool, now time.Time) (Placement, bool) {
-	m := p.moments(job)
-	e, peak := p.cheapest(&m, exclude, fullPeak, now)
-	if e == nil {
-		return Placement{}, false
-	}
-	age := time.Duration(-1)
-	if !e.reported.IsZero() {
-		age = now.Sub(e.reported)
-	}
-	backup := p.backup(job, e, now)
-	p.tell(p.join(e, job, backup.Identity, now), e)
-	return Placement{Engine: e.endpoint, Backup: backup, Peak: peak, Age: age}, true
-}
-
-// cheapest returns the engine with the least cost whose forecast peak with m is
-// below the bound. The mutex is held.
-func (p *Placer) cheapest(m *forecaster.Moments, exclude map[registrar.Identity]bool, bound float64, now time.Time) (*engine, float64) {
-	var best *engine
-	var bestCost, bestPeak float64
-	for id, e := range p.engines {
-		if exclude[id] || !e.leaving.IsZero() || now.Before(e.usable) {
-			continue
-		}
-		e.refresh(p, now)
-		peak := e.peak(p, m)
-		if e.sequences >= p.cfg.Slots || (peak > bound && e.sequences > 0) {
-			continue
-		}
-		cost := e.cost(p, peak, p.cfg.Domain, now) + jitterCostMs*p.rand.Float64()
-		if best == nil || cost < bestCost {
-			best, bestCost, bestPeak = e, cost, peak
-		}
-	}
-	return best, bestPeak
-}
-
 // backup returns the engine that should keep a copy of the job's memory: the
 // emptiest, with the domain of the engine first. The mutex is held.
 func (p *Placer) backup(job *Job, on *engine, now time.Time) registrar.Endpoint {
-	if !job.Backups || p.rest(job, 0) < worthBackup {
+	if !job.Backups || p.rest(job, job.Produced) < worthBackup {
 		return registrar.Endpoint{}
 	}
 	m := p.moments(job)
--- a/coordination/placer/queue.go
+++ b/coordination/placer/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"monsoonspar.example/coordination/forecaster"
@@ -17,10 +16,10 @@
 	firstPrompt   = 2500 // Tokens assumed before any prompt was seen; of the order of the sheets' prompts.
 )
 
-// onTime reports whether the first event of a job that starts now can be there
-// when it should.
-func (p *Placer) onTime(job *Job, now time.Time) bool {
-	return !now.Add(p.readTime(job)).After(job.FirstBy)
+// onTime reports whether the first event of a job that starts at the time can
+// be there when it should.
+func (p *Placer) onTime(job *Job, at time.Time) bool {
+	return !at.Add(p.readTime(job)).After(job.FirstBy)
 }
 
 // readTime returns the time to read the prompt beside other sequences.
@@ -39,17 +38,6 @@
 	return now.Add(need).After(job.Deadline)
 }
 
-// first reports whether a job that arrives goes before all that wait. The mutex
-// is held.
-func (p *Placer) first(job *Job, now time.Time) bool {
-	for _, w := range p.queue {
-		if p.compare(job, &w.job, now) >= 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // compare orders jobs: those that can still be on time first, then by rank,
 // then by the time at which the first event is due.
 func (p *Placer) compare(a, b *Job, now time.Time) int {
@@ -63,14 +51,10 @@
 		cmp.Compare(late(a), late(b)),
 		cmp.Compare(a.Rank, b.Rank),
 		a.FirstBy.Compare(b.FirstBy),
+		cmp.Compare(a.ID, b.ID),
 	)
 }
 
-// sortQueue orders the queue. The mutex is held.
-func (p *Placer) sortQueue(now time.Time) {
-	slices.SortStableFunc(p.queue, func(a, b *waiting) int { return p.compare(&a.job, &b.job, now) })
-}
-
 // comeBack returns the time after which a refused client should find room. The
 // mutex is held.
 func (p *Placer) comeBack() time.Duration {
@@ -78,10 +62,9 @@
 	return min(comeBackBase+comeBackBase*time.Duration(len(p.queue))/time.Duration(engines), comeBackLimit)
 }
 
-// moments returns the forecast of a job that has produced nothing. The mutex is
-// held.
+// moments returns the forecast of a job. The mutex is held.
 func (p *Placer) moments(job *Job) forecaster.Moments {
-	return forecaster.MomentsOf(forecaster.Sequence{Prompt: job.Prompt, Length: p.length(job)}, p.cfg.Block)
+	return forecaster.MomentsOf(forecaster.Sequence{Prompt: job.Prompt, Produced: job.Produced, Length: p.length(job)}, p.cfg.Block)
 }
 
 // length returns the distribution of a job's output. The mutex is held.
@@ -89,10 +72,10 @@
 	return estimator.Bounded{Dist: p.lengths.Distribution(job.Class), Limit: job.MaxTokens}
 }
 
-// distribution returns the outputs of jobs of other daemons that were sent with
-// a priority. The mutex is held.
-func (p *Placer) distribution(priority int) *estimator.Distribution {
-	return p.lengths.Distribution(ClassOf(p.model, priority))
+// anyLength returns the distribution of the outputs of jobs of which nothing is
+// known. The mutex is held.
+func (p *Placer) anyLength() estimator.Bounded {
+	return estimator.Bounded{Dist: p.lengths.Distribution(estimator.Class{Model: p.model})}
 }
 
 // ClassOf returns the class of the jobs of a model that are sent with a
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -28,11 +28,16 @@
 	turns := f.turns(e, now)
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
-		due := s.run.engine.Identity == e.Identity && !s.leaving
-		s.leaving = s.leaving || due
+		due := s.run.engine.Identity == e.Identity && s.leaving != e.Identity
+		if due {
+			s.leaving = e.Identity
+		}
 		s.mu.Unlock()
 		if due {
-			f.spawn(func() { s.leave(e, now.Add(turns[s.job.ID].After), now.Add(notice)) })
+			f.spawn(func() {
+				s.leave(e, now.Add(turns[s.job.ID].After), now.Add(notice))
+				s.stopLeaving(e.Identity)
+			})
 		}
 	}
 }
@@ -69,6 +74,15 @@
 	}
 }
 
+// stopLeaving notes that nothing takes the stream off an engine any more.
+func (s *stream) stopLeaving(id registrar.Identity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving == id {
+		s.leaving = registrar.Identity{}
+	}
+}
+
 // runsAt reports whether the stream still runs at an engine.
 func (s *stream) runsAt(id registrar.Identity) bool {
 	s.mu.Lock()
@@ -76,6 +90,13 @@
 	return s.run.engine.Identity == id && !s.closed
 }
 
+// moving returns the job as it is now, for a move.
+func (s *stream) moving() placer.Job {
+	job := s.job
+	job.Produced = s.produced()
+	return job
+}
+
 // produced returns the output tokens received so far.
 func (s *stream) produced() int {
 	s.mu.Lock()
@@ -94,7 +115,7 @@
 	if s.handOver(source, func() (run, error) { return s.continueFromBackup(source, errLeaving) }) == nil {
 		return true
 	}
-	to, ok := s.place.Destination(s.job, source.engine, s.f.clock.Now())
+	to, ok := s.place.Destination(s.moving(), source.engine, s.f.clock.Now())
 	if !ok {
 		s.f.describe(s.f.log.Info(), s.x).Str("endpoint", source.engine.Name).Msg("forwarder: no engine has room for a run that must leave")
 		return false
@@ -106,6 +127,9 @@
 	if err == nil {
 		err = s.handOver(source, func() (run, error) { return s.continueByMove(c, source, to, errLeaving) })
 	}
+	if err != nil {
+		s.place.MoveFailed(s.job.ID, errors.Is(err, ErrNoRoom), s.f.clock.Now())
+	}
 	s.logMove(source.engine, to, began, err)
 	return err == nil || errors.Is(err, ErrNoRun)
 }
--- a/forwarder/news.go
+++ b/forwarder/news.go
@@ -31,6 +31,7 @@
 	Engine  registrar.Identity `msgpack:"engine"`
 	AgeMs   int64              `msgpack:"age_ms"`
 	Report  placer.Report      `msgpack:"report"`
+	taken   time.Time
 }
 
 type leavingNews struct {
@@ -138,8 +139,10 @@
 	}
 	for _, s := range m.Service {
 		for i := range s.News {
-			if s.News[i].Event == placer.Placed || s.News[i].Event == placer.Arriving {
+			switch s.News[i].Event {
+			case placer.Placed, placer.Arriving, placer.Queued:
 				return true
+			case placer.Started, placer.Ended:
 			}
 		}
 	}
@@ -154,6 +157,10 @@
 // queue hands a batch to the senders of all peers. A peer that is too far behind
 // misses it; reports and greetings correct what it believes.
 func (p *peers) queue(m *newsMessage) {
+	now := p.f.clock.Now()
+	for i := range m.Reports {
+		m.Reports[i].AgeMs = now.Sub(m.Reports[i].taken).Milliseconds()
+	}
 	body, err := msgpack.Marshal(m)
 	if err != nil {
 		p.f.log.Error().Err(err).Msg("forwarder: news could not be encoded")
@@ -177,7 +184,7 @@
 func (p *peers) tellReport(service string, id registrar.Identity, r placer.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.next.Reports = append(p.next.Reports, reportNews{Service: service, Engine: id, Report: r})
+	p.next.Reports = append(p.next.Reports, reportNews{Service: service, Engine: id, Report: r, taken: p.f.clock.Now()})
 }
 
 // tellLeaving queues the news that an engine leaves.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -47,11 +47,11 @@
 
 	mu        sync.Mutex
 	run       run
-	events    int       // Received so far.
-	lastEvent string    // Id of the last event that was received.
-	lastBytes time.Time // When the engine last sent anything.
-	leaving   bool      // Being taken off its engine.
-	next      chan run  // Brings the run to go on with; nil unless it is being made.
+	events    int                // Received so far.
+	lastEvent string             // Id of the last event that was received.
+	lastBytes time.Time          // When the engine last sent anything.
+	leaving   registrar.Identity // The engine that it is being taken off; zero for none.
+	next      chan run           // Brings the run to go on with; nil unless it is being made.
 	closed    bool
 }
 
@@ -226,7 +226,7 @@
 	var err error
 	r.answer, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
 		Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
-		Priority: s.job.Rank, Backup: backup.Addr, Resume: from,
+		Priority: urgency(from), Backup: backup.Addr, Resume: from,
 	})
 	if err == nil {
 		return r, nil
@@ -237,6 +237,21 @@
 	return r, err
 }
 
+// Urgency at engines. A more urgent run that arrives makes others yield, which
+// then read their prompts again; only a run that goes on is worth that.
+const (
+	urgencyOfResumed = 0
+	urgencyOfNew     = 1
+)
+
+// urgency returns the urgency of a run that goes on from there.
+func urgency(from Resume) int {
+	if from.Copy != "" {
+		return urgencyOfResumed
+	}
+	return urgencyOfNew
+}
+
 // use makes r the run that the stream reads from.
 func (s *stream) use(r run) {
 	s.mu.Lock()
@@ -244,7 +259,7 @@
 	if s.events == 0 {
 		s.lastBytes = s.f.clock.Now()
 	}
-	s.leaving, s.next = false, nil
+	s.next = nil
 	s.mu.Unlock()
 	s.f.rememberStream(s)
 }
