Let crossing placements yield, move patiently, leave unreachable engines alone

Causes: (1) placements still crossed: three drafts of 9,900 tokens reached one engine within 40 ms, each daemon unaware of the others, and one was preempted for 4.4 s. (2) A run began to move at a fixed time though the one ahead of it was late; their copies shared the link and both stood still: 27 of 104 moved streams paused for over 180 ms.

Change: a daemon looks at a placement again after 20 ms, when the news has crossed; those with the lowest ids stay, the others are placed anew. A run waits for those ahead while there is time for all behind it too, and busy links are avoided. Engines that could not be reached get no new jobs for 1.5 s.

Tests: TestPlacementsThatCrossYieldInOneOrder, TestLatestStartLeavesTimeForAll, TestJobsWaitRatherThanTryUnreachableEngines, each failing before.

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -216,9 +216,6 @@
 	if now.Before(e.avoidUntil) {
 		cost += refusedCostMs
 	}
-	if now.Before(e.cutUntil) {
-		cost += cutCostMs
-	}
 	if e.endpoint.Domain != w.domain {
 		cost += crossingCostMs
 	}
@@ -275,6 +272,7 @@
 	turns := make(map[string]Turn, len(ids))
 	after := time.Duration(0)
 	ahead := 0
+	var moving []string
 	for _, id := range ids {
 		r := e.runs[id]
 		if b := p.engines[r.backup]; b != nil && b.leaving.IsZero() {
@@ -284,10 +282,16 @@
 		turns[id] = Turn{After: after, Ahead: ahead, Mine: !r.remote}
 		if p.rest(&r.job, e.produced(p, r, now)) > shortRest {
 			ahead++
+			moving = append(moving, id)
 			held := float64(r.job.Prompt + e.produced(p, r, now))
 			after += turnPause + time.Duration(turnSlack*held/tokensPerSecond*float64(time.Second))
 		}
 	}
+	for _, id := range moving {
+		turn := turns[id]
+		turn.Need = after - turn.After
+		turns[id] = turn
+	}
 	return turns
 }
 
--- a/coordination/placer/leaving_test.go
+++ b/coordination/placer/leaving_test.go
@@ -35,6 +35,8 @@
 		assert.Assert(t, turn.Mine && !theirs[id].Mine)
 		assert.Equal(t, turn.After, theirs[id].After)
 		assert.Assert(t, turn.After >= time.Duration(turn.Ahead)*165*time.Millisecond)
+		assert.Assert(t, turn.Need >= time.Duration(4-turn.Ahead)*165*time.Millisecond)
+		assert.Assert(t, turn.After+turn.Need < 4*330*time.Millisecond)
 		seen[turn.Ahead] = true
 	}
 	assert.Equal(t, len(seen), 4)
--- a/coordination/placer/news.go
+++ b/coordination/placer/news.go
@@ -105,6 +105,7 @@
 // Turn is when a run should leave its engine.
 type Turn struct {
 	After time.Duration // From now, as far as the sizes of the runs ahead tell.
+	Need  time.Duration // For the run itself and those behind it.
 	Ahead int           // Runs that go first.
 	Mine  bool
 }
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -157,7 +157,7 @@
 	hash := xxhash.Sum64String(w.job.ID)
 	canBeOnTime := p.onTime(&w.job, now)
 	for id, e := range p.engines {
-		if w.exclude[id] || !e.leaving.IsZero() {
+		if w.exclude[id] || !e.leaving.IsZero() || now.Before(e.cutUntil) {
 			continue
 		}
 		e.refresh(p, now)
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -21,7 +21,6 @@
 	crowdedCostMs  = 3000 // For a forecast peak of all memory.
 	coldCostMs     = 300  // An engine that has just started is slow.
 	unknownCostMs  = 60   // Nothing is known of the engine's load yet.
-	cutCostMs      = 6000 // The engine could not be reached just now.
 	refusedCostMs  = 1000 // The engine has just refused a job.
 	crossingCostMs = 150  // Another failure domain.
 	jitterCostMs   = 150  // Jobs that are placed before the news of each other spread over engines that are alike.
@@ -30,11 +29,11 @@
 	moveJitter = 0.05                   // Among engines that are alike.
 	spreadCost = 0.5                    // Engines that leave together choose among those that cost no more than this above the best.
 	farMove    = 1.0                    // A move to another failure domain takes twice as long.
-	busyLink   = 0.3                    // Another move goes there.
+	busyLink   = 0.8                    // Another move goes there; better a fuller engine.
 	overfull   = 3.0                    // The run may have to yield there, or make another one yield; it is lost where it is.
 	leaveTime  = 2 * time.Second        // The runs of an engine have left it, or are lost; the notice of the platform is shorter.
 	fullTime   = 200 * time.Millisecond // Until an engine without room for a move is tried again.
-	linkBusy   = 300 * time.Millisecond // Time in which a link carries the memory of one long run.
+	linkBusy   = 400 * time.Millisecond // Time in which a link carries the memory of one long run.
 
 	fullPeak     = 0.97                    // No job is placed above this forecast peak.
 	worthBackup  = 1500 * time.Millisecond // Shorter runs end within the notice of an engine that leaves.
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -168,6 +168,49 @@
 	assert.Assert(t, outcomes[0].Refused && outcomes[0].ComeBack > 0)
 }
 
+// Cut failure domain: jobs wait for room on the engines that answer rather than
+// try those that don't, until these are tried again.
+func TestJobsWaitRatherThanTryUnreachableEngines(t *testing.T) {
+	near, far := engines(1, "a"), engines(2, "b")
+	p := newPlacer(1, append(near, far...))
+	learn(p, 1)
+	for _, e := range far {
+		p.Unreachable(e.Identity, start)
+	}
+	n := fill(p)
+	assert.Assert(t, n >= 6 && n <= 11, "%d", n)
+	assert.Equal(t, len(p.Next(start.Add(time.Second))), 0)
+	outcomes := p.Next(start.Add(2 * time.Second))
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Placement.Engine.Domain, "b")
+}
+
+// Burst on a new engine: five daemons place there at the same moment, before
+// they hear of each other. Those that don't fit together yield in the same
+// order at all, and the rest is sent.
+func TestPlacementsThatCrossYieldInOneOrder(t *testing.T) {
+	all := engines(1, "a")
+	var daemons []*placer.Placer
+	for i := range 5 {
+		p := newPlacer(uint64(i+1), all)
+		learn(p, 0)
+		_, ok := p.Submit(job(fmt.Sprint("j", i), 3500, 0, start), nil, start)
+		assert.Assert(t, ok)
+		daemons = append(daemons, p)
+	}
+	tellAll(daemons, start.Add(10*time.Millisecond))
+	var kept []string
+	for i, p := range daemons {
+		if id := fmt.Sprint("j", i); p.Confirm(id, start.Add(20*time.Millisecond)) {
+			kept = append(kept, id)
+		}
+	}
+	assert.DeepEqual(t, kept, []string{"j0", "j1", "j2"}) // 500 ms each, of 1,800.
+	tellAll(daemons, start.Add(30*time.Millisecond))
+	_, ok := daemons[4].Submit(job("j4", 3500, 0, start), nil, start.Add(30*time.Millisecond))
+	assert.Assert(t, !ok)
+}
+
 // An estimate far beyond the bound on the output is no reason to refuse.
 func TestWildEstimateIsNotHopeless(t *testing.T) {
 	p := newPlacer(1, engines(1, "a"))
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -12,10 +12,11 @@
 
 // Times of leaving an engine.
 const (
-	noticeTime  = 1500 * time.Millisecond // From the first sign that an engine leaves; the shortest notice of the platform.
-	moveRetry   = 25 * time.Millisecond   // Until it is seen again whether a run can move.
-	worthMoving = 0.2                     // Chance that a run outlasts its engine; a move costs far less than a lost run.
-	moveGiveUp  = 250 * time.Millisecond  // No move is begun with less time left.
+	noticeTime   = 1500 * time.Millisecond // From the first sign that an engine leaves; the shortest notice of the platform.
+	moveRetry    = 25 * time.Millisecond   // Until it is seen again whether a run can move.
+	patientTurns = 3                       // Times as long as the runs ahead should take.
+	worthMoving  = 0.2                     // Chance that a run outlasts its engine; a move costs far less than a lost run.
+	moveGiveUp   = 250 * time.Millisecond  // No move is begun with less time left.
 )
 
 // evacuate moves the streams of a leaving engine to others. The engine is gone
@@ -35,13 +36,20 @@
 		s.mu.Unlock()
 		if due {
 			f.spawn(func() {
-				s.leave(e, now.Add(turns[s.job.ID].After), now.Add(notice))
+				s.leave(e, now.Add(latestStart(turns[s.job.ID], notice)), now.Add(notice))
 				s.stopLeaving(e.Identity)
 			})
 		}
 	}
 }
 
+// latestStart returns when a run begins to leave even if those ahead of it have
+// not left. It is patient while there is time for all, since copies that share a
+// link hold up the last part of each other, for which the runs stand still.
+func latestStart(turn placer.Turn, notice time.Duration) time.Duration {
+	return max(turn.After, min(patientTurns*turn.After, notice-moveGiveUp-turn.Need))
+}
+
 // turns returns when the runs of a leaving engine should move.
 func (f *Forwarder) turns(e registrar.Endpoint, now time.Time) map[string]placer.Turn {
 	p := f.knownPlacement(e.Service)
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -141,6 +141,18 @@
 	return all
 }
 
+// any reports whether some peer answers.
+func (p *peers) any() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.known {
+		if o.alive && !o.isSeed() {
+			return true
+		}
+	}
+	return false
+}
+
 // talk sends news to one peer and greets it, until ctx ends.
 func (p *peers) talk(ctx context.Context, o *peer) {
 	for ctx.Err() == nil {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -105,7 +105,7 @@
 func (s *stream) open() (*Refusal, error) {
 	exclude := map[registrar.Identity]bool{}
 	for {
-		pl, refusal := s.waitForPlace(exclude)
+		pl, refusal := s.confirmedPlace(exclude)
 		if refusal != nil {
 			return refusal, nil
 		}
@@ -166,6 +166,28 @@
 	return &Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonUnknown}, err
 }
 
+// Bounds of the wait for other daemons' placements.
+const (
+	crossDelay  = 20 * time.Millisecond // News of a placement and of those made meanwhile have crossed; a hundredth of a first event's time.
+	maxConfirms = 3                     // Times that a placement may yield.
+)
+
+// confirmedPlace returns where the request may run, after the news of it has
+// crossed with that of other daemons.
+func (s *stream) confirmedPlace(exclude map[registrar.Identity]bool) (placer.Placement, *Refusal) {
+	for tries := 1; ; tries++ {
+		pl, refusal := s.waitForPlace(exclude)
+		if refusal != nil || tries > maxConfirms || !s.f.peers.any() {
+			return pl, refusal
+		}
+		if s.f.clock.Sleep(s.ctx, crossDelay) != nil || s.place.Confirm(s.job.ID, s.f.clock.Now()) {
+			return pl, nil
+		}
+		s.f.metrics.count("placements_yielded")
+		s.f.describe(s.f.log.Info(), s.x).Str("endpoint", pl.Engine.Name).Int("try", tries).Msg("forwarder: placement yields to one made meanwhile")
+	}
+}
+
 // waitForPlace returns where the request may run, when it may.
 func (s *stream) waitForPlace(exclude map[registrar.Identity]bool) (placer.Placement, *Refusal) {
 	now := s.f.clock.Now()
