--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -4,9 +4,15 @@
 // same engines. A Placer therefore adds to each report what its own daemon has
 // sent since, lets the reported sequences grow by the time that has passed, and
 // forecasts the memory that all of them will hold. A generation goes to the
-// engine where it costs least among those where the forecast leaves room;
-// otherwise it waits in the Placer's queue, or is refused if it could not be
+// engine where it costs least among those where the forecast leaves room and the
+// unread prompts leave time; otherwise it waits, or is refused if it could not be
 // served in time.
+//
+// Placers tell each other news: what they placed, what began, ended or moves,
+// and what waits. All order what waits alike, decide for all, and carry out the
+// decisions on their own jobs (order.go). Placements that crossed on the way
+// yield in an order that all know (confirm.go). Runs that must leave their
+// engine get destinations (destination.go) and turns on its link (engine.go).
 package placer
 
 import (
