One piece for what the placer, the peers and the tests wrote several times

Destinations stand in destination.go together. A stream that need not leave its engine no longer asks for everybody's turns 40 times a second. configurer's benchmark collects garbage twice now, as the four others did. No assertion, bound or decision is changed.

--- a/coordination/admitter/bench_test.go
+++ b/coordination/admitter/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/state/weigher"
 )
 
 // crowded returns an Owner with 170 running generations and 10,000 queued
@@ -88,9 +89,9 @@
 func BenchmarkQueue(b *testing.B) {
 	for _, requests := range []int{100, 1000, 10_000} {
 		b.Run(fmt.Sprintf("queued=%d", requests), func(b *testing.B) {
-			before := heapBytes()
+			before := weigher.HeapBytes()
 			o, now := queued(130, requests)
-			held := heapBytes() - before
+			held := weigher.HeapBytes() - before
 			for b.Loop() {
 				now = now.Add(100 * time.Millisecond)
 				o.Tick(now)
@@ -100,12 +101,3 @@
 		})
 	}
 }
-
-// heapBytes returns the bytes of the heap that are reachable.
-func heapBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/coordination/configurer/bench_test.go
+++ b/coordination/configurer/bench_test.go
@@ -9,6 +9,7 @@
 	"monsoonspar.example/coordination/configurer"
 	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/partitioner"
+	"monsoonspar.example/state/weigher"
 )
 
 // BenchmarkInstall measures what a change of one customer costs a daemon that
@@ -38,16 +39,8 @@
 			if core.Generation() != g {
 				b.Fatal("a change was not installed")
 			}
-			b.ReportMetric(float64(heapBytes()), "heap-B")
+			b.ReportMetric(float64(weigher.HeapBytes()), "heap-B")
 			runtime.KeepAlive(core)
 		})
 	}
 }
-
-// heapBytes returns the bytes of the heap that are in use.
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/coordination/placer/confirm.go
+++ b/coordination/placer/confirm.go
@@ -33,8 +33,7 @@
 	if !crossed || p.fitsWithout(e, own, yielding, now) {
 		return true
 	}
-	p.leave(id)
-	p.news = append(p.news, News{JobID: id, Event: Ended})
+	p.leaveAndTell(id)
 	return false
 }
 
@@ -46,11 +45,11 @@
 	}
 	e.dirty = true
 	e.refresh(p, now)
-	peak := e.forecast.Peak(nil, p.cfg.Deviations) + e.copies
+	peak := e.peak(p, nil)
 	late := p.onTime(&own.job, own.since) && now.Add(e.readWait(p, now)).After(own.job.FirstBy)
 	for id, r := range others {
 		e.runs[id] = r
 	}
 	e.dirty = true
-	return !late && peak <= fullPeak*e.total(p)
+	return !late && peak <= fullPeak
 }
--- a/coordination/placer/destination.go
+++ b/coordination/placer/destination.go
@@ -16,6 +16,66 @@
 	cost   float64
 }
 
+// Destination returns an engine with room for a running job that must leave the
+// source. One in the failure domain of the source is preferred, since a move to
+// another one takes twice as long, and one that is not the destination of
+// another move, since a link carries one after the other. If no forecast leaves
+// room, one where the memory fits now will do, since the run is lost otherwise.
+func (p *Placer) Destination(job Job, source registrar.Endpoint, now time.Time) (registrar.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.moments(&job)
+	var candidates []destination
+	for id, e := range p.engines {
+		if id == source.Identity || !e.open(now) || now.Before(e.fullUntil) {
+			continue
+		}
+		if cost, ok := e.moveCost(p, &m, source.Domain, now); ok {
+			candidates = append(candidates, destination{engine: e, cost: cost})
+		}
+	}
+	if len(candidates) == 0 {
+		return registrar.Endpoint{}, false
+	}
+	best := p.spread(candidates, source)
+	best.arrival = now
+	p.unexpect(job.ID)
+	p.expect(best, &job, m, now)
+	n := newsOf(&job, Arriving)
+	n.Engine = best.endpoint.Identity
+	p.tell(n)
+	return best.endpoint, true
+}
+
+// expect keeps room for a run whose memory is copied to an engine. The mutex is
+// held.
+func (p *Placer) expect(e *engine, job *Job, m forecaster.Moments, now time.Time) {
+	e.arrivals[job.ID] = &running{job: *job, since: now, moments: m}
+	e.dirty = true
+	p.arriving[job.ID] = e.endpoint.Identity
+}
+
+// unexpect frees the room that is kept for a run. The mutex is held.
+func (p *Placer) unexpect(id string) {
+	if e := p.engines[p.arriving[id]]; e != nil {
+		delete(e.arrivals, id)
+		e.dirty = true
+	}
+	delete(p.arriving, id)
+}
+
+// MoveFailed notes that a job's memory does not come to its destination,
+// because that one had no room if full is set.
+func (p *Placer) MoveFailed(id string, full bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engines[p.arriving[id]]; e != nil && full {
+		e.fullUntil = now.Add(fullTime)
+	}
+	p.unexpect(id)
+	p.tell(News{JobID: id, Event: Arriving})
+}
+
 // moveCost returns what it costs to move a run with moments m here, and false
 // if there is no room.
 func (e *engine) moveCost(p *Placer, m *forecaster.Moments, from string, now time.Time) (float64, bool) {
--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -36,6 +36,9 @@
 	dirty     bool
 }
 
+// open reports whether the engine takes jobs, as far as is known.
+func (e *engine) open(now time.Time) bool { return e.leaving.IsZero() && !now.Before(e.cutUntil) }
+
 // refresh computes the forecast anew.
 func (e *engine) refresh(p *Placer, now time.Time) {
 	if !e.dirty {
@@ -173,7 +176,8 @@
 	e.unread.tokens += float64(n * p.meanPrompt())
 }
 
-// peak returns the forecast peak of memory with m added, as a part of all.
+// peak returns the forecast peak of memory with m added, as a part of all; m may
+// be nil.
 func (e *engine) peak(p *Placer, m *forecaster.Moments) float64 {
 	return (e.forecast.Peak(m, p.cfg.Deviations) + e.copies) / e.total(p)
 }
@@ -193,8 +197,7 @@
 
 // readWait returns the time until the engine has read the prompts that it has.
 func (e *engine) readWait(p *Placer, now time.Time) time.Duration {
-	rate := p.cfg.PrefillPerMs / prefillShare
-	return time.Duration(e.unread.left(now, rate) / rate * float64(time.Millisecond))
+	return p.reading(e.unread.left(now, p.readRate()))
 }
 
 // milliseconds returns d in milliseconds.
@@ -246,8 +249,8 @@
 	if b.first.After(since) {
 		since = b.first
 	}
-	read := rate * float64(max(now.Sub(since), 0)) / float64(time.Millisecond)
-	read = min(read, b.head+rate*float64(beginLag)/float64(time.Millisecond))
+	read := rate * milliseconds(max(now.Sub(since), 0))
+	read = min(read, b.head+rate*milliseconds(beginLag))
 	return max(b.tokens-read, 0)
 }
 
@@ -280,10 +283,10 @@
 			continue
 		}
 		turns[id] = Turn{After: after, Ahead: ahead, Mine: !r.remote}
-		if p.rest(&r.job, e.produced(p, r, now)) > shortRest {
+		if produced := e.produced(p, r, now); p.rest(&r.job, produced) > shortRest {
 			ahead++
 			moving = append(moving, id)
-			held := float64(r.job.Prompt + e.produced(p, r, now))
+			held := float64(r.job.Prompt + produced)
 			after += turnPause + time.Duration(turnSlack*held/tokensPerSecond*float64(time.Second))
 		}
 	}
--- a/coordination/placer/news.go
+++ b/coordination/placer/news.go
@@ -12,12 +12,28 @@
 	remoteLimit = 60 * time.Second
 )
 
-// tell adds the news that a job was placed. The mutex is held.
-func (p *Placer) tell(r *running, e *engine) {
-	p.news = append(p.news, News{
-		JobID: r.job.ID, Event: Placed, Engine: e.endpoint.Identity, Backup: r.backup, Prompt: r.job.Prompt,
-		Limit: r.job.MaxTokens, Rank: r.job.Rank, Model: r.job.Class.Model, Running: !r.started.IsZero(), Produced: r.job.Produced,
-	})
+// tell adds news for the peers. The mutex is held.
+func (p *Placer) tell(n News) { p.news = append(p.news, n) }
+
+// tellPlaced adds the news that a job was placed. The mutex is held.
+func (p *Placer) tellPlaced(r *running, e *engine) {
+	n := newsOf(&r.job, Placed)
+	n.Engine, n.Backup, n.Running = e.endpoint.Identity, r.backup, !r.started.IsZero()
+	p.tell(n)
+}
+
+// leaveAndTell takes a job off its engine and tells the peers that it runs
+// nowhere. The mutex is held.
+func (p *Placer) leaveAndTell(id string) {
+	p.leave(id)
+	p.tell(News{JobID: id, Event: Ended})
+}
+
+// newsOf returns news of an event with all that peers know of the job.
+func newsOf(job *Job, event Event) News {
+	return News{
+		JobID: job.ID, Event: event, Prompt: job.Prompt, Limit: job.MaxTokens, Produced: job.Produced, Rank: job.Rank, Model: job.Class.Model,
+	}
 }
 
 // TakeNews returns the news since the last call.
@@ -84,7 +100,8 @@
 	}
 }
 
-// job returns the job that the news are about, as far as peers know it.
+// job returns the job that the news are about, as far as peers know it: what
+// newsOf has taken of it.
 func (n *News) job() Job {
 	return Job{ID: n.JobID, Class: ClassOf(n.Model, n.Rank), Prompt: n.Prompt, MaxTokens: n.Limit, Produced: n.Produced, Rank: n.Rank}
 }
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -45,41 +45,33 @@
 		return nil
 	}
 	var outcomes []Outcome
-	kept := p.queue[:0]
-	for _, w := range p.queue {
-		if p.hopeless(&w.job, now) {
+	p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool {
+		hopeless := p.hopeless(&w.job, now)
+		if hopeless {
 			outcomes = append(outcomes, Outcome{Job: w.job, Refused: true, ComeBack: p.comeBack(), Waited: now.Sub(w.since)})
-			p.news = append(p.news, News{JobID: w.job.ID, Event: Ended})
-			continue
+			p.tell(News{JobID: w.job.ID, Event: Ended})
 		}
-		kept = append(kept, w)
-	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
+		return hopeless
+	})
 	placed := p.decide(now, func(w *waiting) bool { return !w.remote })
-	kept = p.queue[:0]
-	for _, w := range p.queue {
-		if pl, ok := placed[w]; ok {
+	p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool {
+		pl, ok := placed[w]
+		if ok {
 			outcomes = append(outcomes, Outcome{Job: w.job, Placement: pl, Waited: now.Sub(w.since)})
-			continue
-		}
-		if now.Sub(w.told) >= tellAgain {
+		} else if now.Sub(w.told) >= tellAgain {
 			p.tellQueued(w, now)
 		}
-		kept = append(kept, w)
-	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
+		return ok
+	})
 	return outcomes
 }
 
 // tellQueued adds the news that a job waits. The mutex is held.
 func (p *Placer) tellQueued(w *waiting, now time.Time) {
 	w.told = now
-	p.news = append(p.news, News{
-		JobID: w.job.ID, Event: Queued, Prompt: w.job.Prompt, Limit: w.job.MaxTokens, Rank: w.job.Rank, Model: w.job.Class.Model,
-		Domain: p.cfg.Domain, FirstIn: w.job.FirstBy.Sub(now),
-	})
+	n := newsOf(&w.job, Queued)
+	n.Domain, n.FirstIn = p.cfg.Domain, w.job.FirstBy.Sub(now)
+	p.tell(n)
 }
 
 // decide goes through all that wait, the first first, and places those of them
@@ -143,7 +135,7 @@
 		age = now.Sub(e.reported)
 	}
 	backup := p.backup(job, e, now)
-	p.tell(p.join(e, job, backup.Identity, now), e)
+	p.tellPlaced(p.join(e, job, backup.Identity, now), e)
 	return Placement{Engine: e.endpoint, Backup: backup, Peak: peak, Age: age}
 }
 
@@ -157,7 +149,7 @@
 	hash := xxhash.Sum64String(w.job.ID)
 	canBeOnTime := p.onTime(&w.job, now)
 	for id, e := range p.engines {
-		if w.exclude[id] || !e.leaving.IsZero() || now.Before(e.cutUntil) {
+		if w.exclude[id] || !e.open(now) {
 			continue
 		}
 		e.refresh(p, now)
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -2,12 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"monsoonspar.example/coordination/forecaster"
 	"monsoonspar.example/state/estimator"
 	"monsoonspar.example/state/registrar"
 )
@@ -72,7 +72,7 @@
 	// arriving holds the engine that each moving job's memory is copied to.
 	arriving map[string]registrar.Identity
 	queue    []*waiting
-	news     []News              // For the peers; taken by News.
+	news     []News              // For the peers; taken by TakeNews.
 	others   map[string]*waiting // Jobs that wait at peers, by ID.
 	prompts  float64             // Average prompt tokens.
 	model    string
@@ -153,12 +153,9 @@
 func (p *Placer) Withdraw(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, w := range p.queue {
-		if w.job.ID == id {
-			p.queue = append(p.queue[:i], p.queue[i+1:]...)
-			p.news = append(p.news, News{JobID: id, Event: Ended})
-			return
-		}
+	if i := slices.IndexFunc(p.queue, func(w *waiting) bool { return w.job.ID == id }); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+		p.tell(News{JobID: id, Event: Ended})
 	}
 }
 
@@ -174,7 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun(id, now)
-	p.news = append(p.news, News{JobID: id, Event: Started})
+	p.tell(News{JobID: id, Event: Started})
 }
 
 // begun notes the first event of a job. The mutex is held.
@@ -195,77 +192,16 @@
 	p.unexpect(job.ID)
 	e := p.engines[to.Identity]
 	if e == nil {
-		p.news = append(p.news, News{JobID: job.ID, Event: Ended})
+		p.tell(News{JobID: job.ID, Event: Ended})
 		return registrar.Endpoint{}
 	}
 	backup := p.backup(&job, e, now)
 	r := p.join(e, &job, backup.Identity, now)
 	r.started = now
-	p.tell(r, e)
+	p.tellPlaced(r, e)
 	return backup
 }
 
-// Destination returns an engine with room for a running job that must leave the
-// source. One in the failure domain of the source is preferred, since a move to
-// another one takes twice as long, and one that is not the destination of
-// another move, since a link carries one after the other. If no forecast leaves
-// room, one where the memory fits now will do, since the run is lost otherwise.
-func (p *Placer) Destination(job Job, source registrar.Endpoint, now time.Time) (registrar.Endpoint, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.moments(&job)
-	var candidates []destination
-	for id, e := range p.engines {
-		if id == source.Identity || !e.leaving.IsZero() || now.Before(e.fullUntil) || now.Before(e.cutUntil) {
-			continue
-		}
-		if cost, ok := e.moveCost(p, &m, source.Domain, now); ok {
-			candidates = append(candidates, destination{engine: e, cost: cost})
-		}
-	}
-	if len(candidates) == 0 {
-		return registrar.Endpoint{}, false
-	}
-	best := p.spread(candidates, source)
-	best.arrival = now
-	p.unexpect(job.ID)
-	p.expect(best, &job, m, now)
-	p.news = append(p.news, News{
-		JobID: job.ID, Event: Arriving, Engine: best.endpoint.Identity, Prompt: job.Prompt, Limit: job.MaxTokens,
-		Produced: job.Produced, Rank: job.Rank, Model: job.Class.Model,
-	})
-	return best.endpoint, true
-}
-
-// expect keeps room for a run whose memory is copied to an engine. The mutex is
-// held.
-func (p *Placer) expect(e *engine, job *Job, m forecaster.Moments, now time.Time) {
-	e.arrivals[job.ID] = &running{job: *job, since: now, moments: m}
-	e.dirty = true
-	p.arriving[job.ID] = e.endpoint.Identity
-}
-
-// unexpect frees the room that is kept for a run. The mutex is held.
-func (p *Placer) unexpect(id string) {
-	if e := p.engines[p.arriving[id]]; e != nil {
-		delete(e.arrivals, id)
-		e.dirty = true
-	}
-	delete(p.arriving, id)
-}
-
-// MoveFailed notes that a job's memory does not come to its destination,
-// because that one had no room if full is set.
-func (p *Placer) MoveFailed(id string, full bool, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e := p.engines[p.arriving[id]]; e != nil && full {
-		e.fullUntil = now.Add(fullTime)
-	}
-	p.unexpect(id)
-	p.news = append(p.news, News{JobID: id, Event: Arriving})
-}
-
 // Outlasts returns the probability that a job which has produced tokens will
 // run for longer than d.
 func (p *Placer) Outlasts(job Job, produced int, d time.Duration) float64 {
@@ -291,8 +227,7 @@
 			e.cutUntil = now.Add(cutTime)
 		}
 	}
-	p.leave(id)
-	p.news = append(p.news, News{JobID: id, Event: Ended})
+	p.leaveAndTell(id)
 }
 
 // Unreachable notes that an engine does not answer this daemon.
@@ -316,7 +251,7 @@
 	if complete {
 		news.Tokens = tokens
 	}
-	p.news = append(p.news, news)
+	p.tell(news)
 	switch {
 	case complete && tokens > 0:
 		p.lengths.Record(job.Class, tokens)
@@ -378,7 +313,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range p.engines {
-		if e == on || !e.leaving.IsZero() || now.Before(e.cutUntil) {
+		if e == on || !e.open(now) {
 			continue
 		}
 		e.refresh(p, now)
--- a/coordination/placer/queue.go
+++ b/coordination/placer/queue.go
@@ -23,10 +23,18 @@
 }
 
 // readTime returns the time to read the prompt beside other sequences.
-func (p *Placer) readTime(job *Job) time.Duration {
-	return time.Duration(float64(job.Prompt) / p.cfg.PrefillPerMs * prefillShare * float64(time.Millisecond))
+func (p *Placer) readTime(job *Job) time.Duration { return p.reading(float64(job.Prompt)) }
+
+// reading returns the time in which an engine reads prompt tokens beside other
+// sequences.
+func (p *Placer) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / p.readRate() * float64(time.Millisecond))
 }
 
+// readRate returns the prompt tokens that an engine reads in a millisecond beside
+// other sequences.
+func (p *Placer) readRate() float64 { return p.cfg.PrefillPerMs / prefillShare }
+
 // hopeless reports whether a job could not be answered before its deadline if
 // it started now.
 func (p *Placer) hopeless(job *Job, now time.Time) bool {
--- a/coordination/router/cacheindex_test.go
+++ b/coordination/router/cacheindex_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/state/weigher"
 )
 
 func ExampleCacheIndex() {
@@ -70,7 +71,7 @@
 func BenchmarkCacheIndex(b *testing.B) {
 	for _, prefixes := range []int{1 << 10, 1 << 12, 1 << 14} {
 		b.Run(fmt.Sprintf("prefixes=%d", prefixes), func(b *testing.B) {
-			before := heapBytes()
+			before := weigher.HeapBytes()
 			var x router.CacheIndex
 			events := make([]router.CacheEvent, 1)
 			seq := uint64(0)
@@ -82,7 +83,7 @@
 			for i := range prefixes {
 				apply(router.CacheStored, uint64(i))
 			}
-			held := heapBytes() - before
+			held := weigher.HeapBytes() - before
 			for b.Loop() {
 				apply(router.CacheEvicted, seq%uint64(prefixes))
 				apply(router.CacheStored, seq%uint64(prefixes))
@@ -92,12 +93,3 @@
 		})
 	}
 }
-
-// heapBytes returns the bytes of the heap that are reachable.
-func heapBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -208,14 +208,27 @@
 	assumedDaemons   = 16                     // Share of the retry budget before the others are known.
 )
 
+// addWaiter notes where the outcome of a waiting job goes.
+func (p *placement) addWaiter(id string, ch chan placer.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiters[id] = ch
+}
+
+// takeWaiter forgets where the outcome of a job goes, and returns it; nil if
+// nobody waits.
+func (p *placement) takeWaiter(id string) chan placer.Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ch := p.waiters[id]
+	delete(p.waiters, id)
+	return ch
+}
+
 // settle hands the outcomes of waiting jobs to their streams.
 func (p *placement) settle(now time.Time) {
 	for _, o := range p.Next(now) {
-		p.mu.Lock()
-		ch := p.waiters[o.Job.ID]
-		delete(p.waiters, o.Job.ID)
-		p.mu.Unlock()
-		if ch != nil {
+		if ch := p.takeWaiter(o.Job.ID); ch != nil {
 			ch <- o
 			continue
 		}
--- a/forwarder/lending.go
+++ b/forwarder/lending.go
@@ -55,7 +55,7 @@
 	defer p.mu.Unlock()
 	var some []*peer
 	for _, o := range p.known { // In random order.
-		if o.alive && !o.isSeed() && len(some) < maxLenders {
+		if o.answers() && len(some) < maxLenders {
 			some = append(some, o)
 		}
 	}
--- a/forwarder/move.go
+++ b/forwarder/move.go
@@ -72,8 +72,9 @@
 			return
 		}
 		produced := s.produced()
-		turn := !now.Before(latest) || s.f.turns(e, now)[s.job.ID].Ahead == 0
-		if turn && produced > 0 && s.place.Outlasts(s.job, produced, gone.Sub(now)) > worthMoving && s.tryLeave(e.Identity, gone) {
+		outlasts := produced > 0 && s.place.Outlasts(s.job, produced, gone.Sub(now)) > worthMoving
+		turn := outlasts && (!now.Before(latest) || s.f.turns(e, now)[s.job.ID].Ahead == 0)
+		if turn && s.tryLeave(e.Identity, gone) {
 			return
 		}
 		if s.f.clock.Sleep(s.ctx, moveRetry) != nil {
--- a/forwarder/news.go
+++ b/forwarder/news.go
@@ -169,7 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.known {
-		if !o.alive || o.isSeed() {
+		if !o.answers() {
 			continue
 		}
 		select {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -128,13 +128,17 @@
 // isSeed reports whether only the address of the peer is known.
 func (o *peer) isSeed() bool { return strings.HasPrefix(o.daemon.Name, seedName) }
 
+// answers reports whether the peer is known by name and answers. The mutex of
+// the peers is held.
+func (o *peer) answers() bool { return o.alive && !o.isSeed() }
+
 // living returns the peers that answer.
 func (p *peers) living() []Daemon {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var all []Daemon
 	for _, o := range p.known {
-		if o.alive && !o.isSeed() {
+		if o.answers() {
 			all = append(all, o.daemon)
 		}
 	}
@@ -146,7 +150,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.known {
-		if o.alive && !o.isSeed() {
+		if o.answers() {
 			return true
 		}
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -201,14 +201,10 @@
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: notReadyReturn}
 	}
 	ch := make(chan placer.Outcome, 1)
-	s.place.mu.Lock()
-	s.place.waiters[s.job.ID] = ch
-	s.place.mu.Unlock()
+	s.place.addWaiter(s.job.ID, ch)
 	pl, placed := s.place.Submit(s.job, exclude, now)
 	if placed {
-		s.place.mu.Lock()
-		delete(s.place.waiters, s.job.ID)
-		s.place.mu.Unlock()
+		s.place.takeWaiter(s.job.ID)
 		s.logPlacement(pl, 0)
 		return pl, nil
 	}
@@ -222,9 +218,7 @@
 		return o.Placement, nil
 	case <-s.ctx.Done():
 		s.place.Withdraw(s.job.ID)
-		s.place.mu.Lock()
-		delete(s.place.waiters, s.job.ID)
-		s.place.mu.Unlock()
+		s.place.takeWaiter(s.job.ID)
 		r, _ := failureOf(s.ctx, false)
 		return placer.Placement{}, &r
 	}
--- a/server/capacity_test.go
+++ b/server/capacity_test.go
@@ -10,6 +10,7 @@
 	"monsoonspar.example/coordination/router"
 	"monsoonspar.example/state/cataloger"
 	"monsoonspar.example/state/timekeeper"
+	"monsoonspar.example/state/weigher"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -140,16 +141,16 @@
 	for _, size := range []struct{ customers, endpoints, daemons int }{{10, 14, 8}, {130, 83, 38}, {650, 415, 190}, {1300, 830, 380}} {
 		b.Run(fmt.Sprintf("customers=%d/endpoints=%d", size.customers, size.endpoints), func(b *testing.B) {
 			m := fleetManifest(size.customers, size.endpoints)
-			before := heapInUse()
+			before := weigher.HeapBytes()
 			c := newCatalog(m)
-			indexed := heapInUse()
+			indexed := weigher.HeapBytes()
 			routers := newRouterShards("domain-0", rand.New(rand.NewPCG(1, 1)))
 			for _, sh := range routers {
 				sh.router.SetEndpoints(m.Endpoints)
 			}
-			routed := heapInUse()
+			routed := weigher.HeapBytes()
 			view := newFleetView(size.daemons)
-			viewed := heapInUse()
+			viewed := weigher.HeapBytes()
 			for b.Loop() {
 				newCatalog(m)
 			}
@@ -176,12 +177,3 @@
 		})
 	}
 }
-
-// heapInUse returns the bytes of the heap that are reachable.
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/state/estimator/estimator_test.go
+++ b/state/estimator/estimator_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/weigher"
 )
 
 func ExampleBounded_Quantile() {
@@ -172,12 +173,12 @@
 func BenchmarkMemory(b *testing.B) {
 	for _, customers := range []int{10, 130, 1300} {
 		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
-			before := heapBytes()
+			before := weigher.HeapBytes()
 			e := estimator.New()
 			for i := range 100 * customers {
 				e.Record(estimator.Class{Model: "m", Customer: fmt.Sprint(i % customers), Kind: fmt.Sprint(i / customers % 2)}, 1+i*37%8000)
 			}
-			held := heapBytes() - before
+			held := weigher.HeapBytes() - before
 			for b.Loop() {
 				e.Record(estimator.Class{Model: "m", Customer: "0", Kind: "0"}, 100)
 			}
@@ -186,12 +187,3 @@
 		})
 	}
 }
-
-// heapBytes returns the bytes of the heap that are reachable.
-func heapBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
