Say why a generation left the queue without a placement

The log told that a generation was refused or that its client had left, not its size nor what it had waited for, so memory, prefill backlog and order could not be told apart.

A line "generation left the queue without a placement" with the prompt's tokens, the engines that were full and those that were busy with prompts, the jobs ahead, and whether its first event was still possible in time; a counter for each cause. TestQueueStateTellsMemoryFromPrefill.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -76,6 +76,16 @@
 	Refused    bool          // The job can't be served before its deadline.
 	RetryAfter time.Duration // With Refused, the time after which the client should retry.
 	Waited     time.Duration
+	Queue      QueueState // As of the last decision that left the job in the queue.
+}
+
+// QueueState says why a job stayed in the queue at a decision.
+type QueueState struct {
+	JobsAhead int  // Queued jobs of all daemons that precede the job.
+	Late      bool // The first event could not be on time even if the job were placed now.
+	// Engines that accept jobs, by the reason for which they did not get this one.
+	EnginesFull int // Not enough free memory, or no free slot.
+	EnginesBusy int // Enough memory, but a prefill backlog with which the first event would be late.
 }
 
 // queuedJob is a job that waits for an engine, at this daemon or at a peer.
@@ -86,6 +96,7 @@
 	domain      string                      // Failure domain of the daemon that queues it.
 	publishedAt time.Time                   // When its update was last sent to the peers or received from one.
 	remote      bool                        // Queued at a peer.
+	state       QueueState
 }
 
 // run is a job on an engine, placed by this daemon or by a peer.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -49,7 +49,7 @@
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedJob) bool {
 		missed := p.missesDeadline(&q.job, now)
 		if missed {
-			outcomes = append(outcomes, Outcome{Job: q.job, Refused: true, RetryAfter: p.retryAfter(), Waited: now.Sub(q.enqueuedAt)})
+			outcomes = append(outcomes, Outcome{Job: q.job, Refused: true, RetryAfter: p.retryAfter(), Waited: now.Sub(q.enqueuedAt), Queue: q.state})
 			p.publish(Update{JobID: q.job.ID, Event: Ended})
 		}
 		return missed
@@ -88,7 +88,7 @@
 	placed := map[*queuedJob]Placement{}
 	bound := maxPeak - p.evacuatingShare(now)
 	var reserved []*engine
-	for _, q := range p.sortedQueue(now) {
+	for i, q := range p.sortedQueue(now) {
 		if candidatesLeft == 0 {
 			break
 		}
@@ -97,6 +97,7 @@
 			candidatesLeft--
 		}
 		m := p.moments(&q.job)
+		q.state = QueueState{JobsAhead: i}
 		e, peak := p.cheapest(q, &m, bound, now)
 		switch {
 		case e == nil:
@@ -144,12 +145,14 @@
 // among those that have no sequences or whose forecast peak with the job is within
 // the bound. A job that can be on time stays queued rather than be placed where it
 // would be late, since memory on other engines becomes free several times per
-// second. The mutex is held.
+// second. It records in q.state why other engines did not get the job. The mutex is
+// held.
 func (p *Placer) cheapest(q *queuedJob, m *forecaster.Moments, bound float64, now time.Time) (*engine, float64) {
 	var best *engine
 	var bestCost, bestPeak float64
 	hash := xxhash.Sum64String(q.job.ID)
 	canBeOnTime := p.onTime(&q.job, now)
+	q.state.Late = !canBeOnTime
 	for id, e := range p.engines {
 		if q.excluded[id] || !e.acceptsJobs(now) {
 			continue
@@ -157,9 +160,11 @@
 		e.refresh(p, now)
 		peak := e.peak(p, m)
 		if e.sequences >= p.cfg.Slots || (peak > bound && e.sequences > 0) {
+			q.state.EnginesFull++
 			continue
 		}
 		if canBeOnTime && !p.onTime(&q.job, now.Add(e.prefillWait(p, now))) {
+			q.state.EnginesBusy++
 			continue
 		}
 		cost := e.cost(p, q, peak, now) + jitterCostMs*jitter(hash, e.nameHash)
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -150,14 +150,18 @@
 	}
 }
 
-// Withdraw removes a job from the queue.
-func (p *Placer) Withdraw(id string) {
+// Withdraw removes a job from the queue and returns the state in which it left.
+func (p *Placer) Withdraw(id string) QueueState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.IndexFunc(p.queue, func(q *queuedJob) bool { return q.job.ID == id }); i >= 0 {
-		p.queue = slices.Delete(p.queue, i, i+1)
-		p.publish(Update{JobID: id, Event: Ended})
+	i := slices.IndexFunc(p.queue, func(q *queuedJob) bool { return q.job.ID == id })
+	if i < 0 {
+		return QueueState{}
 	}
+	state := p.queue[i].state
+	p.queue = slices.Delete(p.queue, i, i+1)
+	p.publish(Update{JobID: id, Event: Ended})
+	return state
 }
 
 // QueueLength returns the number of jobs in the queue.
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -212,6 +212,27 @@
 	assert.Assert(t, !ok)
 }
 
+// The state of a queued job tells engines without free memory from those whose
+// prefill backlog would make the first event late.
+func TestQueueStateTellsMemoryFromPrefill(t *testing.T) {
+	full := newPlacer(1, engines(1, "a"))
+	recordLengths(full, 1)
+	fillEngines(full)
+	_, ok := full.Submit(job("j", 3000, 1, start), nil, start)
+	assert.Assert(t, !ok)
+	full.Next(start)
+	assert.Equal(t, full.Withdraw("j"), placer.QueueState{EnginesFull: 1})
+
+	busy := newPlacer(1, engines(1, "a"))
+	recordLengths(busy, 1)
+	for i := range 6 {
+		busy.Submit(job(fmt.Sprint("j", i), 3000, 1, start), nil, start)
+	}
+	busy.Next(start)
+	assert.Equal(t, busy.Withdraw("j5"), placer.QueueState{JobsAhead: 1, EnginesBusy: 1})
+	assert.Equal(t, busy.Withdraw("unknown"), placer.QueueState{})
+}
+
 // A client's estimate far above the limit on the output must not get a job
 // refused.
 func TestLargeEstimateIsNotRefused(t *testing.T) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -216,12 +216,13 @@
 	case o := <-ch:
 		s.f.metrics.observe("queue_wait", o.Waited)
 		if o.Refused {
+			s.logUnplaced(o.Queue)
 			return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoCapacity, RetryAfter: o.RetryAfter}
 		}
 		s.logPlacement(o.Placement, o.Waited)
 		return o.Placement, nil
 	case <-s.ctx.Done():
-		s.jobPlacer.Withdraw(s.job.ID)
+		s.logUnplaced(s.jobPlacer.Withdraw(s.job.ID))
 		s.jobPlacer.removeWaiter(s.job.ID)
 		r, _ := refusalForContext(s.ctx, false)
 		return placer.Placement{}, &r
@@ -234,6 +235,20 @@
 		Float64("forecast_peak", pl.ForecastPeak).Dur("report_age_ms", pl.ReportAge).Int("prompt", s.job.PromptTokens).Msg("forwarder: generation placed")
 }
 
+// logUnplaced logs why a job leaves the queue without a placement.
+func (s *stream) logUnplaced(q placer.QueueState) {
+	cause := "jobs_ahead"
+	switch {
+	case q.EnginesFull > q.EnginesBusy:
+		cause = "engine_memory"
+	case q.EnginesBusy > 0:
+		cause = "prefill_backlog"
+	}
+	s.f.metrics.count("generations_unplaced_" + cause)
+	s.f.addRequestFields(s.f.log.Info(), s.x).Str("cause", cause).Int("engines_full", q.EnginesFull).Int("engines_busy", q.EnginesBusy).
+		Int("jobs_ahead", q.JobsAhead).Bool("late", q.Late).Int("prompt", s.job.PromptTokens).Msg("forwarder: generation left the queue without a placement")
+}
+
 // send sends the request to an engine and waits for the response header. If
 // register is not nil, it is called with the run before the request is sent.
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
