Place short jobs before long ones of any priority

Cause: starvation by strict priority with first fit. Memory that an engine frees goes to the first job in the queue that fits. Drafts rank before checks, so a hole never grows beyond what a draft needs; smaller checks fit into what drafts leave, larger ones never.

Change: jobs whose expected decode time is at most 500 ms precede long ones while short jobs hold at most a quarter of the memory. A long job that starts first keeps a short one waiting for seconds; the other way round it is a fraction of one. Among equals the job with the earliest latest start goes first.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -97,6 +97,7 @@
 	publishedAt time.Time                   // When its update was last sent to the peers or received from one.
 	remote      bool                        // Queued at a peer.
 	state       QueueState
+	key         queueKey
 }
 
 // run is a job on an engine, placed by this daemon or by a peer.
@@ -107,6 +108,7 @@
 	addedAt      time.Time
 	firstEventAt time.Time // Zero before the first event.
 	moments      forecaster.Moments
+	short        bool // Expected to end soon after its prefill.
 }
 
 // Update is an update that a daemon sends to its peers about one of its own jobs.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -116,7 +116,7 @@
 }
 
 // sortedQueue returns the queued jobs of this daemon and its peers in the order of
-// compareJobs. The mutex is held.
+// their keys, which it updates. The mutex is held.
 func (p *Placer) sortedQueue(now time.Time) []*queuedJob {
 	all := slices.Clone(p.queue)
 	for id, q := range p.remoteQueue {
@@ -126,7 +126,11 @@
 		}
 		all = append(all, q)
 	}
-	slices.SortFunc(all, func(a, b *queuedJob) int { return p.compareJobs(&a.job, &b.job, now) })
+	shortFirst := p.shortFirst()
+	for _, q := range all {
+		q.key = p.keyOf(&q.job, shortFirst, now)
+	}
+	slices.SortFunc(all, func(a, b *queuedJob) int { return a.key.compare(&b.key) })
 	return all
 }
 
--- a/coordination/placer/overload_test.go
+++ b/coordination/placer/overload_test.go
@@ -292,3 +292,13 @@
 
 // Large long jobs must not wait in vain behind the smaller ones.
 func TestLargeLongJobsAreServed(t *testing.T) { assertSizesServed(t, "drafts") }
+
+// A flood of short jobs must not keep all long jobs waiting until their clients leave.
+func TestFloodOfShortJobsDoesNotStarveLongOnes(t *testing.T) {
+	kinds := draftsAndChecks()
+	kinds[1].perSecond *= 6
+	clients := playFleet(1, 9, kinds)
+	drafts := slices.DeleteFunc(slices.Clone(clients), func(c *client) bool { return c.kind.name != "drafts" })
+	t.Logf("answered %.3f of all, %.3f of the drafts", answeredShare(clients), answeredShare(drafts))
+	assert.Assert(t, answeredShare(drafts) >= answeredShare(clients)/2)
+}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -281,7 +281,7 @@
 
 // addRun adds a job to an engine. The mutex is held.
 func (p *Placer) addRun(e *engine, job *Job, backup registrar.Identity, now time.Time) *run {
-	r := &run{job: *job, addedAt: now, backup: backup, moments: p.moments(job)}
+	r := &run{job: *job, addedAt: now, backup: backup, moments: p.moments(job), short: p.isShort(job)}
 	e.runs[job.ID] = r
 	p.engineOf[job.ID] = e.endpoint.Identity
 	e.dirty = true
