Refuse late generations that have no prospect, and place none whose client leaves

Checks were refused 4.4 to 5.3 s into their 6 s, too late to come back.

Cause: the placer knew the deadline (39 s for a draft) but not when a client leaves a stream without an event. A late job stayed in the queue behind all that can be on time until the deadline; and since prompts waiting at an engine counted for jobs that can be on time only, engines with memory got many late drafts at once. Ruled out: engines that don't start what they were sent (most were sent less than 4 s before the client left).

A late job is not placed where its client would leave before the first event, and is refused when more late jobs are ahead of it, at all daemons, than twice the rate of the last 3 s would place until then. The time to return is a random eighth to quarter of the time the client has left (before: by the length of the daemon's own queue, up to 4 s), so returns spread and those with little time come first; clients return within a third.

TestLateJobsWithoutProspectAreRefused (0 of 7 refused before) and TestLateJobsDoNotPileUpOnOneEngine failed before.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -38,6 +38,7 @@
 	OutputTokens    int       // Output tokens so far, of a job that migrates.
 	Priority        int       // 0 is the most urgent.
 	FirstEventDue   time.Time // When the first event is due.
+	FirstEventLimit time.Time // When the client leaves if it has received no event; zero if unknown.
 	Deadline        time.Time // When the answer becomes useless.
 	AllowBackup     bool      // The engine may replicate the memory to a backup engine.
 }
@@ -73,7 +74,7 @@
 type Outcome struct {
 	Job        Job
 	Placement  Placement
-	Refused    bool          // The job can't be served before its deadline.
+	Refused    bool          // The job can't, or probably won't, be served in time.
 	RetryAfter time.Duration // With Refused, the time after which the client should retry.
 	Waited     time.Duration
 	Queue      QueueState // As of the last decision that left the job in the queue.
@@ -82,6 +83,7 @@
 // QueueState says why a job stayed in the queue at a decision.
 type QueueState struct {
 	JobsAhead int  // Queued jobs of all daemons that precede the job.
+	LateAhead int  // Those of them that are late.
 	Late      bool // The first event could not be on time even if the job were placed now.
 	// Engines that accept jobs, by the reason for which they did not get this one.
 	EnginesFull int // Not enough free memory, or no free slot.
@@ -113,17 +115,18 @@
 
 // Update is an update that a daemon sends to its peers about one of its own jobs.
 type Update struct {
-	JobID        string
-	Event        Event
-	Engine       registrar.Identity // For Placed and Migrating.
-	Backup       registrar.Identity // For Placed; zero if there is none.
-	PromptTokens int                `msgpack:"Prompt"`
-	MaxTokens    int                `msgpack:"Limit"` // Limit on output tokens; zero means none.
-	Priority     int                `msgpack:"Rank"`
-	Model        string
-	Domain       string        // For Queued: the failure domain of the daemon.
-	FirstEventIn time.Duration `msgpack:"FirstIn"` // For Queued: time until the first event is due.
-	Running      bool          // For Placed: the job has had its first event.
+	JobID          string
+	Event          Event
+	Engine         registrar.Identity // For Placed and Migrating.
+	Backup         registrar.Identity // For Placed; zero if there is none.
+	PromptTokens   int                `msgpack:"Prompt"`
+	MaxTokens      int                `msgpack:"Limit"` // Limit on output tokens; zero means none.
+	Priority       int                `msgpack:"Rank"`
+	Model          string
+	Domain         string        // For Queued: the failure domain of the daemon.
+	FirstEventIn   time.Duration `msgpack:"FirstIn"` // For Queued: time until the first event is due.
+	ClientLeavesIn time.Duration // For Queued: time until the client leaves without an event; zero if unknown.
+	Running        bool          // For Placed: the job has had its first event.
 	// OutputTokens is the number of output tokens so far of a job that migrates.
 	OutputTokens int `msgpack:"Produced"`
 	FinalTokens  int `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -49,17 +49,20 @@
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedJob) bool {
 		missed := p.missesDeadline(&q.job, now)
 		if missed {
-			outcomes = append(outcomes, Outcome{Job: q.job, Refused: true, RetryAfter: p.retryAfter(), Waited: now.Sub(q.enqueuedAt), Queue: q.state})
-			p.publish(Update{JobID: q.job.ID, Event: Ended})
+			outcomes = append(outcomes, p.refuse(q, now))
 		}
 		return missed
 	})
 	placed := p.placeQueued(now, func(q *queuedJob) bool { return !q.remote })
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedJob) bool {
 		pl, ok := placed[q]
-		if ok {
+		switch {
+		case ok:
 			outcomes = append(outcomes, Outcome{Job: q.job, Placement: pl, Waited: now.Sub(q.enqueuedAt)})
-		} else if now.Sub(q.publishedAt) >= republishInterval {
+		case !p.hasProspect(q, now):
+			outcomes = append(outcomes, p.refuse(q, now))
+			return true
+		case now.Sub(q.publishedAt) >= republishInterval:
 			p.publishQueued(q, now)
 		}
 		return ok
@@ -67,11 +70,21 @@
 	return outcomes
 }
 
+// refuse returns the outcome of a queued job that is refused, and publishes it. The
+// mutex is held.
+func (p *Placer) refuse(q *queuedJob, now time.Time) Outcome {
+	p.publish(Update{JobID: q.job.ID, Event: Ended})
+	return Outcome{Job: q.job, Refused: true, RetryAfter: p.retryAfter(&q.job, now), Waited: now.Sub(q.enqueuedAt), Queue: q.state}
+}
+
 // publishQueued queues the update that a job is queued. The mutex is held.
 func (p *Placer) publishQueued(q *queuedJob, now time.Time) {
 	q.publishedAt = now
 	u := newUpdate(&q.job, Queued)
 	u.Domain, u.FirstEventIn = p.cfg.Domain, q.job.FirstEventDue.Sub(now)
+	if !q.job.FirstEventLimit.IsZero() {
+		u.ClientLeavesIn = q.job.FirstEventLimit.Sub(now)
+	}
 	p.publish(u)
 }
 
@@ -79,7 +92,7 @@
 // sortedQueue. Memory for the other jobs that would fit is reserved meanwhile, so
 // that the candidates behind them don't get it. The mutex is held.
 func (p *Placer) placeQueued(now time.Time, isCandidate func(*queuedJob) bool) map[*queuedJob]Placement {
-	candidatesLeft := 0
+	candidatesLeft, lateAhead := 0, 0
 	for _, q := range p.queue {
 		if isCandidate(q) {
 			candidatesLeft++
@@ -97,12 +110,18 @@
 			candidatesLeft--
 		}
 		m := p.moments(&q.job)
-		q.state = QueueState{JobsAhead: i}
+		q.state = QueueState{JobsAhead: i, LateAhead: lateAhead}
 		e, peak := p.cheapest(q, &m, bound, now)
+		if q.state.Late {
+			lateAhead++
+		}
 		switch {
 		case e == nil:
 		case candidate:
 			placed[q] = p.place(&q.job, e, peak, now)
+			if q.state.Late {
+				p.latePlacements = append(p.latePlacements, now)
+			}
 		default:
 			e.reservations = append(e.reservations, &run{job: q.job, addedAt: now, moments: m})
 			e.dirty = true
@@ -155,8 +174,7 @@
 	var best *engine
 	var bestCost, bestPeak float64
 	hash := xxhash.Sum64String(q.job.ID)
-	canBeOnTime := p.onTime(&q.job, now)
-	q.state.Late = !canBeOnTime
+	q.state.Late = !p.onTime(&q.job, now)
 	for id, e := range p.engines {
 		if q.excluded[id] || !e.acceptsJobs(now) {
 			continue
@@ -167,7 +185,7 @@
 			q.state.EnginesFull++
 			continue
 		}
-		if canBeOnTime && !p.onTime(&q.job, now.Add(e.prefillWait(p, now))) {
+		if p.startsTooLate(&q.job, now.Add(e.prefillWait(p, now)), now) {
 			q.state.EnginesBusy++
 			continue
 		}
--- a/coordination/placer/overload_test.go
+++ b/coordination/placer/overload_test.go
@@ -163,7 +163,7 @@
 func (f *fleet) newClient(k *kind, id string) *client {
 	return &client{f: f, kind: k, arrived: f.now(), outputTokens: k.output.sample(f.rand), job: placer.Job{
 		ID: id, Class: placer.ClassOf("m", k.priority), PromptTokens: k.prompt.sample(f.rand), MaxTokens: int(k.output.limit), Priority: k.priority,
-		FirstEventDue: f.now().Add(k.target), Deadline: f.now().Add(k.deadline),
+		FirstEventDue: f.now().Add(k.target), FirstEventLimit: f.now().Add(k.patience), Deadline: f.now().Add(k.deadline),
 	}}
 }
 
@@ -228,7 +228,7 @@
 	c.f.loop.After(retryAfter, func() {
 		c.returned, c.refused = true, false
 		c.job.ID += "-again"
-		c.job.FirstEventDue = c.f.now().Add(c.kind.target)
+		c.job.FirstEventDue, c.job.FirstEventLimit = c.f.now().Add(c.kind.target), c.f.now().Add(c.kind.patience)
 		c.submit()
 	})
 }
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -76,6 +76,8 @@
 	remoteQueue map[string]*queuedJob // Jobs queued at peers, by ID.
 	promptMean  float64               // Moving average of prompt tokens; zero before the first job.
 	lastModel   string
+	// latePlacements holds the times at which daemons placed late jobs.
+	latePlacements []time.Time
 }
 
 // New returns a Placer without engines.
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -170,6 +170,44 @@
 	assert.Assert(t, outcomes[0].Refused && outcomes[0].RetryAfter > 0)
 }
 
+// lateJob returns a job whose first event was due earlier and whose client leaves
+// after the given time.
+func lateJob(id string, leavesIn time.Duration) placer.Job {
+	j := job(id, 3000, 1, start)
+	j.FirstEventDue, j.FirstEventLimit = start.Add(-time.Second), start.Add(leavesIn)
+	return j
+}
+
+// Late jobs that will probably not get memory before their clients leave are refused
+// at once, rather than wait in vain. Those that were late first stay.
+func TestLateJobsWithoutProspectAreRefused(t *testing.T) {
+	p := newPlacer(1, engines(1, "a"))
+	recordLengths(p, 1)
+	fillEngines(p)
+	for i := range 8 {
+		_, ok := p.Submit(lateJob(fmt.Sprint("late", i), 5*time.Second), nil, start)
+		assert.Assert(t, !ok)
+	}
+	outcomes := p.Next(start)
+	assert.Equal(t, len(outcomes), 7) // One is expected to be placed within 5 s.
+	for _, o := range outcomes {
+		assert.Assert(t, o.Refused && o.Job.ID != "late0")
+		// Clients return only within a third of the time that they have left.
+		assert.Assert(t, o.RetryAfter > 0 && o.RetryAfter <= o.Job.Deadline.Sub(start)/3)
+	}
+}
+
+// A job that is late already must not be placed behind so many prompts that its
+// client leaves before the first event.
+func TestLateJobsDoNotPileUpOnOneEngine(t *testing.T) {
+	p := newPlacer(1, engines(1, "a"))
+	recordLengths(p, 1)
+	for i := range 6 {
+		_, ok := p.Submit(lateJob(fmt.Sprint("late", i), 1500*time.Millisecond), nil, start)
+		assert.Assert(t, ok == (i < 3), "job %d", i) // 430 ms of prefill each.
+	}
+}
+
 // When a failure domain is unreachable, jobs stay queued for the engines of the
 // other one rather than be sent to unreachable ones, until the backoff is over.
 func TestUnreachableEnginesAreNotTried(t *testing.T) {
--- a/coordination/placer/queue.go
+++ b/coordination/placer/queue.go
@@ -2,18 +2,23 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"monsoonspar.example/coordination/forecaster"
 	"monsoonspar.example/state/estimator"
 )
 
-// Retry times of clients, and the average prompt.
+// Refusals, and the average prompt.
 const (
-	retryAfterBase      = 500 * time.Millisecond // Interval at which an engine frees memory for a job when all are full.
-	maxRetryAfter       = 4 * time.Second
-	newPromptWeight     = 0.05 // Weight of the newest prompt in the moving average.
-	initialPromptTokens = 2500 // Assumed before the first prompt; the order of size of customers' prompts.
+	prospectWindow      = 3 * time.Second        // Late jobs placed within it tell how many more will be.
+	prospectMargin      = 2.0                    // A late job is refused only if it would not be placed at this multiple of the recent rate.
+	lateRatePerEngine   = 0.1                    // Late jobs per second added to the recent rate, since none may have been queued when memory became free.
+	minReturnShare      = 0.125                  // Refused clients return after a random share of the time that they have left, those with little time first.
+	maxReturnShare      = 0.25                   // Leaves time to wait for an engine once more.
+	minRetryAfter       = 500 * time.Millisecond // Interval at which an engine frees memory for a job when all are full.
+	newPromptWeight     = 0.05                   // Weight of the newest prompt in the moving average.
+	initialPromptTokens = 2500                   // Assumed before the first prompt; the order of size of customers' prompts.
 )
 
 // onTime reports whether a job whose prefill begins at start can have its first
@@ -43,7 +48,35 @@
 func (p *Placer) missesDeadline(job *Job, now time.Time) bool {
 	steps := max(minOutputSteps, job.outputEstimate()/2)
 	needed := p.prefillTime(job) + time.Duration(steps)*p.cfg.StepTime
-	return now.Add(needed).After(job.Deadline)
+	return now.Add(needed).After(job.Deadline) || p.clientLeaves(job, now)
+}
+
+// clientLeaves reports whether the client of a job leaves before its first event if
+// the prefill begins at start.
+func (p *Placer) clientLeaves(job *Job, start time.Time) bool {
+	return !job.FirstEventLimit.IsZero() && start.Add(p.prefillTime(job)).After(job.FirstEventLimit)
+}
+
+// startsTooLate reports whether a job should not be placed where its prefill would
+// begin at start: it could be on time elsewhere, or its client would leave.
+func (p *Placer) startsTooLate(job *Job, start, now time.Time) bool {
+	if p.onTime(job, now) {
+		return !p.onTime(job, start)
+	}
+	return p.clientLeaves(job, start)
+}
+
+// hasProspect reports whether a job that stayed in the queue may be placed before
+// its client leaves. Late jobs get the memory that the others leave, so the rate at
+// which they were placed lately tells how many of them will be. The mutex is held.
+func (p *Placer) hasProspect(q *queuedJob, now time.Time) bool {
+	if !q.state.Late || q.state.EnginesFull == 0 || q.job.FirstEventLimit.IsZero() {
+		return true
+	}
+	p.latePlacements = slices.DeleteFunc(p.latePlacements, func(at time.Time) bool { return now.Sub(at) > prospectWindow })
+	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(len(p.engines))
+	left := q.job.FirstEventLimit.Sub(now).Seconds()
+	return float64(q.state.LateAhead+1) <= prospectMargin*perSecond*left
 }
 
 // outputEstimate returns the client's estimate of the output tokens, capped at
@@ -128,11 +161,11 @@
 	return float64(held) <= maxShortShare*total
 }
 
-// retryAfter returns the time after which a refused client should find free
-// memory. The mutex is held.
-func (p *Placer) retryAfter() time.Duration {
-	engines := max(len(p.engines), 1)
-	return min(retryAfterBase+retryAfterBase*time.Duration(len(p.queue))/time.Duration(engines), maxRetryAfter)
+// retryAfter returns the time after which the client of a refused job should return.
+// The mutex is held.
+func (p *Placer) retryAfter(job *Job, now time.Time) time.Duration {
+	share := minReturnShare + (maxReturnShare-minReturnShare)*p.rand.Float64()
+	return max(time.Duration(share*float64(job.Deadline.Sub(now))), minRetryAfter)
 }
 
 // moments returns the forecast of a job's memory. The mutex is held.
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -64,11 +64,17 @@
 	if e := p.engines[p.engineOf[u.JobID]]; e != nil && e.runs[u.JobID] != nil && !e.runs[u.JobID].remote {
 		return // The state of the daemon's own jobs is newer than any update of a peer.
 	}
+	if q := p.remoteQueue[u.JobID]; q != nil && u.Event == Placed && q.state.Late {
+		p.latePlacements = append(p.latePlacements, now)
+	}
 	delete(p.remoteQueue, u.JobID)
 	switch u.Event {
 	case Queued:
 		job := u.job()
 		job.FirstEventDue = now.Add(u.FirstEventIn)
+		if u.ClientLeavesIn > 0 {
+			job.FirstEventLimit = now.Add(u.ClientLeavesIn)
+		}
 		p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true}
 	case Placed:
 		p.removeRun(u.JobID)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -118,7 +118,7 @@
 	"too_large":             "the request exceeds a limit of the manifest",
 	"no_endpoint":           "the service had no endpoint that accepts requests; see the log lines \"endpoint changed\"",
 	"endpoints_unreachable": "no endpoint of the service could be reached from this daemon; the network is partitioned, or all have crashed",
-	"no_room":               "no engine had enough free memory until the time left before the deadline was too short",
+	"no_room":               "no engine had enough free memory in time, or too many late requests were queued ahead; see the line before about the queue",
 	"refused_by_endpoints":  "every endpoint that was tried refused the request before executing it",
 	"retry_budget_spent":    "an earlier attempt failed or was refused, and the retry budget allowed no further one",
 	"outcome_unknown":       "the request was sent, but no response was received; it may have been executed, so it was not retried",
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -93,10 +93,14 @@
 func (s *stream) newJob(e *matcher.Engine) placer.Job {
 	g := s.x.req.Generation
 	priority := s.x.customer.Priority*customerPriorityFactor + s.x.route.Priority
-	return placer.Job{
+	job := placer.Job{
 		ID: s.x.req.ID, Class: placer.ClassOf(g.Model, priority), PromptTokens: g.PromptTokens, MaxTokens: g.MaxTokens, EstimatedTokens: g.EstimatedTokens,
 		Priority: priority, FirstEventDue: s.x.arrived.Add(s.x.route.LatencyTarget), Deadline: s.x.deadline, AllowBackup: e.Backups,
 	}
+	if s.x.route.Patience > 0 {
+		job.FirstEventLimit = s.x.arrived.Add(s.x.route.Patience)
+	}
+	return job
 }
 
 // customerPriorityFactor weights the priority of a customer so that it takes
@@ -246,7 +250,7 @@
 	}
 	s.f.metrics.count("generations_unplaced_" + cause)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Str("cause", cause).Int("engines_full", q.EnginesFull).Int("engines_busy", q.EnginesBusy).
-		Int("jobs_ahead", q.JobsAhead).Bool("late", q.Late).Int("prompt", s.job.PromptTokens).Msg("forwarder: generation left the queue without a placement")
+		Int("jobs_ahead", q.JobsAhead).Int("late_ahead", q.LateAhead).Bool("late", q.Late).Int("prompt", s.job.PromptTokens).Msg("forwarder: generation left the queue without a placement")
 }
 
 // send sends the request to an engine and waits for the response header. If
--- a/state/matcher/manifest.go
+++ b/state/matcher/manifest.go
@@ -49,6 +49,7 @@
 	Timeout        time.Duration // Longest time that a request may take.
 	LatencyTarget  time.Duration `msgpack:"Target"`    // Latency target; for streams, of the first event.
 	EventGapTarget time.Duration `msgpack:"GapTarget"` // Target for the time between two events of a stream.
+	Patience       time.Duration // How long clients of a stream wait for its next event before they leave; zero if unknown.
 	Priority       int           // 0 is the highest.
 	Attempts       int           // Largest number of endpoints that one request is sent to.
 	Public         bool          // Whether requests need no API key.
