Queue large jobs earlier by the time in which engines free their memory

Cause: the queue ordered jobs by the latest start of their prefill, as if enough memory came free at once. A full engine frees memory run by run, so a large job that reaches the head at its latest start is late before there is enough.

Change: the key counts the time in which a full engine frees the memory for the prompt as well, and whether a job is short is computed once, when it is queued.

TestLargeJobIsQueuedAheadOfSmallerOneThatIsDueABitEarlier failed before.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -100,6 +100,7 @@
 	remote      bool                        // Queued at a peer.
 	state       QueueState
 	key         queueKey
+	short       bool // Expected to end soon after its prefill.
 }
 
 // run is a job on an engine, placed by this daemon or by a peer.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -26,7 +26,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordPrompt(job)
-	q := &queuedJob{job: job, enqueuedAt: now, excluded: excluded, domain: p.cfg.Domain}
+	q := &queuedJob{job: job, enqueuedAt: now, excluded: excluded, domain: p.cfg.Domain, short: p.isShort(&job)}
 	p.queue = append(p.queue, q)
 	placed := p.placeQueued(now, func(other *queuedJob) bool { return other == q })
 	if pl, ok := placed[q]; ok {
@@ -147,7 +147,7 @@
 	}
 	shortFirst := p.shortFirst()
 	for _, q := range all {
-		q.key = p.keyOf(&q.job, shortFirst, now)
+		q.key = p.keyOf(q, shortFirst, now)
 	}
 	slices.SortFunc(all, func(a, b *queuedJob) int { return a.key.compare(&b.key) })
 	return all
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -170,6 +170,22 @@
 	assert.Assert(t, outcomes[0].Refused && outcomes[0].RetryAfter > 0)
 }
 
+// Engines free memory bit by bit, so a large job has to be first in the queue earlier
+// than a small one, or it is late before there is enough.
+func TestLargeJobIsQueuedAheadOfSmallerOneThatIsDueABitEarlier(t *testing.T) {
+	p := newPlacer(1, engines(1, "a"))
+	recordLengths(p, 1)
+	n := fillEngines(p)
+	p.Withdraw(fmt.Sprint("f", n))
+	small, large := job("small", 2500, 1, start), job("large", 5000, 1, start.Add(500*time.Millisecond))
+	for _, j := range []placer.Job{small, large} {
+		_, ok := p.Submit(j, nil, start)
+		assert.Assert(t, !ok)
+	}
+	p.Next(start)
+	assert.Equal(t, p.Withdraw("large").JobsAhead, 0)
+}
+
 // lateJob returns a job whose first event was due earlier and whose client leaves
 // after the given time.
 func lateJob(id string, leavesIn time.Duration) placer.Job {
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -75,7 +75,7 @@
 		if u.ClientLeavesIn > 0 {
 			job.FirstEventLimit = now.Add(u.ClientLeavesIn)
 		}
-		p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true}
+		p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true, short: p.isShort(&job)}
 	case Placed:
 		p.removeRun(u.JobID)
 		p.releaseMigration(u.JobID)
