Refuse late generations as soon as the recent rate says so

What callers saw: drafts that were refused had been held for 6.5 s (median), little less than their clients wait.

Cause: twice the rate of the last seconds, with 0.1 a second and engine added, kept most late jobs in the queue until they were refused for their clients' leaving. The rate itself was too low at daemons with few queued jobs of their own: a peer's late job counted only if the daemon had looked at it in the queue since it became late.

Change: late placements are counted by the job's due time; the rate is taken as it is, with 0.05 a second and engine added. Times before the window are dropped also where a daemon has no late job of its own.

TestLateJobsWithoutProspectAreRefused now checks how many stay at a known rate; it was bound to the constants before.

--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -120,7 +120,7 @@
 		case candidate:
 			placed[q] = p.place(&q.job, e, peak, now)
 			if q.state.Late {
-				p.latePlacements = append(p.latePlacements, now)
+				p.recordLatePlacement(now)
 			}
 		default:
 			e.reservations = append(e.reservations, &run{job: q.job, addedAt: now, moments: m})
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -76,7 +76,7 @@
 	remoteQueue map[string]*queuedJob // Jobs queued at peers, by ID.
 	promptMean  float64               // Moving average of prompt tokens; zero before the first job.
 	lastModel   string
-	// latePlacements holds the times at which daemons placed late jobs.
+	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
 
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -195,22 +195,31 @@
 }
 
 // Late jobs that will probably not get memory before their clients leave are refused
-// at once, rather than wait in vain. Those that were late first stay.
+// at once, rather than wait in vain. Those that were late first stay, as many as
+// will be placed at the rate of the last seconds.
 func TestLateJobsWithoutProspectAreRefused(t *testing.T) {
-	p := newPlacer(1, engines(1, "a"))
+	all := engines(2, "a")
+	p := newPlacer(1, all[:1])
 	recordLengths(p, 1)
 	fillEngines(p)
 	for i := range 8 {
 		_, ok := p.Submit(lateJob(fmt.Sprint("late", i), 5*time.Second), nil, start)
 		assert.Assert(t, !ok)
 	}
-	outcomes := p.Next(start)
-	assert.Equal(t, len(outcomes), 7) // One is expected to be placed within 5 s.
-	for _, o := range outcomes {
-		assert.Assert(t, o.Refused && o.Job.ID != "late0")
+	for i := range 3 { // One per second within the window of 3 s.
+		id := fmt.Sprint("remote", i)
+		p.ApplyUpdates([]placer.Update{{JobID: id, Event: placer.Queued, PromptTokens: 3000, Model: "m", FirstEventIn: -time.Minute}}, start)
+		p.ApplyUpdates([]placer.Update{{JobID: id, Event: placer.Placed, Engine: all[1].Identity, PromptTokens: 3000, Model: "m"}}, start)
+	}
+	var refused []string
+	for _, o := range p.Next(start) {
+		refused = append(refused, o.Job.ID)
 		// Clients return only within a third of the time that they have left.
-		assert.Assert(t, o.RetryAfter > 0 && o.RetryAfter <= o.Job.Deadline.Sub(start)/3)
+		assert.Assert(t, o.Refused && o.RetryAfter > 0 && o.RetryAfter <= o.Job.Deadline.Sub(start)/3)
 	}
+	assert.DeepEqual(t, refused, []string{"late5", "late6", "late7"})
+	later := start.Add(3500 * time.Millisecond)
+	assert.Equal(t, len(p.Next(later)), 5) // No late job was placed within the window.
 }
 
 // A job that is late already must not be placed behind so many prompts that its
--- a/coordination/placer/queue.go
+++ b/coordination/placer/queue.go
@@ -11,8 +11,7 @@
 // Refusals, and the average prompt.
 const (
 	prospectWindow      = 3 * time.Second        // Late jobs placed within it tell how many more will be.
-	prospectMargin      = 2.0                    // A late job is refused only if it would not be placed at this multiple of the recent rate.
-	lateRatePerEngine   = 0.1                    // Late jobs per second added to the recent rate, since none may have been queued when memory became free.
+	lateRatePerEngine   = 0.05                   // Late jobs per second added to the recent rate, since none may have been queued when memory became free.
 	minReturnShare      = 0.125                  // Refused clients return after a random share of the time that they have left, those with little time first.
 	maxReturnShare      = 0.25                   // Leaves time to wait for an engine once more.
 	minRetryAfter       = 500 * time.Millisecond // Interval at which an engine frees memory for a job when all are full.
@@ -72,10 +71,22 @@
 	if !q.state.Late || q.state.EnginesFull == 0 || q.job.FirstEventLimit.IsZero() {
 		return true
 	}
-	p.latePlacements = slices.DeleteFunc(p.latePlacements, func(at time.Time) bool { return now.Sub(at) > prospectWindow })
+	p.dropOldLatePlacements(now)
 	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(len(p.engines))
 	left := q.job.FirstEventLimit.Sub(now).Seconds()
-	return float64(q.state.LateAhead+1) <= prospectMargin*perSecond*left
+	return float64(q.state.LateAhead+1) <= perSecond*left
+}
+
+// recordLatePlacement records that a daemon has placed a late job. The mutex is held.
+func (p *Placer) recordLatePlacement(now time.Time) {
+	p.dropOldLatePlacements(now)
+	p.latePlacements = append(p.latePlacements, now)
+}
+
+// dropOldLatePlacements removes the placements before prospectWindow. The mutex is
+// held.
+func (p *Placer) dropOldLatePlacements(now time.Time) {
+	p.latePlacements = slices.DeleteFunc(p.latePlacements, func(at time.Time) bool { return now.Sub(at) > prospectWindow })
 }
 
 // outputEstimate returns the client's estimate of the output tokens, capped at
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -64,31 +64,16 @@
 	if e := p.engines[p.engineOf[u.JobID]]; e != nil && e.runs[u.JobID] != nil && !e.runs[u.JobID].remote {
 		return // The state of the daemon's own jobs is newer than any update of a peer.
 	}
-	if q := p.remoteQueue[u.JobID]; q != nil && u.Event == Placed && q.state.Late {
-		p.latePlacements = append(p.latePlacements, now)
-	}
+	queued := p.remoteQueue[u.JobID]
 	delete(p.remoteQueue, u.JobID)
 	switch u.Event {
 	case Queued:
-		job := u.job()
-		job.FirstEventDue = now.Add(u.FirstEventIn)
-		if u.ClientLeavesIn > 0 {
-			job.FirstEventLimit = now.Add(u.ClientLeavesIn)
-		}
-		p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true, short: p.isShort(&job)}
+		p.addRemoteQueued(u, now)
 	case Placed:
-		p.removeRun(u.JobID)
-		p.releaseMigration(u.JobID)
-		e := p.engines[u.Engine]
-		if e == nil {
-			return
-		}
-		job := u.job()
-		r := p.addRun(e, &job, u.Backup, now)
-		r.remote = true
-		if u.Running {
-			r.firstEventAt = now
+		if queued != nil && !p.onTime(&queued.job, now) {
+			p.recordLatePlacement(now)
 		}
+		p.addRemoteRun(u, now)
 	case Migrating:
 		p.releaseMigration(u.JobID)
 		if e := p.engines[u.Engine]; e != nil {
@@ -108,6 +93,32 @@
 	}
 }
 
+// addRemoteQueued adds a job that is queued at a peer. The mutex is held.
+func (p *Placer) addRemoteQueued(u *Update, now time.Time) {
+	job := u.job()
+	job.FirstEventDue = now.Add(u.FirstEventIn)
+	if u.ClientLeavesIn > 0 {
+		job.FirstEventLimit = now.Add(u.ClientLeavesIn)
+	}
+	p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true, short: p.isShort(&job)}
+}
+
+// addRemoteRun adds a job that a peer has placed on an engine. The mutex is held.
+func (p *Placer) addRemoteRun(u *Update, now time.Time) {
+	p.removeRun(u.JobID)
+	p.releaseMigration(u.JobID)
+	e := p.engines[u.Engine]
+	if e == nil {
+		return
+	}
+	job := u.job()
+	r := p.addRun(e, &job, u.Backup, now)
+	r.remote = true
+	if u.Running {
+		r.firstEventAt = now
+	}
+}
+
 // job returns the job of the update. Only the fields that newUpdate takes from a
 // job are known.
 func (u *Update) job() Job {
