--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -10,11 +10,12 @@
 // memory that all of them will hold. A generation is placed on the engine with
 // the lowest cost, among those with enough free memory in the forecast and a
 // prefill backlog short enough for the first event to be on time. Otherwise it
-// is queued, or refused if it could not be served before its deadline.
+// is queued. It is refused when it can't be served before its deadline, or when it
+// is late and probably won't be placed before its client leaves (refusal.go).
 //
 // Placers exchange updates about placements, first events, ends, migrations and
-// queued jobs. All of them sort the queued jobs of all daemons in the same order,
-// decide the placement of each, and apply the decisions to their own jobs
+// queued jobs. All of them sort the queued jobs of all daemons in the same order
+// (key.go), decide the placement of each, and apply the decisions to their own jobs
 // (order.go). Of placements that were made concurrently and don't fit together,
 // all daemons keep the same ones (confirm.go). Runs on an engine that is shutting
 // down get migration targets (migration.go) and turns on its link (engine.go).
@@ -87,7 +88,7 @@
 	Late      bool // The first event could not be on time even if the job were placed now.
 	// Engines that accept jobs, by the reason for which they did not get this one.
 	EnginesFull int // Not enough free memory, or no free slot.
-	EnginesBusy int // Enough memory, but a prefill backlog with which the first event would be late.
+	EnginesBusy int // Enough memory, but so many prompts to process before that the first event would come too late.
 }
 
 // queuedJob is a job that waits for an engine, at this daemon or at a peer.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -70,13 +70,6 @@
 	return outcomes
 }
 
-// refuse returns the outcome of a queued job that is refused, and publishes it. The
-// mutex is held.
-func (p *Placer) refuse(q *queuedJob, now time.Time) Outcome {
-	p.publish(Update{JobID: q.job.ID, Event: Ended})
-	return Outcome{Job: q.job, Refused: true, RetryAfter: p.retryAfter(&q.job, now), Waited: now.Sub(q.enqueuedAt), Queue: q.state}
-}
-
 // publishQueued queues the update that a job is queued. The mutex is held.
 func (p *Placer) publishQueued(q *queuedJob, now time.Time) {
 	q.publishedAt = now
--- a/coordination/placer/queue.go
+++ b/coordination/placer/queue.go
@@ -1,22 +1,16 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"monsoonspar.example/coordination/forecaster"
 	"monsoonspar.example/state/estimator"
 )
 
-// Refusals, and the average prompt.
+// Parameters of the average prompt.
 const (
-	prospectWindow      = 3 * time.Second        // Late jobs placed within it tell how many more will be.
-	lateRatePerEngine   = 0.05                   // Late jobs per second added to the recent rate, since none may have been queued when memory became free.
-	minReturnShare      = 0.125                  // Refused clients return after a random share of the time that they have left, those with little time first.
-	maxReturnShare      = 0.25                   // Leaves time to wait for an engine once more.
-	minRetryAfter       = 500 * time.Millisecond // Interval at which an engine frees memory for a job when all are full.
-	newPromptWeight     = 0.05                   // Weight of the newest prompt in the moving average.
-	initialPromptTokens = 2500                   // Assumed before the first prompt; the order of size of customers' prompts.
+	newPromptWeight     = 0.05 // Weight of the newest prompt in the moving average.
+	initialPromptTokens = 2500 // Assumed before the first prompt; the order of size of customers' prompts.
 )
 
 // onTime reports whether a job whose prefill begins at start can have its first
@@ -41,54 +35,6 @@
 // while it runs other sequences.
 func (p *Placer) prefillRate() float64 { return p.cfg.PrefillTokensPerMs / prefillSlowdown }
 
-// missesDeadline reports whether a job could not be answered before its deadline
-// even if it started now.
-func (p *Placer) missesDeadline(job *Job, now time.Time) bool {
-	steps := max(minOutputSteps, job.outputEstimate()/2)
-	needed := p.prefillTime(job) + time.Duration(steps)*p.cfg.StepTime
-	return now.Add(needed).After(job.Deadline) || p.clientLeaves(job, now)
-}
-
-// clientLeaves reports whether the client of a job leaves before its first event if
-// the prefill begins at start.
-func (p *Placer) clientLeaves(job *Job, start time.Time) bool {
-	return !job.FirstEventLimit.IsZero() && start.Add(p.prefillTime(job)).After(job.FirstEventLimit)
-}
-
-// startsTooLate reports whether a job should not be placed where its prefill would
-// begin at start: it could be on time elsewhere, or its client would leave.
-func (p *Placer) startsTooLate(job *Job, start, now time.Time) bool {
-	if p.onTime(job, now) {
-		return !p.onTime(job, start)
-	}
-	return p.clientLeaves(job, start)
-}
-
-// hasProspect reports whether a job that stayed in the queue may be placed before
-// its client leaves. Late jobs get the memory that the others leave, so the rate at
-// which they were placed lately tells how many of them will be. The mutex is held.
-func (p *Placer) hasProspect(q *queuedJob, now time.Time) bool {
-	if !q.state.Late || q.state.EnginesFull == 0 || q.job.FirstEventLimit.IsZero() {
-		return true
-	}
-	p.dropOldLatePlacements(now)
-	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(len(p.engines))
-	left := q.job.FirstEventLimit.Sub(now).Seconds()
-	return float64(q.state.LateAhead+1) <= perSecond*left
-}
-
-// recordLatePlacement records that a daemon has placed a late job. The mutex is held.
-func (p *Placer) recordLatePlacement(now time.Time) {
-	p.dropOldLatePlacements(now)
-	p.latePlacements = append(p.latePlacements, now)
-}
-
-// dropOldLatePlacements removes the placements before prospectWindow. The mutex is
-// held.
-func (p *Placer) dropOldLatePlacements(now time.Time) {
-	p.latePlacements = slices.DeleteFunc(p.latePlacements, func(at time.Time) bool { return now.Sub(at) > prospectWindow })
-}
-
 // outputEstimate returns the client's estimate of the output tokens, capped at
 // MaxTokens since it may be far larger; zero if there is none.
 func (j *Job) outputEstimate() int {
@@ -98,13 +44,6 @@
 	return j.EstimatedTokens
 }
 
-// retryAfter returns the time after which the client of a refused job should return.
-// The mutex is held.
-func (p *Placer) retryAfter(job *Job, now time.Time) time.Duration {
-	share := minReturnShare + (maxReturnShare-minReturnShare)*p.rand.Float64()
-	return max(time.Duration(share*float64(job.Deadline.Sub(now))), minRetryAfter)
-}
-
 // moments returns the forecast of a job's memory. The mutex is held.
 func (p *Placer) moments(job *Job) forecaster.Moments {
 	return forecaster.MomentsOf(forecaster.Sequence{Prompt: job.PromptTokens, Produced: job.OutputTokens, Length: p.outputLength(job)}, p.cfg.BlockTokens)
