placer: leave the time until a client leaves out of updates that have none

Cause: added the field to each update, also to placements, first events and ends, which don't use it; an update without it is 159 bytes, with it 177, and each goes to all peers. Change: the field is left out when it is zero, and has a shorter name.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -126,8 +126,8 @@
 	Priority       int                `msgpack:"Rank"`
 	Model          string
 	Domain         string        // For Queued: the failure domain of the daemon.
-	FirstEventIn   time.Duration `msgpack:"FirstIn"` // For Queued: time until the first event is due.
-	ClientLeavesIn time.Duration // For Queued: time until the client leaves without an event; zero if unknown.
+	FirstEventIn   time.Duration `msgpack:"FirstIn"`            // For Queued: time until the first event is due.
+	ClientLeavesIn time.Duration `msgpack:"LeavesIn,omitempty"` // For Queued: time until the client leaves without an event; zero if unknown.
 	Running        bool          // For Placed: the job has had its first event.
 	// OutputTokens is the number of output tokens so far of a job that migrates.
 	OutputTokens int `msgpack:"Produced"`
