--- a/coordination/placer/overload_test.go
+++ b/coordination/placer/overload_test.go
@@ -86,7 +86,9 @@
 }
 
 // playFleet plays the kinds on a fleet with the given number of engines, whose
-// daemons know the output lengths, and returns the clients.
+// daemons know the output lengths, and returns the clients. Plays with one seed
+// have the same arrivals until the first refusal, but may differ in placements,
+// since a Placer iterates over maps.
 func playFleet(seed uint64, engineCount int, kinds []kind) []*client {
 	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), engines: map[registrar.Identity]*emulator.Engine{}, queued: map[string]*client{}}
 	endpoints := engines(engineCount, "a")
@@ -260,7 +262,7 @@
 }
 
 // overload returns the clients of several plays of drafts and checks, by the number
-// of engines. They are enough for about 0.75 and 0.85 of the jobs.
+// of engines, which are too few for all jobs.
 var overload = sync.OnceValue(func() map[int][]*client {
 	plays := map[int][]*client{}
 	for _, engineCount := range []int{7, 8} {
