--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -239,15 +239,21 @@
 		Float64("forecast_peak", pl.ForecastPeak).Dur("report_age_ms", pl.ReportAge).Int("prompt", s.job.PromptTokens).Msg("forwarder: generation placed")
 }
 
-// logUnplaced logs why a job leaves the queue without a placement.
-func (s *stream) logUnplaced(q placer.QueueState) {
-	cause := "jobs_ahead"
+// unplacedCause returns what kept most engines from getting a job.
+func unplacedCause(q placer.QueueState) string {
 	switch {
-	case q.EnginesFull > q.EnginesBusy:
-		cause = "engine_memory"
-	case q.EnginesBusy > 0:
-		cause = "prefill_backlog"
+	case q.EnginesFull == 0 && q.EnginesBusy == 0:
+		return "no_engine" // All are unreachable, are shutting down, or refused the job.
+	case q.EnginesFull >= q.EnginesBusy:
+		return "engine_memory"
+	default:
+		return "prefill_backlog"
 	}
+}
+
+// logUnplaced logs why a job leaves the queue without a placement.
+func (s *stream) logUnplaced(q placer.QueueState) {
+	cause := unplacedCause(q)
 	s.f.metrics.count("generations_unplaced_" + cause)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Str("cause", cause).Int("engines_full", q.EnginesFull).Int("engines_busy", q.EnginesBusy).
 		Int("jobs_ahead", q.JobsAhead).Int("late_ahead", q.LateAhead).Bool("late", q.Late).Int("prompt", s.job.PromptTokens).Msg("forwarder: generation left the queue without a placement")
