Log the request limits that endpoints name

What operators saw: endpoints that name a request limit got several times as many requests, and no log line or metric of a daemon mentioned a limit. So the logs could not tell whether the daemons do not read limits, or keep to them one by one.

Change: the adapter decodes the limit of a response; each daemon logs when an endpoint names one, another, or none, and counts its sends to endpoints with one (limited_sends). One line a change, so the volume does not grow with the load. No decision changed.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -102,6 +102,7 @@
 	})
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
+		f.observeLimit(e, &res)
 		a = readResponse(res)
 	}
 	if a.err == nil || !a.notRun {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	randMu     sync.Mutex
 	rand       *rand.Rand
 
+	limitLog limitLog
+
 	streamsMu   sync.Mutex
 	streams     map[*stream]struct{}
 	disconnects *disconnectWatcher
@@ -78,6 +80,7 @@
 		}),
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
+		limitLog: limitLog{limits: map[registrar.Identity]float64{}},
 	}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -100,6 +100,7 @@
 	Misdirected   bool           // Another endpoint now listens on the address.
 	Load          *balancer.Load // Nil if the endpoint reported none.
 	ContentLength int            // Length of the body in bytes; negative if unknown.
+	RequestLimit  *float64       // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
 }
 
 // MigrationResult is the result of copying the KV cache of a run to another engine.
