--- a/coordination/limiter/budget.go
+++ b/coordination/limiter/budget.go
@@ -56,7 +56,7 @@
 	burst := max(1+share, rate*burstTime.Seconds())
 	b.refill(rate, burst, share, r, now)
 	if a.Urgency == Sent {
-		b.tokens = max(b.tokens-1, -burst-rate*debtTime.Seconds())
+		b.tokens = min(b.tokens, max(b.tokens-1, -rate*debtTime.Seconds()))
 		return Decision{Granted: true}
 	}
 	lowest := 1.0
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -21,7 +21,7 @@
 	relayTimeout      = 50 * time.Millisecond  // For a daemon that passes an ask on; less than grantTimeout, so that its asker still gets an answer.
 	noGrantRetryAfter = 200 * time.Millisecond // Before the next ask if no daemon answered.
 	pollShare         = 0.1                    // Fraction of the limit of an engine that polls may use.
-	maxPollInterval   = 5 * time.Second
+	maxPollInterval   = 10 * time.Second
 )
 
 // errEndpointLimited means that the limit of an endpoint permits no request to it
