router: keep the shutdown of an endpoint that is not declared yet

What operators saw: a daemon of serve went on sending work to an endpoint on a VM that was leaving; TestEndpointAddedOnLeavingVMIsMarkedShuttingDown failed once beside load.

Cause: the watcher of the VMs announces a shutdown once. A daemon that put the manifest with the new endpoint in force after the announcement dropped it, since the endpoint was unknown to its router, and was not told again. Change: the router keeps shutdowns of up to 256 undeclared endpoints over the next three manifests, and applies them when the endpoint is declared.

--- a/coordination/router/endpoint.go
+++ b/coordination/router/endpoint.go
@@ -59,6 +59,19 @@
 	return max(0, e.forecastWait-now.Sub(e.forecastAt))
 }
 
+// Bounds on the shutdowns of endpoints that are not declared.
+const (
+	maxEarlyShutdowns      = 256
+	earlyShutdownManifests = 3 // Manifests that may come in force before the one that declares the endpoint.
+)
+
+// earlyShutdown is the shutdown of an endpoint that is not declared. Another daemon,
+// which has put a newer manifest in force, announces it only once.
+type earlyShutdown struct {
+	bootID    string
+	manifests int // Number of manifests that have come in force since.
+}
+
 // SetEndpoints replaces the declared endpoints by those of a manifest and keeps
 // the state of endpoints that are still declared. A new endpoint is assumed to
 // have its declared placements loaded until its first status.
@@ -73,6 +86,22 @@
 			r.removeEndpoint(e)
 		}
 	}
+	r.applyEarlyShutdowns()
+}
+
+// applyEarlyShutdowns marks the endpoints that are declared now and whose shutdown was
+// announced before.
+func (r *Router) applyEarlyShutdowns() {
+	for name, early := range r.early {
+		early.manifests++
+		r.early[name] = early
+		if r.endpoints[name] != nil {
+			r.MarkShuttingDown(name, early.bootID)
+		}
+		if r.endpoints[name] != nil || early.manifests > earlyShutdownManifests {
+			delete(r.early, name)
+		}
+	}
 }
 
 func (r *Router) declareEndpoint(d cataloger.Endpoint) {
@@ -162,9 +191,13 @@
 
 // MarkShuttingDown records that the endpoint is shutting down in the boot named
 // by bootID, whatever the source of the information. An empty bootID stands for
-// the current boot. Only a new boot id makes the endpoint available again.
+// the current boot. Only a new boot id makes the endpoint available again. The shutdown
+// of an endpoint that is not declared is kept for the next manifests.
 func (r *Router) MarkShuttingDown(name, bootID string) {
 	e := r.endpoints[name]
+	if e == nil && len(r.early) < maxEarlyShutdowns {
+		r.early[name] = earlyShutdown{bootID: bootID}
+	}
 	if e == nil || slices.Contains(e.previousBoots, bootID) {
 		return
 	}
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -86,6 +86,7 @@
 	endpoints map[string]*endpoint
 	pools     map[Target]*endpointPool
 	ejected   int // Number of endpoints currently ejected.
+	early     map[string]earlyShutdown
 }
 
 // New returns a Router without endpoints.
@@ -94,6 +95,7 @@
 		cfg:       cfg.withDefaults(),
 		endpoints: map[string]*endpoint{},
 		pools:     map[Target]*endpointPool{},
+		early:     map[string]earlyShutdown{},
 	}
 }
 
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -276,6 +276,32 @@
 	})
 }
 
+// Guards against work on an endpoint that is shutting down, at a daemon that hears of
+// the shutdown before it has put in force the manifest that declares the endpoint.
+func TestShutdownIsKnownBeforeEndpointIsDeclared(t *testing.T) {
+	for _, boot := range []string{"", "b1"} {
+		r := newRouter(1, 1)
+		r.MarkShuttingDown("e001", boot)
+		r.SetEndpoints(declared(2, 1))
+		assert.Assert(t, r.ShuttingDown("e001"))
+		r.Observe(router.EndpointStatus{Endpoint: "e001", BootID: "b1"})
+		r.Observe(router.EndpointStatus{Endpoint: "e001", BootID: "b2"}) // It has restarted.
+		assert.Assert(t, !r.ShuttingDown("e001"))
+	}
+}
+
+// An endpoint that is declared much later has nothing to do with the one whose
+// shutdown was announced.
+func TestShutdownOfUndeclaredEndpointIsForgotten(t *testing.T) {
+	r := newRouter(1, 1)
+	r.MarkShuttingDown("e001", "")
+	for range 4 {
+		r.SetEndpoints(declared(1, 1))
+	}
+	r.SetEndpoints(declared(2, 1))
+	assert.Assert(t, !r.ShuttingDown("e001"))
+}
+
 func TestSendingDuringShutdownViolatesInvariant(t *testing.T) {
 	r := newRouter(1, 1)
 	r.MarkShuttingDown("e000", "")
