forwarder: fetch a manifest once, from a random daemon that has it

Cause: a daemon that heard of a new version fetched it at once from every peer that announced it, so 62 daemons fetched it from each of the four watchers at the same time. Their links filled, fetches and the syncs behind them failed by timeout, and daemons that had lost their watchers became watchers of a slow store. The class of fault is a herd on the few that are first to know. Change: coordination/fetcher. A daemon fetches a version from one peer at a time, at random among those that have announced it, after a random delay in which more of them do. Syncs no longer wait for a manifest, and a manifest is encoded once. The list of endpoints and the limits are fetched from one peer at a time as well, which had the same cause.

--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -127,6 +127,14 @@
 	return ahead
 }
 
+// manifestVersion returns the version of the manifest in force; zero if there is none.
+func (f *Forwarder) manifestVersion() int64 {
+	if t := f.table.Load(); t != nil {
+		return t.Manifest.Version
+	}
+	return 0
+}
+
 // installManifest puts m in force unless that version or a newer one already is.
 func (f *Forwarder) installManifest(m *matcher.Manifest, source string) {
 	if m == nil {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -6,12 +6,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsoonspar.example/coordination/fetcher"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
@@ -25,6 +27,7 @@
 	smallDeployment       = 16                      // With fewer peers, updates that are not urgent are not delayed either.
 	syncInterval          = time.Second             // Interval of version exchanges with a peer, which also detect a peer that does not answer.
 	syncTimeout           = 600 * time.Millisecond  // Enough for several round trips between failure domains.
+	manifestTimeout       = time.Second             // For fetching a manifest, which may be large.
 	watcherTimeout        = 2500 * time.Millisecond // Two syncs; without a sync with a watcher for longer, a daemon watches the store itself.
 	peerRetryInterval     = time.Second
 	fullMeshLimit         = 128 // With more daemons than this, each sends updates only within its own failure domain and to remotePeers of each other one.
@@ -71,6 +74,11 @@
 	known   map[string]*peer // By name.
 	others  map[string]bool  // Names of the daemons in the list that are not peers.
 	pending updateMessage    // Sent with the next batch, in addition to the updates of the placers.
+
+	manifests         *fetcher.Fetcher
+	encoded           atomic.Pointer[encodedManifest]
+	fetchingEndpoints atomic.Bool
+	exchangingLimits  atomic.Bool
 }
 
 // peer is one other daemon.
@@ -83,7 +91,7 @@
 }
 
 func newPeers(f *Forwarder) *peers {
-	p := &peers{f: f, known: map[string]*peer{}}
+	p := &peers{f: f, known: map[string]*peer{}, manifests: fetcher.New(f.newRand())}
 	p.node = framer.NewNode(framer.Config{Name: f.cfg.Daemon.Name, Key: []byte(f.cfg.Daemon.PeersKey)}, p)
 	return p
 }
@@ -107,6 +115,7 @@
 		if d, ok := wanted[name]; !ok || d.Addr != o.daemon.Addr {
 			o.cancel()
 			delete(p.known, name)
+			p.manifests.Forget(name)
 		}
 	}
 	for name, d := range wanted {
@@ -249,8 +258,8 @@
 	}
 }
 
-// syncWith exchanges versions with a peer. It fetches a newer manifest from the
-// peer, and its endpoints if they differ and only the peer watches the store.
+// syncWith exchanges versions with a peer. It fetches the endpoints of the peer if they
+// differ and only the peer watches the store.
 func (p *peers) syncWith(ctx context.Context, o *peer) error {
 	c, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
@@ -261,37 +270,108 @@
 	p.recordWatching(o, remote.WatchingStore)
 	p.addDiscovered(remote.Daemon)
 	local := p.syncState()
-	if remote.Manifest > local.Manifest {
-		if err := p.fetchManifest(c, o); err != nil {
-			return err
-		}
-	}
+	p.offerManifest(o.daemon.Name, remote.Manifest)
 	if remote.Limits != local.Limits && remote.Limits != 0 {
-		if err := p.exchangeLimits(c, o); err != nil {
+		if err := p.exclusively(&p.exchangingLimits, func() error { return p.exchangeLimits(c, o) }); err != nil {
 			return err
 		}
 	}
 	if remote.Digest != local.Digest && remote.WatchingStore && !local.WatchingStore {
-		var l endpointsMessage
-		if err := p.call(c, o.daemon.Addr, methodEndpoints, local, &l); err != nil {
-			return err
-		}
-		p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints replaced by those of a peer")
-		p.f.handleEndpointChanges(p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now()))
+		return p.exclusively(&p.fetchingEndpoints, func() error { return p.fetchEndpoints(c, o) })
+	}
+	return nil
+}
+
+// exclusively calls run unless another call is in progress that sets busy. The lists
+// that daemons exchange are large, and one peer's is enough.
+func (p *peers) exclusively(busy *atomic.Bool, run func() error) error {
+	if !busy.CompareAndSwap(false, true) {
+		return nil
 	}
+	defer busy.Store(false)
+	return run()
+}
+
+// fetchEndpoints replaces the endpoints by those of a peer.
+func (p *peers) fetchEndpoints(ctx context.Context, o *peer) error {
+	var l endpointsMessage
+	if err := p.call(ctx, o.daemon.Addr, methodEndpoints, p.syncState(), &l); err != nil {
+		return err
+	}
+	p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints replaced by those of a peer")
+	p.f.handleEndpointChanges(p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now()))
 	return nil
 }
 
-// fetchManifest fetches the manifest of a peer and puts it in force if it is newer.
-func (p *peers) fetchManifest(ctx context.Context, o *peer) error {
+// offerManifest records that a peer has a version of the manifest; zero for none.
+func (p *peers) offerManifest(name string, version int64) {
+	if version == 0 {
+		return
+	}
+	p.mu.Lock()
+	n := len(p.known)
+	p.mu.Unlock()
+	p.manifests.Offer(name, version, n, p.f.clock.Now())
+}
+
+// fetchDueManifest fetches the newest manifest from a peer, in the background, if that
+// is due.
+func (p *peers) fetchDueManifest() {
+	name, ok := p.manifests.Next(p.f.manifestVersion(), p.f.clock.Now())
+	if !ok {
+		return
+	}
+	p.f.spawn(func() {
+		err := p.fetchManifest(name)
+		p.manifests.End(name, err)
+		if err != nil {
+			p.f.log.Info().Err(err).Str("peer", name).Msg("forwarder: could not fetch the manifest of a peer")
+		}
+	})
+}
+
+// fetchManifest fetches the manifest of the named peer and puts it in force if it is
+// newer.
+func (p *peers) fetchManifest(name string) error {
+	p.mu.Lock()
+	o := p.known[name]
+	p.mu.Unlock()
+	if o == nil {
+		return ErrNotFound
+	}
+	c, cancel := context.WithTimeout(p.f.ctx, manifestTimeout)
+	defer cancel()
 	var m matcher.Manifest
-	if err := p.call(ctx, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
+	if err := p.call(c, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
 		return err
 	}
-	p.f.installManifest(&m, "peer "+o.daemon.Name)
+	p.f.installManifest(&m, "peer "+name)
 	return nil
 }
 
+// encodedManifest is the manifest of a table in the form in which peers fetch it.
+type encodedManifest struct {
+	table *matcher.Table
+	body  []byte
+}
+
+// handleManifest returns the manifest in force for a peer.
+func (p *peers) handleManifest() ([]byte, error) {
+	t := p.f.table.Load()
+	if t == nil {
+		return nil, ErrNotFound
+	}
+	p.f.metrics.count("manifests_sent")
+	if e := p.encoded.Load(); e != nil && e.table == t {
+		return e.body, nil
+	}
+	body, err := msgpack.Marshal(t.Manifest)
+	if err == nil {
+		p.encoded.Store(&encodedManifest{table: t, body: body})
+	}
+	return body, err
+}
+
 // recordWatching records whether a peer watches the store.
 func (p *peers) recordWatching(o *peer, watching bool) {
 	p.mu.Lock()
@@ -322,9 +402,7 @@
 		Daemon: Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
 		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), WatchingStore: p.f.watchingStore.Load(),
 	}
-	if t := p.f.table.Load(); t != nil {
-		m.Manifest = t.Manifest.Version
-	}
+	m.Manifest = p.f.manifestVersion()
 	return m
 }
 
@@ -360,11 +438,7 @@
 		p.addDiscovered(remote.Daemon)
 		return msgpack.Marshal(p.syncState())
 	case methodManifest:
-		t := p.f.table.Load()
-		if t == nil {
-			return nil, ErrNotFound
-		}
-		return msgpack.Marshal(t.Manifest)
+		return p.handleManifest()
 	case methodBorrow:
 		return p.grantRetry(name, body)
 	case methodGrant:
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -60,37 +60,20 @@
 		p.f.applyEndpoints(m.Endpoints)
 	}
 	p.f.applyLimits(m.Limits, p.domainOf(name))
-	if t := p.f.table.Load(); m.Manifest > 0 && (t == nil || t.Manifest.Version < m.Manifest) {
-		p.fetchManifestAsync(name)
-	}
+	p.offerManifest(name, m.Manifest)
 	for _, u := range m.ShuttingDown {
 		p.f.handleEngineShutdown(u.Engine, time.Duration(u.ShutdownMs)*time.Millisecond, "peer")
 	}
 }
 
-// fetchManifestAsync fetches the manifest of the named peer in the background.
-func (p *peers) fetchManifestAsync(name string) {
-	p.mu.Lock()
-	o := p.known[name]
-	p.mu.Unlock()
-	if o == nil {
-		return
-	}
-	p.f.spawn(func() {
-		c, cancel := context.WithTimeout(p.f.ctx, syncTimeout)
-		defer cancel()
-		if err := p.fetchManifest(c, o); err != nil {
-			p.f.log.Info().Err(err).Str("peer", name).Msg("forwarder: could not fetch the manifest of a peer; the next sync retries")
-		}
-	})
-}
-
-// publishUpdates queues the updates of this daemon for the peers until ctx ends.
+// publishUpdates queues the updates of this daemon for the peers, and fetches manifests
+// that they offer, until ctx ends.
 // Urgent updates are queued at once, the others in larger batches.
 func (p *peers) publishUpdates(ctx context.Context) {
 	var m updateMessage
 	var sentAt time.Time
 	for p.f.clock.Sleep(ctx, updateInterval) == nil {
+		p.fetchDueManifest()
 		next := p.collectUpdates()
 		m.add(&next)
 		now := p.f.clock.Now()
