Follow a store that comes back from a copy

What callers would see: after a drill in which the store loses its last changes and gives out their revisions again, a worker that is draining would go on getting requests, and new ones none, until the revisions had passed those of before.

Cause: the registrar keeps the entry with the highest revision, and revisions go back; nothing read the era in the store's answers. A daemon whose own entry was lost did not write it again. A daemon that misses its entry writes it again.

--- a/coordination/limiter/limiter_test.go
+++ b/coordination/limiter/limiter_test.go
@@ -59,10 +59,10 @@
 }
 
 // grants returns how many of n asks are granted.
-func grants(l *Limiter, u Urgency, n int, share float64, now time.Time) int {
+func grants(l *Limiter, u Urgency, n int, now time.Time) int {
 	granted := 0
 	for range n {
-		if l.Grant(endpointA, Ask{Daemon: "d", Urgency: u}, share, now).Granted {
+		if l.Grant(endpointA, Ask{Daemon: "d", Urgency: u}, 1, now).Granted {
 			granted++
 		}
 	}
@@ -74,16 +74,16 @@
 func TestUrgentAndSentRequestsAreCounted(t *testing.T) {
 	l := newLimiter()
 	observe(l, 4, startTime)
-	assert.Equal(t, grants(l, Normal, 10, 1, startTime), 0) // A new budget is empty.
+	assert.Equal(t, grants(l, Normal, 10, startTime), 0) // A new budget is empty.
 	now := startTime.Add(10 * time.Second)
-	assert.Equal(t, grants(l, Normal, 10, 1, now), 2)
-	assert.Equal(t, grants(l, Urgent, 10, 1, now), 2)
-	assert.Equal(t, grants(l, Normal, 10, 1, now.Add(700*time.Millisecond)), 0)
-	assert.Equal(t, grants(l, Normal, 10, 1, now.Add(760*time.Millisecond)), 1)
+	assert.Equal(t, grants(l, Normal, 10, now), 2)
+	assert.Equal(t, grants(l, Urgent, 10, now), 2)
+	assert.Equal(t, grants(l, Normal, 10, now.Add(700*time.Millisecond)), 0)
+	assert.Equal(t, grants(l, Normal, 10, now.Add(760*time.Millisecond)), 1)
 	now = now.Add(20 * time.Second)
-	assert.Equal(t, grants(l, Sent, 100, 1, now), 100)
-	assert.Equal(t, grants(l, Normal, 10, 1, now.Add(2200*time.Millisecond)), 0)
-	assert.Equal(t, grants(l, Normal, 10, 1, now.Add(2260*time.Millisecond)), 1)
+	assert.Equal(t, grants(l, Sent, 100, now), 100)
+	assert.Equal(t, grants(l, Normal, 10, now.Add(2200*time.Millisecond)), 0)
+	assert.Equal(t, grants(l, Normal, 10, now.Add(2260*time.Millisecond)), 1)
 }
 
 // An endpoint that names a limit of zero still gets a request now and then, since only
@@ -91,8 +91,8 @@
 func TestZeroLimitIsProbed(t *testing.T) {
 	l := newLimiter()
 	observe(l, 0, startTime)
-	assert.Equal(t, grants(l, Normal, 10, 1, startTime), 0)
-	assert.Equal(t, grants(l, Normal, 10, 1, startTime.Add(11*time.Second)), 1)
+	assert.Equal(t, grants(l, Normal, 10, startTime), 0)
+	assert.Equal(t, grants(l, Normal, 10, startTime.Add(11*time.Second)), 1)
 }
 
 func ExampleMembers_Share() {
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -286,10 +286,7 @@
 	self := Daemon{Name: f.cfg.Daemon.Name, Addr: f.cfg.Daemon.Peers, Domain: f.cfg.Daemon.Domain}
 	d := &dependency{f: f, name: "store_daemons"}
 	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, listTimeout)
-		err := f.store.PutDaemon(c, self)
-		cancel()
-		f.metrics.count("store_calls")
+		err := f.putDaemonEntry(ctx, self)
 		if err == nil {
 			break
 		}
@@ -298,6 +295,7 @@
 		}
 	}
 	d.recordSuccess()
+	listed := false // The list has contained this daemon.
 	for n := 0; ctx.Err() == nil; n++ {
 		c, cancel := context.WithTimeout(ctx, listTimeout)
 		all, err := f.store.Daemons(c)
@@ -312,6 +310,15 @@
 		d.recordSuccess()
 		f.budget.SetDaemons(len(all))
 		f.peers.setDaemons(all)
+		switch {
+		case slices.Contains(all, self):
+			listed = true
+		case listed || n >= initialDaemonLists: // The first lists may be older than the entry.
+			f.log.Warn().Msg("forwarder: the store has lost the entry of this daemon; writing it again")
+			if err := f.putDaemonEntry(ctx, self); err != nil {
+				f.log.Warn().Err(err).Msg("forwarder: could not write the entry of this daemon; the next list tries again")
+			}
+		}
 		wait := daemonListInterval
 		if n < initialDaemonLists {
 			wait = daemonListInterval / 8
@@ -321,3 +328,11 @@
 		}
 	}
 }
+
+// putDaemonEntry writes the entry of this daemon.
+func (f *Forwarder) putDaemonEntry(ctx context.Context, self Daemon) error {
+	c, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	f.metrics.count("store_calls")
+	return f.store.PutDaemon(c, self)
+}
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -4,6 +4,10 @@
 // each change a higher revision. Lists and changes may arrive late or more than
 // once; the entry with the highest revision is kept.
 //
+// A source that is restored from a copy loses its last changes and begins a new era, in
+// which it gives out their revisions again; revision.go orders them. Entries that are
+// missing then may be written again, and those of endpoints that have left may be back.
+//
 // An endpoint is identified by its name and start time, not by its address: an
 // address may be reused by another endpoint, and an endpoint may restart under
 // the same name. The removal of an entry means that its endpoint is shutting
@@ -50,21 +54,28 @@
 	missingSince time.Time // When the entry was found missing after an outage; zero while it is present.
 }
 
+// removal is the removal of an entry.
+type removal struct {
+	identity Identity // Zero if the entry was not known.
+	revision int64
+}
+
 // Registrar holds the endpoints. It is safe for concurrent use. Use New to make
 // one.
 type Registrar struct {
-	mu        sync.RWMutex
-	records   map[string]*record
-	removedAt map[string]int64      // Revision of the last removal, by name.
-	usable    map[string][]Endpoint // Endpoints that accept new work, by service; rebuilt after each change.
-	revision  int64
-	grace     time.Duration
+	mu       sync.RWMutex
+	records  map[string]*record
+	removed  map[string]removal    // Last removal of each name.
+	held     map[string]heldEntry  // Entries that may be those of endpoints that have left, by name.
+	usable   map[string][]Endpoint // Endpoints that accept new work, by service; rebuilt after each change.
+	revision int64
+	grace    time.Duration
 }
 
 // New returns an empty Registrar. Entries that are missing after an outage of
 // their source are kept for grace.
 func New(grace time.Duration) *Registrar {
-	return &Registrar{records: map[string]*record{}, removedAt: map[string]int64{}, usable: map[string][]Endpoint{}, grace: grace}
+	return &Registrar{records: map[string]*record{}, removed: map[string]removal{}, held: map[string]heldEntry{}, usable: map[string][]Endpoint{}, grace: grace}
 }
 
 // Revision returns the revision of the source that the endpoints reflect.
@@ -116,14 +127,20 @@
 
 // Replace applies a complete list as of a revision. Entries that are not in it
 // are removed, or kept for the grace time if the list follows an outage of the
-// source. Entries of a later revision stay.
+// source or is the first one of an era. Entries of a later revision stay.
 func (g *Registrar) Replace(list []Endpoint, revision int64, afterOutage bool, now time.Time) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	newEra := g.revision > 0 && Era(revision) > Era(g.revision)
+	afterOutage = afterOutage || newEra
 	g.revision = max(g.revision, revision)
 	present := make(map[string]bool, len(list))
 	var changes []Change
 	for _, e := range list {
+		if newEra && g.mayHaveLeft(e) {
+			g.held[e.Name] = heldEntry{endpoint: e, since: now}
+			continue
+		}
 		present[e.Name] = true
 		changes = append(changes, g.set(e)...)
 	}
@@ -159,7 +176,7 @@
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	r := g.records[name]
-	return g.removedAt[name] >= revision || (r != nil && r.missingSince.IsZero() && r.endpoint.Revision >= revision)
+	return g.removed[name].revision >= revision || (r != nil && r.missingSince.IsZero() && r.endpoint.Revision >= revision)
 }
 
 // Remove applies the removal of an entry as of a revision.
@@ -190,7 +207,7 @@
 }
 
 // Expire removes the entries that have been missing for longer than the grace
-// time.
+// time, and adds those that have been held for holdTime.
 func (g *Registrar) Expire(now time.Time) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -200,6 +217,12 @@
 			changes = append(changes, g.remove(name, r.endpoint.Revision)...)
 		}
 	}
+	for name, h := range g.held {
+		if now.Sub(h.since) >= holdTime {
+			delete(g.held, name)
+			changes = append(changes, g.set(h.endpoint)...)
+		}
+	}
 	if changes != nil {
 		g.rebuild()
 	}
@@ -225,9 +248,12 @@
 // set stores e unless a later revision has been applied. The mutex must be held.
 func (g *Registrar) set(e Endpoint) []Change {
 	old := g.records[e.Name]
-	if (old != nil && old.endpoint.Revision > e.Revision) || g.removedAt[e.Name] > e.Revision {
+	if (old != nil && old.endpoint.Revision > e.Revision) || g.removed[e.Name].revision > e.Revision {
 		return nil
 	}
+	if h, ok := g.held[e.Name]; ok && h.endpoint.Revision < e.Revision {
+		delete(g.held, e.Name) // Written since: the endpoint lives.
+	}
 	if old == nil || old.endpoint.Identity != e.Identity {
 		var changes []Change
 		if old != nil {
@@ -236,6 +262,9 @@
 		g.records[e.Name] = &record{endpoint: e}
 		return append(changes, Change{Endpoint: e, ShuttingDown: e.Draining, New: true})
 	}
+	if Era(e.Revision) > Era(old.endpoint.Revision) {
+		e.Draining = e.Draining || old.endpoint.Draining // The copy may be older than the drain.
+	}
 	drainStarted := e.Draining && !old.endpoint.Draining
 	previous := old.endpoint
 	previous.Revision = e.Revision
@@ -250,11 +279,17 @@
 
 // remove deletes the entry and records its removal. The mutex must be held.
 func (g *Registrar) remove(name string, revision int64) []Change {
-	g.removedAt[name] = max(g.removedAt[name], revision)
-	if len(g.removedAt) > maxRemoved {
+	r := g.records[name]
+	last := g.removed[name]
+	last.revision = max(last.revision, revision)
+	if r != nil {
+		last.identity = r.endpoint.Identity
+	}
+	g.removed[name] = last
+	delete(g.held, name)
+	if len(g.removed) > maxRemoved {
 		g.pruneRemoved()
 	}
-	r := g.records[name]
 	if r == nil {
 		return nil
 	}
@@ -269,13 +304,13 @@
 // pruneRemoved drops the removals more than maxRemoved revisions old, and all of
 // them if too many remain. The mutex must be held.
 func (g *Registrar) pruneRemoved() {
-	for name, revision := range g.removedAt {
-		if revision < g.revision-maxRemoved {
-			delete(g.removedAt, name)
+	for name, last := range g.removed {
+		if last.revision < g.revision-maxRemoved {
+			delete(g.removed, name)
 		}
 	}
-	if len(g.removedAt) > maxRemoved {
-		clear(g.removedAt)
+	if len(g.removed) > maxRemoved {
+		clear(g.removed)
 	}
 }
 
