platform: do not take a late copy of a response for another one

What callers would see: a worker that sends a copy of a response late, on a connection that is in use again, could make a generation continue from the memory of another one, or an engine look idle. Reported by operators of similar systems; not seen here.

Cause: responses to a client's request carry its id, which the dialer checks; responses to a migration carry none, and the check was off for reports. An engine with a request limit whose first poll fails is polled again as soon as any other, so that a crash is noticed as early.

--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -142,7 +142,10 @@
 		if pl := f.knownPlacer(r.endpoint.Service); pl != nil {
 			pl.MarkUnreachable(r.endpoint.Identity, now)
 		}
-		p.nextAt = now.Add(max(pollTimeout, f.pollIntervalOf(r.endpoint)) / 2)
+		p.nextAt = now.Add(pollTimeout / 2)
+		if p.failures >= maxFailedPolls { // The engine counts as unresponsive already.
+			p.nextAt = now.Add(max(pollTimeout, f.pollIntervalOf(r.endpoint)) / 2)
+		}
 		return
 	}
 	if p.failures >= maxFailedPolls {
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -45,6 +45,9 @@
 	// have been idle for a short time only, which the server is less likely to
 	// close while the request is in flight. The transport sets the limit.
 	NonIdempotent bool
+	// OwnConnection restricts the request to a new connection, which is closed after
+	// the response. It is for requests whose responses nothing tells apart.
+	OwnConnection bool
 	// ReadTimeout is the longest time to wait for the next bytes of the response,
 	// including its header. Zero means the default of the transport.
 	ReadTimeout time.Duration
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -117,8 +117,10 @@
 	if req.NonIdempotent {
 		maxAge = min(maxAge, d.cfg.NonIdempotentMaxIdleAge)
 	}
-	if c := d.pool.get(req.Addr, maxAge, d.clock.Now()); c != nil {
-		return c, nil
+	if !req.OwnConnection {
+		if c := d.pool.get(req.Addr, maxAge, d.clock.Now()); c != nil {
+			return c, nil
+		}
 	}
 	raw, err := d.net.DialContext(ctx, "tcp", req.Addr)
 	if err != nil {
@@ -163,7 +165,7 @@
 			return requester.Response{}, err
 		}
 		if !isStaleResponse(r, req.EchoedHeader) {
-			return d.response(ctx, c, r), nil
+			return d.response(ctx, c, r, req.OwnConnection), nil
 		}
 		d.staleResponses.Add(1)
 		if r.BodyStream() == nil {
@@ -195,7 +197,7 @@
 }
 
 // response converts a response whose header has been read.
-func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response) requester.Response {
+func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response, ownConnection bool) requester.Response {
 	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1)}
 	for name, value := range r.Header.All() {
 		if !isConnectionHeader(string(name)) {
@@ -207,7 +209,7 @@
 		dialer:   d,
 		conn:     c,
 		stream:   r.BodyStream(),
-		reusable: !r.ConnectionClose(),
+		reusable: !r.ConnectionClose() && !ownConnection,
 		atEOF:    r.BodyStream() == nil,
 	}
 	return res
