forwarder: heed reports of peers that say an engine is shutting down

What callers would see: a daemon that has restarted could send generations to an engine that is leaving, whose entry does not say so yet. Reported by operators of similar systems; not seen here.

Cause: the news that an engine is shutting down is sent to the peers once, when it is first seen. The reports that one daemon polls for all repeat it, but the others used them for the load only. Change: a report of a peer that says so marks the engine, as an own one does.

--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -55,6 +55,9 @@
 		if pl := p.f.knownPlacer(r.Service); pl != nil {
 			pl.Observe(r.Engine, r.Report, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
 		}
+		if r.Report.ShuttingDown { // This daemon may have started after the news was sent.
+			p.f.handleEngineShutdown(r.Engine, r.Report.ShutdownIn, "report of a peer")
+		}
 	}
 	if len(m.Endpoints) > 0 {
 		p.f.applyEndpoints(m.Endpoints)
