Share budgets by the number of daemons that peers know, before the list is read

What callers would see: daemons that start while the store is away overspend the retry budget that they share, if there are more than 16; and use little of an endpoint's limit. Found by a new scenario of TestFleetKeepsLimit: all daemons start without the list of daemons and know three seeds.

It also ranked only itself and the seeds, so many daemons would have taken themselves for the one that grants. Change: syncs carry the number of daemons that the sender knows, and the highest counts until the list has been read. Until then a daemon asks one of those that it knows, which the settings of all name, and does not take itself for the first one. The check begins 3 s after the start, since no daemon knows the limit before. TestShareBeforeList has the count, which also divides the retry budget.

--- a/coordination/limiter/fleet_test.go
+++ b/coordination/limiter/fleet_test.go
@@ -38,6 +38,7 @@
 // them reach the endpoint; the network between daemons may be cut.
 type fleet struct {
 	domains  int
+	unlisted bool // No daemon has read the list.
 	rand     *rand.Rand
 	now      time.Time
 	start    time.Time
@@ -131,6 +132,24 @@
 	}
 }
 
+// seedCount is the number of daemons that the settings of all daemons name.
+const seedCount = 3
+
+// bootWithoutList gives all daemons the state of processes that have just started while
+// the list of daemons can't be read. They know the seeds, which hear of all others.
+func (f *fleet) bootWithoutList() {
+	f.unlisted = true
+	for _, n := range f.daemons {
+		n.lim, n.mem, n.peers = New(f.rand), NewMembers(n.Daemon), nil
+		for _, o := range f.daemons {
+			if o != n && (n.index < seedCount || o.index < seedCount) {
+				n.peers = append(n.peers, o)
+				n.mem.Add(o.Daemon, f.now)
+			}
+		}
+	}
+}
+
 // monitors reports whether a daemon probes another one.
 func (f *fleet) monitors(n, o *node) bool {
 	if len(f.daemons) <= meshLimit || o.Domain == n.Domain {
@@ -203,9 +222,9 @@
 	o := f.node(rank[0].Name)
 	f.call(n, o, askTimeout, func(reply func(Decision)) {
 		merge(o, n)
-		first := o.mem.Rank(f.endpoint, f.now)[0]
+		first, relay := o.mem.Relay(f.endpoint, f.now)
 		act := func() { reply(o.lim.Grant(f.endpoint.Identity, a, o.mem.Share(f.endpoint, f.now), f.now)) }
-		if o.mem.IsSelf(first) {
+		if !relay {
 			act()
 			return
 		}
@@ -311,6 +330,7 @@
 		}
 		if f.reaches(n, p) {
 			n.mem.SetReachable(p.Name, true, f.now)
+			n.mem.AtLeast(p.mem.Count())
 			if n.lim.Digest() != p.lim.Digest() {
 				merge(n, p)
 				merge(p, n)
@@ -378,6 +398,7 @@
 	name   string
 	inject func(f *fleet) // Runs the fleet for some time.
 	minUse float64        // Least use of the limit from the injection to the end.
+	resets bool           // The daemons forget the limit, so that they learn it anew.
 }
 
 // cutDomains cuts the daemons of the first n failure domains off from the others. That
@@ -424,6 +445,12 @@
 		f.cutDomains(0)
 		f.run(5 * time.Second)
 	}},
+	{name: "all daemons start without the list", resets: true, inject: func(f *fleet) {
+		if !f.unlisted {
+			f.bootWithoutList()
+		}
+		f.run(20 * time.Second)
+	}},
 	{name: "all daemons cut off from each other", inject: func(f *fleet) {
 		f.cut = func(_, _ *node) bool { return true }
 		f.run(15 * time.Second)
@@ -437,11 +464,14 @@
 	t.Parallel()
 	f := newFleet(7, daemons, domains, limit, perSecond)
 	f.run(contactTime + windowTime)
-	from := f.now
+	from, checkFrom := f.now, f.start.Add(contactTime)
+	if s.resets {
+		checkFrom = f.now.Add(contactTime)
+	}
 	for f.now.Sub(from).Seconds()*limit < minRequests {
 		s.inject(f)
 	}
-	got, use := f.most(f.start.Add(contactTime)), f.use(from)
+	got, use := f.most(checkFrom), f.use(from)
 	t.Logf("%d requests in %v, %d allowed; %.2f of the limit used; %.1f asks a second", got, windowTime, allowed(limit), use, float64(f.asks)/f.now.Sub(f.start).Seconds())
 	assert.Check(t, got <= allowed(limit), "%d requests in %v", got, windowTime)
 	assert.Check(t, use >= s.minUse, "%.2f of the limit used", use)
--- a/coordination/limiter/limiter_test.go
+++ b/coordination/limiter/limiter_test.go
@@ -122,6 +122,9 @@
 func TestShareBeforeList(t *testing.T) {
 	m := NewMembers(Daemon{Name: "a"})
 	assert.Equal(t, m.Share(registrar.Endpoint{}, startTime), 1.0/unlistedCount)
+	m.AtLeast(66) // A peer knows so many.
+	assert.Equal(t, m.Count(), 66)
+	assert.Equal(t, m.Share(registrar.Endpoint{}, startTime), 1.0/66)
 	m.SetAll([]Daemon{{Name: "a"}}, func(string) bool { return true }, startTime)
 	assert.Equal(t, m.Share(registrar.Endpoint{}, startTime), 1.0)
 }
--- a/coordination/limiter/members.go
+++ b/coordination/limiter/members.go
@@ -22,7 +22,7 @@
 const (
 	goneAfter      = time.Minute // An unreachable daemon counts as ended after this time, if others of its failure domain are reachable.
 	failureTime    = time.Second // A daemon that did not answer an ask is not asked again for this time.
-	unlistedCount  = 16          // Number of daemons assumed before the list has been read.
+	unlistedCount  = 16          // Least number of daemons assumed before the list has been read.
 	preferredCount = 2           // Daemons that are asked regardless of their failure domain.
 )
 
@@ -40,9 +40,10 @@
 type Members struct {
 	self Daemon
 
-	mu     sync.RWMutex
-	others map[string]*member
-	listed bool // The list of all daemons has been read.
+	mu      sync.RWMutex
+	others  map[string]*member
+	listed  bool // The list of all daemons has been read.
+	atLeast int  // Number of daemons that another one knows; used until the list has been read.
 }
 
 // NewMembers returns the view of a daemon that knows no other.
@@ -55,7 +56,7 @@
 func (m *Members) SetAll(all []Daemon, monitored func(name string) bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.listed = true
+	m.listed, m.atLeast = true, 0
 	present := make(map[string]bool, len(all))
 	for _, d := range all {
 		present[d.Name] = true
@@ -71,6 +72,28 @@
 	}
 }
 
+// Count returns the number of daemons, this one included, as far as it is known.
+func (m *Members) Count() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.count(len(m.others) + 1)
+}
+
+// count returns the number of daemons if this daemon knows n. The mutex is held.
+func (m *Members) count(n int) int {
+	if m.listed {
+		return n
+	}
+	return max(n, m.atLeast, unlistedCount)
+}
+
+// AtLeast records the number of daemons that another one knows.
+func (m *Members) AtLeast(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.atLeast = max(m.atLeast, n)
+}
+
 // Add adds a daemon that is not in the list yet.
 func (m *Members) Add(d Daemon, now time.Time) {
 	m.mu.Lock()
@@ -146,13 +169,10 @@
 		}
 		all++
 	}
-	if !m.listed {
-		all = max(all, unlistedCount)
-	}
-	if preceded {
+	if preceded && m.listed { // Without the list, daemons ask one that they know; see Rank.
 		reached = local
 	}
-	return float64(reached) / float64(all)
+	return float64(reached) / float64(m.count(all))
 }
 
 // reachableIn reports whether the daemon seems reachable, given the failure domains that
@@ -181,16 +201,22 @@
 // that does in this daemon's failure domain: if the other domains are cut off, its
 // daemons turn to the same one. The list ends with this daemon if that is one of them;
 // if it is not, and none of them answers, the request can't be granted.
+//
+// Before this daemon has read the list it knows few others, those that the settings of
+// all name, and would often take itself for the first one. It then asks one of these.
 func (m *Members) Rank(endpoint registrar.Endpoint, now time.Time) []Daemon {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	candidates := []candidate{{daemon: m.self, score: Score(m.self, endpoint)}}
+	var candidates []candidate
 	domains := m.reachableDomains()
 	for _, o := range m.others {
 		if o.reachableIn(domains) && !now.Before(o.failedUntil) {
 			candidates = append(candidates, candidate{daemon: o.Daemon, score: Score(o.Daemon, endpoint)})
 		}
 	}
+	if m.listed || len(candidates) == 0 {
+		candidates = append(candidates, candidate{daemon: m.self, score: Score(m.self, endpoint)})
+	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	var rank []Daemon
 	ownDomain := false
@@ -207,6 +233,15 @@
 	return rank
 }
 
+// Relay returns the daemon to which this one should pass on the ask of another that may
+// not reach it. It returns false if this daemon should decide.
+func (m *Members) Relay(endpoint registrar.Endpoint, now time.Time) (Daemon, bool) {
+	first := m.Rank(endpoint, now)[0]
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return first, m.listed && first.Name != m.self.Name
+}
+
 // candidate is a daemon that could grant the requests to an endpoint.
 type candidate struct {
 	daemon Daemon
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -308,8 +308,8 @@
 			continue
 		}
 		d.recordSuccess()
-		f.budget.SetDaemons(len(all))
 		f.peers.setDaemons(all)
+		f.budget.SetDaemons(f.members.Count())
 		switch {
 		case slices.Contains(all, self):
 			listed = true
@@ -329,6 +329,13 @@
 	}
 }
 
+// recordDaemonCount records the number of daemons that a peer knows. It matters until
+// this daemon has read the list: its shares would be too large.
+func (f *Forwarder) recordDaemonCount(n int) {
+	f.members.AtLeast(n)
+	f.budget.SetDaemons(f.members.Count())
+}
+
 // putDaemonEntry writes the entry of this daemon.
 func (f *Forwarder) putDaemonEntry(ctx context.Context, self Daemon) error {
 	c, cancel := context.WithTimeout(ctx, listTimeout)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -87,7 +87,7 @@
 	}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
-	f.budget.SetDaemons(initialDaemonCount)
+	f.budget.SetDaemons(f.members.Count())
 	return f
 }
 
@@ -216,7 +216,6 @@
 	prefillTokensPerMs = 14                     // Prompt tokens per millisecond of prefill, from published engine data.
 	reportLag          = 500 * time.Millisecond // A report describes the state of its engine a few hundred milliseconds earlier.
 	memoryDeviations   = 1.2                    // Safety margin of memory forecasts: standard deviations above the mean, the 0.88 quantile. A preempted run pauses and repeats its prefill.
-	initialDaemonCount = 16                     // Divides the retry budget until the list of daemons has been read.
 )
 
 // addWaiter registers the channel that receives the outcome of a queued job.
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -214,7 +214,7 @@
 	}
 	now := f.clock.Now()
 	f.recordLimit(ask.Limit.observation(now), "peer", false)
-	if first := f.members.Rank(ask.endpoint(), now)[0]; !ask.Relayed && !f.members.IsSelf(first) {
+	if first, relay := f.members.Relay(ask.endpoint(), now); relay && !ask.Relayed {
 		ask.Relayed = true
 		if res, err := f.callForGrant(ctx, first, ask, relayTimeout); err == nil {
 			return msgpack.Marshal(res)
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -56,6 +56,7 @@
 	Manifest      int64  `msgpack:"manifest"` // Version in force; zero if there is none.
 	Digest        uint64 `msgpack:"digest"`   // Digest of the endpoints.
 	WatchingStore bool   `msgpack:"fresh"`    // The daemon watches the store and gets answers.
+	Daemons       int    `msgpack:"daemons"`  // Number of daemons that the daemon knows, itself included.
 	Limits        uint64 `msgpack:"limits"`   // Digest of the limits of the endpoints; zero if there are none.
 }
 
@@ -272,6 +273,7 @@
 	}
 	p.recordWatching(o, remote.WatchingStore)
 	p.addDiscovered(remote.Daemon)
+	p.f.recordDaemonCount(remote.Daemons)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
 	if remote.Limits != local.Limits && remote.Limits != 0 {
@@ -403,7 +405,7 @@
 func (p *peers) syncState() syncMessage {
 	m := syncMessage{
 		Daemon: Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
-		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), WatchingStore: p.f.watchingStore.Load(),
+		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), Daemons: p.f.members.Count(), WatchingStore: p.f.watchingStore.Load(),
 	}
 	m.Manifest = p.f.manifestVersion()
 	return m
@@ -439,6 +441,7 @@
 			return nil, err
 		}
 		p.addDiscovered(remote.Daemon)
+		p.f.recordDaemonCount(remote.Daemons)
 		return msgpack.Marshal(p.syncState())
 	case methodManifest:
 		return p.handleManifest()
