--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -31,7 +31,8 @@
 // Limiter holds the limits of the endpoints at one daemon, and the budgets of those
 // whose requests it grants. It is safe for concurrent use. Use New to make one.
 type Limiter struct {
-	limited atomic.Int64 // Number of endpoints with a limit.
+	limited atomic.Int64  // Number of endpoints with a limit.
+	digest  atomic.Uint64 // Sum of the hashes of the entries.
 	shards  [shardCount]shard
 }
 
@@ -100,7 +101,9 @@
 		l.limited.Add(-1)
 		e.budget = budget{}
 	}
+	before := e.hash(o.Endpoint)
 	e.limited, e.rate = o.Limited, o.Rate
+	l.digest.Add(e.hash(o.Endpoint) - before)
 	e.deniedUntil = [urgencies]time.Time{}
 	return true
 }
@@ -138,22 +141,15 @@
 
 // Digest returns a hash of the limits. Limiters with the same limits have the same
 // digest; it is zero without limits.
-func (l *Limiter) Digest() uint64 {
-	if l.limited.Load() == 0 {
+func (l *Limiter) Digest() uint64 { return l.digest.Load() }
+
+// hash returns the part of the digest that an endpoint contributes; zero if it is not
+// limited.
+func (e *entry) hash(id registrar.Identity) uint64 {
+	if !e.limited {
 		return 0
 	}
-	sum := uint64(0)
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.Lock()
-		for id, e := range s.entries {
-			if e.limited {
-				sum += xxhash.Sum64String(id.Name + "/" + strconv.FormatInt(id.Started, 10) + "/" + strconv.FormatFloat(e.rate, 'g', -1, 64))
-			}
-		}
-		s.mu.Unlock()
-	}
-	return sum
+	return xxhash.Sum64String(id.Name + "/" + strconv.FormatInt(id.Started, 10) + "/" + strconv.FormatFloat(e.rate, 'g', -1, 64))
 }
 
 // Retain removes the state of all endpoints that are not present.
@@ -168,6 +164,7 @@
 			if e.limited {
 				l.limited.Add(-1)
 			}
+			l.digest.Add(-e.hash(id))
 			delete(s.entries, id)
 		}
 		s.mu.Unlock()
