limiter: tell peers of large changes only, and a few times a second

What operators would see: an endpoint that names another limit in each response makes every daemon write a line and send an update to all peers for each response. Found on reading the change; not seen.

Cause: each change of a limit was logged and announced. Change: a limit is announced when it differs by more than a tenth from what was announced, at most once in 200 ms for an endpoint; the digest contains what was announced. Daemons keep to the newest value that they know, and asks carry it. A request that a limit denied is refused at once also if the denial has ended meanwhile: it waited in the placer's queue with no engine left to try. Measured: TestChangesAreAnnouncedSparingly: 1,000 responses a second that name limits 7% apart, none announced; ones that name 1 and 10, or 4 and none in turn, at most 5 a second. It fails on the code before.

--- a/coordination/limiter/fleet_test.go
+++ b/coordination/limiter/fleet_test.go
@@ -286,8 +286,7 @@
 			if n.lim != lim { // The daemon has restarted.
 				return
 			}
-			_, known := lim.Limit(f.endpoint.Identity)
-			if limit < 0 && !known {
+			if limit < 0 && !lim.Tracks(f.endpoint.Identity) {
 				return
 			}
 			o := Observation{Endpoint: f.endpoint.Identity, Limited: limit >= 0, Rate: limit, At: f.now}
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -14,6 +14,7 @@
 package limiter
 
 import (
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -48,6 +49,10 @@
 	limited    bool
 	rate       float64 // Requests per second, if limited.
 	observedAt time.Time
+	// The limit that was last announced to the peers, which the digest contains.
+	announced     bool
+	announcedRate float64
+	announcedAt   time.Time
 	// deniedUntil is when this daemon may ask again, for each urgency.
 	deniedUntil [urgencies]time.Time
 	budget      budget
@@ -76,8 +81,16 @@
 	return &l.shards[xxhash.Sum64String(id.Name)%shardCount]
 }
 
+// An endpoint may name another limit in each response. Peers are told of large changes
+// only, and not at each of them; an ask carries the limit that its daemon knows.
+const (
+	announcedChange  = 0.1 // Least relative change.
+	announceInterval = 200 * time.Millisecond
+)
+
 // Observe records an observation of this daemon or of another one. It reports
-// whether the limit has changed. Observations older than the newest one are ignored.
+// whether the limit has changed so much that the peers should be told. Observations
+// older than the newest one are ignored.
 func (l *Limiter) Observe(o Observation) bool {
 	s := l.shard(o.Endpoint)
 	s.mu.Lock()
@@ -91,20 +104,35 @@
 		return false
 	}
 	e.observedAt = o.At
-	if e.limited == o.Limited && (!o.Limited || e.rate == o.Rate) {
-		return false
+	if e.limited != o.Limited || e.rate != o.Rate {
+		l.setLimit(e, o)
 	}
+	return l.announce(e, o)
+}
+
+// setLimit changes the limit of an endpoint. The mutex is held.
+func (l *Limiter) setLimit(e *entry, o Observation) {
 	switch {
 	case o.Limited && !e.limited:
 		l.limited.Add(1)
-	case !o.Limited:
+	case !o.Limited && e.limited:
 		l.limited.Add(-1)
 		e.budget = budget{}
 	}
-	before := e.hash(o.Endpoint)
 	e.limited, e.rate = o.Limited, o.Rate
-	l.digest.Add(e.hash(o.Endpoint) - before)
 	e.deniedUntil = [urgencies]time.Time{}
+}
+
+// announce reports whether the peers should be told of an observation, and records so.
+// The mutex is held.
+func (l *Limiter) announce(e *entry, o Observation) bool {
+	large := o.Limited != e.announced || math.Abs(o.Rate-e.announcedRate) > announcedChange*e.announcedRate
+	if !large || o.At.Sub(e.announcedAt) < announceInterval {
+		return false
+	}
+	before := e.hash(o.Endpoint)
+	e.announced, e.announcedRate, e.announcedAt = o.Limited, o.Rate, o.At
+	l.digest.Add(e.hash(o.Endpoint) - before)
 	return true
 }
 
@@ -124,6 +152,19 @@
 	return e.rate, true
 }
 
+// Tracks reports whether a response of the endpoint that names no limit matters: the
+// endpoint has a limit, or the peers have not been told yet that it has none.
+func (l *Limiter) Tracks(id registrar.Identity) bool {
+	if l.limited.Load() == 0 && l.digest.Load() == 0 {
+		return false
+	}
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	return e != nil && (e.limited || e.announced)
+}
+
 // All returns the newest observation of each endpoint that names a limit or has
 // named one.
 func (l *Limiter) All() []Observation {
@@ -139,17 +180,16 @@
 	return all
 }
 
-// Digest returns a hash of the limits. Limiters with the same limits have the same
-// digest; it is zero without limits.
+// Digest returns a hash of the limits that were announced. Limiters with the same ones
+// have the same digest; it is zero without limits.
 func (l *Limiter) Digest() uint64 { return l.digest.Load() }
 
-// hash returns the part of the digest that an endpoint contributes; zero if it is not
-// limited.
+// hash returns the part of the digest that an endpoint contributes; zero without a limit.
 func (e *entry) hash(id registrar.Identity) uint64 {
-	if !e.limited {
+	if !e.announced {
 		return 0
 	}
-	return xxhash.Sum64String(id.Name + "/" + strconv.FormatInt(id.Started, 10) + "/" + strconv.FormatFloat(e.rate, 'g', -1, 64))
+	return xxhash.Sum64String(id.Name + "/" + strconv.FormatInt(id.Started, 10) + "/" + strconv.FormatFloat(e.announcedRate, 'g', -1, 64))
 }
 
 // Retain removes the state of all endpoints that are not present.
--- a/coordination/limiter/limiter_test.go
+++ b/coordination/limiter/limiter_test.go
@@ -47,6 +47,47 @@
 	assert.Equal(t, l.Digest(), uint64(0))
 }
 
+// Guards against a log line and an update to all peers for each response of an endpoint
+// that names another limit each time.
+func TestChangesAreAnnouncedSparingly(t *testing.T) {
+	l := newLimiter()
+	assert.Assert(t, observe(l, 4, startTime))
+	announced, digest := 0, l.Digest()
+	now := startTime.Add(announceInterval)
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		if observe(l, 4+0.3*float64(i%2), now) {
+			announced++
+		}
+	}
+	assert.Equal(t, announced, 0)
+	assert.Equal(t, l.Digest(), digest)
+	rate, _ := l.Limit(endpointA)
+	assert.Equal(t, rate, 4.3) // Still kept.
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		if observe(l, 1+9*float64(i%2), now) {
+			announced++
+		}
+	}
+	assert.Assert(t, announced > 0 && announced <= 5, "%d changes announced in a second", announced)
+	announced = 0
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		if observe(l, float64(i%2*5-1), now) { // 4 and none in turn.
+			announced++
+		}
+	}
+	assert.Assert(t, announced > 0 && announced <= 5, "%d flips announced in a second", announced)
+	observe(l, 4, now.Add(announceInterval))
+	now = now.Add(announceInterval + time.Millisecond)
+	assert.Assert(t, !observe(l, -1, now))
+	assert.Assert(t, l.Tracks(endpointA)) // A later response announces the end of the limit.
+	assert.Assert(t, observe(l, -1, now.Add(announceInterval)))
+	assert.Assert(t, !l.Tracks(endpointA))
+	assert.Equal(t, l.Digest(), uint64(0))
+}
+
 // A daemon that was denied may ask again as soon as the endpoint names another limit.
 func TestChangedLimitEndsDenial(t *testing.T) {
 	l := newLimiter()
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -81,14 +81,14 @@
 			return e, ok
 		}
 		f.balancer(x.service).Cancel(e.Identity)
-		exclude[e.Identity] = true
+		exclude[e.Identity], x.limitDenied = true, true
 	}
 }
 
 // noEndpointReason returns the reason why no endpoint is left to try.
 func (f *Forwarder) noEndpointReason(x *exchange, lastAttempt callAttempt) Reason {
 	usable := f.registry.Usable(x.service)
-	if lastAttempt.err == nil && len(f.permittedEndpoints(usable, f.clock.Now())) < len(usable) {
+	if lastAttempt.err == nil && (x.limitDenied || len(f.permittedEndpoints(usable, f.clock.Now())) < len(usable)) {
 		return ReasonLimited
 	}
 	if lastAttempt.err != nil || len(usable) > 0 {
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -82,6 +82,7 @@
 	arrived         time.Time
 	deadline        time.Time
 	attempts        atomic.Int64 // Attempts, refused ones included.
+	limitDenied     bool         // The limit of an endpoint has denied an attempt.
 	deliveries      int          // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 }
 
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -78,8 +78,7 @@
 	if res.Misdirected || (res.RequestLimit == nil && (!res.FromEndpoint || res.NotExecuted)) {
 		return
 	}
-	_, known := f.limits.Limit(e.Identity)
-	if res.RequestLimit == nil && !known {
+	if res.RequestLimit == nil && !f.limits.Tracks(e.Identity) {
 		return
 	}
 	o := limiter.Observation{Endpoint: e.Identity, Limited: res.RequestLimit != nil, At: f.clock.Now()}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -118,7 +118,7 @@
 			return refusal, nil
 		}
 		if !s.f.acquireGrant(s.ctx, pl.Engine, limiter.Normal) {
-			exclude[pl.Engine.Identity] = true
+			exclude[pl.Engine.Identity], s.x.limitDenied = true, true
 			s.jobPlacer.SetLimited(s.f.deniedEngines(s.f.clock.Now()))
 			s.jobPlacer.RecordRefusal(s.job.ID, false, s.f.clock.Now())
 			continue
@@ -247,7 +247,7 @@
 // allEnginesLimited reports whether the limits of the engines that are left to try
 // permit no request now.
 func (s *stream) allEnginesLimited(exclude map[registrar.Identity]bool, now time.Time) bool {
-	limited := false
+	limited := s.x.limitDenied
 	for _, e := range s.f.registry.Usable(s.x.service) {
 		switch {
 		case !s.f.mayAsk(e, now):
