forwarder: do not rely on watchers of a version without eras

What callers would see: while a new version is rolled out, endpoints that drain could go on getting requests at new daemons, if only old ones watch the store.

Cause: revisions now contain the era, so the changes that an old daemon passes on seem older than any that a new one knows, if the store names an era. Change: a daemon whose syncs carry no number of daemons does not count as watching, so a new daemon watches the store itself unless another new one does.

--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -271,7 +271,9 @@
 	if err := p.call(c, o.daemon.Addr, methodSync, p.syncState(), &remote); err != nil {
 		return err
 	}
-	p.recordWatching(o, remote.WatchingStore)
+	// Daemons of versions that send no count number revisions without eras, so that
+	// their changes seem older than any of this daemon.
+	p.recordWatching(o, remote.WatchingStore && remote.Daemons > 0)
 	p.addDiscovered(remote.Daemon)
 	p.f.recordDaemonCount(remote.Daemons)
 	local := p.syncState()
