registrar: recognize the first list of an era after a change of it

What callers would see: after a drill, a daemon that hears of the new era from a peer first would use endpoints again that had left, and drop those whose entries were lost before they are written again. Found on reading the change.

Cause: the first list of an era was told by the revision that the registrar reflects, which a change that a peer passes on raises as well. Change: the revision of the last list decides. Measured: TestListAfterChangeOfNewEraIsTheFirst failed before and passes.

--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -70,6 +70,8 @@
 	usable   map[string][]Endpoint // Endpoints that accept new work, by service; rebuilt after each change.
 	revision int64
 	grace    time.Duration
+
+	listRevision int64 // Of the last complete list; changes of a new era may be known before.
 }
 
 // New returns an empty Registrar. Entries that are missing after an outage of
@@ -131,9 +133,9 @@
 func (g *Registrar) Replace(list []Endpoint, revision int64, afterOutage bool, now time.Time) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	newEra := g.revision > 0 && Era(revision) > Era(g.revision)
+	newEra := g.listRevision > 0 && Era(revision) > Era(g.listRevision)
 	afterOutage = afterOutage || newEra
-	g.revision = max(g.revision, revision)
+	g.revision, g.listRevision = max(g.revision, revision), max(g.listRevision, revision)
 	present := make(map[string]bool, len(list))
 	var changes []Change
 	for _, e := range list {
--- a/state/registrar/revision_test.go
+++ b/state/registrar/revision_test.go
@@ -64,6 +64,17 @@
 	assert.Assert(t, usableNames(g)["left"])
 }
 
+// A change that a peer passes on may be the first news of an era. The first list is then
+// still the first one.
+func TestListAfterChangeOfNewEraIsTheFirst(t *testing.T) {
+	g := registrar.New(grace)
+	g.Replace([]registrar.Endpoint{entry("left", 10), entry("late", 24)}, 24, false, start)
+	g.Remove("left", 25)
+	g.Set(inNewEra("new", 21))
+	g.Replace([]registrar.Endpoint{inNewEra("left", 10), inNewEra("new", 21)}, registrar.NewRevision(1, 21), false, start)
+	assert.DeepEqual(t, usableNames(g), map[string]bool{"late": true, "new": true})
+}
+
 // Changes with numbers below those of the era before are followed, and lost entries are
 // kept for the grace time.
 func TestChangesOfNewEraAreFollowed(t *testing.T) {
