Log how an endpoint marked the end of an answer

What operators could not see: whether an answer that was logged as served ended as its framing says or with its connection, and whether it ended inside an event. Change: the framing of a response reaches the forwarder; the lines of answered calls and of streams name it, with the bytes of an unfinished event. No decision changes.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -181,7 +181,7 @@
 	took := f.clock.Now().Sub(x.arrived)
 	f.metrics.count("calls_answered")
 	f.metrics.observe("call_latency", took)
-	f.addRequestFields(f.log.Info(), x).Str("endpoint", e.Name).Int("status", a.response.Status).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
+	f.addRequestFields(f.log.Info(), x).Str("endpoint", e.Name).Int("status", a.response.Status).Stringer("framing", a.response.Framing).Int("bytes", len(a.body)).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
 }
 
 // failCall ends a call for which there is no successful response. A genuine server
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -432,7 +432,7 @@
 	}
 	s.f.metrics.count("streams_" + string(reason))
 	s.f.addRequestFields(s.f.log.Warn(), s.x).Err(err).Str("reason", string(reason)).Str("endpoint", s.run.engine.Name).Int("events", s.sequencer.eventCount).
-		Msg("forwarder: stream ended early")
+		Stringer("framing", s.run.response.Framing).Int("unfinished_bytes", len(s.sequencer.partial)).Msg("forwarder: stream ended early")
 }
 
 // Close ends the stream after the last event or when the client has disconnected.
@@ -451,7 +451,8 @@
 	if s.complete {
 		s.f.metrics.count("streams_answered")
 		s.f.addRequestFields(s.f.log.WithLevel(zerolog.InfoLevel), s.x).Str("endpoint", s.run.engine.Name).Int("events", s.sequencer.eventCount).
-			Dur("first_event_ms", s.firstEventDelay).Dur("longest_pause_ms", s.longestPause).Int("resumed", s.resumeCount).Str("reason", string(ReasonServed)).Msg("forwarder: stream answered")
+			Dur("first_event_ms", s.firstEventDelay).Dur("longest_pause_ms", s.longestPause).Int("resumed", s.resumeCount).
+			Stringer("framing", s.run.response.Framing).Int("unfinished_bytes", len(s.sequencer.partial)).Str("reason", string(ReasonServed)).Msg("forwarder: stream answered")
 	}
 	s.release()
 	s.release = nil
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -27,6 +27,7 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
@@ -100,6 +101,7 @@
 	Misdirected   bool           // Another endpoint now listens on the address.
 	Load          *balancer.Load // Nil if the endpoint reported none.
 	ContentLength int            // Length of the body in bytes; negative if unknown.
+	Framing       verifier.Framing
 	RequestLimit  *float64       // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
 }
 
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"monsoonspar.example/coordination/verifier"
 )
 
 // Errors of a failed exchange. Each matches either ErrNotSent or ErrOutcomeUnknown, and
@@ -64,6 +66,8 @@
 	Header []Header
 	Body   io.ReadCloser
 	Length int // Of the body in bytes; negative if not known in advance.
+	// Framing tells how the end of the body is marked.
+	Framing verifier.Framing
 }
 
 // Get returns the first value of a header field, or an empty string if there is
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/defaulter"
 	"monsoonspar.example/state/timekeeper"
@@ -196,9 +197,24 @@
 	return len(got) > 0 && string(got) != echo.Value
 }
 
+// framingOf returns the framing of a response whose header has been read.
+func framingOf(r *fasthttp.Response) verifier.Framing {
+	switch {
+	case r.BodyStream() == nil || r.Header.ContentLength() >= 0:
+		return verifier.ByLength
+	case r.Header.ContentLength() == chunkedLength:
+		return verifier.ByChunks
+	default:
+		return verifier.ByConnection
+	}
+}
+
+// chunkedLength is the content length that fasthttp reports for a chunked body.
+const chunkedLength = -1
+
 // response converts a response whose header has been read.
 func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response, ownConnection bool) requester.Response {
-	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1)}
+	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r)}
 	for name, value := range r.Header.All() {
 		if !isConnectionHeader(string(name)) {
 			res.Header = append(res.Header, requester.Header{Name: string(name), Value: string(value)})
