dialer: bound the bytes and the time of what precedes a response

What callers saw: nothing but a daemon that read 3 GB in a second. A response to an earlier request with a body without end was read at full speed until the request's deadline, and a head that arrived byte by byte held up its request as long as each byte came in time.

Cause: what belongs to no request was read to its end, and the only time limit before a response was the one between two bytes. Change: responses to earlier requests are dropped up to 1 MiB in all; one that declares more, or ends with its connection, fails at once. The header of a response must arrive within twice the read timeout. Measured: TestEndlessResponsesEndConnection read bytes of each of four kinds before, and TestSlowEndlessResponsesEndConnection never ended; both pass. Heads, chunk sizes, extensions and trailers without end were bounded before.

--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -17,14 +17,15 @@
 // conn is a connection that counts the bytes written for the request in flight.
 // Its Read fails if no bytes arrive within readTimeout.
 type conn struct {
-	raw         net.Conn
-	addr        string
-	clock       timekeeper.Clock
-	r           *bufio.Reader
-	readTimeout time.Duration
-	written     int
-	idleSince   time.Time
-	unbind      func() bool // Set by bind; returns false if the context has ended.
+	raw          net.Conn
+	addr         string
+	clock        timekeeper.Clock
+	r            *bufio.Reader
+	readTimeout  time.Duration
+	headDeadline time.Time // Time at which the response header must have been read; zero for none.
+	written      int
+	idleSince    time.Time
+	unbind       func() bool // Set by bind; returns false if the context has ended.
 }
 
 // bind arranges for the connection to be closed when ctx ends.
@@ -38,9 +39,13 @@
 	_ = c.raw.Close()
 }
 
-// Read reads with a deadline of readTimeout from now.
+// Read reads with a deadline of readTimeout from now, but not after headDeadline.
 func (c *conn) Read(p []byte) (int, error) {
-	if err := c.raw.SetReadDeadline(c.clock.Now().Add(c.readTimeout)); err != nil {
+	deadline := c.clock.Now().Add(c.readTimeout)
+	if !c.headDeadline.IsZero() && deadline.After(c.headDeadline) {
+		deadline = c.headDeadline
+	}
+	if err := c.raw.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
 	return c.raw.Read(p)
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -31,10 +31,19 @@
 // dropped before the connection is closed. A faulty server sends one.
 const maxStaleResponses = 4
 
+// Limits of the responses to earlier requests that are read before the response to a request.
+const (
+	maxStaleBytes     = 1 << 20 // Size of the bodies.
+	headTimeoutFactor = 2       // Multiple of the read timeout in which the header of the response must arrive.
+)
+
 // errStaleResponses means that a connection delivered only responses to earlier
 // requests.
 var errStaleResponses = errors.New("too many responses to earlier requests")
 
+// errNoResponseFollows means that a response to an earlier request ends with its connection.
+var errNoResponseFollows = errors.New("a response to an earlier request ends with the connection")
+
 // Config configures a Dialer. Zero fields take the defaults.
 type Config struct {
 	DialTimeout             time.Duration // 1 s by default.
@@ -96,6 +105,7 @@
 	if c.readTimeout == 0 {
 		c.readTimeout = d.cfg.ReadTimeout
 	}
+	c.headDeadline = time.Time{}
 	c.bind(ctx)
 	if err := d.send(c, req); err != nil {
 		c.close()
@@ -160,25 +170,44 @@
 // receive reads the header of the response to req. Responses to earlier requests
 // on the connection are read to their end and dropped.
 func (d *Dialer) receive(ctx context.Context, c *conn, req requester.Request) (requester.Response, error) {
+	c.headDeadline = d.clock.Now().Add(headTimeoutFactor * c.readTimeout)
+	stale := verifier.Body{Limit: maxStaleBytes}
 	for range maxStaleResponses + 1 {
 		r, err := readHeader(c, req)
 		if err != nil {
 			return requester.Response{}, err
 		}
 		if !isStaleResponse(r, req.EchoedHeader) {
+			c.headDeadline = time.Time{}
 			return d.response(ctx, c, r, req.OwnConnection), nil
 		}
 		d.staleResponses.Add(1)
 		if r.BodyStream() == nil {
 			continue
 		}
-		if _, err := io.Copy(io.Discard, r.BodyStream()); err != nil {
+		if err := discardStale(r, &stale); err != nil {
 			return requester.Response{}, errors.Wrap(err, "read response to an earlier request")
 		}
 	}
 	return requester.Response{}, errStaleResponses
 }
 
+// discardStale reads the body of a response to an earlier request. It fails at once if no
+// response can follow it or if it exceeds the limit of total.
+func discardStale(r *fasthttp.Response, total *verifier.Body) error {
+	if framingOf(r) == verifier.ByConnection {
+		return errNoResponseFollows
+	}
+	if err := total.Declare(total.Size + max(r.Header.ContentLength(), 0)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.BodyStream(), int64(total.Limit-total.Size)+1))
+	if err != nil {
+		return err
+	}
+	return total.Add(int(n))
+}
+
 // readHeader reads a response up to its body.
 func readHeader(c *conn, req requester.Request) (*fasthttp.Response, error) {
 	r := &fasthttp.Response{StreamBody: true}
