Fail a call whose response exceeds the size limit, instead of cutting it

What callers saw: a call whose body was larger than 4 MiB, or had no end, was answered with a whole 200 that held the first 4 MiB.

Change: requester.Response.ReadAll is the one reader of buffered bodies. It asks the verifier about the declared length, the size and the end, and closes the connection as soon as the limit is exceeded. The attempt then fails with an unknown outcome: a safe call goes to another endpoint, others get 502. The body of a refusal is read for at most 50 ms, since the header decides.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +16,8 @@
 // Limits of calls to plain services.
 const (
 	maxResponseBytes      = 4 << 20                // Size of a response body, which is buffered until it is complete.
+	maxRefusalBytes       = 64 << 10               // Size of the body of a refusal, which is dropped.
+	refusalReadTime       = 50 * time.Millisecond  // A refusal whose body takes longer ends with its connection.
 	maxAttempts           = 4                      // Attempts for one request, refused ones included.
 	retryReserve          = 0.3                    // Fraction of the retry budget kept for requests that no endpoint has executed.
 	unavailableRetryAfter = 300 * time.Millisecond // Retry-After of a refused call; the queues of plain services empty within this time.
@@ -123,7 +124,7 @@
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
 		f.observeLimit(e, &res, limited)
-		a = readResponse(res)
+		a = readResponse(res, cancel)
 	}
 	if a.err == nil || !a.notRun {
 		x.deliveries++
@@ -148,15 +149,18 @@
 	return r
 }
 
-// readResponse reads the body of a response and verifies that the endpoint sent it.
-func readResponse(res Response) callAttempt {
-	defer func() { _ = res.Body.Close() }()
+// readResponse reads the body of a response and verifies that the endpoint sent it. It may
+// call cancel to close the connection.
+func readResponse(res Response, cancel context.CancelFunc) callAttempt {
 	a := callAttempt{response: res, notRun: res.NotExecuted || res.Misdirected}
-	a.body, a.err = io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	if a.notRun {
-		a.err = nil // The header decides; an error in the body is irrelevant.
+		stop := time.AfterFunc(refusalReadTime, cancel)
+		defer stop.Stop()
+		// The header decides. The body is read so that the connection can be used again.
+		_, _ = res.readAll(maxRefusalBytes)
 		return a
 	}
+	a.body, a.err = res.readAll(maxResponseBytes)
 	if a.err == nil && !res.FromEndpoint {
 		a.err = errUnverifiedResponse
 	}
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -102,7 +102,12 @@
 	Load          *balancer.Load // Nil if the endpoint reported none.
 	ContentLength int            // Length of the body in bytes; negative if unknown.
 	Framing       verifier.Framing
-	RequestLimit  *float64       // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
+	RequestLimit  *float64 // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
+}
+
+// readAll reads the body to its end, up to a limit in bytes, and closes it.
+func (r *Response) readAll(limit int) ([]byte, error) {
+	return requester.Response{Body: r.Body, Length: r.ContentLength, Framing: r.Framing}.ReadAll(limit)
 }
 
 // MigrationResult is the result of copying the KV cache of a run to another engine.
--- a/protocol/generator/generator.go
+++ b/protocol/generator/generator.go
@@ -156,8 +156,7 @@
 	if res.Status != statusOK {
 		return responseError(res)
 	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes))
+	body, err := res.ReadAll(maxBodyBytes)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/protocol/requester/body.go
@@ -0,0 +1,44 @@
+package requester
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+
+	"monsoonspar.example/coordination/verifier"
+)
+
+// Sizes of the buffer of ReadAll, in bytes.
+const (
+	minReadBytes = 512
+	maxReadBytes = 64 << 10
+)
+
+// ReadAll reads the body of r to its end and closes it. It returns an error that matches
+// verifier.ErrTooLarge, and closes the connection, as soon as the body exceeds the limit
+// in bytes.
+func (r Response) ReadAll(limit int) ([]byte, error) {
+	defer func() { _ = r.Body.Close() }()
+	b := verifier.Body{Framing: r.Framing, Limit: limit}
+	if err := b.Declare(r.Length); err != nil {
+		return nil, err
+	}
+	text := make([]byte, 0, min(max(r.Length+1, minReadBytes), maxReadBytes))
+	for {
+		if len(text) == cap(text) {
+			text = append(text, 0)[:len(text)]
+		}
+		n, err := r.Body.Read(text[len(text):cap(text)])
+		text = text[:len(text)+n]
+		if sizeErr := b.Add(n); sizeErr != nil {
+			return nil, sizeErr
+		}
+		switch {
+		case err == nil:
+		case err == io.EOF: //nolint:errorlint // A wrapped io.EOF marks a response that was truncated.
+			return text, b.CheckEnd(verifier.NotStopped)
+		default:
+			return nil, errors.Wrap(err, "read response")
+		}
+	}
+}
--- a/protocol/storer/call.go
+++ b/protocol/storer/call.go
@@ -87,9 +87,9 @@
 	if err := statusError(res); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
-		return nil, CallError{Kind: ErrOutcomeUnknown, Detail: "response is incomplete or too long"}
+	body, err := res.ReadAll(maxResponseBytes)
+	if err != nil {
+		return nil, CallError{Kind: ErrOutcomeUnknown, Detail: err.Error()}
 	}
 	return body, nil
 }
--- a/server/services.go
+++ b/server/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"monsoonspar.example/coordination/attempter"
@@ -13,11 +12,8 @@
 	"github.com/pkg/errors"
 )
 
-// Errors of calls to plain services.
-var (
-	errServiceRefused = errors.New("server: service refused before running")
-	errReplyTooLong   = errors.New("server: reply of the service is too long")
-)
+// errServiceRefused means that a plain service refused a call before running it.
+var errServiceRefused = errors.New("server: service refused before running")
 
 // Limits, status and header names of calls to plain services.
 const (
@@ -129,17 +125,14 @@
 
 // readReply reads the complete response of a service.
 func readReply(res requester.Response) (responder.Response, error) {
-	defer func() { _ = res.Body.Close() }()
 	if res.Status == statusUnavailable && res.Get(headerNotRun) == "true" {
+		_ = res.Body.Close() // The header decides.
 		return responder.Response{}, errServiceRefused
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	body, err := res.ReadAll(maxReplyBytes)
 	if err != nil {
 		return responder.Response{}, err
 	}
-	if len(body) > maxReplyBytes {
-		return responder.Response{}, errReplyTooLong
-	}
 	return responder.Response{Status: res.Status, ContentType: res.Get("Content-Type"), Body: body}, nil
 }
 
