forwarder: decide from framing, events and stops whether a stream is complete

What callers saw: streams framed as complete that were not.

Cause: the end of the connection was the end of the generation. Class of fault: the reader takes the end of what it can read for the end of what was sent. Change: coordination/verifier decides. A stream that ends inside an event is incomplete whatever its framing, and so is one whose run is known to be stopped; without length and chunks it is also incomplete while a stop or a replacement is not decided, and before its first event. An incomplete stream is resumed, or breaks off for the client. Event streams go to clients in chunks, since a resumed one may differ in length from what the first engine declared. Lines end with CRLF, LF or CR. A stream is limited to 64 MiB, and to 1 MiB of comments between events. No replacement starts while the stream is resumed, so that the two don't continue the generation twice. Measured: TestStreamThatEndsInsideEventIsBrokenOff (complete after 140 of 1182 bytes before), TestStreamThatEndsInsideEventIsResumed, TestUnframedStreamContinuesAfterMigration and TestUnframedStreamStoppedForGoodIsBrokenOff pass, with the tests of forwarder, platform, server and dialer.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -19,20 +19,38 @@
 // eventSequencer splits a stream into complete events and passes on each of them
 // once, in order, also if the stream is continued from another source.
 type eventSequencer struct {
-	lastID     int64  // ID of the last event passed on.
-	hasLast    bool   // An event with an ID was passed on.
-	eventCount int    // Number of events with an ID that were passed on.
-	partial    []byte // Bytes of an incomplete event.
-	resumed    bool   // The current source continues an earlier one.
+	lastID       int64  // ID of the last event passed on.
+	hasLast      bool   // An event with an ID was passed on.
+	eventCount   int    // Number of events with an ID that were passed on.
+	partial      []byte // Bytes of an incomplete event.
+	scanner      lineScanner
+	sourceEvents int  // Number of events with fields that the current source has sent.
+	commentBytes int  // Size of the blocks without fields since the last event.
+	resumed      bool // The current source continues an earlier one.
 }
 
 // resumeSource prepares for a new source that continues the stream. An incomplete
 // event of the previous source is dropped.
 func (s *eventSequencer) resumeSource() {
-	s.partial = s.partial[:0]
+	s.partial, s.scanner = s.partial[:0], lineScanner{}
+	s.sourceEvents, s.commentBytes = 0, 0
 	s.resumed = true
 }
 
+// endSource handles the end of the source. It appends what is left of a source that did
+// not end inside an event, and otherwise reports that bytes of an event are unfinished.
+func (s *eventSequencer) endSource(out []byte) (_ []byte, unfinished bool, err error) {
+	if out, err = s.appendEvents(out, true); err != nil {
+		return out, true, err
+	}
+	if len(s.partial) > 0 && (hasField(s.partial) || !bytes.HasSuffix(s.partial, []byte("\n"))) {
+		return out, true, nil
+	}
+	out = append(out, s.partial...)
+	s.partial = s.partial[:0]
+	return out, false, nil
+}
+
 // lastEvent returns the ID of the last event, from which to resume, or "".
 func (s *eventSequencer) lastEvent() string {
 	if !s.hasLast {
@@ -45,15 +63,27 @@
 // have not been passed on yet to out.
 func (s *eventSequencer) feed(out, p []byte) ([]byte, error) {
 	s.partial = append(s.partial, p...)
+	out, err := s.appendEvents(out, false)
+	if err == nil && len(s.partial) > maxEventBytes {
+		err = errUnexpectedEvents
+	}
+	return out, err
+}
+
+// appendEvents appends the complete events of partial that have not been passed on yet.
+func (s *eventSequencer) appendEvents(out []byte, atEOF bool) ([]byte, error) {
 	rest := s.partial
 	for {
-		end := firstEventLen(rest)
+		end := s.scanner.blockEnd(rest, atEOF)
 		if end < 0 {
 			break
 		}
 		event := rest[:end]
-		rest = rest[end:]
+		rest, s.scanner = rest[end:], lineScanner{}
 		id, ok := eventID(event)
+		if err := s.countBlock(event); err != nil {
+			return out, err
+		}
 		if ok && s.hasLast && id <= s.lastID {
 			if s.resumed {
 				continue // The source repeats an event that was passed on.
@@ -71,29 +101,80 @@
 		out = append(out, event...)
 	}
 	s.partial = append(s.partial[:0], rest...)
-	if len(s.partial) > maxEventBytes {
-		return out, errUnexpectedEvents
-	}
 	return out, nil
 }
 
-// firstEventLen returns the length of the first event including the blank line that
-// ends it, or -1 if there is no complete event.
-func firstEventLen(p []byte) int {
-	shortest := -1
-	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(p, []byte(blank)); i >= 0 && (shortest < 0 || i+len(blank) < shortest) {
-			shortest = i + len(blank)
+// countBlock counts a complete block. It returns an error if the source sends too many
+// blocks that hold only comments and blank lines.
+func (s *eventSequencer) countBlock(block []byte) error {
+	if hasField(block) {
+		s.sourceEvents++
+		s.commentBytes = 0
+		return nil
+	}
+	if s.commentBytes += len(block); s.commentBytes > maxEventBytes {
+		return errUnexpectedEvents
+	}
+	return nil
+}
+
+// hasField reports whether a line of the block is neither blank nor a comment.
+func hasField(block []byte) bool {
+	lineStart := true
+	for _, c := range block {
+		if lineStart && c != '\n' && c != '\r' && c != ':' {
+			return true
+		}
+		lineStart = c == '\n' || c == '\r'
+	}
+	return false
+}
+
+// lineScanner finds the end of the first block of a stream: lines up to and including a
+// blank one. It does not scan bytes again when more of the block arrives. Lines end with
+// CRLF, LF or CR, as in the specification of server-sent events.
+type lineScanner struct {
+	scanned int  // Number of bytes scanned.
+	inLine  bool // The line at this position has characters before it.
+}
+
+// blockEnd returns the length of the first block of p, or -1 if it is not complete. Unless
+// atEOF is set, a CR at the end of p may be the first half of a CRLF.
+func (l *lineScanner) blockEnd(p []byte, atEOF bool) int {
+	for l.scanned < len(p) {
+		n := bytes.IndexAny(p[l.scanned:], "\r\n")
+		if n != 0 {
+			l.inLine = true
+		}
+		if n < 0 {
+			l.scanned = len(p)
+			return -1
+		}
+		i := l.scanned + n
+		width := 1
+		if p[i] == '\r' {
+			if i+1 == len(p) && !atEOF {
+				l.scanned = i
+				return -1
+			}
+			if i+1 < len(p) && p[i+1] == '\n' {
+				width = 2
+			}
+		}
+		l.scanned = i + width
+		if !l.inLine {
+			return l.scanned
 		}
+		l.inLine = false
 	}
-	return shortest
+	return -1
 }
 
 // eventID returns the number in the id field of an event.
 func eventID(event []byte) (int64, bool) {
 	for len(event) > 0 {
 		line := event
-		if i := bytes.IndexByte(event, '\n'); i >= 0 {
+		if i := bytes.IndexAny(event, "\r\n"); i >= 0 {
 			line, event = event[:i], event[i+1:]
 		} else {
 			event = nil
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -126,8 +126,9 @@
 	if source.engine.Identity != id {
 		return true
 	}
-	if s.startReplacement(source, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown) }) == nil {
-		return true
+	err := s.startReplacement(source, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown) })
+	if err == nil || errors.Is(err, errBeingResumed) {
+		return err == nil
 	}
 	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
 	if !ok {
@@ -137,7 +138,7 @@
 	startedAt := s.f.clock.Now()
 	c, cancel := context.WithTimeout(s.ctx, max(shutdownAt.Sub(startedAt), migrationTimeout)+migrationTimeout)
 	defer cancel()
-	err := errEndpointLimited
+	err = errEndpointLimited
 	if s.f.acquireGrant(c, source.engine, limiter.Urgent) {
 		_, err = s.f.endpoints.Migrate(c, source.engine, s.x.req.ID, target.Addr, false)
 	}
@@ -151,6 +152,9 @@
 	return err == nil || errors.Is(err, ErrRunNotFound)
 }
 
+// errBeingResumed means that the run has broken off and the stream is being resumed.
+var errBeingResumed = errors.New("the stream is being resumed")
+
 // startReplacement starts the run that replaces the source while the stream still
 // reads from the source. The source is interrupted only after the replacement has
 // started, so that the stream continues there if the start fails.
@@ -161,6 +165,10 @@
 		s.mu.Unlock()
 		return ErrRunNotFound
 	}
+	if s.resuming {
+		s.mu.Unlock()
+		return errBeingResumed
+	}
 	s.replacement = replacement
 	s.mu.Unlock()
 	r, err := start()
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/coordination/limiter"
+	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -21,6 +22,9 @@
 // errNoCopy means that no copy of the run could be continued.
 var errNoCopy = errors.New("generation could not be continued from any copy of its KV cache")
 
+// errRunEnded means that the run was not stopped but has ended by itself.
+var errRunEnded = errors.New("the run has ended")
+
 // Ways to continue a generation, in logs and counters.
 const (
 	wayBackup    = "backup"
@@ -30,7 +34,12 @@
 // resume continues the generation after its run has broken off.
 func (s *stream) resume(cause error) error {
 	startedAt := s.f.clock.Now()
+	s.setResuming(true)
+	defer s.setResuming(false)
 	r, err := s.findRun(cause)
+	if errors.Is(err, errRunEnded) {
+		return nil
+	}
 	if err == nil {
 		s.sequencer.resumeSource()
 		s.resumeCount++
@@ -46,6 +55,14 @@
 	return err
 }
 
+// setResuming sets whether the stream is being resumed, during which no replacement may be
+// started: both would continue the generation.
+func (s *stream) setResuming(resuming bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resuming = resuming
+}
+
 // findRun returns the run that continues the generation: a replacement that is
 // being started, a run from the backup, or a run that is migrated if the engine
 // still answers.
@@ -56,6 +73,9 @@
 	if s.ctx.Err() != nil {
 		return run{}, context.Cause(s.ctx)
 	}
+	if s.ended && s.checkEnd() == nil { // The attempt to stop the run has failed since.
+		return run{}, errRunEnded
+	}
 	source := s.run
 	if r, err := s.continueFromBackup(source, cause); err == nil {
 		return r, nil
@@ -123,7 +143,7 @@
 	if !s.f.acquireGrant(ctx, target, limiter.Urgent) || !s.f.acquireGrant(ctx, source.engine, limiter.Urgent) {
 		return run{}, errEndpointLimited
 	}
-	copied, err := s.f.endpoints.Migrate(ctx, source.engine, s.x.req.ID, target.Addr, true)
+	copied, err := s.stopAndCopy(ctx, source, target)
 	if err != nil && copied.Handle == "" {
 		return run{}, errors.Wrap(err, "move")
 	}
@@ -134,6 +154,22 @@
 	return s.continueOn(target, s.f.endpoints.CopyName(source.engine, copied.Handle), source, wayMigration, cause)
 }
 
+// stopAndCopy makes the engine stop the run and copy its KV cache to the target.
+func (s *stream) stopAndCopy(ctx context.Context, source run, target registrar.Endpoint) (MigrationResult, error) {
+	before := source.stop.load()
+	if before == verifier.NotStopped {
+		source.stop.store(verifier.MaybeStopped)
+	}
+	copied, err := s.f.endpoints.Migrate(ctx, source.engine, s.x.req.ID, target.Addr, true)
+	switch {
+	case err == nil || copied.Handle != "":
+		source.stop.store(verifier.Stopped)
+	case errors.Is(err, ErrRunNotFound), errors.Is(err, ErrMigrationInProgress), provesNotRun(err):
+		source.stop.store(before)
+	}
+	return copied, err
+}
+
 // continueOn resumes the generation on the engine that holds the named copy, which must
 // have granted the request if it limits them.
 func (s *stream) continueOn(target registrar.Endpoint, copyName string, source run, way string, cause error) (run, error) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +14,7 @@
 
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
@@ -42,6 +45,9 @@
 	firstEventDelay time.Duration // Time from the arrival of the request to the first event.
 	longestPause    time.Duration // Longest time between events.
 	resumeCount     int           // Number of times the generation was continued by another run.
+	events          bool          // The response is a series of events.
+	body            verifier.Body // Of the current run.
+	ended           bool          // The body of the current run was read to the end that its framing marks.
 	pending         []byte        // Bytes for the next calls of Read.
 	pendingRead     int           // Number of bytes of pending that Read has returned.
 	complete        bool
@@ -53,6 +59,7 @@
 	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
+	resuming       bool               // The stream is being resumed after its run has broken off.
 	closed         bool
 }
 
@@ -62,8 +69,16 @@
 	backup    registrar.Endpoint // Engine that keeps a copy of the KV cache; zero if none.
 	interrupt context.CancelCauseFunc
 	response  Response
+	stop      *stopState
 }
 
+// stopState tells whether the engine was made to stop a run.
+type stopState struct{ stop atomic.Int32 }
+
+func (s *stopState) load() verifier.Stop { return verifier.Stop(s.stop.Load()) }
+
+func (s *stopState) store(stop verifier.Stop) { s.stop.Store(int32(stop)) }
+
 // serveStream starts a generation and sets the stream as the body of the response.
 // The stream calls release when it is closed; if the start fails, serveStream does.
 func (f *Forwarder) serveStream(ctx context.Context, out *fasthttp.RequestCtx, x *exchange, release func()) {
@@ -83,7 +98,34 @@
 	}
 	copyResponseHeader(out, &s.run.response)
 	s.chunk = make([]byte, readChunkBytes)
-	out.Response.SetBodyStream(s, s.run.response.ContentLength)
+	length := s.run.response.ContentLength
+	if s.events {
+		length = unknownLength // Another run may continue the generation.
+	}
+	out.Response.SetBodyStream(s, length)
+}
+
+// unknownLength makes fasthttp send a body in chunks.
+const unknownLength = -1
+
+// Limits of the size of the response of one run, in bytes.
+const (
+	maxStreamBytes = 64 << 20 // Several times a series of tens of thousands of events.
+	maxOtherBytes  = maxResponseBytes
+)
+
+// isEventStream reports whether the body of a response is a series of events, which it is
+// unless it is a failure or its header names another type.
+func isEventStream(res *Response) bool {
+	if res.Status < fasthttp.StatusOK || res.Status >= fasthttp.StatusMultipleChoices {
+		return false
+	}
+	for _, h := range res.Header {
+		if strings.EqualFold(h.Name, fasthttp.HeaderContentType) {
+			return strings.HasPrefix(strings.ToLower(strings.TrimSpace(h.Value)), "text/event-stream")
+		}
+	}
+	return true
 }
 
 // defaultEngineSlots is used for a streaming service that the manifest does not
@@ -154,6 +196,7 @@
 	}
 	res := &r.response
 	if err == nil && !res.NotExecuted && (res.FromEndpoint || res.Status >= fasthttp.StatusInternalServerError) {
+		s.events = isEventStream(res)
 		s.setRun(r)
 		return true, false, nil
 	}
@@ -290,7 +333,7 @@
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
 	c, cancel := context.WithCancelCause(s.ctx)
-	r := run{engine: to, backup: backup, interrupt: cancel}
+	r := run{engine: to, backup: backup, interrupt: cancel, stop: &stopState{}}
 	if register != nil {
 		register(r)
 	}
@@ -334,6 +377,11 @@
 	}
 	s.replacement = nil
 	s.mu.Unlock()
+	s.ended = false
+	s.body = verifier.Body{Framing: r.response.Framing, Stream: s.events, Limit: maxOtherBytes}
+	if s.events {
+		s.body.Limit = maxStreamBytes
+	}
 	s.f.addStream(s)
 }
 
@@ -378,27 +426,64 @@
 func (s *stream) fill() error {
 	n, err := s.run.response.Body.Read(s.chunk)
 	if n > 0 {
-		if err := s.processChunk(s.chunk[:n]); err != nil {
-			return err
+		if failure := s.processChunk(s.chunk[:n]); failure != nil {
+			err = failure
 		}
 	}
-	if err == nil {
-		return nil
-	}
-	if err == io.EOF { //nolint:errorlint // A wrapped io.EOF marks an answer that was cut.
-		s.pending = append(s.pending, s.sequencer.partial...)
-		s.complete = true
+	switch {
+	case err == nil:
 		return nil
-	}
-	if s.ctx.Err() != nil {
+	case err == io.EOF: //nolint:errorlint // A wrapped io.EOF marks an answer that was cut.
+		if err = s.endBody(); err == nil {
+			return nil
+		}
+	case s.ctx.Err() != nil:
 		return context.Cause(s.ctx)
 	}
 	s.run.close()
+	if !s.events {
+		return err
+	}
 	return s.resume(err)
 }
 
+// endBody handles the end that the framing of the response marks. It returns an error if
+// the response is not complete.
+func (s *stream) endBody() error {
+	s.ended = true
+	if s.events {
+		var err error
+		if s.pending, s.body.Unfinished, err = s.sequencer.endSource(s.pending); err != nil {
+			return err
+		}
+		s.body.Events = s.sequencer.sourceEvents
+	}
+	return s.checkEnd()
+}
+
+// checkEnd completes the stream if the response is complete as far as is known of its run, and
+// returns an error otherwise.
+func (s *stream) checkEnd() error {
+	stop := s.run.stop.load()
+	s.mu.Lock()
+	if stop == verifier.NotStopped && s.replacement != nil {
+		stop = verifier.MaybeStopped
+	}
+	s.mu.Unlock()
+	err := s.body.CheckEnd(stop)
+	s.complete = err == nil
+	return err
+}
+
 // processChunk adds the complete events in p to pending and records their timing.
 func (s *stream) processChunk(p []byte) error {
+	if err := s.body.Add(len(p)); err != nil {
+		return err
+	}
+	if !s.events {
+		s.pending = append(s.pending, p...)
+		return nil
+	}
 	before := s.sequencer.eventCount
 	var err error
 	if s.pending, err = s.sequencer.feed(s.pending, p); err != nil {
