Stand-ins: answers that end with the connection, inside an event, or not at all

The engines and services of the stand-ins get the answers that the platform's workers can give, so that serve meets them too: no length and chunks, an end inside an event, a reset behind the last token, bytes without end in a head, a chunk or a body, tokens beyond the maximum. The workers of platform's tests use the same code. Measured: tests of the stand-ins and of platform's answers pass.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -66,6 +66,12 @@
 	MuteOpen       bool   `json:"mute_open"`       // One-shot: the open streams send nothing more.
 	MuteAfter      int    `json:"mute_after"`      // Streams send nothing more after this many tokens.
 	CutAfter       int    `json:"cut_after"`       // Connections are closed after this many tokens.
+	CutInEvent     int    `json:"cut_in_event"`    // Streams end inside the event after this many tokens, as complete ones do.
+	Unframed       bool   `json:"unframed"`        // Streams have neither a length nor chunks and end with their connections.
+	ResetAtEnd     bool   `json:"reset_at_end"`    // Connections are reset after the last token, before the end of the stream.
+	Endless        string `json:"endless"`         // Completions are accepted and get an endless response of this kind; see listener.Endless.
+	EndlessLoad    string `json:"endless_load"`    // GET /load gets an endless response of this kind.
+	ExtraTokens    int    `json:"extra_tokens"`    // Streams have this many tokens beyond the maximum of their requests.
 	DropCalls      int    `json:"drop_calls"`      // Number of completion requests that are not run; their connections are closed.
 	LoseResponses  int    `json:"lose_answers"`    // Number of completions that run, but whose connections are closed before the response.
 	Refuse         string `json:"refuse"`          // If set, every completion is refused with this error code.
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -88,6 +88,10 @@
 		<-s.ctx.Done()
 		return
 	}
+	if kind := s.currentFaults().EndlessLoad; kind != "" {
+		listener.Endless(ctx, kind, nil)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -119,7 +120,7 @@
 		requestID:    directives.ID,
 		generation:   marker.Hash(s.bootID + req.AttemptID),
 		promptTokens: len(req.Prompt)/bytesPerToken + 1,
-		length:       min(length, limit),
+		length:       min(length, limit) + s.faults.ExtraTokens,
 		truncated:    length > limit,
 		priority:     req.Priority,
 		blockHashes:  prefixHashes(m, req.Prompt),
@@ -164,8 +165,22 @@
 	seq.readers++
 	w := streamWriter{server: s, sequence: seq, nextIndex: offset, streamNumber: s.streamsOpened, initial: initial}
 	ctx.SetContentType("text/event-stream")
-	ctx.Response.ImmediateHeaderFlush = true
-	ctx.SetBodyStreamWriter(w.run)
+	switch {
+	case initial && s.faults.Endless != "":
+		listener.Endless(ctx, s.faults.Endless, func(int, time.Duration) { w.close() })
+	case initial && s.faults.ResetAtEnd:
+		conn := ctx.Conn()
+		listener.Unframed(ctx, func(c net.Conn) {
+			w.run(bufio.NewWriter(c))
+			// A connection that does not linger is reset when it is closed.
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+	case s.faults.Unframed:
+		listener.Unframed(ctx, func(c net.Conn) { w.run(bufio.NewWriter(c)) })
+	default:
+		ctx.Response.ImmediateHeaderFlush = true
+		ctx.SetBodyStreamWriter(w.run)
+	}
 }
 
 // streamWriter writes the tokens of a sequence to one reader.
@@ -192,6 +207,11 @@
 		}
 		firstUnsent := w.nextIndex
 		done := w.writeTokens(out, current.produced)
+		if !done && w.shouldCutInEvent() {
+			_, _ = fmt.Fprintf(out, "id: %d\ndata: {", w.nextIndex)
+			_ = out.Flush() // The stream ends either way.
+			return
+		}
 		if firstUnsent == w.nextIndex && !done {
 			_, _ = out.WriteString(": keep-alive\n\n")
 		}
@@ -233,6 +253,11 @@
 	return w.initial && after > 0 && w.nextIndex >= after
 }
 
+func (w *streamWriter) shouldCutInEvent() bool {
+	after := w.server.currentFaults().CutInEvent
+	return w.initial && after > 0 && w.nextIndex >= after
+}
+
 // waitForChange waits until the sequence changes or a keep-alive is due. It
 // returns false if the server is closed.
 func (w *streamWriter) waitForChange(changed <-chan struct{}) bool {
@@ -278,6 +303,9 @@
 	if w.nextIndex < w.sequence.length {
 		return false
 	}
+	if w.initial && faults.ResetAtEnd {
+		return true
+	}
 	_, _ = out.WriteString("data: [DONE]\n\n")
 	return true
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -3,7 +3,9 @@
 package service
 
 import (
+	"bytes"
 	"encoding/json"
+	"net"
 	"sync"
 	"time"
 
@@ -23,15 +25,17 @@
 // Faults is the body of POST /faults. Omitted fields keep their values; counters
 // are decremented as faults are injected.
 type Faults struct {
-	DelayMS       int  `json:"delay_ms"`     // Delay before a request runs.
-	SlowMS        int  `json:"slow_ms"`      // Delay between the effect of a request and its response.
-	Silent        bool `json:"silent"`       // Requests are read, but neither run nor answered.
-	LoseResponses int  `json:"lose_answers"` // Number of requests that run, but whose connections are closed before the response.
-	DropCalls     int  `json:"drop_calls"`   // Number of requests that are not run; their connections are closed.
-	RefuseCalls   int  `json:"refuse_calls"` // Number of requests that are refused with 503 and not run.
-	ShuttingDown  bool `json:"leaving"`      // Reports that it is shutting down and refuses requests.
-	CloseIdle     bool `json:"close_idle"`   // One-shot: closes the idle connections.
-	ReclaimMS     int  `json:"reclaim_ms"`   // One-shot: sets ShuttingDown, and calls Config.OnReclaim after this notice period.
+	DelayMS       int    `json:"delay_ms"`     // Delay before a request runs.
+	SlowMS        int    `json:"slow_ms"`      // Delay between the effect of a request and its response.
+	Silent        bool   `json:"silent"`       // Requests are read, but neither run nor answered.
+	LoseResponses int    `json:"lose_answers"` // Number of requests that run, but whose connections are closed before the response.
+	DropCalls     int    `json:"drop_calls"`   // Number of requests that are not run; their connections are closed.
+	RefuseCalls   int    `json:"refuse_calls"` // Number of requests that are refused with 503 and not run.
+	ShuttingDown  bool   `json:"leaving"`      // Reports that it is shutting down and refuses requests.
+	Unframed      bool   `json:"unframed"`     // Responses have neither a length nor chunks and end with their connections.
+	Endless       string `json:"endless"`      // Requests run and get an endless response of this kind; see listener.Endless.
+	CloseIdle     bool   `json:"close_idle"`   // One-shot: closes the idle connections.
+	ReclaimMS     int    `json:"reclaim_ms"`   // One-shot: sets ShuttingDown, and calls Config.OnReclaim after this notice period.
 }
 
 // Server is a service stand-in. Create it with New.
@@ -165,12 +169,20 @@
 	s.sleep(responseDelay)
 	s.mu.Lock()
 	s.running--
+	faults := s.faults
 	s.mu.Unlock()
 	if action == actionDropResponse {
 		listener.DropResponse(ctx)
 		return
 	}
 	listener.WriteJSON(ctx, fasthttp.StatusOK, response)
+	switch {
+	case faults.Endless != "":
+		listener.Endless(ctx, faults.Endless, nil)
+	case faults.Unframed:
+		body := bytes.Clone(ctx.Response.Body())
+		listener.Unframed(ctx, func(c net.Conn) { _, _ = c.Write(body) })
+	}
 }
 
 // nextAction returns the action for the next call. It decrements the counter of
