generator: bound what an engine sends between two tokens

What callers saw: a generation whose engine sent comments without end stood still until its deadline, a minute later, while the daemon read at full speed.

Cause: each comment counted as a sign of life, and blank lines and unknown fields were skipped without a count. Change: a stream that sends 1 MiB without a token, or 64 MiB in all, is malformed, as one with an endless line already was. The generation is resumed or ends with an error.

--- a/protocol/generator/generator.go
+++ b/protocol/generator/generator.go
@@ -37,6 +37,8 @@
 const (
 	maxLineBytes      = 64 << 10 // Of a line of a stream, and of the body of an error.
 	maxBodyBytes      = 4 << 20  // Of the body of any other response.
+	maxStreamBytes    = 64 << 20 // Of a stream.
+	maxIdleBytes      = 1 << 20  // Of a stream, between two tokens.
 	statusOK          = 200
 	statusNotFound    = 404
 	statusConflict    = 409
--- a/protocol/generator/generator_test.go
+++ b/protocol/generator/generator_test.go
@@ -85,6 +85,29 @@
 	}
 }
 
+// endlessReader repeats a text.
+type endlessReader struct{ text string }
+
+func (r endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], r.text)
+	}
+	return n, nil
+}
+
+// Guards against a stream that is read without end although it brings no token.
+func TestStreamWithoutTokensIsMalformed(t *testing.T) {
+	for _, text := range []string{": keep-alive\n\n", "\n", "event: x\n", "x"} {
+		s := newStream(io.NopCloser(endlessReader{text}), "a")
+		var err error
+		for err == nil {
+			_, err = s.Next()
+		}
+		assert.ErrorIs(t, err, ErrMalformed)
+	}
+}
+
 func TestLoadRejectsNegativeAge(t *testing.T) {
 	c := NewClient(fakeDoer{status: 200, body: `{"age_ms":-5}`}, testConfig)
 	_, err := c.Load(t.Context(), "", time.Unix(9, 0), false)
--- a/protocol/generator/stream.go
+++ b/protocol/generator/stream.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"monsoonspar.example/coordination/sequencer"
+	"monsoonspar.example/coordination/verifier"
 
 	"github.com/pkg/errors"
 )
@@ -45,12 +46,17 @@
 	attempt  sequencer.AttemptID
 	body     io.ReadCloser
 	reader   *bufio.Reader
+	total    verifier.Body // Of the whole stream.
+	idle     verifier.Body // Of the stream since the last token.
 	finished bool
 }
 
 // newStream returns a Stream that reads the body of a response.
 func newStream(body io.ReadCloser, attempt sequencer.AttemptID) *Stream {
-	return &Stream{attempt: attempt, body: body, reader: bufio.NewReaderSize(body, readBufferBytes)}
+	return &Stream{
+		attempt: attempt, body: body, reader: bufio.NewReaderSize(body, readBufferBytes),
+		total: verifier.Body{Limit: maxStreamBytes}, idle: verifier.Body{Limit: maxIdleBytes},
+	}
 }
 
 // readBufferBytes is the size of the read buffer. Longer lines are copied.
@@ -74,6 +80,9 @@
 		if err != nil {
 			return Event{}, err
 		}
+		if err := s.addLine(line); err != nil {
+			return Event{}, err
+		}
 		switch {
 		case len(line) == 0:
 			continue
@@ -86,10 +95,23 @@
 		if bytes.Equal(data, doneMarker) {
 			return Event{}, s.endError()
 		}
+		s.idle.Size = 0
 		return s.decode(data)
 	}
 }
 
+// addLine records the size of a line that was read.
+func (s *Stream) addLine(line []byte) error {
+	err := s.total.Add(len(line) + 1)
+	if err == nil {
+		err = s.idle.Add(len(line) + 1)
+	}
+	if err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	return nil
+}
+
 // readLine returns the next line without its line ending.
 func (s *Stream) readLine() ([]byte, error) {
 	line, err := s.reader.ReadSlice('\n')
