serve: end a generation at its last token and at its maximum of tokens

What callers saw: a stream that had brought its last token ended with an error event if the connection to the engine was lost before the closing mark; and an engine that exceeded max_tokens filled the memory of the daemon until the deadline.

Cause: the mark decided about the end of a stream whose last token says that it is the last; nothing compared the number of tokens with the maximum that was asked for. Change: once the last token was delivered, the generation is complete however the connection ends. A token beyond the maximum is a failure of the stream.

--- a/server/generation.go
+++ b/server/generation.go
@@ -28,6 +28,9 @@
 	bytesPerToken     = 4           // Prompt bytes per token, for estimates.
 )
 
+// errTooManyTokens means that an engine sent more tokens than the request permits.
+var errTooManyTokens = errors.New("server: the engine exceeded the maximum number of tokens")
+
 // generation is one request for a generation while it is served. It is read by a
 // single goroutine.
 type generation struct {
@@ -236,7 +239,8 @@
 // readEvent reads the next event of the engine's stream.
 func (g *generation) readEvent() (responder.Chunk, error) {
 	ev, err := g.stream.Next()
-	if errors.Is(err, io.EOF) {
+	// Nothing is missing if the stream breaks off behind the last token.
+	if errors.Is(err, io.EOF) || err != nil && g.seq.Finished() {
 		g.complete()
 		return responder.Chunk{}, nil
 	}
@@ -257,6 +261,9 @@
 // attempts and tokens after the end are dropped; a gap in the token indexes counts
 // as a failure of the stream.
 func (g *generation) handleToken(ev generator.Event, now time.Time) (responder.Chunk, error) {
+	if limit := g.req.MaxTokens; limit > 0 && ev.Token.Index >= limit {
+		return responder.Chunk{}, g.handleStreamFailure(attempter.StreamTruncated, errTooManyTokens)
+	}
 	switch g.seq.Offer(ev.Token) {
 	case sequencer.Deliver:
 	case sequencer.Gap:
