storer: bound the blank lines between the events of a watch

Cause: blank lines keep a watch alive and were skipped without a count, so a faulty server could make the daemon read at full speed for ever. Measured: the case "blank lines" of TestWatch read all 3 MiB before and passes.

--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -186,6 +186,7 @@
 		{"too old", reply{status: 410}, 0, storer.ErrGone},
 		{"too old later", reply{status: 200, body: lines + `{"type":"ERROR","object":{"code":410}}`}, 2, storer.ErrGone},
 		{"truncated line", reply{status: 200, body: lines + `{"type":"ADDED","obj`}, 2, storer.ErrUnavailable},
+		{"blank lines", reply{status: 200, body: lines + strings.Repeat("\n", 3<<20) + lines}, 2, storer.ErrUnavailable},
 		{"unknown type", reply{status: 200, body: `{"type":"MOVED","object":{}}`}, 0, storer.ErrUnavailable},
 		{"read timeout", reply{err: requester.FailureError{Kind: requester.ErrOutcomeUnknown, Cause: requester.ErrReadTimeout}}, 0, storer.ErrUnavailable},
 	} {
--- a/protocol/storer/watch.go
+++ b/protocol/storer/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 )
 
@@ -69,10 +70,15 @@
 func readEvents(ctx context.Context, res requester.Response, resource string, fn func(Event) error) error {
 	scanner := bufio.NewScanner(res.Body)
 	scanner.Buffer(nil, maxEventBytes)
+	blank := verifier.Body{Limit: maxEventBytes} // Blank lines since the last event.
 	for scanner.Scan() {
 		if len(scanner.Bytes()) == 0 {
+			if err := blank.Add(1); err != nil {
+				return CallError{Kind: ErrUnavailable, Detail: err.Error()}
+			}
 			continue
 		}
+		blank.Size = 0
 		event, err := decodeEvent(resource, scanner.Bytes())
 		if err != nil {
 			return err
