forwarder: bound the time of clients' requests, and keep keys out of the log

What callers saw: a client that sent a byte of its head or body now and then kept a connection for ever. What operators saw: the log line about a request that could not be read quoted its head, with the API key.

Cause: no read timeout after the first byte; the HTTP library quotes what it can't parse. The library's messages hold no bytes of the request. Request IDs are logged up to 128 bytes. The probe and metrics listeners have limits, too.

--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -96,11 +96,12 @@
 		ErrorHandler:          f.refuseUnreadable,
 		ReadBufferSize:        maxHeaderBytes,
 		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           0,
+		ReadTimeout:           f.cfg.Daemon.RequestTime,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
+		SecureErrorLogMessage: true, // A request that can't be read may hold a key.
 		ReduceMemoryUsage:     true,
 		Logger:                discardLogger{},
 	}
@@ -220,11 +221,14 @@
 		Dur("retry_after_ms", r.RetryAfter).Msg("forwarder: request refused")
 }
 
+// maxLoggedIDBytes limits the size of a client's request ID in log lines.
+const maxLoggedIDBytes = 128
+
 // addRequestFields adds the fields that identify a request and its progress to a
 // log event.
 func (f *Forwarder) addRequestFields(e *zerolog.Event, x *exchange) *zerolog.Event {
 	now := f.clock.Now()
-	e.Str("request", x.req.ID).Int64("manifest", x.manifestVersion).Dur("held_ms", now.Sub(x.arrived)).Int64("attempts", x.attempts.Load())
+	e.Str("request", x.req.ID[:min(len(x.req.ID), maxLoggedIDBytes)]).Int64("manifest", x.manifestVersion).Dur("held_ms", now.Sub(x.arrived)).Int64("attempts", x.attempts.Load())
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("service", x.service).Dur("left_ms", x.deadline.Sub(now))
 	}
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -62,6 +62,8 @@
 func (f *Forwarder) serveMetrics() {
 	s := &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		ReadTimeout:           probeReadTimeout,
+		MaxRequestBodySize:    maxProbeBytes,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
 			f.metrics.write(ctx)
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -30,6 +30,9 @@
 	Metrics  string   `ini:"metrics_listen"`
 	Seeds    []string `ini:"seeds"`     // Addresses of peers to contact before the list of daemons has been read.
 	MemoryMB int      `ini:"memory_mb"` // Memory available to the process, from which the heap limit is derived; zero for no limit.
+
+	RequestTime    time.Duration `ini:"-"`
+	RequestSeconds float64       `ini:"request_s"` // Time in which a client must have sent a request.
 }
 
 // StoreSettings hold the address of the store of the platform.
@@ -55,6 +58,7 @@
 // ParseSettings parses and validates INI text.
 func ParseSettings(text []byte) (Settings, error) {
 	s := Settings{
+		Daemon: DaemonSettings{RequestSeconds: 30},
 		Bounds: BoundSettings{ReturnGraceMillis: 2000},
 		Log:    LogSettings{Level: "info"},
 	}
@@ -66,6 +70,7 @@
 		return s, errors.Wrap(ErrSettings, err.Error())
 	}
 	s.Bounds.StopTime = time.Duration(s.Bounds.StopSeconds * float64(time.Second))
+	s.Daemon.RequestTime = time.Duration(s.Daemon.RequestSeconds * float64(time.Second))
 	return s, s.check()
 }
 
@@ -85,6 +90,9 @@
 			return errors.Wrapf(ErrSettings, "%s: %q is not a host and port", a.key, a.value)
 		}
 	}
+	if s.Daemon.RequestTime <= 0 {
+		return errors.Wrap(ErrSettings, "daemon.request_s must be above 0")
+	}
 	if s.Bounds.StopTime <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		return errors.Wrap(ErrSettings, "bounds: stop_s and retry_window_s must be above 0, retry_ratio and retry_slack at least 0")
 	}
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -18,6 +18,12 @@
 	maxOutlastProbability = 0.25                  // A stopping daemon refuses a generation that outlasts it with a higher probability.
 )
 
+// Limits of the requests of load balancers and of metric collectors.
+const (
+	probeReadTimeout = 10 * time.Second
+	maxProbeBytes    = 4 << 10
+)
+
 // errPanic is returned by Run if a goroutine of the daemon has panicked.
 var errPanic = errors.New("a goroutine of the forwarder panicked")
 
@@ -26,6 +32,8 @@
 func (f *Forwarder) serveReady() {
 	s := &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		ReadTimeout:           probeReadTimeout,
+		MaxRequestBodySize:    maxProbeBytes,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if !f.isReady() {
 				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
