serve: release the lease only when no order can still arrive

What endpoints saw: after a stop of the lease holder, two orders in flight to an endpoint that ignores fencing. An order whose response was lost can arrive up to 11 s after it was planned; the next holder of a released lease sends at once, while that of an expired one waits.

Cause: the stop waited until the calls of its orders had returned, timed out ones included, and then released the lease. Change: the orderer decides when the lease may be released, from the orders that may still arrive. If the stop can't wait so long, the lease expires by itself.

--- a/coordination/orderer/history_test.go
+++ b/coordination/orderer/history_test.go
@@ -42,6 +42,8 @@
 	orderer     *Orderer
 	paused      bool
 	partitioned bool    // Cannot reach the platform.
+	stopping    bool    // Releases the lease, and is then replaced by a new process.
+	starts      int     // Number of processes so far.
 	outbox      []Order // Orders planned but not yet written.
 	sent        []*sentOrder
 	reports     []Observed
@@ -75,11 +77,8 @@
 	seed := uint64(seeder.DrawUniform(t, "seed", 1<<20))
 	sim.rand = rand.New(rand.NewPCG(seed, 99))
 	for i := range 3 {
-		d := &daemon{orderer: New(sim.settings())}
-		cfg := leaser.DefaultSettings()
-		cfg.RenewInterval = time.Second // A short interval, so that a new holder follows soon after the last term.
-		d.leaser = leaser.New(cfg, fmt.Sprintf("d%d", i), fmt.Sprintf("life%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
-		d.leaser.SetCandidate(true)
+		d := &daemon{}
+		sim.start(d, i, seed)
 		sim.daemons = append(sim.daemons, d)
 	}
 	for i := range 3 {
@@ -97,6 +96,34 @@
 	return sim
 }
 
+// start starts a new process of d, which knows nothing of the orders of the one before.
+func (sim *simulation) start(d *daemon, i int, seed uint64) {
+	d.starts++
+	cfg := leaser.DefaultSettings()
+	cfg.RenewInterval = time.Second // A short interval, so that a new holder follows soon after the last term.
+	d.leaser = leaser.New(cfg, fmt.Sprintf("d%d", i), fmt.Sprintf("life%d-%d", i, d.starts), rand.New(rand.NewPCG(seed, uint64(i))))
+	d.leaser.SetCandidate(true)
+	d.orderer, d.outbox, d.reports, d.stopping = New(sim.settings()), nil, nil, false
+}
+
+// stop takes one step of stopping d: it waits until its orders have been answered or have
+// timed out and until the lease may be released, releases it, and ends.
+func (sim *simulation) stop(d *daemon) {
+	for _, s := range d.sent {
+		if !s.timedOut && !s.applied {
+			return
+		}
+	}
+	if !d.orderer.MayRelease(sim.now) {
+		return
+	}
+	d.leaser.Release()
+	sim.serveCall(d, d.leaser.Handle(sim.now, leaser.Tick{}))
+	if d.leaser.Idle() {
+		sim.start(d, slices.Index(sim.daemons, d), uint64(sim.rand.Int64()))
+	}
+}
+
 func (sim *simulation) settings() Settings {
 	cfg := DefaultSettings()
 	cfg.disabled = sim.disabled
@@ -182,6 +209,10 @@
 func (sim *simulation) runDaemon(d *daemon, faultFree bool) {
 	sim.sendOutbox(d, faultFree)
 	sim.reportResults(d)
+	if d.stopping {
+		sim.stop(d)
+		return
+	}
 	sim.serveCall(d, d.leaser.Handle(sim.now, leaser.Tick{}))
 	sim.pollEndpoints(d, faultFree)
 	term, held := d.leaser.Term(sim.now)
@@ -370,6 +401,9 @@
 			sim.daemons[i].partitioned = !sim.daemons[i].partitioned
 		}
 	}
+	if i := sim.rand.IntN(60 * len(sim.daemons)); i < len(sim.daemons) {
+		sim.daemons[i].stopping = true
+	}
 	if sim.rand.IntN(changeOdds) == 0 {
 		sim.drawDesired()
 	}
--- a/coordination/orderer/orderer.go
+++ b/coordination/orderer/orderer.go
@@ -47,6 +47,7 @@
 	serialize           bool // Allow one outstanding order for each endpoint.
 	freshReports        bool // Count only copies reported after the orders of earlier holders ended.
 	rateLimit           bool // Limit the rate of loads.
+	awaitOutstanding    bool // Release the lease only when no order can still arrive.
 }
 
 // DefaultSettings returns the settings of a deployment that configures none.
@@ -213,6 +214,12 @@
 	return min(o.cfg.Backoff<<(failures-1), o.cfg.MaxBackoff)
 }
 
+// MayRelease reports whether the lease may be released: no order can still arrive. The
+// next holder sends orders at once after a release, unlike after an expiry.
+func (o *Orderer) MayRelease(now time.Time) bool {
+	return o.cfg.disabled.awaitOutstanding || o.Outstanding(now) == 0
+}
+
 // Outstanding returns the number of orders that may still arrive at now.
 func (o *Orderer) Outstanding(now time.Time) int {
 	n := 0
--- a/coordination/orderer/orderer_test.go
+++ b/coordination/orderer/orderer_test.go
@@ -37,6 +37,7 @@
 		{"keep the last ready copy", mechanisms{keepLastCopy: true}, "last_ready_copy"},
 		{"one outstanding order for each endpoint", mechanisms{serialize: true}, "two orders in flight"},
 		{"count only copies reported in this term", mechanisms{freshReports: true}, "unloads the last ready copy"},
+		{"await outstanding orders before a release", mechanisms{awaitOutstanding: true}, "two orders in flight"},
 		{"limit the rate of loads", mechanisms{rateLimit: true}, "loads within a minute"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/server/orders.go
+++ b/server/orders.go
@@ -55,11 +55,22 @@
 	o.sendOrders(ctx, o.core.Plan(o.s.clock.Now(), term, view))
 }
 
-// waitOutstanding waits until the outstanding orders have ended. Once the daemon is
-// stopping, no others are sent.
-func (o *orderRunner) waitOutstanding() {
+// awaitOutstanding waits until no order can still arrive, also none whose response was
+// lost. Once the daemon is stopping, no others are sent. It reports false if ctx ends first.
+func (o *orderRunner) awaitOutstanding(ctx context.Context) bool {
+	for !o.mayRelease() {
+		if o.s.clock.Sleep(ctx, ownershipInterval) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRelease reports whether the lease may be released.
+func (o *orderRunner) mayRelease() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.core == nil || o.core.MayRelease(o.s.clock.Now())
 }
 
 // updateCore replaces the core if this failure domain's share of the weight store's
--- a/server/stop.go
+++ b/server/stop.go
@@ -84,8 +84,10 @@
 		s.spawn(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, drainer.DefaultSettings().HandOverTimeout)
 			defer cancel()
-			s.orders.waitOutstanding()
-			s.lease.release(ctx)
+			// The next holder waits for the orders of this one only if the lease expires.
+			if s.orders.awaitOutstanding(ctx) {
+				s.lease.release(ctx)
+			}
 		})
 	case drainer.RejectRequests:
 		s.rejecting.Store(true)
