serve: tell a daemon that joins of the VMs that are leaving

What callers saw: a daemon that was restarted after the shutdown of a VM had been announced went on sending work to the endpoint there; if it owned the endpoint, others did too. It heard of the shutdown when the status was broadcast again, up to 5 minutes later, or never.

Cause: the watcher announced a shutdown once, to the members of that moment, and a watcher that took over announced none that it knew already. Change: each watch announces all shutdowns, and a member that joins or comes back in a new incarnation is told of those announced, with retries while it starts. A VM that is not leaving any more is forgotten.

--- a/e2e/operation_test.go
+++ b/e2e/operation_test.go
@@ -88,6 +88,42 @@
 	})
 }
 
+// Guards against a daemon that is restarted while a VM is leaving, and never hears of it:
+// its shutdown was announced before the daemon started.
+func TestRestartedDaemonLearnsOfLeavingVM(t *testing.T) {
+	c := startCluster(t, clusterConfig{daemons: 3, engines: 3})
+	for i, engine := range c.engines {
+		vm := fmt.Sprintf(`{"name":"vm-%d","addr":%q,"domain":"milano-a","role":"endpoint","state":"leaving"}`, i, engine.addr("listening"))
+		res, err := http.Post("http://"+c.platform.addr("listening")+"/vms", "application/json", strings.NewReader(vm))
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+	}
+	for i, d := range c.daemons {
+		c.awaitLeaving(d, len(c.engines))
+		if i > 0 {
+			d.kill()
+			c.startDaemon(d)
+			c.awaitReady(d)
+			c.awaitLeaving(d, len(c.engines))
+		}
+	}
+}
+
+// awaitLeaving waits until a daemon reports n endpoints as shutting down.
+func (c *cluster) awaitLeaving(d *daemon, n int) {
+	c.t.Helper()
+	waitFor(c.t, "the daemon to learn of the shutdown", func() bool {
+		s, err := d.status()
+		leaving := 0
+		for _, e := range s.Endpoints {
+			if e.ShuttingDown {
+				leaving++
+			}
+		}
+		return err == nil && leaving == n
+	})
+}
+
 // checkNoNewRequests calls startShutdown for an engine that runs a generation.
 // Once every daemon has noticed, new requests must be sent to other engines, and
 // the running generation must complete.
--- a/server/ownership.go
+++ b/server/ownership.go
@@ -38,8 +38,12 @@
 }
 
 // handleMemberChange handles a change of a member's state. When a daemon is declared
-// dead, the admission owners at this daemon are notified.
+// dead, the admission owners at this daemon are notified. A daemon that joins is told of
+// the shutdowns that this one has announced.
 func (s *Server) handleMemberChange(c prober.MemberChanged) {
+	if missed := s.shutdowns.missedBy(c.Member); len(missed) > 0 {
+		s.spawn(func() { s.sendMissedShutdowns(c.Member, missed) })
+	}
 	if c.Member.State == prober.StateDead && c.Previous != prober.StateDead {
 		s.log.Warn().Str("daemon", c.Member.Name).Msg("members: daemon declared dead")
 		s.owners.removeDaemon(c.Member.Name)
--- a/server/server.go
+++ b/server/server.go
@@ -87,6 +87,7 @@
 	rejecting    atomic.Bool // New requests are answered as not run.
 
 	inFlight   inFlightWork
+	shutdowns  announcedShutdowns
 	ownedNames atomic.Pointer[[]string]
 
 	reportMu        sync.Mutex
--- a/server/vms.go
+++ b/server/vms.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
+	"monsoonspar.example/coordination/prober"
 	"monsoonspar.example/coordination/router"
 	"monsoonspar.example/protocol/storer"
 	"monsoonspar.example/state/cataloger"
@@ -67,6 +71,10 @@
 	for _, o := range list.Items {
 		s.recordVM(vms, o)
 	}
+	// Each watch announces all shutdowns, since those that a former watcher announced may
+	// not have reached every daemon.
+	s.shutdowns.replace(nil)
+	defer s.shutdowns.replace(nil)
 	s.markEndpointsShuttingDown(vms)
 	// A watch may miss changes although it delivers others, so the list is read
 	// again regularly.
@@ -112,10 +120,71 @@
 	if m == nil {
 		return
 	}
+	current := map[string]bool{}
 	for _, vm := range vms {
 		for _, e := range m.Endpoints {
-			if e.Domain == s.cfg.Daemon.Domain && vm.hosts(e) && !s.isShuttingDown(e.Name) {
-				s.announceShutdown(e.Name)
+			if e.Domain == s.cfg.Daemon.Domain && vm.hosts(e) {
+				current[e.Name] = true
+			}
+		}
+	}
+	for _, name := range s.shutdowns.replace(current) {
+		s.announceShutdown(name)
+	}
+}
+
+// announcedShutdowns holds the endpoints that the present watch has announced, and the
+// daemons that have been told. Its methods may be called concurrently.
+type announcedShutdowns struct {
+	mu           sync.Mutex
+	endpoints    map[string]bool
+	incarnations map[string]uint64 // By daemon, the latest incarnation seen.
+}
+
+// replace sets the endpoints, and returns those that have not been announced yet.
+func (a *announcedShutdowns) replace(endpoints map[string]bool) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var added []string
+	for name := range endpoints {
+		if !a.endpoints[name] {
+			added = append(added, name)
+		}
+	}
+	a.endpoints = endpoints
+	return added
+}
+
+// missedBy returns the endpoints that a member was not told of because it has joined or
+// restarted since the announcement.
+func (a *announcedShutdowns) missedBy(m prober.Member) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if m.State != prober.StateAlive || a.incarnations[m.Name] >= m.Incarnation {
+		return nil
+	}
+	if a.incarnations == nil {
+		a.incarnations = map[string]uint64{}
+	}
+	a.incarnations[m.Name] = m.Incarnation
+	return slices.Collect(maps.Keys(a.endpoints))
+}
+
+// Limits of telling a member of the shutdowns that it has missed.
+const (
+	maxCatchUpTries = 5
+	catchUpInterval = time.Second // Between tries; a member that has just started may not accept connections yet.
+)
+
+// sendMissedShutdowns tells a member of shutdowns that were announced before it joined.
+func (s *Server) sendMissedShutdowns(m prober.Member, endpoints []string) {
+	for _, endpoint := range endpoints {
+		for range maxCatchUpTries {
+			ctx, cancel := context.WithTimeout(s.ctx, shortCallTimeout)
+			err := s.peerClient.SendEndpointStatus(ctx, m.Addr, router.EndpointStatus{Endpoint: endpoint, ShuttingDown: true})
+			cancel()
+			if err == nil || s.clock.Sleep(s.ctx, catchUpInterval) != nil {
+				break
 			}
 		}
 	}
