leaser: release a lease only when no order of an earlier holder can arrive

What endpoints saw: two orders in flight at an endpoint that ignores fencing. A holder took over a lease that had expired and was stopped within the next 6 s; the next holder of the released lease sent at once, while an order of the first could still arrive.

--- a/coordination/leaser/leaser.go
+++ b/coordination/leaser/leaser.go
@@ -44,6 +44,8 @@
 	measureFromSend    bool // Measure the lease from before the write was sent.
 	readAfterLostWrite bool // Read the lease after a write whose response was lost.
 	awaitExpiry        bool // Wait for the full duration before taking over a lease.
+
+	awaitEarlierHolders bool // Wait before a release until no order of an earlier holder can arrive.
 }
 
 // DefaultSettings returns the default settings.
@@ -108,8 +110,9 @@
 // periodically. A holder keeps the lease until Release in either case.
 func (l *Leaser) SetCandidate(on bool) { l.candidate = on }
 
-// Release gives up the lease permanently. All orders of the caller must have been
-// answered, and it must send no more.
+// Release gives up the lease permanently. No order of the caller may still arrive, and it
+// must send no more. The lease is released only once no order of an earlier holder can
+// arrive either, since the next holder of a released lease sends orders at once.
 func (l *Leaser) Release() {
 	l.releasing = true
 	l.candidate = false
@@ -166,6 +169,8 @@
 		return l.read(now)
 	}
 	switch {
+	case l.releasing && now.Before(l.term.SafeFrom) && !l.cfg.disabled.awaitEarlierHolders:
+		return nil
 	case l.term.FencingToken != 0:
 		return l.write(now)
 	case l.candidate && l.mayTakeOver(now):
--- a/coordination/leaser/leaser_test.go
+++ b/coordination/leaser/leaser_test.go
@@ -343,6 +343,28 @@
 	assert.Equal(t, term.SafeFrom, now)
 }
 
+// Guards against orders of two holders in flight: a holder that took over an expired lease
+// and stops at once must not let the next one send before the orders of the first have ended.
+func TestReleaseAwaitsOrdersOfEarlierHolders(t *testing.T) {
+	l := newLeaser()
+	l.Handle(begin, Tick{})
+	now := begin
+	l.Handle(now, ReadResult{Result: ResultOK, Version: 3, Lease: Lease{Holder: "d2", Duration: 20 * time.Second}})
+	now = now.Add(22 * time.Second)
+	_, ok := l.Handle(now, Tick{}).(Update)
+	assert.Assert(t, ok)
+	l.Handle(now, WriteResult{Result: ResultOK, Version: 4})
+	term, held := l.Term(now)
+	assert.Assert(t, held && now.Before(term.SafeFrom))
+	l.Release()
+	for ; now.Before(term.SafeFrom); now = now.Add(TickInterval) {
+		assert.Assert(t, l.Handle(now, Tick{}) == nil)
+		assert.Assert(t, !l.Idle())
+	}
+	release := l.Handle(now, Tick{}).(Update)
+	assert.Equal(t, release.Lease.Holder, "")
+}
+
 func TestNonCandidateMakesNoCalls(t *testing.T) {
 	l := New(DefaultSettings(), "d1", "life1", rand.New(rand.NewPCG(1, 1)))
 	assert.Assert(t, l.Handle(begin, Tick{}) == nil)
