--- a/coordination/leaser/leaser.go
+++ b/coordination/leaser/leaser.go
@@ -44,8 +44,6 @@
 	measureFromSend    bool // Measure the lease from before the write was sent.
 	readAfterLostWrite bool // Read the lease after a write whose response was lost.
 	awaitExpiry        bool // Wait for the full duration before taking over a lease.
-
-	awaitEarlierHolders bool // Wait before a release until no order of an earlier holder can arrive.
 }
 
 // DefaultSettings returns the default settings.
@@ -169,7 +167,7 @@
 		return l.read(now)
 	}
 	switch {
-	case l.releasing && now.Before(l.term.SafeFrom) && !l.cfg.disabled.awaitEarlierHolders:
+	case l.releasing && now.Before(l.term.SafeFrom):
 		return nil
 	case l.term.FencingToken != 0:
 		return l.write(now)
