forwarder: delete the entries of daemons that have ended

What operators saw: the entry of a daemon that was killed for good, or that a drill of the store brought back, stayed for ever. Others shared budgets and limits with it, and those that don't probe it asked it for grants each second (on reading; not measured). Change: one of the daemons of a failure domain that reach each other deletes the entry of one that they have not reached for bounds.entry_expiry_s, 300 s unless set. A daemon that is alone deletes nothing, and one that was only cut off writes its entry again. Measured: TestEntryOfEndedDaemonIsDeleted, with an expiry of 2 s, twice with a drill between (13.8 s), and TestEntriesOfEndedDaemonsExpire pass; without the change nothing deletes an entry but its own daemon.

--- a/coordination/limiter/members.go
+++ b/coordination/limiter/members.go
@@ -139,6 +139,31 @@
 	}
 }
 
+// Expired returns the daemons of this one's failure domain that have been unreachable for
+// the given time and whose entries this daemon should delete. Of the daemons of the failure
+// domain that reach each other, one does.
+func (m *Members) Expired(after time.Duration, now time.Time) []Daemon {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var expired []Daemon
+	reachesOther := false
+	for _, o := range m.others {
+		switch {
+		case o.Domain != m.self.Domain || !o.monitored:
+		case o.reachable && o.Name < m.self.Name:
+			return nil
+		case o.reachable:
+			reachesOther = true
+		case now.Sub(o.unreachableSince) > after:
+			expired = append(expired, o.Daemon)
+		}
+	}
+	if !reachesOther { // This daemon may be the one that is cut off.
+		return nil
+	}
+	return expired
+}
+
 // Share returns the share of the limit of an endpoint that this daemon may grant: that
 // of the daemons that it reaches, itself included, among all, since the others may be
 // granting requests as well. One that has been unreachable for goneAfter counts as ended,
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -319,6 +319,7 @@
 				f.log.Warn().Err(err).Msg("forwarder: could not write the entry of this daemon; the next list tries again")
 			}
 		}
+		f.deleteExpiredEntries(ctx)
 		wait := daemonListInterval
 		if n < initialDaemonLists {
 			wait = daemonListInterval / 8
@@ -329,6 +330,19 @@
 	}
 }
 
+// deleteExpiredEntries deletes the entries of daemons that have ended without doing so. A
+// daemon that was only cut off writes its entry again.
+func (f *Forwarder) deleteExpiredEntries(ctx context.Context) {
+	expiry := time.Duration(f.cfg.Bounds.EntryExpiry * float64(time.Second))
+	for _, d := range f.members.Expired(expiry, f.clock.Now()) {
+		c, cancel := context.WithTimeout(ctx, listTimeout)
+		err := f.store.DeleteDaemon(c, d.Name)
+		cancel()
+		f.metrics.count("store_calls")
+		f.log.Info().Err(err).Str("peer", d.Name).Msg("forwarder: deleted the entry of a daemon that is not reachable")
+	}
+}
+
 // recordDaemonCount records the number of daemons that a peer knows. It matters until
 // this daemon has read the list: its shares would be too large.
 func (f *Forwarder) recordDaemonCount(n int) {
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -48,6 +48,7 @@
 	RetryWindow       float64       `ini:"retry_window_s"`  // Length of the budget window in seconds.
 	RetrySlack        float64       `ini:"retry_slack"`     // Retries per window regardless of requests, for all daemons together.
 	ReturnGraceMillis int           `ini:"return_grace_ms"` // How long an endpoint that is missing after an outage of the store is kept.
+	EntryExpiry       float64       `ini:"entry_expiry_s"`  // Time in seconds after which the entry of a daemon that peers don't reach is deleted.
 }
 
 // LogSettings configure the log.
@@ -59,7 +60,7 @@
 func ParseSettings(text []byte) (Settings, error) {
 	s := Settings{
 		Daemon: DaemonSettings{RequestSeconds: 30},
-		Bounds: BoundSettings{ReturnGraceMillis: 2000},
+		Bounds: BoundSettings{ReturnGraceMillis: 2000, EntryExpiry: 300},
 		Log:    LogSettings{Level: "info"},
 	}
 	f, err := ini.Load(text)
@@ -93,6 +94,9 @@
 	if s.Daemon.RequestTime <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.request_s must be above 0")
 	}
+	if s.Bounds.EntryExpiry <= 0 {
+		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
+	}
 	if s.Bounds.StopTime <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		return errors.Wrap(ErrSettings, "bounds: stop_s and retry_window_s must be above 0, retry_ratio and retry_slack at least 0")
 	}
