balancer: let penalties decay, so that an endpoint is tried again

What callers saw: nothing while the others were idle; but an endpoint that had been slow or had failed for a while was never used again as long as one of the others had room, since only its own results could change its averages.

Change: without results, the weight of the latency halves every 5 s and that of the failure rate every 30 s. The first result after a pause replaces most of the latency.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -9,6 +9,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 const (
 	loadHalfLife    = 300 * time.Millisecond  // Half-life of a reported load; the contents of a queue change within a few service times.
 	newResultWeight = 0.15                    // Weight of the newest result in the moving averages; they follow a fault within ten results.
+	latencyHalfLife = 5 * time.Second         // Half-life of a latency without new results, so that a slow endpoint is tried again.
+	failureHalfLife = 30 * time.Second        // Likewise of a failure rate; a try may cost a request that can't be repeated.
 	failurePenalty  = 6.0                     // Added for an endpoint that always fails; more than the load of full slots.
 	slowPenalty     = 1.0                     // Added, divided by the slots, for each multiple of the fastest endpoint's latency.
 	maxSlowRatio    = 8.0                     // Limit on the ratio to the fastest endpoint's latency.
@@ -58,6 +61,13 @@
 	ejectedUntil        time.Time
 	unreachableUntil    time.Time // Set when the endpoint is unreachable.
 	lastRequestAt       time.Time // When the endpoint was last picked.
+	lastResultAt        time.Time
+}
+
+// weightAt returns the weight that the results so far have at now, which falls with the
+// time since the last one.
+func (s *endpointState) weightAt(now time.Time, halfLife time.Duration) float64 {
+	return math.Exp2(-now.Sub(s.lastResultAt).Seconds() / halfLife.Seconds())
 }
 
 // Balancer chooses among the endpoints of one service. It is safe for
@@ -129,9 +139,9 @@
 		reported := float64(s.load.Running + s.load.Queued)
 		load = max(load, reported/float64(int64(1)<<(age/loadHalfLife)))
 	}
-	cost := load/slots + failurePenalty*s.failureRate + jitterLoad*b.rand.Float64()
+	cost := load/slots + failurePenalty*s.failureRate*s.weightAt(now, failureHalfLife) + jitterLoad*b.rand.Float64()
 	if fastest > 0 && s.meanLatency > 0 {
-		cost += slowPenalty * (min(s.meanLatency/fastest, maxSlowRatio) - 1) / slots
+		cost += slowPenalty * (min(s.meanLatency/fastest, maxSlowRatio) - 1) / slots * s.weightAt(now, latencyHalfLife)
 	}
 	if e.Domain != b.domain {
 		cost += otherDomainLoad
@@ -164,6 +174,7 @@
 		s.consecutiveFailures = 0
 		s.ejectedUntil, s.unreachableUntil = time.Time{}, time.Time{}
 	}
+	s.failureRate *= s.weightAt(now, failureHalfLife)
 	s.failureRate += newResultWeight * (failed - s.failureRate)
 	if s.consecutiveFailures >= ejectAfter {
 		s.ejectedUntil = now.Add(ejectionTime)
@@ -172,8 +183,10 @@
 		if s.meanLatency == 0 {
 			s.meanLatency = r.Latency.Seconds()
 		}
-		s.meanLatency += newResultWeight * (r.Latency.Seconds() - s.meanLatency)
+		weight := 1 - (1-newResultWeight)*s.weightAt(now, latencyHalfLife)
+		s.meanLatency += weight * (r.Latency.Seconds() - s.meanLatency)
 	}
+	s.lastResultAt = now
 }
 
 // Cancel records that a request was not sent to the endpoint that Pick returned.
--- a/coordination/balancer/balancer_test.go
+++ b/coordination/balancer/balancer_test.go
@@ -78,6 +78,38 @@
 	assert.Assert(t, ok && e.Name == "0")
 }
 
+// Guards against an endpoint that was slow or failed for a while and is never tried again, since
+// the others are idle: it must get requests after it has recovered, and few before.
+func TestIdleBalancerTriesPenalizedEndpointAgain(t *testing.T) {
+	for name, bad := range map[string]balancer.Result{
+		"slow":    {Latency: 150 * time.Millisecond},
+		"failing": {Failed: true, Latency: 15 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, all := newBalancer(), endpoints(3)
+			now := start
+			send := func(d time.Duration, endpoint0 balancer.Result) (got, total int) {
+				for end := now.Add(d); now.Before(end); total++ {
+					e, _ := b.Pick(all, nil, now)
+					r := balancer.Result{Latency: 15 * time.Millisecond}
+					if e.Name == "0" {
+						r = endpoint0
+						got++
+					}
+					now = now.Add(50 * time.Millisecond)
+					b.Done(e.Identity, r, now)
+				}
+				return got, total
+			}
+			got, total := send(10*time.Minute, bad)
+			assert.Assert(t, got < total/100, "%d of %d while it is bad", got, total)
+			send(5*time.Minute, balancer.Result{Latency: 15 * time.Millisecond})
+			got, total = send(time.Minute, balancer.Result{Latency: 15 * time.Millisecond})
+			assert.Assert(t, got > total/5, "%d of %d after it has recovered", got, total)
+		})
+	}
+}
+
 // Requests in flight count as load, so that a burst is spread over the endpoints.
 func TestBurstIsSpread(t *testing.T) {
 	b, all := newBalancer(), endpoints(3)
