forwarder: wait for an engine that is only silent

What callers saw: a stream without a backup was cut, and a request before its first event got 502, when its engine sent nothing and answered no poll for a second; the engine then lost the run with its connection, though it went on a moment later.

Cause: streams of an engine that did not answer polls were interrupted first, and a copy to continue from was looked for afterwards. The class of fault: silence is taken for the end. Change: a run that can go on at its backup is replaced there, and its connection closed once that has started, as when an engine is evacuated. All others wait until the engine sends again, their client leaves or their deadline passes. Measured: TestStreamOutlastsSilentEngine (unexpected EOF before) and TestRequestOutlastsSilentEngine (502 before) pass with 2.5 s of silence; TestStreamOfSilentEngineResumesFromBackup, TestDrippingStreamEndsAtDeadline and TestSlowClientGetsWholeStream passed before, too.

--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -126,7 +126,7 @@
 	if source.engine.Identity != id {
 		return true
 	}
-	err := s.startReplacement(source, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown) })
+	err := s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown) })
 	if err == nil || errors.Is(err, errBeingResumed) {
 		return err == nil
 	}
@@ -143,7 +143,7 @@
 		_, err = s.f.endpoints.Migrate(c, source.engine, s.x.req.ID, target.Addr, false)
 	}
 	if err == nil {
-		err = s.startReplacement(source, func() (run, error) { return s.continueByMigration(c, source, target, errEngineShuttingDown) })
+		err = s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueByMigration(c, source, target, errEngineShuttingDown) })
 	}
 	if err != nil {
 		s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
@@ -158,7 +158,7 @@
 // startReplacement starts the run that replaces the source while the stream still
 // reads from the source. The source is interrupted only after the replacement has
 // started, so that the stream continues there if the start fails.
-func (s *stream) startReplacement(source run, start func() (run, error)) error {
+func (s *stream) startReplacement(source run, cause error, start func() (run, error)) error {
 	replacement := make(chan run, 1)
 	s.mu.Lock()
 	if s.closed || s.run.engine.Identity != source.engine.Identity {
@@ -187,7 +187,7 @@
 	}
 	replacement <- r
 	close(replacement)
-	source.interrupt(errEngineShuttingDown)
+	source.interrupt(cause)
 	return nil
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -14,7 +14,7 @@
 
 // Limits of continuing a generation with another run.
 const (
-	unresponsiveTimeout = 600 * time.Millisecond // A run of an engine that does not answer polls is interrupted if it has sent nothing for this long.
+	unresponsiveTimeout = 600 * time.Millisecond // A run of an engine that does not answer polls is replaced if it has sent nothing for this long.
 	migrationTimeout    = 900 * time.Millisecond // Limits how long a run is stopped for a migration; clients notice even much shorter pauses.
 	maxStreamAttempts   = 6                      // Attempts for one stream, refused ones included, after which it is not resumed again.
 )
@@ -156,16 +156,16 @@
 
 // stopAndCopy makes the engine stop the run and copy its KV cache to the target.
 func (s *stream) stopAndCopy(ctx context.Context, source run, target registrar.Endpoint) (MigrationResult, error) {
-	before := source.stop.load()
+	before := source.state.loadStop()
 	if before == verifier.NotStopped {
-		source.stop.store(verifier.MaybeStopped)
+		source.state.storeStop(verifier.MaybeStopped)
 	}
 	copied, err := s.f.endpoints.Migrate(ctx, source.engine, s.x.req.ID, target.Addr, true)
 	switch {
 	case err == nil || copied.Handle != "":
-		source.stop.store(verifier.Stopped)
+		source.state.storeStop(verifier.Stopped)
 	case errors.Is(err, ErrRunNotFound), errors.Is(err, ErrMigrationInProgress), provesNotRun(err):
-		source.stop.store(before)
+		source.state.storeStop(before)
 	}
 	return copied, err
 }
@@ -202,16 +202,24 @@
 	return run{}, errNoCopy
 }
 
-// interruptUnresponsive interrupts the streams of an engine that does not answer
-// polls, if it has sent them nothing for unresponsiveTimeout.
-func (f *Forwarder) interruptUnresponsive(id registrar.Identity, now time.Time) {
+// replaceUnresponsive continues the streams of an engine that does not answer polls from
+// their backups, if it has sent them nothing for unresponsiveTimeout. The others wait: an
+// engine that is only silent for a while goes on with its runs.
+func (f *Forwarder) replaceUnresponsive(id registrar.Identity, now time.Time) {
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
-		unresponsive := s.run.engine.Identity == id && now.Sub(s.lastReadAt) > unresponsiveTimeout
-		interrupt := s.run.interrupt
+		source := s.run
+		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > unresponsiveTimeout
 		s.mu.Unlock()
-		if unresponsive {
-			interrupt(errEngineUnresponsive)
+		if !silent || source.backup.Name == "" || source.state.backupTried.Swap(true) {
+			continue
 		}
+		f.spawn(func() {
+			err := s.startReplacement(source, errEngineUnresponsive, func() (run, error) { return s.continueFromBackup(source, errEngineUnresponsive) })
+			if err != nil {
+				f.addRequestFields(f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
+					Msg("forwarder: generation waits for an engine that is silent")
+			}
+		})
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -69,15 +69,18 @@
 	backup    registrar.Endpoint // Engine that keeps a copy of the KV cache; zero if none.
 	interrupt context.CancelCauseFunc
 	response  Response
-	stop      *stopState
+	state     *runState
 }
 
-// stopState tells whether the engine was made to stop a run.
-type stopState struct{ stop atomic.Int32 }
+// runState is the state of a run that all copies of the run share.
+type runState struct {
+	stop        atomic.Int32 // A verifier.Stop: whether the engine was made to stop the run.
+	backupTried atomic.Bool  // The backup was tried because the engine was silent.
+}
 
-func (s *stopState) load() verifier.Stop { return verifier.Stop(s.stop.Load()) }
+func (s *runState) loadStop() verifier.Stop { return verifier.Stop(s.stop.Load()) }
 
-func (s *stopState) store(stop verifier.Stop) { s.stop.Store(int32(stop)) }
+func (s *runState) storeStop(stop verifier.Stop) { s.stop.Store(int32(stop)) }
 
 // serveStream starts a generation and sets the stream as the body of the response.
 // The stream calls release when it is closed; if the start fails, serveStream does.
@@ -333,7 +336,7 @@
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
 	c, cancel := context.WithCancelCause(s.ctx)
-	r := run{engine: to, backup: backup, interrupt: cancel, stop: &stopState{}}
+	r := run{engine: to, backup: backup, interrupt: cancel, state: &runState{}}
 	if register != nil {
 		register(r)
 	}
@@ -464,7 +467,7 @@
 // checkEnd completes the stream if the response is complete as far as is known of its run, and
 // returns an error otherwise.
 func (s *stream) checkEnd() error {
-	stop := s.run.stop.load()
+	stop := s.run.state.loadStop()
 	s.mu.Lock()
 	if stop == verifier.NotStopped && s.replacement != nil {
 		stop = verifier.MaybeStopped
