serve: wait for an engine that is only silent

What callers saw: a stream ended with an error when its engine had been silent for four token timeouts (12 s), though the engine went on with the generation afterwards.

Cause: each token timeout counted as a resume, of which there are three in a row. Change: while no other attempt can be started, token timeouts don't count for 30 s of silence; then the limit applies, so that a dead engine ends its streams. Lost connections count as before. Measured: TestStreamOutlastsPausedEngine, with the engine stopped by SIGSTOP for 16 s, ended as not_served before and passes; TestSilentEndpointIsAwaited passes. TestStreamOutlastsPausedDaemon, with the daemon stopped for 8 s, passed before, too.

--- a/coordination/attempter/attempter.go
+++ b/coordination/attempter/attempter.go
@@ -61,6 +61,9 @@
 	Deadline      time.Time
 	MaxAttempts   int // Maximum number of attempts, including the first.
 	MaxResumes    int // Maximum number of consecutive resumes without a token.
+	// MaxSilence is the time for which a silent endpoint is waited for if no other attempt
+	// can be started. In this time token timeouts don't count as resumes.
+	MaxSilence time.Duration
 }
 
 // Budget limits retries across requests. The caller supplies the policy.
@@ -77,7 +80,8 @@
 	budget            Budget
 	attempts          int
 	resumes           int
-	resuming          bool // The last step was Resume, so a refusal does not prove that nothing ran.
+	silentSince       time.Time // Time of the first token timeout since the last token; zero if there was none.
+	resuming          bool      // The last step was Resume, so a refusal does not prove that nothing ran.
 	delivered         bool
 	earlierMayHaveRun bool // An abandoned attempt may have run.
 	currentMayHaveRun bool // The current attempt may have run.
@@ -95,7 +99,7 @@
 	asserter.That(!a.cfg.NonIdempotent || !a.earlierMayHaveRun, asserter.AtMostOnce,
 		fmt.Sprintf("attempt %d of a non-idempotent request that may have run", a.attempts+1))
 	a.attempts++
-	a.resumes = 0
+	a.resumes, a.silentSince = 0, time.Time{}
 	a.resuming = false
 	a.currentMayHaveRun = true
 }
@@ -103,7 +107,7 @@
 // RecordToken records that a token was received, and whether it was delivered to
 // the caller.
 func (a *Attempter) RecordToken(toCaller bool) {
-	a.resumes = 0
+	a.resumes, a.silentSince = 0, time.Time{}
 	a.resuming = false
 	a.delivered = a.delivered || toCaller
 }
@@ -117,23 +121,38 @@
 		a.currentMayHaveRun = false
 		return a.retry(now)
 	}
+	if f == TokenTimeout && a.silentSince.IsZero() {
+		a.silentSince = now
+	}
 	if a.canResume(now, f) {
-		a.resumes++
+		if !a.awaitsSilent(now, f) {
+			a.resumes++
+		}
 		a.resuming = true
 		return Decision{Step: Resume}
 	}
-	if a.delivered || (a.cfg.NonIdempotent && a.currentMayHaveRun) {
+	if a.isBound() {
 		return a.giveUp()
 	}
 	return a.retry(now)
 }
 
+// isBound reports whether no other attempt may be started.
+func (a *Attempter) isBound() bool {
+	return a.delivered || (a.cfg.NonIdempotent && a.currentMayHaveRun)
+}
+
+// awaitsSilent reports whether f is a token timeout that does not count as a resume.
+func (a *Attempter) awaitsSilent(now time.Time, f Failure) bool {
+	return f == TokenTimeout && a.isBound() && now.Sub(a.silentSince) < a.cfg.MaxSilence
+}
+
 // canResume reports whether the same generation may still be resumed.
 func (a *Attempter) canResume(now time.Time, f Failure) bool {
 	if !a.cfg.Resumable || f == StreamNotFound {
 		return false
 	}
-	return a.resumes < a.cfg.MaxResumes && now.Before(a.cfg.Deadline)
+	return (a.resumes < a.cfg.MaxResumes || a.awaitsSilent(now, f)) && now.Before(a.cfg.Deadline)
 }
 
 // retry starts another attempt if the limits and the budget permit it.
--- a/coordination/attempter/attempter_test.go
+++ b/coordination/attempter/attempter_test.go
@@ -65,6 +65,41 @@
 	}
 }
 
+// Guards against a generation that is given up because its endpoint is silent for longer than
+// some token timeouts, and against one that waits for it for ever.
+func TestSilentEndpointIsAwaited(t *testing.T) {
+	cfg := attempter.Config{
+		Streamed: true, Resumable: true, Deadline: epoch.Add(time.Hour), MaxAttempts: 2, MaxResumes: 3, MaxSilence: 30 * time.Second,
+	}
+	for _, c := range []struct {
+		name      string
+		delivered bool
+		failure   attempter.Failure
+		resumes   int // Before another step is taken.
+		step      attempter.Step
+	}{
+		{"silent", true, attempter.TokenTimeout, 10 + 3, attempter.GiveUp},
+		{"connection lost", true, attempter.ConnectionLost, 3, attempter.GiveUp},
+		{"another attempt is possible", false, attempter.TokenTimeout, 3, attempter.Retry},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := attempter.New(cfg, unlimitedBudget{})
+			a.RecordSend()
+			if c.delivered {
+				a.RecordToken(true)
+			}
+			now, resumes := epoch, 0
+			d := a.HandleFailure(now, c.failure)
+			for ; d.Step == attempter.Resume; resumes++ {
+				now = now.Add(3 * time.Second)
+				d = a.HandleFailure(now, c.failure)
+			}
+			assert.Equal(t, d.Step, c.step)
+			assert.Equal(t, resumes, c.resumes)
+		})
+	}
+}
+
 func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 2000)) }
 
 // TestRandomFailures applies random failures to requests. Whether an attempt
--- a/e2e/stream_test.go
+++ b/e2e/stream_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
@@ -117,6 +118,47 @@
 	}
 }
 
+// Guards against a generation that is given up, or started again elsewhere, because its
+// daemon was silent for a while.
+func TestStreamOutlastsPausedDaemon(t *testing.T) {
+	c := startCluster(t, clusterConfig{daemons: 3, engines: 2})
+	var result caller.Result
+	var group conc.WaitGroup
+	group.Go(func() { result = c.caller.Do(t.Context(), c.generationCall(0, "w", 600)) })
+	engine := c.awaitProduced(20)
+	c.daemons[0].signal(syscall.SIGSTOP)
+	// Longer than it takes the others to declare the daemon dead.
+	time.Sleep(pauseTime)
+	c.daemons[0].signal(syscall.SIGCONT)
+	group.Wait()
+	assertComplete(t, result, "w")
+	assert.Equal(t, len(result.Tokens), 600)
+	assert.Equal(t, c.counts(engine).Started, 1)
+	assert.Equal(t, c.counts(1-engine).Started, 0)
+}
+
+// Guards against a generation that is given up because its engine was silent for a while.
+func TestStreamOutlastsPausedEngine(t *testing.T) {
+	c := startCluster(t, clusterConfig{daemons: 2, engines: 2})
+	var result caller.Result
+	var group conc.WaitGroup
+	group.Go(func() { result = c.caller.Do(t.Context(), c.generationCall(0, "e", 300)) })
+	engine := c.awaitProduced(20)
+	c.engines[engine].signal(syscall.SIGSTOP)
+	time.Sleep(enginePauseTime)
+	c.engines[engine].signal(syscall.SIGCONT)
+	group.Wait()
+	assertComplete(t, result, "e")
+	assert.Equal(t, len(result.Tokens), 300)
+	assert.Equal(t, c.counts(engine).Started, 1)
+}
+
+// enginePauseTime is several times the token timeout, and below the retention of streams.
+const enginePauseTime = 16 * time.Second
+
+// pauseTime is below the time after which the generations of a dead daemon are cancelled.
+const pauseTime = 8 * time.Second
+
 func TestPausedDaemonDoesNotBlockOthers(t *testing.T) {
 	c := startCluster(t, clusterConfig{daemons: 3, engines: 2})
 	c.daemons[0].signal(syscall.SIGSTOP)
--- a/server/generation.go
+++ b/server/generation.go
@@ -23,6 +23,7 @@
 const (
 	maxAttempts       = 4 // Also for a call to a plain service.
 	maxResumes        = 3
+	maxEngineSilence  = 30 * time.Second
 	keepAliveInterval = time.Second // Between KeepAlive chunks until the stream is open.
 	maxClaimTextBytes = 64 << 10    // The text of an answer is collected for its claim up to this size, which exceeds the largest answer that a claim stores.
 	bytesPerToken     = 4           // Prompt bytes per token, for estimates.
@@ -114,7 +115,7 @@
 	}
 	gen.attempts = attempter.New(attempter.Config{
 		Streamed: g.Stream, NonIdempotent: g.NonIdempotent, Resumable: true,
-		Deadline: deadline, MaxAttempts: maxAttempts, MaxResumes: maxResumes,
+		Deadline: deadline, MaxAttempts: maxAttempts, MaxResumes: maxResumes, MaxSilence: maxEngineSilence,
 	}, s)
 	return gen
 }
--- a/server/resume.go
+++ b/server/resume.go
@@ -57,7 +57,7 @@
 		seq: sequencer.New(id, next), opened: make(chan openResult, 1),
 	}
 	g.attempts = attempter.New(attempter.Config{
-		Streamed: true, Resumable: true, Deadline: deadline, MaxAttempts: 1, MaxResumes: maxResumes,
+		Streamed: true, Resumable: true, Deadline: deadline, MaxAttempts: 1, MaxResumes: maxResumes, MaxSilence: maxEngineSilence,
 	}, s)
 	g.attempts.RecordSend()
 	g.attempts.RecordToken(true)
