forwarder: check streams whose first response was lost

What callers saw: a stream framed as complete with half an event, if the response of its first run was lost and the run that continued it ended inside an event.

Cause: whether the body is a series of events was decided when a first response was accepted, not when another run was the first to respond. Change: the first response that is adopted decides, whichever run sends it. Measured: TestRecoveredStreamThatEndsInsideEventIsBrokenOff was complete with half an event before and passes.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -43,6 +43,7 @@
 	if err == nil {
 		s.sequencer.resumeSource()
 		s.resumeCount++
+		s.events = s.events || isEventStream(&r.response) // The first response may have been lost.
 		s.setRun(r)
 		return nil
 	}
