forwarder: heed the limits that reports and migrations name

What endpoints saw: an engine that had named a limit of its requests in its reports, but had answered no other request since, got 12 requests in 4 s with 11 allowed, and 24 with 23, when nine streams of three daemons migrated from it.

Cause: only responses to clients' requests were searched for a limit. An engine whose streams all run gets none. Change: reports and responses to migrations carry the limit as well.

--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -81,17 +81,34 @@
 	if res.RequestLimit == nil && !f.limits.Tracks(e.Identity) {
 		return
 	}
-	o := limiter.Observation{Endpoint: e.Identity, Limited: res.RequestLimit != nil, At: f.clock.Now()}
-	if o.Limited {
-		o.Rate = *res.RequestLimit
-		f.metrics.count("limited_sends")
+	if res.RequestLimit == nil {
+		f.recordLimit(limiter.Observation{Endpoint: e.Identity, At: f.clock.Now()}, "response", true)
+		return
 	}
-	f.recordLimit(o, "response", true)
-	if o.Limited && !granted {
+	f.observeNamedLimit(e, res.RequestLimit, granted)
+}
+
+// observeNamedLimit records the limit that an answer of an endpoint names, if it names one.
+func (f *Forwarder) observeNamedLimit(e registrar.Endpoint, limit *float64, granted bool) {
+	if limit == nil {
+		return
+	}
+	f.metrics.count("limited_sends")
+	f.recordLimit(limiter.Observation{Endpoint: e.Identity, Limited: true, Rate: *limit, At: f.clock.Now()}, "response", true)
+	if !granted {
 		f.spawn(func() { f.acquireGrant(f.ctx, e, limiter.Sent) })
 	}
 }
 
+// migrate sends a request to copy the KV cache of a run, which must have been granted if the
+// engine limits its requests.
+func (f *Forwarder) migrate(ctx context.Context, from registrar.Endpoint, id, to string, stopRun bool) (MigrationResult, error) {
+	_, limited := f.limits.Limit(from.Identity)
+	result, err := f.endpoints.Migrate(ctx, from, id, to, stopRun)
+	f.observeNamedLimit(from, result.RequestLimit, limited)
+	return result, err
+}
+
 // recordLimit records an observation of a limit. If the limit has changed and tellPeers
 // is set, it tells the peers.
 func (f *Forwarder) recordLimit(o limiter.Observation, source string, tellPeers bool) {
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -140,7 +140,7 @@
 	defer cancel()
 	err = errEndpointLimited
 	if s.f.acquireGrant(c, source.engine, limiter.Urgent) {
-		_, err = s.f.endpoints.Migrate(c, source.engine, s.x.req.ID, target.Addr, false)
+		_, err = s.f.migrate(c, source.engine, s.x.req.ID, target.Addr, false)
 	}
 	if err == nil {
 		err = s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueByMigration(c, source, target, errEngineShuttingDown) })
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -107,10 +107,12 @@
 func (f *Forwarder) pollEngine(ctx context.Context, e registrar.Endpoint, results chan<- pollResult) {
 	c, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	_, limited := f.limits.Limit(e.Identity)
 	f.acquireGrant(c, e, limiter.Sent)
 	r, err := f.endpoints.Report(c, e)
+	f.observeNamedLimit(e, r.RequestLimit, limited)
 	select {
-	case results <- pollResult{endpoint: e, report: r, err: err}:
+	case results <- pollResult{endpoint: e, report: r.Report, err: err}:
 	case <-ctx.Done():
 	}
 }
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -161,7 +161,7 @@
 	if before == verifier.NotStopped {
 		source.state.storeStop(verifier.MaybeStopped)
 	}
-	copied, err := s.f.endpoints.Migrate(ctx, source.engine, s.x.req.ID, target.Addr, true)
+	copied, err := s.f.migrate(ctx, source.engine, s.x.req.ID, target.Addr, true)
 	switch {
 	case err == nil || copied.Handle != "":
 		source.state.storeStop(verifier.Stopped)
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -114,6 +114,14 @@
 type MigrationResult struct {
 	Handle string // Names the copy in CopyName; empty if the engine returned none.
 	Events int    // Number of events produced before the run was stopped.
+	// RequestLimit is that of the engine that was called, as in Response.
+	RequestLimit *float64
+}
+
+// EngineReport is the load report of an engine.
+type EngineReport struct {
+	placer.Report
+	RequestLimit *float64 // As in Response.
 }
 
 // Errors of a migration.
@@ -129,7 +137,7 @@
 	// requester.ErrNotSent or requester.ErrOutcomeUnknown.
 	Send(ctx context.Context, r *Request, d Dispatch) (Response, error)
 	// Report requests the load report of an engine.
-	Report(ctx context.Context, e registrar.Endpoint) (placer.Report, error)
+	Report(ctx context.Context, e registrar.Endpoint) (EngineReport, error)
 	// Migrate copies the KV cache of a run to the engine at address to. If
 	// stopRun is set, the engine stops the run first.
 	Migrate(ctx context.Context, from registrar.Endpoint, id, to string, stopRun bool) (MigrationResult, error)
