--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -124,7 +124,7 @@
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
 		f.observeLimit(e, &res, limited)
-		a = readResponse(res, cancel)
+		a = f.readResponse(c, res, cancel)
 	}
 	if a.err == nil || !a.notRun {
 		x.deliveries++
@@ -150,12 +150,15 @@
 }
 
 // readResponse reads the body of a response and verifies that the endpoint sent it. It may
-// call cancel to close the connection.
-func readResponse(res Response, cancel context.CancelFunc) callAttempt {
+// call cancel, which ends ctx, to close the connection.
+func (f *Forwarder) readResponse(ctx context.Context, res Response, cancel context.CancelFunc) callAttempt {
 	a := callAttempt{response: res, notRun: res.NotExecuted || res.Misdirected}
 	if a.notRun {
-		stop := time.AfterFunc(refusalReadTime, cancel)
-		defer stop.Stop()
+		f.spawn(func() {
+			if f.clock.Sleep(ctx, refusalReadTime) == nil {
+				cancel()
+			}
+		})
 		// The header decides. The body is read so that the connection can be used again.
 		_, _ = res.readAll(maxRefusalBytes)
 		return a
--- a/protocol/requester/body.go
+++ b/protocol/requester/body.go
@@ -33,9 +33,9 @@
 		if sizeErr := b.Add(n); sizeErr != nil {
 			return nil, sizeErr
 		}
-		switch {
-		case err == nil:
-		case err == io.EOF: //nolint:errorlint // A wrapped io.EOF marks a response that was truncated.
+		switch err { //nolint:errorlint // A wrapped io.EOF marks a response that was truncated.
+		case nil:
+		case io.EOF:
 			return text, b.CheckEnd(verifier.NotStopped)
 		default:
 			return nil, errors.Wrap(err, "read response")
