forwarder: doubt the end of a stream whose engine has ended

What callers saw: a stream without length and chunks, framed as complete after a few events, when the process of its engine was killed: the kernel closes the connections of a process that ends in the same way in which such a stream ends.

Cause: an orderly end between two events was taken for the end of the generation, whatever happened to the engine. Change: after such an end the engine is polled. If it does not answer within a second, or was started anew, its run may have been stopped, and the stream is resumed from its backup or breaks off. Streams with a length or in chunks are not concerned. A whole stream whose engine ends at that moment may break off, too.

--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -96,6 +96,28 @@
 	return best.Name == self.Name || p.ReportAge(e.Identity, now) > f.reportAgeLimit(e)
 }
 
+// Limits of finding out whether an engine still runs.
+const (
+	aliveTimeout  = time.Second
+	aliveAttempts = 2 // An idle connection may have been closed.
+)
+
+// stillRuns reports whether the process of an engine answers a poll.
+func (f *Forwarder) stillRuns(ctx context.Context, e registrar.Endpoint) bool {
+	c, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	for range aliveAttempts {
+		f.acquireGrant(c, e, limiter.Sent)
+		r, err := f.endpoints.Report(c, e)
+		if err == nil {
+			return r.Started == 0 || e.Started == 0 || r.Started == e.Started
+		}
+		f.log.Debug().Err(err).Str("endpoint", e.Name).Msg("forwarder: engine does not answer after the end of a stream")
+	}
+	f.metrics.count("ends_doubted")
+	return false
+}
+
 // pollResult is the report of an engine, or the error of the poll.
 type pollResult struct {
 	endpoint registrar.Endpoint
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -80,6 +80,11 @@
 
 func (s *runState) loadStop() verifier.Stop { return verifier.Stop(s.stop.Load()) }
 
+// suspectStop records that the run may have been stopped, unless more is known.
+func (s *runState) suspectStop() {
+	s.stop.CompareAndSwap(int32(verifier.NotStopped), int32(verifier.MaybeStopped))
+}
+
 func (s *runState) storeStop(stop verifier.Stop) { s.stop.Store(int32(stop)) }
 
 // serveStream starts a generation and sets the stream as the body of the response.
@@ -461,7 +466,13 @@
 		}
 		s.body.Events = s.sequencer.sourceEvents
 	}
-	return s.checkEnd()
+	err := s.checkEnd()
+	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.stillRuns(s.ctx, s.run.engine) {
+		// The connections of a process that has ended are closed in the same way.
+		s.run.state.suspectStop()
+		err = s.checkEnd()
+	}
+	return err
 }
 
 // checkEnd completes the stream if the response is complete as far as is known of its run, and
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -121,6 +121,7 @@
 // EngineReport is the load report of an engine.
 type EngineReport struct {
 	placer.Report
+	Started      int64    // As in registrar.Identity; zero if the report does not tell.
 	RequestLimit *float64 // As in Response.
 }
 
