--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -121,10 +121,10 @@
 	"no_room":               "no engine had enough free memory in time, or too many late requests were queued ahead; see the line before about the queue",
 	"refused_by_endpoints":  "every endpoint that was tried refused the request before executing it",
 	"retry_budget_spent":    "an earlier attempt failed or was refused, and the retry budget allowed no further one",
-	"outcome_unknown":       "the request was sent, but no response was received; it may have been executed, so it was not retried",
+	"outcome_unknown":       "the request was sent, but no complete response was received; it may have been executed, so it was not retried",
 	"timeout":               "the deadline of the client or the route passed",
 	"client_gone":           "the client closed its connection before the response was complete",
-	"stream_cut":            "the engine was lost and the generation could not be continued from any copy of its KV cache; see the lines before",
+	"stream_cut":            "the engine was lost, or its response ended early, and the generation could not be continued from any copy of its KV cache; see the lines before",
 	"endpoints_limited":     "the endpoints of the service limit their requests, and the limits permitted no further one; see the log lines \"limit of an endpoint changed\"",
 	"daemon_stopping":       "the daemon was stopping, and the generation would probably have run for longer",
 }
