--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -77,6 +77,46 @@
 	assert.Equal(t, s.lastEvent(), "7")
 }
 
+// Guards against events that are not recognized, or taken for unfinished, because of the ends
+// of their lines or of how the bytes arrive.
+func TestEndOfSource(t *testing.T) {
+	for text, whole := range map[string]bool{
+		"id: 1\ndata: a\n\n":               true,
+		"id: 1\r\ndata: a\r\n\r\n":         true,
+		"id: 1\rdata: a\r\r":               true,
+		"id: 1\ndata: a\r\n\n":             true,
+		"id: 1\ndata: a\n\n\n: note\n":     true,
+		"id: 1\ndata: a\n\n: no":           false,
+		"id: 1\ndata: a\n":                 false,
+		"id: 1\r\ndata: a\r\n":             false,
+		"id: 1\ndata: a":                   false,
+		"id: 1\ndata: a\n\nid: 2\ndata: b": false,
+	} {
+		for seed := range uint64(20) {
+			s := &eventSequencer{}
+			out := []byte(feedInPieces(t, s, rand.New(rand.NewPCG(seed, 3)), text))
+			out, unfinished, err := s.endSource(out)
+			assert.NilError(t, err)
+			assert.Equal(t, unfinished, !whole, "%q", text)
+			if whole {
+				assert.Equal(t, string(out), text)
+				assert.Equal(t, s.eventCount, 1)
+			}
+		}
+	}
+}
+
+// Guards against comments without end that keep a stream alive.
+func TestEndlessCommentsAreAnError(t *testing.T) {
+	s := &eventSequencer{}
+	comments := []byte(strings.Repeat(": comment\n\n", 1000))
+	var err error
+	for n := 0; err == nil && n <= maxEventBytes; n += len(comments) {
+		_, err = s.feed(nil, comments)
+	}
+	assert.ErrorIs(t, err, errUnexpectedEvents)
+}
+
 func FuzzEventSequencer(f *testing.F) {
 	f.Add([]byte(events(1, 3)), []byte(events(3, 5)))
 	f.Add([]byte("id: 1\n"), []byte("\n\n\r\n"))
