forwarder: one replacement of a run at a time

Found on reading: the replacement for a silent engine and that for one that shuts down could start at the same time; the second hid the first from the stream, which then ran on unread beside it. And an engine was not polled again when an attempt to stop its run had failed, so that a stream of an engine that had ended in the meantime could end as complete. Change: a replacement starts only if none is in progress, and each check of an end polls the engine. Measured: the tests of streams in platform and forwarder pass. No test shows either race.

--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -152,7 +152,7 @@
 	return err == nil || errors.Is(err, ErrRunNotFound)
 }
 
-// errBeingResumed means that the run has broken off and the stream is being resumed.
+// errBeingResumed means that the stream is being resumed, or its run replaced, already.
 var errBeingResumed = errors.New("the stream is being resumed")
 
 // startReplacement starts the run that replaces the source while the stream still
@@ -165,7 +165,7 @@
 		s.mu.Unlock()
 		return ErrRunNotFound
 	}
-	if s.resuming {
+	if s.resuming || s.replacement != nil {
 		s.mu.Unlock()
 		return errBeingResumed
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -466,27 +466,31 @@
 		}
 		s.body.Events = s.sequencer.sourceEvents
 	}
-	err := s.checkEnd()
+	return s.checkEnd()
+}
+
+// checkEnd completes the stream if the response is complete as far as is known of its run, and
+// returns an error otherwise.
+func (s *stream) checkEnd() error {
+	err := s.body.CheckEnd(s.stopOfRun())
 	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.stillRuns(s.ctx, s.run.engine) {
 		// The connections of a process that has ended are closed in the same way.
 		s.run.state.suspectStop()
-		err = s.checkEnd()
+		err = s.body.CheckEnd(s.stopOfRun())
 	}
+	s.complete = err == nil
 	return err
 }
 
-// checkEnd completes the stream if the response is complete as far as is known of its run, and
-// returns an error otherwise.
-func (s *stream) checkEnd() error {
+// stopOfRun returns what is known of a stop of the run.
+func (s *stream) stopOfRun() verifier.Stop {
 	stop := s.run.state.loadStop()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if stop == verifier.NotStopped && s.replacement != nil {
-		stop = verifier.MaybeStopped
+		return verifier.MaybeStopped
 	}
-	s.mu.Unlock()
-	err := s.body.CheckEnd(stop)
-	s.complete = err == nil
-	return err
+	return stop
 }
 
 // processChunk adds the complete events in p to pending and records their timing.
