forwarder: answer a stream that brings nothing with 502

What callers saw: a connection that was closed without a response when the run of a stream broke off before its first event, or its engine sent bytes that are no event.

Cause: the status was committed when the engine had sent its header. Change: the first events are read before the status is sent, so a failure until then is answered. Measured: TestEndlessStreamIsBrokenOff got no response for four kinds before and passes; TestRecoveredStreamThatEndsInsideEventIsBrokenOff expects the 502.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -104,8 +104,17 @@
 		release()
 		return
 	}
-	copyResponseHeader(out, &s.run.response)
 	s.chunk = make([]byte, readChunkBytes)
+	if err := s.awaitContent(); err != nil {
+		r, ended := refusalForContext(ctx, true)
+		if !ended {
+			r = Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonOutcomeUnknown}
+		}
+		f.refuse(out, x, r, err)
+		_ = s.Close() // Returns no error.
+		return
+	}
+	copyResponseHeader(out, &s.run.response)
 	length := s.run.response.ContentLength
 	if s.events {
 		length = unknownLength // Another run may continue the generation.
@@ -113,6 +122,17 @@
 	out.Response.SetBodyStream(s, length)
 }
 
+// awaitContent reads until the first events can be sent or the response is complete. Until
+// then nothing has been sent to the client, which can get a clear error.
+func (s *stream) awaitContent() error {
+	for len(s.pending) == 0 && !s.complete {
+		if err := s.fill(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // unknownLength makes fasthttp send a body in chunks.
 const unknownLength = -1
 
