forwarder: log the age of the run that a resume replaces

What callers saw: a request that ran at two engines. The log names the way in which a generation was sent to a second engine, but not what was known then of the copy that the request named.

Change: the lines of resumes tell last_event, run_ms (since the run before was sent) and producing_ms (since its first event). No decision changes.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -176,6 +176,7 @@
 func (s *stream) continueOn(target registrar.Endpoint, copyName string, source run, way string, cause error) (run, error) {
 	startedAt := s.f.clock.Now()
 	s.mu.Lock()
+	age := s.ageOf(source, startedAt)
 	resumeFrom := Resume{Copy: copyName, LastEvent: s.lastEvent}
 	exhausted := s.x.attempts.Load() > maxStreamAttempts
 	s.x.attempts.Add(1)
@@ -193,16 +194,31 @@
 		s.f.metrics.count("resumes_" + way)
 		s.f.metrics.observe("resume_time", s.f.clock.Now().Sub(startedAt))
 		s.f.addRequestFields(s.f.log.Info(), s.x).AnErr("cause", cause).Str("way", way).Str("from", source.engine.Name).Str("endpoint", target.Name).Str("backup", backup.Name).
-			Str("last_event", resumeFrom.LastEvent).Dur("took_ms", s.f.clock.Now().Sub(startedAt)).Msg("forwarder: generation continued by another run")
+			Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Dur("took_ms", s.f.clock.Now().Sub(startedAt)).Msg("forwarder: generation continued by another run")
 		return r, nil
 	}
 	r.close()
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
-		Msg("forwarder: generation could not be continued from the copy")
+		Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Msg("forwarder: generation could not be continued from the copy")
 	return run{}, errNoCopy
 }
 
+// runAge is the time since a run began.
+type runAge struct {
+	sent      time.Duration // Since its request was sent.
+	producing time.Duration // Since its first event; zero if it has brought none.
+}
+
+// ageOf returns the age of the run that is being replaced. The mutex is held.
+func (s *stream) ageOf(source run, now time.Time) runAge {
+	a := runAge{sent: now.Sub(source.sentAt)}
+	if !s.runEventAt.IsZero() {
+		a.producing = now.Sub(s.runEventAt)
+	}
+	return a
+}
+
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
 // their backups, if it has sent them nothing for unresponsiveTimeout. The others wait: an
 // engine that is only silent for a while goes on with its runs.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -57,6 +57,7 @@
 	eventCount     int                // Number of events received so far.
 	lastEvent      string             // ID of the last event that was received.
 	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
+	runEventAt     time.Time          // Time of the first event of the current run; zero before.
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
 	resuming       bool               // The stream is being resumed after its run has broken off.
@@ -69,6 +70,7 @@
 	backup    registrar.Endpoint // Engine that keeps a copy of the KV cache; zero if none.
 	interrupt context.CancelCauseFunc
 	response  Response
+	sentAt    time.Time
 	state     *runState
 }
 
@@ -361,7 +363,7 @@
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
 	c, cancel := context.WithCancelCause(s.ctx)
-	r := run{engine: to, backup: backup, interrupt: cancel, state: &runState{}}
+	r := run{engine: to, backup: backup, interrupt: cancel, sentAt: now, state: &runState{}}
 	if register != nil {
 		register(r)
 	}
@@ -403,6 +405,7 @@
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
 	}
+	s.runEventAt = time.Time{}
 	s.replacement = nil
 	s.mu.Unlock()
 	s.ended = false
@@ -532,6 +535,9 @@
 	gap := now.Sub(s.lastReadAt)
 	s.eventCount, s.lastEvent = s.sequencer.eventCount, s.sequencer.lastEvent()
 	s.lastReadAt = now
+	if s.runEventAt.IsZero() && s.sequencer.sourceEvents > 0 {
+		s.runEventAt = now
+	}
 	s.mu.Unlock()
 	if before == 0 && s.sequencer.eventCount > 0 {
 		s.jobPlacer.RecordFirstEvent(s.job.ID, now)
