forwarder: name a copy at a backup only if it is known to exist

What callers saw: a streaming request, which must run once, ran at two engines 2 ms apart; both ended without a response and the client got 502.

Cause: after a connection that broke off, the daemon sent the request to the engine that had been named as backup, with a reference to a copy and the last event 0. Nothing was known of the copy; an engine without one was trusted to refuse the request. Class of fault: a request that may have run is sent again on what the receiver is expected to do.

Change: coordination/resumer decides on what is known before the request is sent. The run has produced events for 0.4 s, within which its engine has copied it; the process that got the copy still runs; no earlier request to continue the run was left without a response. After such a request the generation isn't continued anywhere else either. All ways to a backup pass this check: crashes, silent engines, engines that leave.

--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -112,9 +112,8 @@
 		if err == nil {
 			return r.Started == 0 || e.Started == 0 || r.Started == e.Started
 		}
-		f.log.Debug().Err(err).Str("endpoint", e.Name).Msg("forwarder: engine does not answer after the end of a stream")
+		f.log.Debug().Err(err).Str("endpoint", e.Name).Msg("forwarder: engine does not answer whether it still runs")
 	}
-	f.metrics.count("ends_doubted")
 	return false
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/coordination/limiter"
+	"monsoonspar.example/coordination/resumer"
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/state/registrar"
 )
@@ -78,9 +79,12 @@
 		return run{}, errRunEnded
 	}
 	source := s.run
-	if r, err := s.continueFromBackup(source, cause); err == nil {
+	r, err := s.continueFromBackup(source, cause)
+	if err == nil {
 		return r, nil
 	}
+	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
+		Msg("forwarder: generation not continued from its backup")
 	c, cancel := context.WithTimeout(s.ctx, migrationTimeout)
 	defer cancel()
 	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
@@ -130,6 +134,9 @@
 	if backup.Name == "" || s.f.registry.ShuttingDown(backup.Identity) {
 		return run{}, errNoCopy
 	}
+	if err := s.backupOf(source).Check(); err != nil {
+		return run{}, err
+	}
 	if !s.f.acquireGrant(s.ctx, backup, limiter.Urgent) {
 		return run{}, errEndpointLimited
 	}
@@ -140,6 +147,9 @@
 // to the target and continues there. If the copy can't be completed, it continues
 // on the source from the KV cache that is kept there.
 func (s *stream) continueByMigration(ctx context.Context, source run, target registrar.Endpoint, cause error) (run, error) {
+	if source.state.resumeLost.Load() {
+		return run{}, resumer.ErrUsed
+	}
 	// Both requests must be granted before the run is stopped.
 	if !s.f.acquireGrant(ctx, target, limiter.Urgent) || !s.f.acquireGrant(ctx, source.engine, limiter.Urgent) {
 		return run{}, errEndpointLimited
@@ -198,25 +208,34 @@
 		return r, nil
 	}
 	r.close()
+	if mayHaveRun := err != nil || !r.response.NotExecuted; mayHaveRun && !provesNotRun(err) {
+		source.state.resumeLost.Store(true)
+	}
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
 		Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Msg("forwarder: generation could not be continued from the copy")
 	return run{}, errNoCopy
 }
 
-// runAge is the time since a run began.
+// runAge is how long a run has been observed.
 type runAge struct {
 	sent      time.Duration // Since its request was sent.
-	producing time.Duration // Since its first event; zero if it has brought none.
+	producing time.Duration // From its first event to its last one; zero if it has brought none.
 }
 
-// ageOf returns the age of the run that is being replaced. The mutex is held.
+// ageOf returns the age of the current run. The mutex is held.
 func (s *stream) ageOf(source run, now time.Time) runAge {
-	a := runAge{sent: now.Sub(source.sentAt)}
-	if !s.runEventAt.IsZero() {
-		a.producing = now.Sub(s.runEventAt)
+	return runAge{sent: now.Sub(source.sentAt), producing: s.runLastEvent.Sub(s.runFirstEvent)}
+}
+
+// backupOf returns what is known of the copy at the backup of the current run.
+func (s *stream) backupOf(source run) resumer.Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return resumer.Backup{
+		Used: source.state.resumeLost.Load(), Producing: s.ageOf(source, s.f.clock.Now()).producing,
+		HolderRuns: func() bool { return s.f.stillRuns(s.ctx, source.backup) },
 	}
-	return a
 }
 
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -54,10 +54,11 @@
 
 	mu             sync.Mutex
 	run            run
-	eventCount     int                // Number of events received so far.
-	lastEvent      string             // ID of the last event that was received.
-	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
-	runEventAt     time.Time          // Time of the first event of the current run; zero before.
+	eventCount     int       // Number of events received so far.
+	lastEvent      string    // ID of the last event that was received.
+	lastReadAt     time.Time // Time at which the engine last sent any bytes.
+	runFirstEvent  time.Time // Time of the first event of the current run; zero before.
+	runLastEvent   time.Time
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
 	resuming       bool               // The stream is being resumed after its run has broken off.
@@ -78,6 +79,9 @@
 type runState struct {
 	stop        atomic.Int32 // A verifier.Stop: whether the engine was made to stop the run.
 	backupTried atomic.Bool  // The backup was tried because the engine was silent.
+	// resumeLost is set if a request to continue the run may have been executed, but brought
+	// no response. The generation may go on there.
+	resumeLost atomic.Bool
 }
 
 func (s *runState) loadStop() verifier.Stop { return verifier.Stop(s.stop.Load()) }
@@ -405,7 +409,7 @@
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
 	}
-	s.runEventAt = time.Time{}
+	s.runFirstEvent, s.runLastEvent = time.Time{}, time.Time{}
 	s.replacement = nil
 	s.mu.Unlock()
 	s.ended = false
@@ -498,6 +502,7 @@
 	err := s.body.CheckEnd(s.stopOfRun())
 	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.stillRuns(s.ctx, s.run.engine) {
 		// The connections of a process that has ended are closed in the same way.
+		s.f.metrics.count("ends_doubted")
 		s.run.state.suspectStop()
 		err = s.body.CheckEnd(s.stopOfRun())
 	}
@@ -525,7 +530,7 @@
 		s.pending = append(s.pending, p...)
 		return nil
 	}
-	before := s.sequencer.eventCount
+	before, sourceEvents := s.sequencer.eventCount, s.sequencer.sourceEvents
 	var err error
 	if s.pending, err = s.sequencer.feed(s.pending, p); err != nil {
 		return err
@@ -535,8 +540,11 @@
 	gap := now.Sub(s.lastReadAt)
 	s.eventCount, s.lastEvent = s.sequencer.eventCount, s.sequencer.lastEvent()
 	s.lastReadAt = now
-	if s.runEventAt.IsZero() && s.sequencer.sourceEvents > 0 {
-		s.runEventAt = now
+	if s.sequencer.sourceEvents > sourceEvents {
+		s.runLastEvent = now
+		if s.runFirstEvent.IsZero() {
+			s.runFirstEvent = now
+		}
 	}
 	s.mu.Unlock()
 	if before == 0 && s.sequencer.eventCount > 0 {
