quarantiner: find the parts of prompts that crash engines

Callers saw engine after engine crash on prompts with one part, and no daemon learned from it. First version of the inference and of the exchange of evidence; nothing uses it yet.

--- /dev/null
+++ b/coordination/quarantiner/config.go
@@ -0,0 +1,85 @@
+package quarantiner
+
+import "time"
+
+// Config holds the parameters of a Quarantine. Daemons that exchange evidence use the same
+// ones; zero values stand for the defaults.
+type Config struct {
+	// Self is the name of this daemon. It spreads the answers and the trials of the daemons
+	// over time.
+	Self string
+
+	// Crashes closer to each other than Spacing count as one incident for a part.
+	Spacing time.Duration // Default: 250 ms.
+	// A part is blamed if the unexplained crashes with it make up at least MinIncidents
+	// incidents and the fraction MinShare of all unexplained crashes since the first one.
+	MinIncidents int     // Default: 3.
+	MinShare     float64 // Default: 1/4.
+	// In fewer incidents, at least two, a part is blamed for at least BurstCrashes crashes
+	// and the fraction BurstShare.
+	BurstCrashes int     // Default: 5.
+	BurstShare   float64 // Default: 2/3.
+	// Window is the age at which an unexplained crash is no longer evidence.
+	Window time.Duration // Default: 5 min.
+	// ProgressRetention is the time for which progress proves a part sound. It is proven for
+	// the time before as well.
+	ProgressRetention time.Duration // Default: 1 min.
+
+	// A blamed part is blocked for Block after the last crash with it, for twice the time
+	// after each trial, and at most for MaxBlock.
+	Block    time.Duration // Default: 1 min.
+	MaxBlock time.Duration // Default: 15 min.
+	// BlameRetention is the time after the end of a block at which a part that nobody has
+	// tried again is no longer blamed.
+	BlameRetention time.Duration // Default: 15 min.
+	// A daemon that isn't the chosen one tries a part between TrialFallback and twice that
+	// after the trial was due.
+	TrialFallback time.Duration // Default: 15 s.
+	// RetryMargin is added to the time at which a request with a blamed part should be sent
+	// again.
+	RetryMargin time.Duration // Default: 1 s.
+	// AnswerDelay is the longest time after which a daemon answers evidence of another one
+	// that it can refute.
+	AnswerDelay time.Duration // Default: 300 ms.
+}
+
+// Bounds of the evidence of a daemon and of what it sends at once.
+const (
+	maxCrashes         = 256  // Held.
+	maxSuspects        = 64   // Of one crash.
+	maxReported        = 32   // Suspects of one crash that one daemon reports.
+	maxProgress        = 4096 // Published progress that is held.
+	maxTrials          = 64
+	maxRetracted       = 1024 // Engines whose end is known to have another cause.
+	maxPending         = 512  // Facts of each kind that wait to be sent.
+	maxUpdateSuspects  = 512  // Of the crashes in one update.
+	maxUpdateProgress  = 256
+	keptNewest         = 4                // Crashes that are held of those after a part was blamed.
+	burstIncidents     = 2                // Least incidents.
+	retractionCoverage = 10 * time.Second // By which a report of the same crash may be later than its retraction.
+)
+
+// withDefaults returns the parameters with defaults for zero values.
+func (c Config) withDefaults() Config {
+	setDefault(&c.Spacing, 250*time.Millisecond)
+	setDefault(&c.MinIncidents, 3)
+	setDefault(&c.MinShare, 0.25)
+	setDefault(&c.BurstCrashes, 5)
+	setDefault(&c.BurstShare, 2.0/3)
+	setDefault(&c.Window, 5*time.Minute)
+	setDefault(&c.ProgressRetention, time.Minute)
+	setDefault(&c.Block, time.Minute)
+	setDefault(&c.MaxBlock, 15*time.Minute)
+	setDefault(&c.BlameRetention, 15*time.Minute)
+	setDefault(&c.TrialFallback, 15*time.Second)
+	setDefault(&c.RetryMargin, time.Second)
+	setDefault(&c.AnswerDelay, 300*time.Millisecond)
+	return c
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/coordination/quarantiner/evidence.go
@@ -0,0 +1,317 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonspar.example/state/registrar"
+)
+
+// crash is what is known about the end of an engine. It doesn't change once it is shared
+// with findings; a change replaces it.
+type crash struct {
+	engine      registrar.Identity
+	at          time.Time // Zero if no daemon reported a crash.
+	suspects    []Suspect // Sorted by part.
+	retractedAt time.Time // Zero if no daemon retracted it.
+}
+
+// crashed reports whether the engine counts as crashed.
+func (c *crash) crashed() bool { return !c.at.IsZero() }
+
+// covers reports whether the retraction, if any, is one of a crash at the given time.
+// Daemons see the end of an engine at different times.
+func (c *crash) covers(at time.Time) bool {
+	return !c.retractedAt.IsZero() && !at.After(c.retractedAt.Add(retractionCoverage))
+}
+
+// latest returns the time of the last event of the engine.
+func (c *crash) latest() time.Time {
+	if c.at.After(c.retractedAt) {
+		return c.at
+	}
+	return c.retractedAt
+}
+
+// sound reports whether a part is proven sound for a crash at the given time. The mutex is
+// held.
+func (q *Quarantine) sound(p Part, at time.Time) bool {
+	t, ok := q.published[p]
+	return ok && !t.Add(q.cfg.ProgressRetention).Before(at)
+}
+
+// addCrash adds a report of a crash or a retraction, and returns what was new of it. The
+// mutex is held.
+func (q *Quarantine) addCrash(in Crash, now time.Time) (Crash, bool) {
+	if age := now.Sub(in.At); age < -q.cfg.Window || age > q.cfg.Window && in.Retracted {
+		return Crash{}, false
+	}
+	old := q.crashes[in.Engine]
+	if old == nil {
+		old = &crash{engine: in.Engine}
+	}
+	c := *old
+	delta := Crash{Engine: in.Engine, At: in.At, Retracted: in.Retracted}
+	switch {
+	case in.Retracted:
+		if !in.At.After(old.retractedAt) {
+			return Crash{}, false
+		}
+		c.retractedAt = in.At
+		if c.covers(c.at) {
+			c.at, c.suspects = time.Time{}, nil
+		}
+	case old.covers(in.At):
+		return Crash{}, false
+	default:
+		c.suspects, delta.Suspects = merge(in.Engine, old.suspects, normalize(slices.Clone(in.Suspects)))
+		earlier := !old.crashed() || in.At.Before(old.at)
+		if len(delta.Suspects) == 0 && !earlier {
+			return Crash{}, false
+		}
+		if earlier {
+			c.at = in.At
+		}
+	}
+	q.crashes[in.Engine] = &c
+	for _, s := range delta.Suspects {
+		q.named[s.Part] = struct{}{}
+	}
+	q.dirty.Store(true)
+	return delta, true
+}
+
+// addProgress adds progress, and reports whether it was new. With send, it is passed on. The
+// mutex is held.
+func (q *Quarantine) addProgress(p Progress, send bool, now time.Time) bool {
+	if _, ok := q.named[p.Part]; !ok && now.Sub(p.At) > q.cfg.ProgressRetention {
+		return false
+	}
+	if !p.At.After(q.published[p.Part]) {
+		return false
+	}
+	if _, ok := q.published[p.Part]; !ok {
+		bound(q.published, maxProgress-1, func(at time.Time) time.Time { return at })
+	}
+	q.published[p.Part] = p.At
+	delete(q.outbox.answers, p.Part)
+	q.dirty.Store(true)
+	if send {
+		q.outbox.addProgress(p, &q.pending)
+	}
+	return true
+}
+
+// addTrial adds a trial, and reports whether it was new. With send, it is passed on. The
+// mutex is held.
+func (q *Quarantine) addTrial(t Trial, send bool, now time.Time) bool {
+	if f := q.findings.Load(); now.Sub(t.At) > q.cfg.Window && (f == nil || f.blamed[t.Part] == nil) {
+		return false
+	}
+	old, ok := q.trials[t.Part]
+	if ok && !t.At.After(old.At) {
+		return false
+	}
+	if !ok {
+		bound(q.trials, maxTrials-1, func(t Trial) time.Time { return t.At })
+	}
+	q.trials[t.Part] = t
+	q.dirty.Store(true)
+	if send {
+		q.outbox.addTrial(t, &q.pending)
+	}
+	return true
+}
+
+// update draws the conclusions from the evidence, and removes what has expired. The mutex is
+// held.
+func (q *Quarantine) update(now time.Time) {
+	old := q.findings.Load()
+	if !q.dirty.Load() && (old == nil || now.Before(old.next)) {
+		return
+	}
+	in := inference{cfg: q.cfg, sound: q.sound, trial: func(p Part) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
+	in.run(q.sorted())
+	for p, b := range in.blamed {
+		if now.After(b.expires) {
+			delete(in.blamed, p)
+			for _, c := range b.crashes {
+				in.causes[c] = slices.DeleteFunc(in.causes[c], func(o *blame) bool { return o == b })
+			}
+		}
+	}
+	q.prune(&in, now)
+	f := &findings{blamed: in.blamed, live: in.live, next: now.Add(q.cfg.Window)}
+	for _, c := range q.crashes {
+		f.next = earlier(f.next, c.latest().Add(q.cfg.Window), now)
+	}
+	for _, at := range q.published {
+		f.next = earlier(f.next, at.Add(q.cfg.ProgressRetention), now)
+	}
+	for _, b := range in.blamed {
+		f.next = earlier(f.next, b.expires, now)
+	}
+	q.updateDigest()
+	q.dirty.Store(false)
+	if len(q.crashes) == 0 && len(q.published) == 0 && len(q.trials) == 0 {
+		f = nil
+	}
+	q.findings.Store(f)
+}
+
+// earlier returns the earlier one of two times, or the first if the second is not after now.
+func earlier(a, b, now time.Time) time.Time {
+	b = b.Add(time.Nanosecond)
+	if b.After(now) && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// sorted returns the crashes in the order of their times. The mutex is held.
+func (q *Quarantine) sorted() []*crash {
+	return slices.SortedFunc(maps.Values(q.crashes), func(a, b *crash) int {
+		return cmp.Or(a.latest().Compare(b.latest()), cmp.Compare(a.engine.Name, b.engine.Name), cmp.Compare(a.engine.Started, b.engine.Started))
+	})
+}
+
+// prune removes the evidence that has expired or that exceeds the bounds. The mutex is held.
+func (q *Quarantine) prune(in *inference, now time.Time) {
+	for _, b := range in.blamed {
+		for _, c := range in.redundant(b) {
+			delete(q.crashes, c.engine)
+		}
+	}
+	for id, c := range q.crashes {
+		if now.Sub(c.latest()) > q.cfg.Window && len(in.causes[c]) == 0 {
+			delete(q.crashes, id)
+		}
+	}
+	if excess := len(q.crashes) - maxCrashes; excess > 0 {
+		all := q.sorted()
+		slices.SortStableFunc(all, func(a, b *crash) int { return min(len(in.causes[a]), 1) - min(len(in.causes[b]), 1) })
+		for _, c := range all[:excess] {
+			delete(q.crashes, c.engine)
+		}
+	}
+	clear(q.named)
+	for _, c := range q.crashes {
+		for _, s := range c.suspects {
+			q.named[s.Part] = struct{}{}
+		}
+	}
+	maps.DeleteFunc(q.published, func(p Part, at time.Time) bool {
+		_, ok := q.named[p]
+		return !ok && now.Sub(at) > q.cfg.ProgressRetention
+	})
+	maps.DeleteFunc(q.trials, func(p Part, t Trial) bool {
+		return in.blamed[p] == nil && now.Sub(t.At) > q.cfg.Window
+	})
+}
+
+// updateDigest sets the digest. The mutex is held.
+func (q *Quarantine) updateDigest() {
+	var sum uint64
+	for _, c := range q.crashes {
+		h := engineHash(c.engine)
+		for _, s := range c.suspects {
+			h += mix(uint64(s.Part))
+		}
+		if c.crashed() {
+			h += mix(uint64(c.at.UnixNano()))
+		}
+		if !c.retractedAt.IsZero() {
+			h += mix(^uint64(c.retractedAt.UnixNano()))
+		}
+		sum += mix(h)
+	}
+	for p, at := range q.published {
+		sum += mix(mix(uint64(p)) + uint64(at.UnixNano()))
+	}
+	for p, t := range q.trials {
+		sum += mix(mix(^uint64(p)) + uint64(t.At.UnixNano()) + uint64(t.Round))
+	}
+	q.digest.Store(sum)
+}
+
+// Snapshot returns all evidence, for a daemon that has other evidence.
+func (q *Quarantine) Snapshot(now time.Time) Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.update(now)
+	var e Evidence
+	for _, c := range q.sorted() {
+		if c.crashed() {
+			e.Crashes = append(e.Crashes, Crash{Engine: c.engine, At: c.at, Suspects: c.suspects})
+		}
+		if !c.retractedAt.IsZero() {
+			e.Crashes = append(e.Crashes, Crash{Engine: c.engine, At: c.retractedAt, Retracted: true})
+		}
+	}
+	for p, at := range q.published {
+		e.Progress = append(e.Progress, Progress{Part: p, At: at})
+	}
+	for _, t := range q.trials {
+		e.Trials = append(e.Trials, t)
+	}
+	return e
+}
+
+// normalize sorts suspects by part and joins those of the same part.
+func normalize(list []Suspect) []Suspect {
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(b.Depth, a.Depth))
+	})
+	return slices.CompactFunc(list, func(a, b Suspect) bool { return a.Part == b.Part })
+}
+
+// merge returns the suspects of a crash when others, which are normalized, are added, and
+// those that are new. Of too many the same ones are kept in whatever order they are added.
+func merge(engine registrar.Identity, old, added []Suspect) (all, fresh []Suspect) {
+	all = normalize(slices.Concat(old, added))
+	if len(all) > maxSuspects {
+		slices.SortFunc(all, func(a, b Suspect) int { return cmp.Compare(salted(engine, a.Part), salted(engine, b.Part)) })
+		all = normalize(all[:maxSuspects])
+	}
+	for _, s := range all {
+		if _, ok := slices.BinarySearchFunc(old, s, func(a, b Suspect) int { return cmp.Compare(a.Part, b.Part) }); !ok {
+			fresh = append(fresh, s)
+		}
+	}
+	return all, fresh
+}
+
+// salted returns a hash of a part that differs between engines.
+func salted(engine registrar.Identity, p Part) uint64 { return mix(engineHash(engine) ^ uint64(p)) }
+
+func engineHash(id registrar.Identity) uint64 {
+	return xxhash.Sum64String(id.Name + "/" + strconv.FormatInt(id.Started, 10))
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// bound removes the oldest entries of a map until at most n are left.
+func bound[K comparable, V any](m map[K]V, n int, at func(V) time.Time) {
+	for len(m) > n {
+		var oldest K
+		first := true
+		for k, v := range m {
+			if first || at(v).Before(at(m[oldest])) {
+				oldest, first = k, false
+			}
+		}
+		delete(m, oldest)
+	}
+}
--- /dev/null
+++ b/coordination/quarantiner/inference.go
@@ -0,0 +1,209 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"monsoonspar.example/state/registrar"
+)
+
+// blame is the finding that a part crashes engines. It doesn't change once it is published.
+type blame struct {
+	part     Part
+	depth    int
+	crashes  []*crash             // With the part, sorted by time.
+	founding int                  // Number of crashes for which the part was blamed first.
+	engines  []registrar.Identity // Of crashes.
+	round    int                  // Trials since the part was blamed.
+	until    time.Time            // End of the block, when a trial is due.
+	expires  time.Time
+}
+
+// since returns the time of the first crash with the part.
+func (b *blame) since() time.Time { return b.crashes[0].at }
+
+// inference explains the crashes that a daemon knows. It goes through them in the order of
+// their times, so that it doesn't matter in which order they became known.
+type inference struct {
+	cfg    Config
+	sound  func(p Part, at time.Time) bool // Whether a part is proven sound for a crash at that time.
+	trial  func(p Part) (Trial, bool)
+	blamed map[Part]*blame
+	open   []*crash            // Crashes without an explanation.
+	occurs map[Part][]*crash   // Open crashes that a part may have caused.
+	depth  map[Part]int        // Greatest one seen.
+	counts map[Part]int        // Crashes that a part may have caused.
+	live   map[Part]struct{}   // Parts that may have caused some crash.
+	causes map[*crash][]*blame // Explanations of a crash.
+}
+
+// run explains crashes, which are sorted by time.
+func (f *inference) run(crashes []*crash) {
+	f.blamed, f.occurs, f.depth = map[Part]*blame{}, map[Part][]*crash{}, map[Part]int{}
+	f.counts, f.live, f.causes = map[Part]int{}, map[Part]struct{}{}, map[*crash][]*blame{}
+	for _, c := range crashes {
+		for _, s := range c.suspects {
+			if !f.sound(s.Part, c.at) {
+				f.counts[s.Part]++
+				f.live[s.Part] = struct{}{}
+			}
+		}
+	}
+	for _, c := range crashes {
+		if c.crashed() && !f.explain(c) {
+			f.add(c)
+		}
+	}
+	for _, b := range f.blamed {
+		f.block(b)
+		b.engines = make([]registrar.Identity, len(b.crashes))
+		for i, c := range b.crashes {
+			b.engines[i] = c.engine
+		}
+	}
+}
+
+// mayCause reports whether a part may have caused the crash and others.
+func (f *inference) mayCause(p Part, c *crash) bool {
+	return f.counts[p] > 1 && !f.sound(p, c.at)
+}
+
+// explain adds a crash to the blamed parts that explain it, and reports whether one does.
+func (f *inference) explain(c *crash) bool {
+	explained := false
+	for _, s := range c.suspects {
+		b := f.blamed[s.Part]
+		if b == nil || !f.mayCause(s.Part, c) {
+			continue
+		}
+		f.block(b)
+		if c.at.After(b.expires) {
+			delete(f.blamed, s.Part)
+			continue
+		}
+		f.assign(b, c)
+		explained = true
+	}
+	return explained
+}
+
+// assign adds a crash to a blamed part.
+func (f *inference) assign(b *blame, c *crash) {
+	b.crashes = append(b.crashes, c)
+	f.causes[c] = append(f.causes[c], b)
+}
+
+// add adds a crash without an explanation, and looks for one.
+func (f *inference) add(c *crash) {
+	f.open = append(f.open, c)
+	for _, s := range c.suspects {
+		if f.mayCause(s.Part, c) {
+			f.occurs[s.Part] = append(f.occurs[s.Part], c)
+			f.depth[s.Part] = max(f.depth[s.Part], s.Depth)
+		}
+	}
+	for {
+		p, ok := f.choose(c.at)
+		if !ok {
+			return
+		}
+		f.blame(p)
+	}
+}
+
+// blame blames a part for the open crashes that it may have caused.
+func (f *inference) blame(p Part) {
+	b := &blame{part: p, depth: f.depth[p], founding: len(f.occurs[p])}
+	f.blamed[p] = b
+	for _, c := range f.occurs[p] {
+		f.assign(b, c)
+	}
+	explained := func(c *crash) bool { return len(f.causes[c]) > 0 }
+	f.open = slices.DeleteFunc(f.open, explained)
+	for p, list := range f.occurs {
+		if list = slices.DeleteFunc(list, explained); len(list) == 0 {
+			delete(f.occurs, p)
+			continue
+		}
+		f.occurs[p] = list
+	}
+}
+
+// choose returns the part that explains most of the open crashes, if one can be blamed.
+func (f *inference) choose(now time.Time) (Part, bool) {
+	var best Part
+	most := 0
+	for p := range f.occurs {
+		n, ok := f.coverage(p, now)
+		if !ok {
+			continue
+		}
+		better := cmp.Or(cmp.Compare(n, most), cmp.Compare(f.depth[p], f.depth[best]), cmp.Compare(p, best))
+		if most == 0 || better > 0 {
+			best, most = p, n
+		}
+	}
+	return best, most > 0
+}
+
+// coverage returns the number of open crashes that a part may have caused, and whether it
+// can be blamed.
+func (f *inference) coverage(p Part, now time.Time) (int, bool) {
+	oldest := now.Add(-f.cfg.Window)
+	n, incidents := 0, 0
+	var first, last time.Time
+	for _, c := range f.occurs[p] {
+		if c.at.Before(oldest) {
+			continue
+		}
+		if n == 0 {
+			first = c.at
+		}
+		n++
+		if incidents == 0 || c.at.Sub(last) >= f.cfg.Spacing {
+			incidents++
+			last = c.at
+		}
+	}
+	if incidents < min(burstIncidents, f.cfg.MinIncidents) {
+		return n, false
+	}
+	since, _ := slices.BinarySearchFunc(f.open, first, func(c *crash, t time.Time) int { return c.at.Compare(t) })
+	share := float64(n) / float64(len(f.open)-since)
+	return n, incidents >= f.cfg.MinIncidents && share >= f.cfg.MinShare ||
+		n >= f.cfg.BurstCrashes && share >= f.cfg.BurstShare
+}
+
+// block sets until when a blamed part is blocked.
+func (f *inference) block(b *blame) {
+	sign := b.crashes[len(b.crashes)-1].at
+	b.round = 0
+	if t, ok := f.trial(b.part); ok && !t.At.Before(b.since()) {
+		b.round = t.Round
+		if t.At.After(sign) {
+			sign = t.At
+		}
+	}
+	d := f.cfg.Block
+	for range b.round {
+		if d = 2 * d; d >= f.cfg.MaxBlock {
+			d = f.cfg.MaxBlock
+			break
+		}
+	}
+	b.until = sign.Add(d)
+	b.expires = b.until.Add(f.cfg.BlameRetention)
+}
+
+// redundant returns the crashes without which a part would be blamed and blocked in the same
+// way.
+func (f *inference) redundant(b *blame) []*crash {
+	var drop []*crash
+	for i := b.founding; i < len(b.crashes)-keptNewest; i++ {
+		if c := b.crashes[i]; len(f.causes[c]) == 1 {
+			drop = append(drop, c)
+		}
+	}
+	return drop
+}
--- /dev/null
+++ b/coordination/quarantiner/quarantine.go
@@ -0,0 +1,353 @@
+// Package quarantiner finds the parts of prompts that crash engines and blocks them.
+//
+// A prompt is a list of parts, of which the last belongs to the request itself. A part may
+// crash each engine that begins to write an answer to a prompt with it. Daemons exchange
+// evidence: crashes with the parts of the runs that ended in them, progress of parts that
+// are suspects, and trials of blamed parts. From equal evidence they reach equal verdicts.
+//
+// A part is blamed for a crash if nothing proves it sound and if it explains the crashes
+// best: it is common to several that were not at the same time, and to a good share of all
+// that nothing else explains. Engines that are killed have few parts in common that make no
+// progress elsewhere, so their crashes blame nobody.
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonspar.example/state/registrar"
+)
+
+// Part identifies a part of prompts for one service.
+type Part uint64
+
+// PartOf returns the part with an ID for a service.
+func PartOf(service, id string) Part {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(service) // Never fails.
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(id)
+	return Part(d.Sum64())
+}
+
+// Suspect is a part that may have caused a crash.
+type Suspect struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+	Part  Part
+	Depth int // Greatest position in a prompt; 0 for the first part.
+}
+
+// Crash is an engine that ended unexpectedly, or the finding that it did not.
+type Crash struct {
+	Engine   registrar.Identity `msgpack:"e"`
+	Suspects []Suspect          `msgpack:"s,omitempty"` // Sorted by part.
+	At       time.Time          `msgpack:"t"`           // Earliest time at which a daemon saw the end; of a retraction, its time.
+	// Retracted means that the engine runs, or that the cause of its end is known.
+	Retracted bool `msgpack:"r,omitempty"`
+}
+
+// Progress says that a run whose prompt contains a part made progress.
+type Progress struct {
+	Part Part      `msgpack:"p"`
+	At   time.Time `msgpack:"t"`
+}
+
+// Trial says that a daemon sends a request with a blamed part to see whether it still
+// crashes engines.
+type Trial struct {
+	Part  Part      `msgpack:"p"`
+	Round int       `msgpack:"n"` // Number of trials since the part was blamed.
+	At    time.Time `msgpack:"t"`
+}
+
+// Evidence is what daemons tell each other.
+type Evidence struct {
+	Crashes  []Crash    `msgpack:"c,omitempty"`
+	Progress []Progress `msgpack:"p,omitempty"`
+	Trials   []Trial    `msgpack:"t,omitempty"`
+}
+
+// Empty reports whether there is no evidence.
+func (e Evidence) Empty() bool {
+	return len(e.Crashes) == 0 && len(e.Progress) == 0 && len(e.Trials) == 0
+}
+
+// Verdict says that a part is blocked.
+type Verdict struct {
+	Part       Part
+	Depth      int                  // Greatest position in a prompt that was seen.
+	Crashes    int                  // Crashes with the part, as far as they are held.
+	Engines    []registrar.Identity // That crashed. Shared; must not be changed.
+	Trials     int                  // Since the part was blamed.
+	Since      time.Time            // Time of the first crash.
+	RetryAfter time.Duration        // Time after which a request with the part may be served.
+}
+
+// Quarantine is one daemon's knowledge of the parts that crash engines. It is safe for
+// concurrent use. Use New to make one.
+type Quarantine struct {
+	cfg      Config
+	progress progressTable // Of runs at this daemon.
+
+	digest   atomic.Uint64
+	findings atomic.Pointer[findings] // Nil without crashes.
+	dirty    atomic.Bool              // The evidence has changed since the findings.
+	pending  atomic.Bool              // Something may have to be sent.
+
+	mu        sync.Mutex
+	crashes   map[registrar.Identity]*crash
+	named     map[Part]struct{}  // Suspects of crashes.
+	published map[Part]time.Time // Latest progress of suspects that daemons published.
+	trials    map[Part]Trial     // The last one of each part.
+	retracted map[registrar.Identity]time.Time
+	outbox    outbox
+}
+
+// findings is what follows from the evidence. It doesn't change once it is published.
+type findings struct {
+	blamed map[Part]*blame
+	live   map[Part]struct{} // Parts that may have caused some crash.
+	next   time.Time         // When evidence or a blame expires.
+}
+
+// New returns a Quarantine without evidence.
+func New(cfg Config) *Quarantine {
+	return &Quarantine{
+		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Part]struct{}{}, published: map[Part]time.Time{},
+		trials: map[Part]Trial{}, retracted: map[registrar.Identity]time.Time{}, outbox: newOutbox(),
+	}
+}
+
+// RecordProgress records that a run at this daemon made progress: it has completed or has
+// sent events for a while. The parts are those of its prompt without the last.
+func (q *Quarantine) RecordProgress(parts []Part, now time.Time) {
+	for _, p := range parts {
+		q.progress.record(p, now)
+	}
+	f := q.current(now)
+	if f == nil {
+		return
+	}
+	for _, p := range parts {
+		if _, ok := f.live[p]; ok {
+			q.publishProgress(p, now)
+		}
+	}
+}
+
+// publishProgress adds progress at this daemon to the evidence.
+func (q *Quarantine) publishProgress(p Part, at time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.addProgress(Progress{Part: p, At: at.Round(0)}, true, at)
+}
+
+// RecordCrash records that the process of an engine ended unexpectedly. The suspects are
+// the parts of the runs on it that had not made progress, without the last part of each
+// prompt, and now is the time at which this daemon saw the end. Parts that are known to be
+// sound are left out.
+func (q *Quarantine) RecordCrash(engine registrar.Identity, suspects []Suspect, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := Crash{Engine: engine, At: now.Round(0), Suspects: q.reportable(engine, suspects, now)}
+	if _, ok := q.retracted[engine]; ok || len(c.Suspects) == 0 {
+		return
+	}
+	if delta, changed := q.addCrash(c, now); changed {
+		q.outbox.addCrash(delta, &q.pending)
+	}
+}
+
+// reportable returns the suspects of a crash that this daemon reports, sorted by part.
+func (q *Quarantine) reportable(engine registrar.Identity, suspects []Suspect, now time.Time) []Suspect {
+	kept := make([]Suspect, 0, len(suspects))
+	for _, s := range suspects {
+		at, ok := q.progress.last(s.Part)
+		if ok && !at.Add(q.cfg.ProgressRetention).Before(now) || q.sound(s.Part, now) {
+			continue
+		}
+		kept = append(kept, s)
+	}
+	kept = normalize(kept)
+	if len(kept) <= maxReported {
+		return kept
+	}
+	known := q.findings.Load() // Parts that occur again are worth more than others.
+	slices.SortStableFunc(kept, func(a, b Suspect) int {
+		return cmp.Or(-cmp.Compare(known.lives(a.Part), known.lives(b.Part)), cmp.Compare(salted(engine, a.Part), salted(engine, b.Part)))
+	})
+	return normalize(kept[:maxReported])
+}
+
+// lives returns 1 if a part may have caused a crash that is known, or else 0.
+func (f *findings) lives(p Part) int {
+	if f != nil {
+		if _, ok := f.live[p]; ok {
+			return 1
+		}
+	}
+	return 0
+}
+
+// Retract records that an engine runs, or that the cause of its end is known: it was
+// killed, shut down or replaced. Its crash is no evidence then. The other daemons are told
+// if any reported a crash of it.
+func (q *Quarantine) Retract(engine registrar.Identity, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	bound(q.retracted, maxRetracted-1, func(at time.Time) time.Time { return at })
+	q.retracted[engine] = now.Round(0)
+	if c := q.crashes[engine]; c != nil && c.crashed() {
+		q.retractCrash(engine, now)
+	}
+}
+
+// retractCrash tells the other daemons that a crash is no evidence. The mutex is held.
+func (q *Quarantine) retractCrash(engine registrar.Identity, now time.Time) {
+	if delta, changed := q.addCrash(Crash{Engine: engine, At: now.Round(0), Retracted: true}, now); changed {
+		q.outbox.addCrash(delta, &q.pending)
+	}
+}
+
+// Apply adds the evidence of another daemon, and reports whether any of it was new. With
+// relay, what was new is sent to the peers of this daemon as well; it is set for evidence
+// of a daemon of another failure domain. What this daemon can refute, it answers.
+func (q *Quarantine) Apply(e Evidence, relay bool, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var fresh []Crash
+	for _, c := range e.Crashes {
+		if delta, changed := q.addCrash(c, now); changed {
+			fresh = append(fresh, delta)
+		}
+	}
+	changed := false
+	for _, p := range e.Progress {
+		changed = q.addProgress(p, relay, now) || changed
+	}
+	if q.mayDrop(fresh, now) || len(e.Trials) > 0 {
+		q.update(now)
+	}
+	for _, c := range fresh {
+		if q.crashes[c.Engine] == nil {
+			continue
+		}
+		changed = true
+		if relay {
+			q.outbox.addCrash(c, &q.pending)
+		}
+		q.prepareAnswers(c, now)
+	}
+	for _, t := range e.Trials {
+		changed = q.addTrial(t, relay, now) || changed
+	}
+	return changed
+}
+
+// mayDrop reports whether some of the crashes may not be worth holding. Such ones must not
+// be passed on, or daemons would send them to each other forever.
+func (q *Quarantine) mayDrop(fresh []Crash, now time.Time) bool {
+	f := q.findings.Load()
+	return len(q.crashes) > maxCrashes || f != nil && len(f.blamed) > 0 && len(fresh) > 0 ||
+		slices.ContainsFunc(fresh, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window })
+}
+
+// Digest returns a hash of the evidence. Daemons with the same evidence have the same
+// digest; it is zero without evidence.
+func (q *Quarantine) Digest(now time.Time) uint64 {
+	q.current(now)
+	return q.digest.Load()
+}
+
+// Check returns the verdict about a prompt, given its parts. It returns false if none of
+// them is blocked. A request should be checked whenever it is about to be sent, and not
+// only when it arrives.
+func (q *Quarantine) Check(parts []Part, now time.Time) (Verdict, bool) {
+	f := q.current(now)
+	if f == nil || len(f.blamed) == 0 {
+		return Verdict{}, false
+	}
+	var worst *blame
+	for _, p := range parts {
+		if b := f.blamed[p]; b != nil && (worst == nil || b.until.After(worst.until)) {
+			worst = b
+		}
+	}
+	if worst == nil {
+		return Verdict{}, false
+	}
+	return q.verdict(worst, now), true
+}
+
+func (q *Quarantine) verdict(b *blame, now time.Time) Verdict {
+	return Verdict{
+		Part: b.part, Depth: b.depth, Crashes: len(b.crashes), Engines: b.engines, Trials: b.round, Since: b.since(),
+		RetryAfter: max(b.until.Sub(now), 0) + q.cfg.RetryMargin,
+	}
+}
+
+// Blamed returns the verdicts about all blocked parts, in the order of their first crashes.
+func (q *Quarantine) Blamed(now time.Time) []Verdict {
+	f := q.current(now)
+	if f == nil {
+		return nil
+	}
+	all := make([]Verdict, 0, len(f.blamed))
+	for _, b := range f.blamed {
+		all = append(all, q.verdict(b, now))
+	}
+	slices.SortFunc(all, func(a, b Verdict) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Part, b.Part))
+	})
+	return all
+}
+
+// TryTrial reports whether this daemon may send one request with a blamed part. It returns
+// true once when a trial is due, and the other daemons are told. The chosen daemon is the
+// one that ranks first for the part among those that are reachable. Another one tries only
+// some time later, since the chosen one may have no request with the part.
+func (q *Quarantine) TryTrial(part Part, chosen bool, now time.Time) bool {
+	f := q.current(now)
+	if f == nil || f.blamed[part] == nil || now.Before(f.blamed[part].until) {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.update(now)
+	f = q.findings.Load()
+	if f == nil || f.blamed[part] == nil {
+		return false
+	}
+	b, due := f.blamed[part], f.blamed[part].until
+	if !chosen {
+		due = due.Add(q.cfg.TrialFallback + q.spread(uint64(part), q.cfg.TrialFallback))
+	}
+	if now.Before(due) {
+		return false
+	}
+	return q.addTrial(Trial{Part: part, Round: b.round + 1, At: now.Round(0)}, true, now)
+}
+
+// spread returns a time below limit that differs between daemons and keys.
+func (q *Quarantine) spread(key uint64, limit time.Duration) time.Duration {
+	return time.Duration(mix(xxhash.Sum64String(q.cfg.Self)^key) % uint64(max(limit, 1)))
+}
+
+// current returns the findings from the evidence, nil if there is none.
+func (q *Quarantine) current(now time.Time) *findings {
+	f := q.findings.Load()
+	if !q.dirty.Load() && (f == nil || now.Before(f.next)) {
+		return f
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.update(now)
+	return q.findings.Load()
+}
