--- a/coordination/quarantiner/config.go
+++ b/coordination/quarantiner/config.go
@@ -41,6 +41,9 @@
 	// AnswerDelay is the longest time after which a daemon answers evidence of another one
 	// that it can refute.
 	AnswerDelay time.Duration // Default: 300 ms.
+	// SyncDelay is the time for which evidence may differ between daemons before they exchange
+	// all of it, and the least time between two exchanges.
+	SyncDelay time.Duration // Default: 1 s.
 }
 
 // Bounds of the evidence of a daemon and of what it sends at once.
@@ -55,6 +58,7 @@
 	maxUpdateSuspects  = 512  // Of the crashes in one update.
 	maxUpdateProgress  = 256
 	keptNewest         = 4                // Crashes that are held of those after a part was blamed.
+	syncDelays         = 5                // SyncDelay times this is the longest time without an exchange while evidence changes.
 	burstIncidents     = 2                // Least incidents.
 	retractionCoverage = 10 * time.Second // By which a report of the same crash may be later than its retraction.
 )
@@ -74,6 +78,7 @@
 	setDefault(&c.TrialFallback, 15*time.Second)
 	setDefault(&c.RetryMargin, time.Second)
 	setDefault(&c.AnswerDelay, 300*time.Millisecond)
+	setDefault(&c.SyncDelay, time.Second)
 	return c
 }
 
--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -83,6 +83,7 @@
 		q.named[s.Part] = struct{}{}
 	}
 	q.dirty.Store(true)
+	q.changedAt = now
 	return delta, true
 }
 
@@ -101,6 +102,7 @@
 	q.published[p.Part] = p.At
 	delete(q.outbox.answers, p.Part)
 	q.dirty.Store(true)
+	q.changedAt = now
 	if send {
 		q.outbox.addProgress(p, &q.pending)
 	}
@@ -122,6 +124,7 @@
 	}
 	q.trials[t.Part] = t
 	q.dirty.Store(true)
+	q.changedAt = now
 	if send {
 		q.outbox.addTrial(t, &q.pending)
 	}
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -102,6 +102,8 @@
 	pending  atomic.Bool              // Something may have to be sent.
 
 	mu        sync.Mutex
+	changedAt time.Time // When the evidence last changed.
+	syncedAt  time.Time // When ShouldSync last returned true.
 	crashes   map[registrar.Identity]*crash
 	named     map[Part]struct{}  // Suspects of crashes.
 	published map[Part]time.Time // Latest progress of suspects that daemons published.
@@ -266,6 +268,27 @@
 	return q.digest.Load()
 }
 
+// ShouldSync reports whether this daemon should exchange snapshots with a peer that has the
+// given digest. While evidence spreads the digests differ for a moment, so that only those
+// that stay different call for it, unless one of the daemons knows nothing.
+func (q *Quarantine) ShouldSync(digest uint64, now time.Time) bool {
+	own := q.Digest(now)
+	if own == digest {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	pause := q.cfg.SyncDelay
+	if own == 0 || digest == 0 {
+		pause = 0
+	}
+	if now.Sub(q.changedAt) < pause && now.Sub(q.syncedAt) < syncDelays*pause || now.Sub(q.syncedAt) < pause {
+		return false
+	}
+	q.syncedAt = now
+	return true
+}
+
 // Check returns the verdict about a prompt, given its parts. It returns false if none of
 // them is blocked. A request should be checked whenever it is about to be sent, and not
 // only when it arrives.
