quarantiner: refute suspicions only where they may lead to a verdict

The model showed up to 85 KB a second and daemon with 60 daemons: each receiver of another failure domain passed evidence on to all, and each suspect that had made progress was answered. Evidence is passed on within the failure domain only, and suspects of a single crash are not answered; a daemon that knows progress of a blamed part says so at once.

--- a/coordination/quarantiner/config.go
+++ b/coordination/quarantiner/config.go
@@ -14,11 +14,12 @@
 	// A part is blamed if the unexplained crashes with it make up at least MinIncidents
 	// incidents and the fraction MinShare of all unexplained crashes since the first one.
 	MinIncidents int     // Default: 3.
-	MinShare     float64 // Default: 1/4.
-	// In fewer incidents, at least two, a part is blamed for at least BurstCrashes crashes
-	// and the fraction BurstShare.
-	BurstCrashes int     // Default: 5.
-	BurstShare   float64 // Default: 2/3.
+	MinShare     float64 // Default: 1/2.
+	// For at least ManyCrashes crashes, the fraction ManyShare is enough, or the fraction
+	// BurstShare in only two incidents.
+	ManyCrashes int     // Default: 5.
+	ManyShare   float64 // Default: 1/4.
+	BurstShare  float64 // Default: 2/3.
 	// Window is the age at which an unexplained crash is no longer evidence.
 	Window time.Duration // Default: 5 min.
 	// ProgressRetention is the time for which progress proves a part sound. It is proven for
@@ -67,8 +68,9 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.Spacing, 250*time.Millisecond)
 	setDefault(&c.MinIncidents, 3)
-	setDefault(&c.MinShare, 0.25)
-	setDefault(&c.BurstCrashes, 5)
+	setDefault(&c.MinShare, 0.5)
+	setDefault(&c.ManyCrashes, 5)
+	setDefault(&c.ManyShare, 0.25)
 	setDefault(&c.BurstShare, 2.0/3)
 	setDefault(&c.Window, 5*time.Minute)
 	setDefault(&c.ProgressRetention, time.Minute)
--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -82,14 +82,13 @@
 	for _, s := range delta.Suspects {
 		q.named[s.Part] = struct{}{}
 	}
-	q.dirty.Store(true)
-	q.changedAt = now
+	q.touch(now)
 	return delta, true
 }
 
-// addProgress adds progress, and reports whether it was new. With send, it is passed on. The
-// mutex is held.
-func (q *Quarantine) addProgress(p Progress, send bool, now time.Time) bool {
+// addProgress adds progress, and reports whether it was new. Then it is added to out as well,
+// which may be nil. The mutex is held.
+func (q *Quarantine) addProgress(p Progress, out *facts, now time.Time) bool {
 	if _, ok := q.named[p.Part]; !ok && now.Sub(p.At) > q.cfg.ProgressRetention {
 		return false
 	}
@@ -101,17 +100,14 @@
 	}
 	q.published[p.Part] = p.At
 	delete(q.outbox.answers, p.Part)
-	q.dirty.Store(true)
-	q.changedAt = now
-	if send {
-		q.outbox.addProgress(p, &q.pending)
-	}
+	q.touch(now)
+	out.addProgress(p)
 	return true
 }
 
-// addTrial adds a trial, and reports whether it was new. With send, it is passed on. The
-// mutex is held.
-func (q *Quarantine) addTrial(t Trial, send bool, now time.Time) bool {
+// addTrial adds a trial, and reports whether it was new. Then it is added to out as well,
+// which may be nil. The mutex is held.
+func (q *Quarantine) addTrial(t Trial, out *facts, now time.Time) bool {
 	if f := q.findings.Load(); now.Sub(t.At) > q.cfg.Window && (f == nil || f.blamed[t.Part] == nil) {
 		return false
 	}
@@ -123,12 +119,41 @@
 		bound(q.trials, maxTrials-1, func(t Trial) time.Time { return t.At })
 	}
 	q.trials[t.Part] = t
-	q.dirty.Store(true)
+	q.touch(now)
+	out.addTrial(t)
+	return true
+}
+
+// touch records that the evidence has changed. The mutex is held.
+func (q *Quarantine) touch(now time.Time) {
 	q.changedAt = now
-	if send {
-		q.outbox.addTrial(t, &q.pending)
+	q.dirty.Store(true)
+	q.pending.Store(true)
+}
+
+// infer explains the crashes. The mutex is held.
+func (q *Quarantine) infer() *inference {
+	in := &inference{cfg: q.cfg, sound: q.sound, trial: func(p Part) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
+	in.run(q.sorted())
+	return in
+}
+
+// refute looks for suspected parts that made progress at this daemon. It reports whether one
+// of them was blamed, whose progress then is part of the evidence. The mutex is held.
+func (q *Quarantine) refute(in *inference, now time.Time) bool {
+	urgent := false
+	for p, l := range in.live {
+		at, ok := q.progress.last(p)
+		if !ok || at.Add(q.cfg.ProgressRetention).Before(l.first) || !at.After(q.published[p]) {
+			continue
+		}
+		if in.blamed[p] == nil {
+			q.prepareAnswer(p, at, now)
+			continue
+		}
+		urgent = q.addProgress(Progress{Part: p, At: at.Round(0)}, &q.outbox.own, now) || urgent
 	}
-	return true
+	return urgent
 }
 
 // update draws the conclusions from the evidence, and removes what has expired. The mutex is
@@ -138,8 +163,10 @@
 	if !q.dirty.Load() && (old == nil || now.Before(old.next)) {
 		return
 	}
-	in := inference{cfg: q.cfg, sound: q.sound, trial: func(p Part) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
-	in.run(q.sorted())
+	in := q.infer()
+	for q.refute(in, now) {
+		in = q.infer()
+	}
 	for p, b := range in.blamed {
 		if now.After(b.expires) {
 			delete(in.blamed, p)
@@ -148,7 +175,7 @@
 			}
 		}
 	}
-	q.prune(&in, now)
+	q.prune(in, now)
 	f := &findings{blamed: in.blamed, live: in.live, next: now.Add(q.cfg.Window)}
 	for _, c := range q.crashes {
 		f.next = earlier(f.next, c.latest().Add(q.cfg.Window), now)
--- a/coordination/quarantiner/fleet_test.go
+++ b/coordination/quarantiner/fleet_test.go
@@ -60,7 +60,6 @@
 	daemons []*node
 	engines []*machine
 	cut     func(a, b *node) bool // Whether daemons can't reach each other.
-	last    int                   // Number of last parts so far.
 
 	bad       map[Part]*badPart
 	badRate   float64 // Requests with a bad part in a second, of all daemons.
@@ -77,7 +76,6 @@
 type badPart struct {
 	crashes []time.Time
 	sends   []time.Time
-	sides   []int // Of sends: the side of the daemon while the network is partitioned.
 	trials  int
 }
 
@@ -256,11 +254,7 @@
 }
 
 // addBad makes a part crash engines.
-func (f *fleet) addBad(p Part) *badPart {
-	b := &badPart{}
-	f.bad[p] = b
-	return b
-}
+func (f *fleet) addBad(p Part) { f.bad[p] = &badPart{} }
 
 // startBad begins the requests with bad parts. Prompts are without their last part.
 func (f *fleet) startBad(rate float64, prompt func() []Part) {
@@ -445,17 +439,23 @@
 		if n.down {
 			return
 		}
-		if e, ok := n.q.TakeUpdates(f.now); ok {
-			f.publish(n, e)
-		}
+		own, relayed := n.q.TakeUpdates(f.now)
+		f.publish(n, own, false)
+		f.publish(n, relayed, true)
 		f.flush(n)
 	})
 }
 
-// publish sends evidence to the peers.
-func (f *fleet) publish(n *node, e Evidence) {
+// publish sends evidence to the peers, or to those of the daemon's failure domain only.
+func (f *fleet) publish(n *node, e Evidence, domain bool) {
+	if e.Empty() {
+		return
+	}
 	b := encodedSize(e)
 	for _, p := range n.peers {
+		if domain && p.domain != n.domain {
+			continue
+		}
 		f.messages++
 		f.bytes += b
 		if f.cut(n, p) || f.rand.Float64() < lossRate {
@@ -463,13 +463,18 @@
 		}
 		f.after(f.latency(n.domain, p.domain), func() {
 			if !p.down {
-				p.q.Apply(e, n.domain != p.domain, f.now)
+				p.q.Apply(e, f.relays(p, n), f.now)
 				f.flush(p)
 			}
 		})
 	}
 }
 
+// relays reports whether a daemon passes on what it hears from another.
+func (f *fleet) relays(n, from *node) bool {
+	return len(f.daemons) > meshLimit && n.domain != from.domain
+}
+
 func encodedSize(e Evidence) int {
 	b, err := msgpack.Marshal(e)
 	if err != nil {
@@ -493,8 +498,8 @@
 		f.messages += 2
 		f.syncs++
 		f.bytes += encodedSize(a) + encodedSize(b)
-		p.q.Apply(a, p.domain != n.domain, f.now)
-		n.q.Apply(b, p.domain != n.domain, f.now)
+		p.q.Apply(a, f.relays(p, n), f.now)
+		n.q.Apply(b, f.relays(n, p), f.now)
 		f.flush(n)
 		f.flush(p)
 	}
@@ -704,7 +709,7 @@
 	}
 }
 
-func (s *scenario) run(t *testing.T, seed uint64, z size) {
+func (s *scenario) run(t *testing.T, seed uint64, z size) result {
 	f := newFleet(seed, z)
 	if s.cold {
 		f.run(50 * time.Millisecond)
@@ -715,18 +720,37 @@
 	s.inject(f, z)
 	seconds := f.now.Sub(from).Seconds()
 	n := float64(len(f.daemons))
-	late, sends, trials, first := 0, 0, 0, 0
+	r := result{seed: seed, kills: f.kills, sound: f.soundSent, refused: f.soundRefused, broken: f.soundBroken, syncs: f.syncs}
 	for _, b := range f.bad {
-		late = max(late, b.late())
-		sends += len(b.sends)
-		trials += b.trials
-		first += len(b.crashes)
+		r.late = max(r.late, b.late())
+		r.sends += len(b.sends)
+		r.trials += b.trials
+		r.crashes += len(b.crashes)
 	}
-	t.Logf("%s: daemons %d bad %v seed %d: kills %d crashes %d sends %d late %d trials %d; sound sent %d refused %d broken %d; %.1f messages %.0f B /s and daemon, %d syncs; blamed %d",
-		s.name, z.daemons, z.badRate, seed, f.kills, first, sends, late, trials, f.soundSent, f.soundRefused, f.soundBroken,
-		float64(f.messages-messages)/n/seconds, float64(f.bytes-bytes)/n/seconds, f.syncs, len(f.daemons[0].q.Blamed(f.now)))
-	assert.Check(t, late <= s.sends, "%d late requests with a bad part", late)
-	assert.Check(t, f.soundRefused <= s.refused, "%d sound requests refused", f.soundRefused)
+	r.messages = float64(f.messages-messages) / n / seconds
+	r.bytes = float64(f.bytes-bytes) / n / seconds
+	assert.Check(t, r.late <= s.sends, "seed %d: %d late requests with a bad part", seed, r.late)
+	assert.Check(t, r.refused <= s.refused, "seed %d: %d sound requests refused", seed, r.refused)
+	return r
+}
+
+// result is what a run of a scenario shows.
+type result struct {
+	seed                                        uint64
+	kills, crashes, sends, late, trials         int
+	sound, refused, broken, syncs               int
+	messages, bytes                             float64 // For each daemon and second.
+	lateRuns, refusedRuns, mostRefused, maxLate int
+	maxBytes                                    float64
+}
+
+// add adds the figures of another run.
+func (r *result) add(o result) {
+	r.kills, r.crashes, r.sends, r.late = r.kills+o.kills, r.crashes+o.crashes, r.sends+o.sends, r.late+o.late
+	r.trials, r.sound, r.refused, r.broken, r.syncs = r.trials+o.trials, r.sound+o.sound, r.refused+o.refused, r.broken+o.broken, r.syncs+o.syncs
+	r.messages, r.bytes, r.maxBytes = r.messages+o.messages, r.bytes+o.bytes, max(r.maxBytes, o.bytes)
+	r.lateRuns, r.refusedRuns = r.lateRuns+min(o.late, 1), r.refusedRuns+min(o.refused, 1)
+	r.mostRefused, r.maxLate = max(r.mostRefused, o.refused), max(r.maxLate, o.late)
 }
 
 // Daemons together stop sending requests with a part that crashes engines soon, and refuse
@@ -739,9 +763,14 @@
 			}
 			t.Run(fmt.Sprintf("%s/%d daemons/%v bad", s.name, z.daemons, z.badRate), func(t *testing.T) {
 				t.Parallel()
+				var r result
 				for i := range uint64(*fleetSeeds) {
-					s.run(t, *fleetFirst+i, z)
+					r.add(s.run(t, *fleetFirst+i, z))
 				}
+				n := float64(*fleetSeeds)
+				t.Logf("| %s | %d | %v | %.0f | %.1f | %.1f | %d (%d) | %.1f | %.0f | %d in %d, most %d | %.0f | %.1f | %.0f (%.0f) | %.0f |",
+					s.name, z.daemons, z.badRate, float64(r.kills)/n, float64(r.crashes)/n, float64(r.sends)/n, r.maxLate, r.lateRuns, float64(r.trials)/n,
+					float64(r.sound)/n, r.refused, r.refusedRuns, r.mostRefused, float64(r.broken)/n, r.messages/n, r.bytes/n, r.maxBytes, float64(r.syncs)/n)
 			})
 		}
 	}
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,12 @@
 // since returns the time of the first crash with the part.
 func (b *blame) since() time.Time { return b.crashes[0].at }
 
+// suspicion tells of the crashes that a part may have caused.
+type suspicion struct {
+	crashes int
+	first   time.Time
+}
+
 // inference explains the crashes that a daemon knows. It goes through them in the order of
 // their times, so that it doesn't matter in which order they became known.
 type inference struct {
@@ -33,23 +40,27 @@
 	open   []*crash            // Crashes without an explanation.
 	occurs map[Part][]*crash   // Open crashes that a part may have caused.
 	depth  map[Part]int        // Greatest one seen.
-	counts map[Part]int        // Crashes that a part may have caused.
-	live   map[Part]struct{}   // Parts that may have caused some crash.
+	live   map[Part]suspicion  // Parts that may have caused several crashes.
 	causes map[*crash][]*blame // Explanations of a crash.
 }
 
 // run explains crashes, which are sorted by time.
 func (f *inference) run(crashes []*crash) {
 	f.blamed, f.occurs, f.depth = map[Part]*blame{}, map[Part][]*crash{}, map[Part]int{}
-	f.counts, f.live, f.causes = map[Part]int{}, map[Part]struct{}{}, map[*crash][]*blame{}
+	f.live, f.causes = map[Part]suspicion{}, map[*crash][]*blame{}
 	for _, c := range crashes {
 		for _, s := range c.suspects {
-			if !f.sound(s.Part, c.at) {
-				f.counts[s.Part]++
-				f.live[s.Part] = struct{}{}
+			if f.sound(s.Part, c.at) {
+				continue
+			}
+			l := f.live[s.Part]
+			if l.crashes++; l.crashes == 1 {
+				l.first = c.at
 			}
+			f.live[s.Part] = l
 		}
 	}
+	maps.DeleteFunc(f.live, func(_ Part, l suspicion) bool { return l.crashes == 1 })
 	for _, c := range crashes {
 		if c.crashed() && !f.explain(c) {
 			f.add(c)
@@ -66,7 +77,8 @@
 
 // mayCause reports whether a part may have caused the crash and others.
 func (f *inference) mayCause(p Part, c *crash) bool {
-	return f.counts[p] > 1 && !f.sound(p, c.at)
+	_, ok := f.live[p]
+	return ok && !f.sound(p, c.at)
 }
 
 // explain adds a crash to the blamed parts that explain it, and reports whether one does.
@@ -114,11 +126,14 @@
 
 // blame blames a part for the open crashes that it may have caused.
 func (f *inference) blame(p Part) {
-	b := &blame{part: p, depth: f.depth[p], founding: len(f.occurs[p])}
-	f.blamed[p] = b
-	for _, c := range f.occurs[p] {
+	b := &blame{part: p, depth: f.depth[p]}
+	found := slices.Concat(f.supersede(p), f.occurs[p])
+	slices.SortStableFunc(found, func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, c := range slices.Compact(found) {
 		f.assign(b, c)
 	}
+	b.founding = len(b.crashes)
+	f.blamed[p] = b
 	explained := func(c *crash) bool { return len(f.causes[c]) > 0 }
 	f.open = slices.DeleteFunc(f.open, explained)
 	for p, list := range f.occurs {
@@ -130,6 +145,27 @@
 	}
 }
 
+// supersede withdraws the blame of parts that were blamed only for crashes that the given
+// part may have caused as well, since they may have come with it by chance. It returns these
+// crashes.
+func (f *inference) supersede(p Part) []*crash {
+	var all []*crash
+	for o, b := range f.blamed {
+		if slices.ContainsFunc(b.crashes, func(c *crash) bool { return !c.names(p) || f.sound(p, c.at) }) {
+			continue
+		}
+		delete(f.blamed, o)
+		for _, c := range b.crashes {
+			f.causes[c] = slices.DeleteFunc(f.causes[c], func(x *blame) bool { return x == b })
+		}
+		all = append(all, b.crashes...)
+	}
+	slices.SortFunc(all, func(a, b *crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.engine.Name, b.engine.Name), cmp.Compare(a.engine.Started, b.engine.Started))
+	})
+	return slices.Compact(all)
+}
+
 // choose returns the part that explains most of the open crashes, if one can be blamed.
 func (f *inference) choose(now time.Time) (Part, bool) {
 	var best Part
@@ -166,13 +202,21 @@
 			last = c.at
 		}
 	}
-	if incidents < min(burstIncidents, f.cfg.MinIncidents) {
+	if incidents < burstIncidents {
 		return n, false
 	}
 	since, _ := slices.BinarySearchFunc(f.open, first, func(c *crash, t time.Time) int { return c.at.Compare(t) })
-	share := float64(n) / float64(len(f.open)-since)
-	return n, incidents >= f.cfg.MinIncidents && share >= f.cfg.MinShare ||
-		n >= f.cfg.BurstCrashes && share >= f.cfg.BurstShare
+	return n, f.suffices(n, incidents, float64(n)/float64(len(f.open)-since))
+}
+
+// suffices reports whether a part can be blamed for a number of crashes, which make up a
+// share of all since the first of them.
+func (f *inference) suffices(crashes, incidents int, share float64) bool {
+	many := crashes >= f.cfg.ManyCrashes
+	if incidents < f.cfg.MinIncidents {
+		return many && share >= f.cfg.BurstShare
+	}
+	return share >= f.cfg.MinShare || many && share >= f.cfg.ManyShare
 }
 
 // block sets until when a blamed part is blocked.
@@ -207,3 +251,9 @@
 	}
 	return drop
 }
+
+// names reports whether a part is a suspect of the crash.
+func (c *crash) names(p Part) bool {
+	_, ok := slices.BinarySearchFunc(c.suspects, p, func(s Suspect, p Part) int { return cmp.Compare(s.Part, p) })
+	return ok
+}
--- a/coordination/quarantiner/outbox.go
+++ b/coordination/quarantiner/outbox.go
@@ -1,26 +1,30 @@
 package quarantiner
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"monsoonspar.example/state/registrar"
 )
 
-// outbox holds the facts that wait to be sent to the peers.
+// outbox holds what waits to be sent to the peers.
 type outbox struct {
-	crashes  []Crash
-	progress []Progress
-	trials   []Trial
+	own     facts
+	relayed facts
 	// Facts with which this daemon can refute the evidence of others, and when it does
 	// unless another one does so first.
 	answers     map[Part]answer
 	retractions map[registrar.Identity]time.Time
 }
 
+// facts are a queue of evidence.
+type facts struct {
+	crashes  []Crash
+	progress []Progress
+	trials   []Trial
+}
+
 // answer is progress that refutes a suspicion.
 type answer struct {
 	at  time.Time // Of the progress.
@@ -31,21 +35,43 @@
 	return outbox{answers: map[Part]answer{}, retractions: map[registrar.Identity]time.Time{}}
 }
 
-func (o *outbox) addCrash(c Crash, pending *atomic.Bool) {
-	o.crashes = appendBounded(o.crashes, c)
-	pending.Store(true)
+// addCrash adds a crash to the queue, which may be nil.
+func (f *facts) addCrash(c Crash) {
+	if f != nil {
+		f.crashes = appendBounded(f.crashes, c)
+	}
 }
 
-func (o *outbox) addProgress(p Progress, pending *atomic.Bool) {
-	o.progress = appendBounded(o.progress, p)
-	pending.Store(true)
+// addProgress adds progress to the queue, which may be nil.
+func (f *facts) addProgress(p Progress) {
+	if f != nil {
+		f.progress = appendBounded(f.progress, p)
+	}
 }
 
-func (o *outbox) addTrial(t Trial, pending *atomic.Bool) {
-	o.trials = appendBounded(o.trials, t)
-	pending.Store(true)
+// addTrial adds a trial to the queue, which may be nil.
+func (f *facts) addTrial(t Trial) {
+	if f != nil {
+		f.trials = appendBounded(f.trials, t)
+	}
 }
 
+// take removes as many facts from the queue as fit in one message.
+func (f *facts) take() Evidence {
+	var e Evidence
+	n, suspects := 0, 0
+	for n < len(f.crashes) && suspects < maxUpdateSuspects {
+		suspects += len(f.crashes[n].Suspects) + 1
+		n++
+	}
+	e.Crashes, f.crashes = split(f.crashes, n)
+	e.Progress, f.progress = split(f.progress, maxUpdateProgress)
+	e.Trials, f.trials = split(f.trials, maxTrials)
+	return e
+}
+
+func (f *facts) empty() bool { return len(f.crashes)+len(f.progress)+len(f.trials) == 0 }
+
 // appendBounded appends to a list and removes the oldest entry if there are too many; the
 // digests then differ, and the peers ask for all.
 func appendBounded[T any](list []T, v T) []T {
@@ -65,29 +91,29 @@
 	return now.Add(time.Duration(max(1+math.Log(u)/answerSlope, 0) * float64(q.cfg.AnswerDelay)))
 }
 
-// prepareAnswers prepares to refute a crash that another daemon reported. The mutex is held.
-func (q *Quarantine) prepareAnswers(c Crash, now time.Time) {
-	if _, ok := q.retracted[c.Engine]; ok && !c.Retracted {
-		if _, ok := q.outbox.retractions[c.Engine]; !ok {
-			q.outbox.retractions[c.Engine] = q.answerTime(engineHash(c.Engine), now)
-			q.pending.Store(true)
-		}
+// prepareRetraction prepares to retract a crash that another daemon reported, if this one
+// knows of another cause. The mutex is held.
+func (q *Quarantine) prepareRetraction(c Crash, now time.Time) {
+	if _, ok := q.retracted[c.Engine]; !ok || c.Retracted {
 		return
 	}
-	for _, s := range c.Suspects {
-		at, ok := q.progress.last(s.Part)
-		if !ok || at.Add(q.cfg.ProgressRetention).Before(c.At) || q.sound(s.Part, c.At) {
-			continue
-		}
-		due := q.answerTime(uint64(s.Part), now)
-		if old, ok := q.outbox.answers[s.Part]; ok && old.due.Before(due) {
-			due = old.due
-		}
-		q.outbox.answers[s.Part] = answer{at: at, due: due}
-		q.pending.Store(true)
+	if _, ok := q.outbox.retractions[c.Engine]; !ok {
+		q.outbox.retractions[c.Engine] = q.answerTime(engineHash(c.Engine), now)
 	}
 }
 
+// prepareAnswer prepares to refute a suspicion by progress at the given time. The mutex is
+// held.
+func (q *Quarantine) prepareAnswer(p Part, at, now time.Time) {
+	a, ok := q.outbox.answers[p]
+	if !ok {
+		a.due = q.answerTime(uint64(p), now)
+	}
+	a.at = at
+	q.outbox.answers[p] = a
+	q.pending.Store(true)
+}
+
 // releaseAnswers adds the answers that are due to the evidence. The mutex is held.
 func (q *Quarantine) releaseAnswers(now time.Time) {
 	for p, a := range q.outbox.answers {
@@ -95,7 +121,7 @@
 			continue
 		}
 		delete(q.outbox.answers, p)
-		q.addProgress(Progress{Part: p, At: a.at.Round(0)}, true, now)
+		q.addProgress(Progress{Part: p, At: a.at.Round(0)}, &q.outbox.own, now)
 	}
 	for id, due := range q.outbox.retractions {
 		if now.Before(due) {
@@ -108,31 +134,24 @@
 	}
 }
 
-// TakeUpdates returns facts that the peers should be told, as many as fit in one message.
-// It returns false if there are none. It should be called a few times per AnswerDelay, and
-// until it returns false.
-func (q *Quarantine) TakeUpdates(now time.Time) (Evidence, bool) {
+// TakeUpdates returns facts that other daemons should be told, as many as fit in one message:
+// own are for all peers, and relayed, which come from other failure domains, for those of
+// this one. Both are empty if there is nothing to tell. It should be called a few times per
+// AnswerDelay, and again while it returns any.
+func (q *Quarantine) TakeUpdates(now time.Time) (own, relayed Evidence) {
 	if !q.pending.Load() {
-		return Evidence{}, false
+		return own, relayed
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.update(now)
 	q.releaseAnswers(now)
 	o := &q.outbox
-	var e Evidence
-	n, suspects := 0, 0
-	for n < len(o.crashes) && suspects < maxUpdateSuspects {
-		suspects += len(o.crashes[n].Suspects) + 1
-		n++
-	}
-	e.Crashes, o.crashes = split(o.crashes, n)
-	e.Progress, o.progress = split(o.progress, maxUpdateProgress)
-	e.Trials, o.trials = split(o.trials, maxTrials)
-	if len(o.crashes)+len(o.progress)+len(o.trials)+len(o.answers)+len(o.retractions) == 0 {
+	own, relayed = o.own.take(), o.relayed.take()
+	if o.own.empty() && o.relayed.empty() && len(o.answers)+len(o.retractions) == 0 {
 		q.pending.Store(false)
 	}
-	slices.SortFunc(e.Progress, func(a, b Progress) int { return cmp.Compare(a.Part, b.Part) })
-	return e, !e.Empty()
+	return own, relayed
 }
 
 // split returns the first n elements of a list and the others.
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -115,8 +115,8 @@
 // findings is what follows from the evidence. It doesn't change once it is published.
 type findings struct {
 	blamed map[Part]*blame
-	live   map[Part]struct{} // Parts that may have caused some crash.
-	next   time.Time         // When evidence or a blame expires.
+	live   map[Part]suspicion
+	next   time.Time // When evidence or a blame expires.
 }
 
 // New returns a Quarantine without evidence.
@@ -139,16 +139,20 @@
 	}
 	for _, p := range parts {
 		if _, ok := f.live[p]; ok {
-			q.publishProgress(p, now)
+			q.publishProgress(p, f.blamed[p] != nil, now)
 		}
 	}
 }
 
-// publishProgress adds progress at this daemon to the evidence.
-func (q *Quarantine) publishProgress(p Part, at time.Time) {
+// publishProgress adds progress at this daemon to the evidence, at once if that is urgent.
+func (q *Quarantine) publishProgress(p Part, urgent bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.addProgress(Progress{Part: p, At: at.Round(0)}, true, at)
+	if urgent {
+		q.addProgress(Progress{Part: p, At: now.Round(0)}, &q.outbox.own, now)
+		return
+	}
+	q.prepareAnswer(p, now, now)
 }
 
 // RecordCrash records that the process of an engine ended unexpectedly. The suspects are
@@ -163,7 +167,7 @@
 		return
 	}
 	if delta, changed := q.addCrash(c, now); changed {
-		q.outbox.addCrash(delta, &q.pending)
+		q.outbox.own.addCrash(delta)
 	}
 }
 
@@ -214,16 +218,21 @@
 // retractCrash tells the other daemons that a crash is no evidence. The mutex is held.
 func (q *Quarantine) retractCrash(engine registrar.Identity, now time.Time) {
 	if delta, changed := q.addCrash(Crash{Engine: engine, At: now.Round(0), Retracted: true}, now); changed {
-		q.outbox.addCrash(delta, &q.pending)
+		q.outbox.own.addCrash(delta)
 	}
 }
 
 // Apply adds the evidence of another daemon, and reports whether any of it was new. With
-// relay, what was new is sent to the peers of this daemon as well; it is set for evidence
-// of a daemon of another failure domain. What this daemon can refute, it answers.
+// relay, what was new is passed on to the peers of the failure domain; it is set for
+// evidence of a daemon of another failure domain that not all daemons hear. What this
+// daemon can refute, it answers.
 func (q *Quarantine) Apply(e Evidence, relay bool, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	var out *facts
+	if relay {
+		out = &q.outbox.relayed
+	}
 	var fresh []Crash
 	for _, c := range e.Crashes {
 		if delta, changed := q.addCrash(c, now); changed {
@@ -232,7 +241,7 @@
 	}
 	changed := false
 	for _, p := range e.Progress {
-		changed = q.addProgress(p, relay, now) || changed
+		changed = q.addProgress(p, out, now) || changed
 	}
 	if q.mayDrop(fresh, now) || len(e.Trials) > 0 {
 		q.update(now)
@@ -242,13 +251,11 @@
 			continue
 		}
 		changed = true
-		if relay {
-			q.outbox.addCrash(c, &q.pending)
-		}
-		q.prepareAnswers(c, now)
+		out.addCrash(c)
+		q.prepareRetraction(c, now)
 	}
 	for _, t := range e.Trials {
-		changed = q.addTrial(t, relay, now) || changed
+		changed = q.addTrial(t, out, now) || changed
 	}
 	return changed
 }
@@ -355,7 +362,7 @@
 	if now.Before(due) {
 		return false
 	}
-	return q.addTrial(Trial{Part: part, Round: b.round + 1, At: now.Round(0)}, true, now)
+	return q.addTrial(Trial{Part: part, Round: b.round + 1, At: now.Round(0)}, &q.outbox.own, now)
 }
 
 // spread returns a time below limit that differs between daemons and keys.
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -48,8 +48,8 @@
 // deliver sends what a daemon has to say to others.
 func deliver(from *Quarantine, now time.Time, to ...*Quarantine) {
 	for {
-		e, ok := from.TakeUpdates(now)
-		if !ok {
+		e, _ := from.TakeUpdates(now)
+		if e.Empty() {
 			return
 		}
 		for _, q := range to {
@@ -82,8 +82,8 @@
 func TestEvidenceSurvivesEncoding(t *testing.T) {
 	q := New(Config{})
 	q.RecordCrash(engine(1), prompt(PartOf("s", "1"), PartOf("s", "2")), at(0))
-	e, ok := q.TakeUpdates(at(0))
-	assert.Check(t, ok)
+	e, _ := q.TakeUpdates(at(0))
+	assert.Check(t, !e.Empty())
 	b, err := msgpack.Marshal(e)
 	assert.NilError(t, err)
 	t.Logf("%d bytes", len(b))
