forwarder: quarantine parts of prompts that crash engines

What callers saw: engines ended one after the other, streams of other callers broke off in mid-answer, and requests that shared one part of their prompts got 502, each after it had crashed another engine.

Cause: nothing related the end of an engine to the prompts that it was running. Each daemon counted broken connections against the engine and sent the next request with the part to the next one. Class of fault: failures are attributed to the receiver only, never to what was sent.

Change: when a run breaks off, the daemon finds out whether the process of its engine has ended and records the parts of prompts without progress; coordination/quarantiner infers the part to blame from the evidence of all daemons, which travels with their updates and syncs. A request with a blamed part is refused at once with 503 and a time to return (reason prompt_quarantined), in queues as well; runs that have not begun are canceled; none is resumed. One daemon tries the part again. An engine that refuses connections gets no new jobs from this moment on. Engines that shut down, are cut off or only broke off a response are no evidence.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -126,5 +126,6 @@
 	"client_gone":           "the client closed its connection before the response was complete",
 	"stream_cut":            "the engine was lost, or its response ended early, and the generation could not be continued from any copy of its KV cache; see the lines before",
 	"endpoints_limited":     "the endpoints of the service limit their requests, and the limits permitted no further one; see the log lines \"limit of an endpoint changed\"",
+	"prompt_quarantined":    "a part of the prompt has crashed several engines; see part, crashes and engines in the line before, and the log lines \"part of prompts quarantined\"",
 	"daemon_stopping":       "the daemon was stopping, and the generation would probably have run for longer",
 }
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -54,6 +54,7 @@
 	ReasonStopping            Reason = "daemon_stopping"
 	ReasonLimited             Reason = "endpoints_limited"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
+	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 )
 
 // Refusal is an error response that the daemon itself generates.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"monsoonspar.example/coordination/budgeter"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 	"monsoonspar.example/state/spawner"
@@ -53,6 +54,9 @@
 	limits  *limiter.Limiter
 	members *limiter.Members // The daemons that share the limits.
 
+	quarantine      *quarantiner.Quarantine
+	quarantineWatch *quarantineWatch
+
 	streamsMu   sync.Mutex
 	streams     map[*stream]struct{}
 	disconnects *disconnectWatcher
@@ -82,6 +86,7 @@
 		}),
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
+		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
 		limits:  limiter.New(r),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -44,6 +44,7 @@
 	methodBorrow    = "lend"
 	methodGrant     = "grant"
 	methodLimits    = "limits"
+	methodEvidence  = "evidence"
 )
 
 // errUnknownMethod means that a peer called a method that this version does not
@@ -58,6 +59,7 @@
 	WatchingStore bool   `msgpack:"fresh"`    // The daemon watches the store and gets answers.
 	Daemons       int    `msgpack:"daemons"`  // Number of daemons that the daemon knows, itself included.
 	Limits        uint64 `msgpack:"limits"`   // Digest of the limits of the endpoints; zero if there are none.
+	Evidence      uint64 `msgpack:"evidence"` // Digest of the evidence against parts of prompts; zero if there is none.
 }
 
 // endpointsMessage is the wire form of a list of endpoints.
@@ -80,6 +82,8 @@
 	encoded           atomic.Pointer[encodedManifest]
 	fetchingEndpoints atomic.Bool
 	exchangingLimits  atomic.Bool
+
+	exchangingEvidence atomic.Bool
 }
 
 // peer is one other daemon.
@@ -283,6 +287,12 @@
 			return err
 		}
 	}
+	// A peer without evidence asks for it, unless its version knows none.
+	if remote.Evidence != 0 && p.f.quarantine.ShouldSync(remote.Evidence, p.f.clock.Now()) {
+		if err := p.exclusively(&p.exchangingEvidence, func() error { return p.exchangeEvidence(c, o) }); err != nil {
+			return err
+		}
+	}
 	if remote.Digest != local.Digest && remote.WatchingStore && !local.WatchingStore {
 		return p.exclusively(&p.fetchingEndpoints, func() error { return p.fetchEndpoints(c, o) })
 	}
@@ -409,7 +419,7 @@
 		Daemon: Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
 		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), Daemons: p.f.members.Count(), WatchingStore: p.f.watchingStore.Load(),
 	}
-	m.Manifest = p.f.manifestVersion()
+	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(p.f.clock.Now())
 	return m
 }
 
@@ -453,6 +463,8 @@
 		return p.f.handleGrantRequest(ctx, body)
 	case methodLimits:
 		return p.handleLimits(name, body)
+	case methodEvidence:
+		return p.handleEvidence(name, body)
 	case methodEndpoints:
 		return msgpack.Marshal(endpointsMessage{Endpoints: p.f.registry.All(), Revision: p.f.registry.Revision()})
 	default:
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -191,6 +191,7 @@
 	if !changed {
 		return false
 	}
+	f.quarantine.Retract(id, f.clock.Now())
 	f.log.Info().Str("endpoint", id.Name).Dur("leaves_in_ms", notice).Str("source", source).Msg("forwarder: engine is shutting down")
 	f.updateServices()
 	f.evacuate(e, notice)
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -35,6 +35,7 @@
 // resume continues the generation after its run has broken off.
 func (s *stream) resume(cause error) error {
 	startedAt := s.f.clock.Now()
+	s.checkEngine(cause)
 	s.setResuming(true)
 	defer s.setResuming(false)
 	r, err := s.findRun(cause)
@@ -75,6 +76,9 @@
 	if s.ctx.Err() != nil {
 		return run{}, context.Cause(s.ctx)
 	}
+	if _, is := s.quarantined(); is {
+		return run{}, errPromptQuarantined
+	}
 	if s.ended && s.checkEnd() == nil { // The attempt to stop the run has failed since.
 		return run{}, errRunEnded
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -14,6 +14,7 @@
 
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
@@ -36,6 +37,8 @@
 	ctx       context.Context
 	jobPlacer *servicePlacer
 	job       placer.Job
+	parts     []quarantiner.Part // Of the prompt, without the last one.
+	trial     atomic.Bool        // The request tries a part that is quarantined.
 
 	release func()
 
@@ -59,6 +62,7 @@
 	lastReadAt     time.Time // Time at which the engine last sent any bytes.
 	runFirstEvent  time.Time // Time of the first event of the current run; zero before.
 	runLastEvent   time.Time
+	runSound       bool               // The current run has made progress.
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
 	resuming       bool               // The stream is being resumed after its run has broken off.
@@ -101,7 +105,7 @@
 		service.Engine = &matcher.Engine{Slots: defaultEngineSlots}
 	}
 	s := &stream{f: f, x: x, ctx: ctx, jobPlacer: f.placerFor(x.service, service.Engine), release: release}
-	s.job = s.newJob(service.Engine)
+	s.job, s.parts = s.newJob(service.Engine), promptParts(x.service, x.req.Generation.Prefix)
 	refusal, cause := s.start()
 	if refusal != nil {
 		f.removeStream(s)
@@ -189,6 +193,9 @@
 func (s *stream) start() (*Refusal, error) {
 	exclude := map[registrar.Identity]bool{}
 	for {
+		if refusal := s.refuseQuarantined(); refusal != nil {
+			return refusal, errPromptQuarantined
+		}
 		pl, refusal := s.confirmedPlacement(exclude)
 		if refusal != nil {
 			return refusal, nil
@@ -202,6 +209,9 @@
 		if s.x.deliveries > 0 && !s.f.budget.TryRetry(s.x.service, 0, s.f.clock.Now()) {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: defaultRetryAfter}, nil
 		}
+		if refusal := s.refuseQuarantined(); refusal != nil { // The placement took some time.
+			return refusal, errPromptQuarantined
+		}
 		accepted, refused, err := s.attempt(pl)
 		if accepted {
 			return nil, nil
@@ -304,23 +314,42 @@
 		s.logPlacement(pl, 0)
 		return pl, nil
 	}
-	select {
-	case o := <-ch:
-		s.f.metrics.observe("queue_wait", o.Waited)
-		if o.Refused {
-			s.logUnplaced(o.Queue)
-			return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoCapacity, RetryAfter: o.RetryAfter}
+	return s.awaitOutcome(ch)
+}
+
+// awaitOutcome waits until the job is placed or refused, or a part of its prompt is quarantined.
+func (s *stream) awaitOutcome(ch <-chan placer.Outcome) (placer.Placement, *Refusal) {
+	for {
+		verdicts := s.f.quarantineWatch.next()
+		if refusal := s.refuseQuarantined(); refusal != nil {
+			s.withdraw()
+			return placer.Placement{}, refusal
+		}
+		select {
+		case o := <-ch:
+			s.f.metrics.observe("queue_wait", o.Waited)
+			if o.Refused {
+				s.logUnplaced(o.Queue)
+				return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoCapacity, RetryAfter: o.RetryAfter}
+			}
+			s.logPlacement(o.Placement, o.Waited)
+			return o.Placement, nil
+		case <-verdicts:
+		case <-s.ctx.Done():
+			s.logUnplaced(s.withdraw())
+			r, _ := refusalForContext(s.ctx, false)
+			return placer.Placement{}, &r
 		}
-		s.logPlacement(o.Placement, o.Waited)
-		return o.Placement, nil
-	case <-s.ctx.Done():
-		s.logUnplaced(s.jobPlacer.Withdraw(s.job.ID))
-		s.jobPlacer.removeWaiter(s.job.ID)
-		r, _ := refusalForContext(s.ctx, false)
-		return placer.Placement{}, &r
 	}
 }
 
+// withdraw takes the job out of the queue and returns the state in which it left.
+func (s *stream) withdraw() placer.QueueState {
+	state := s.jobPlacer.Withdraw(s.job.ID)
+	s.jobPlacer.removeWaiter(s.job.ID)
+	return state
+}
+
 // allEnginesLimited reports whether the limits of the engines that are left to try
 // permit no request now.
 func (s *stream) allEnginesLimited(exclude map[registrar.Identity]bool, now time.Time) bool {
@@ -409,7 +438,7 @@
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
 	}
-	s.runFirstEvent, s.runLastEvent = time.Time{}, time.Time{}
+	s.runFirstEvent, s.runLastEvent, s.runSound = time.Time{}, time.Time{}, false
 	s.replacement = nil
 	s.mu.Unlock()
 	s.ended = false
@@ -546,7 +575,12 @@
 			s.runFirstEvent = now
 		}
 	}
+	becameSound := !s.runSound && s.runLastEvent.Sub(s.runFirstEvent) >= soundAfter
+	s.runSound = s.runSound || becameSound
 	s.mu.Unlock()
+	if becameSound {
+		s.recordProgress(now)
+	}
 	if before == 0 && s.sequencer.eventCount > 0 {
 		s.jobPlacer.RecordFirstEvent(s.job.ID, now)
 		s.firstEventDelay = now.Sub(s.x.arrived)
@@ -586,6 +620,9 @@
 	s.jobPlacer.RecordEnd(s.job, s.sequencer.eventCount*max(s.jobPlacer.engine.TokensPerEvent, 1), s.complete, s.f.clock.Now())
 	s.jobPlacer.deliverOutcomes(s.f.clock.Now())
 	if s.complete {
+		if s.sequencer.eventCount > 0 {
+			s.recordProgress(s.f.clock.Now())
+		}
 		s.f.metrics.count("streams_answered")
 		s.f.addRequestFields(s.f.log.WithLevel(zerolog.InfoLevel), s.x).Str("endpoint", s.run.engine.Name).Int("events", s.sequencer.eventCount).
 			Dur("first_event_ms", s.firstEventDelay).Dur("longest_pause_ms", s.longestPause).Int("resumed", s.resumeCount).
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -19,6 +20,8 @@
 	Manifest  int64            `msgpack:"manifest,omitempty"`
 	Endpoints []EndpointChange `msgpack:"endpoints,omitempty"`
 	Limits    []limitUpdate    `msgpack:"limits,omitempty"`
+	// Evidence against parts of prompts, or nil.
+	Evidence *quarantiner.Evidence `msgpack:"evidence,omitempty"`
 }
 
 // serviceUpdates are the updates of the placer of one service.
@@ -63,6 +66,7 @@
 		p.f.applyEndpoints(m.Endpoints)
 	}
 	p.f.applyLimits(m.Limits, p.domainOf(name))
+	p.applyEvidence(m.Evidence, name)
 	p.offerManifest(name, m.Manifest)
 	for _, u := range m.ShuttingDown {
 		p.f.handleEngineShutdown(u.Engine, time.Duration(u.ShutdownMs)*time.Millisecond, "peer")
@@ -77,9 +81,13 @@
 	var sentAt time.Time
 	for p.f.clock.Sleep(ctx, updateInterval) == nil {
 		p.fetchDueManifest()
+		now := p.f.clock.Now()
 		next := p.collectUpdates()
+		own, relayed := p.f.quarantine.TakeUpdates(now)
+		p.relayEvidence(relayed)
+		next.Evidence = &own
 		m.add(&next)
-		now := p.f.clock.Now()
+		p.f.enforceQuarantine(now)
 		if m.empty() || (!next.urgent() && now.Sub(sentAt) < p.batchInterval()) {
 			continue
 		}
@@ -119,13 +127,16 @@
 	m.ShuttingDown = append(m.ShuttingDown, later.ShuttingDown...)
 	m.Endpoints = append(m.Endpoints, later.Endpoints...)
 	m.Limits = append(m.Limits, later.Limits...)
+	if later.hasEvidence() {
+		m.Evidence = later.Evidence // It is urgent, so that no other waits in m.
+	}
 	m.Manifest = max(m.Manifest, later.Manifest)
 }
 
 // urgent reports whether the updates affect the placements of other daemons or the
 // manifest and endpoints that they use.
 func (m *updateMessage) urgent() bool {
-	if len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) > 0 || m.Manifest > 0 {
+	if len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) > 0 || m.Manifest > 0 || m.hasEvidence() {
 		return true
 	}
 	for _, s := range m.Services {
@@ -142,12 +153,18 @@
 
 // empty reports whether the message contains no updates.
 func (m *updateMessage) empty() bool {
-	return len(m.Services)+len(m.Reports)+len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) == 0 && m.Manifest == 0
+	return len(m.Services)+len(m.Reports)+len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) == 0 && m.Manifest == 0 && !m.hasEvidence()
 }
 
+// hasEvidence reports whether the message contains evidence.
+func (m *updateMessage) hasEvidence() bool { return m.Evidence != nil && !m.Evidence.Empty() }
+
 // enqueue adds a batch to the queues of all reachable peers. A peer whose queue is
 // full misses the batch; later reports and syncs correct its state.
-func (p *peers) enqueue(m *updateMessage) {
+func (p *peers) enqueue(m *updateMessage) { p.enqueueFor(m, func(Daemon) bool { return true }) }
+
+// enqueueFor is like enqueue for the peers that are selected.
+func (p *peers) enqueueFor(m *updateMessage, selected func(Daemon) bool) {
 	now := p.f.clock.Now()
 	for i := range m.Reports {
 		m.Reports[i].AgeMs = now.Sub(m.Reports[i].takenAt).Milliseconds()
@@ -163,7 +180,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.known {
-		if !o.reachable() {
+		if !o.reachable() || !selected(o.daemon) {
 			continue
 		}
 		select {
