quarantiner: begin the block of a part with few crashes a moment later

A sound request was refused in the model: a daemon learned of the third crash before the progress that others published on it.

--- a/coordination/quarantiner/config.go
+++ b/coordination/quarantiner/config.go
@@ -26,6 +26,9 @@
 	// the time before as well.
 	ProgressRetention time.Duration // Default: 1 min.
 
+	// The block of a part that was blamed for less than ManyCrashes crashes begins after
+	// Settle, so that daemons that know progress of it can say so first.
+	Settle time.Duration // Default: 400 ms.
 	// A blamed part is blocked for Block after the last crash with it, for twice the time
 	// after each trial, and at most for MaxBlock.
 	Block    time.Duration // Default: 1 min.
@@ -74,6 +77,7 @@
 	setDefault(&c.BurstShare, 2.0/3)
 	setDefault(&c.Window, 5*time.Minute)
 	setDefault(&c.ProgressRetention, time.Minute)
+	setDefault(&c.Settle, 400*time.Millisecond)
 	setDefault(&c.Block, time.Minute)
 	setDefault(&c.MaxBlock, 15*time.Minute)
 	setDefault(&c.BlameRetention, 15*time.Minute)
--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -19,6 +19,7 @@
 	at          time.Time // Zero if no daemon reported a crash.
 	suspects    []Suspect // Sorted by part.
 	retractedAt time.Time // Zero if no daemon retracted it.
+	hash        uint64    // Of all this.
 }
 
 // crashed reports whether the engine counts as crashed.
@@ -78,18 +79,56 @@
 			c.at = in.At
 		}
 	}
-	q.crashes[in.Engine] = &c
-	for _, s := range delta.Suspects {
-		q.named[s.Part] = struct{}{}
-	}
+	c.hash = c.sum()
+	q.replace(q.crashes[in.Engine], &c)
 	q.touch(now)
 	return delta, true
 }
 
+// replace replaces what is known about an engine. Either may be nil. The mutex is held.
+func (q *Quarantine) replace(old, c *crash) {
+	if old != nil {
+		for _, s := range old.suspects {
+			if q.named[s.Part]--; q.named[s.Part] == 0 {
+				delete(q.named, s.Part)
+			}
+		}
+	}
+	if c == nil {
+		delete(q.crashes, old.engine)
+		q.order = slices.DeleteFunc(q.order, func(o *crash) bool { return o == old })
+		return
+	}
+	for _, s := range c.suspects {
+		q.named[s.Part]++
+	}
+	q.crashes[c.engine] = c
+	if i := slices.Index(q.order, old); i >= 0 {
+		q.order[i] = c
+	} else {
+		q.order = append(q.order, c)
+	}
+}
+
+// sum returns a hash of what is known about the engine.
+func (c *crash) sum() uint64 {
+	h := engineHash(c.engine)
+	for _, s := range c.suspects {
+		h += mix(uint64(s.Part))
+	}
+	if c.crashed() {
+		h += mix(uint64(c.at.UnixNano()))
+	}
+	if !c.retractedAt.IsZero() {
+		h += mix(^uint64(c.retractedAt.UnixNano()))
+	}
+	return mix(h)
+}
+
 // addProgress adds progress, and reports whether it was new. Then it is added to out as well,
 // which may be nil. The mutex is held.
 func (q *Quarantine) addProgress(p Progress, out *facts, now time.Time) bool {
-	if _, ok := q.named[p.Part]; !ok && now.Sub(p.At) > q.cfg.ProgressRetention {
+	if q.named[p.Part] == 0 && now.Sub(p.At) > q.cfg.ProgressRetention {
 		return false
 	}
 	if !p.At.After(q.published[p.Part]) {
@@ -133,7 +172,7 @@
 
 // infer explains the crashes. The mutex is held.
 func (q *Quarantine) infer() *inference {
-	in := &inference{cfg: q.cfg, sound: q.sound, trial: func(p Part) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
+	in := &inference{cfg: q.cfg, sound: q.sound, named: q.named, trial: func(p Part) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
 	in.run(q.sorted())
 	return in
 }
@@ -205,39 +244,33 @@
 
 // sorted returns the crashes in the order of their times. The mutex is held.
 func (q *Quarantine) sorted() []*crash {
-	return slices.SortedFunc(maps.Values(q.crashes), func(a, b *crash) int {
+	slices.SortFunc(q.order, func(a, b *crash) int {
 		return cmp.Or(a.latest().Compare(b.latest()), cmp.Compare(a.engine.Name, b.engine.Name), cmp.Compare(a.engine.Started, b.engine.Started))
 	})
+	return q.order
 }
 
 // prune removes the evidence that has expired or that exceeds the bounds. The mutex is held.
 func (q *Quarantine) prune(in *inference, now time.Time) {
 	for _, b := range in.blamed {
 		for _, c := range in.redundant(b) {
-			delete(q.crashes, c.engine)
+			q.replace(c, nil)
 		}
 	}
-	for id, c := range q.crashes {
+	for _, c := range slices.Clone(q.order) {
 		if now.Sub(c.latest()) > q.cfg.Window && len(in.causes[c]) == 0 {
-			delete(q.crashes, id)
+			q.replace(c, nil)
 		}
 	}
-	if excess := len(q.crashes) - maxCrashes; excess > 0 {
-		all := q.sorted()
+	if excess := len(q.order) - maxCrashes; excess > 0 {
+		all := slices.Clone(q.order)
 		slices.SortStableFunc(all, func(a, b *crash) int { return min(len(in.causes[a]), 1) - min(len(in.causes[b]), 1) })
 		for _, c := range all[:excess] {
-			delete(q.crashes, c.engine)
-		}
-	}
-	clear(q.named)
-	for _, c := range q.crashes {
-		for _, s := range c.suspects {
-			q.named[s.Part] = struct{}{}
+			q.replace(c, nil)
 		}
 	}
 	maps.DeleteFunc(q.published, func(p Part, at time.Time) bool {
-		_, ok := q.named[p]
-		return !ok && now.Sub(at) > q.cfg.ProgressRetention
+		return q.named[p] == 0 && now.Sub(at) > q.cfg.ProgressRetention
 	})
 	maps.DeleteFunc(q.trials, func(p Part, t Trial) bool {
 		return in.blamed[p] == nil && now.Sub(t.At) > q.cfg.Window
@@ -248,17 +281,7 @@
 func (q *Quarantine) updateDigest() {
 	var sum uint64
 	for _, c := range q.crashes {
-		h := engineHash(c.engine)
-		for _, s := range c.suspects {
-			h += mix(uint64(s.Part))
-		}
-		if c.crashed() {
-			h += mix(uint64(c.at.UnixNano()))
-		}
-		if !c.retractedAt.IsZero() {
-			h += mix(^uint64(c.retractedAt.UnixNano()))
-		}
-		sum += mix(h)
+		sum += c.hash
 	}
 	for p, at := range q.published {
 		sum += mix(mix(uint64(p)) + uint64(at.UnixNano()))
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -19,6 +19,8 @@
 	round    int                  // Trials since the part was blamed.
 	until    time.Time            // End of the block, when a trial is due.
 	expires  time.Time
+	// effective is when the block begins.
+	effective time.Time
 }
 
 // since returns the time of the first crash with the part.
@@ -35,6 +37,7 @@
 type inference struct {
 	cfg    Config
 	sound  func(p Part, at time.Time) bool // Whether a part is proven sound for a crash at that time.
+	named  map[Part]int                    // Number of crashes of which a part is a suspect.
 	trial  func(p Part) (Trial, bool)
 	blamed map[Part]*blame
 	open   []*crash            // Crashes without an explanation.
@@ -50,7 +53,7 @@
 	f.live, f.causes = map[Part]suspicion{}, map[*crash][]*blame{}
 	for _, c := range crashes {
 		for _, s := range c.suspects {
-			if f.sound(s.Part, c.at) {
+			if f.named[s.Part] < 2 || f.sound(s.Part, c.at) {
 				continue
 			}
 			l := f.live[s.Part]
@@ -222,6 +225,10 @@
 // block sets until when a blamed part is blocked.
 func (f *inference) block(b *blame) {
 	sign := b.crashes[len(b.crashes)-1].at
+	b.effective = b.crashes[b.founding-1].at.Add(f.cfg.Settle)
+	if n := max(f.cfg.ManyCrashes, b.founding); n <= len(b.crashes) && b.crashes[n-1].at.Before(b.effective) {
+		b.effective = b.crashes[n-1].at
+	}
 	b.round = 0
 	if t, ok := f.trial(b.part); ok && !t.At.Before(b.since()) {
 		b.round = t.Round
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -105,7 +105,8 @@
 	changedAt time.Time // When the evidence last changed.
 	syncedAt  time.Time // When ShouldSync last returned true.
 	crashes   map[registrar.Identity]*crash
-	named     map[Part]struct{}  // Suspects of crashes.
+	order     []*crash           // Those in crashes.
+	named     map[Part]int       // Number of crashes of which a part is a suspect.
 	published map[Part]time.Time // Latest progress of suspects that daemons published.
 	trials    map[Part]Trial     // The last one of each part.
 	retracted map[registrar.Identity]time.Time
@@ -122,7 +123,7 @@
 // New returns a Quarantine without evidence.
 func New(cfg Config) *Quarantine {
 	return &Quarantine{
-		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Part]struct{}{}, published: map[Part]time.Time{},
+		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Part]int{}, published: map[Part]time.Time{},
 		trials: map[Part]Trial{}, retracted: map[registrar.Identity]time.Time{}, outbox: newOutbox(),
 	}
 }
@@ -306,7 +307,7 @@
 	}
 	var worst *blame
 	for _, p := range parts {
-		if b := f.blamed[p]; b != nil && (worst == nil || b.until.After(worst.until)) {
+		if b := f.blamed[p]; b != nil && !now.Before(b.effective) && (worst == nil || b.until.After(worst.until)) {
 			worst = b
 		}
 	}
@@ -331,7 +332,9 @@
 	}
 	all := make([]Verdict, 0, len(f.blamed))
 	for _, b := range f.blamed {
-		all = append(all, q.verdict(b, now))
+		if !now.Before(b.effective) {
+			all = append(all, q.verdict(b, now))
+		}
 	}
 	slices.SortFunc(all, func(a, b Verdict) int {
 		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Part, b.Part))
