--- /dev/null
+++ b/coordination/quarantiner/bench_test.go
@@ -0,0 +1,89 @@
+package quarantiner
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// full returns a Quarantine with as many crashes as are held, each with some suspects of
+// which a few are common to several.
+func full(suspects int) *Quarantine {
+	q, r := New(Config{Self: "a"}), rand.New(rand.NewPCG(1, 1))
+	for i := range maxCrashes {
+		var parts []Part
+		for range suspects {
+			parts = append(parts, Part(r.Uint64()|1<<63))
+		}
+		for j := range 3 {
+			parts[j] = Part(1 + r.IntN(100))
+		}
+		q.RecordCrash(engine(i), prompt(parts...), at(time.Duration(i)*100*time.Millisecond))
+	}
+	q.TakeUpdates(at(time.Minute))
+	return q
+}
+
+func BenchmarkCheckWithoutEvidence(b *testing.B) {
+	q := New(Config{})
+	parts := []Part{1, 2, 3, 4, 5, 6, 7, 8}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Check(parts, start)
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	q := full(16)
+	crashAll(q, 5000, 5, 30*time.Second, 3)
+	now := at(time.Minute)
+	parts := []Part{1, 2, 1003, 1004, 1005, 1006, 1007, 1008}
+	q.Check(parts, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Check(parts, now)
+	}
+}
+
+func BenchmarkRecordProgress(b *testing.B) {
+	q := full(16)
+	parts := []Part{1 << 40, 2 << 40, 3 << 40, 4 << 40, 5 << 40, 6 << 40, 7 << 40, 8 << 40}
+	now := at(time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.RecordProgress(parts, now)
+	}
+}
+
+// BenchmarkCrash measures a crash that another daemon reports and its conclusions.
+func BenchmarkCrash(b *testing.B) {
+	q := full(16)
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		now := at(time.Minute + time.Duration(i)*time.Millisecond)
+		q.Apply(Evidence{Crashes: []Crash{{Engine: engine(10000 + i), Suspects: prompt(Part(i%100+1), Part(i<<20), Part(i<<21)), At: now}}}, false, now)
+		q.Digest(now)
+	}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		var before, empty, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		q := New(Config{})
+		runtime.GC()
+		runtime.ReadMemStats(&empty)
+		f := full(32)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(empty.HeapAlloc-before.HeapAlloc), "B/empty")
+		b.ReportMetric(float64(after.HeapAlloc-empty.HeapAlloc), "B/full")
+		b.ReportMetric(float64(encodedSize(f.Snapshot(at(time.Minute)))), "B/snapshot")
+		runtime.KeepAlive(q)
+		runtime.KeepAlive(f)
+	}
+}
--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -165,6 +165,9 @@
 
 // touch records that the evidence has changed. The mutex is held.
 func (q *Quarantine) touch(now time.Time) {
+	if now.Sub(q.changedAt) >= q.cfg.SyncDelay {
+		q.busySince = now
+	}
 	q.changedAt = now
 	q.dirty.Store(true)
 	q.pending.Store(true)
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -38,10 +38,8 @@
 
 // Suspect is a part that may have caused a crash.
 type Suspect struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
-
-	Part  Part
-	Depth int // Greatest position in a prompt; 0 for the first part.
+	Part  Part `msgpack:"p"`
+	Depth int  `msgpack:"d"` // Greatest position in a prompt; 0 for the first part.
 }
 
 // Crash is an engine that ended unexpectedly, or the finding that it did not.
@@ -103,6 +101,7 @@
 
 	mu        sync.Mutex
 	changedAt time.Time // When the evidence last changed.
+	busySince time.Time // When it began to change, or ShouldSync returned true since.
 	syncedAt  time.Time // When ShouldSync last returned true.
 	crashes   map[registrar.Identity]*crash
 	order     []*crash           // Those in crashes.
@@ -240,13 +239,16 @@
 			fresh = append(fresh, delta)
 		}
 	}
-	changed := false
+	var progress []Progress
 	for _, p := range e.Progress {
-		changed = q.addProgress(p, out, now) || changed
+		if q.addProgress(p, nil, now) {
+			progress = append(progress, p)
+		}
 	}
-	if q.mayDrop(fresh, now) || len(e.Trials) > 0 {
+	if q.mayDrop(fresh, progress, now) || len(e.Trials) > 0 {
 		q.update(now)
 	}
+	changed := false
 	for _, c := range fresh {
 		if q.crashes[c.Engine] == nil {
 			continue
@@ -255,18 +257,25 @@
 		out.addCrash(c)
 		q.prepareRetraction(c, now)
 	}
+	for _, p := range progress {
+		if at, ok := q.published[p.Part]; ok && at.Equal(p.At) {
+			changed = true
+			out.addProgress(p)
+		}
+	}
 	for _, t := range e.Trials {
 		changed = q.addTrial(t, out, now) || changed
 	}
 	return changed
 }
 
-// mayDrop reports whether some of the crashes may not be worth holding. Such ones must not
-// be passed on, or daemons would send them to each other forever.
-func (q *Quarantine) mayDrop(fresh []Crash, now time.Time) bool {
+// mayDrop reports whether some of the evidence may not be worth holding. It must not be
+// passed on then, or daemons would send it to each other forever.
+func (q *Quarantine) mayDrop(crashes []Crash, progress []Progress, now time.Time) bool {
 	f := q.findings.Load()
-	return len(q.crashes) > maxCrashes || f != nil && len(f.blamed) > 0 && len(fresh) > 0 ||
-		slices.ContainsFunc(fresh, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window })
+	return len(q.crashes) > maxCrashes || f != nil && len(f.blamed) > 0 && len(crashes) > 0 ||
+		slices.ContainsFunc(crashes, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window }) ||
+		slices.ContainsFunc(progress, func(p Progress) bool { return now.Sub(p.At) > q.cfg.ProgressRetention })
 }
 
 // Digest returns a hash of the evidence. Daemons with the same evidence have the same
@@ -290,10 +299,11 @@
 	if own == 0 || digest == 0 {
 		pause = 0
 	}
-	if now.Sub(q.changedAt) < pause && now.Sub(q.syncedAt) < syncDelays*pause || now.Sub(q.syncedAt) < pause {
+	busy := now.Sub(q.changedAt) < pause && now.Sub(q.busySince) < syncDelays*pause
+	if busy || now.Sub(q.syncedAt) < pause {
 		return false
 	}
-	q.syncedAt = now
+	q.syncedAt, q.busySince = now, now
 	return true
 }
 
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
@@ -109,3 +110,407 @@
 	exchange(t, b, late, now)
 	assert.DeepEqual(t, blamed(late, now), []Part{2})
 }
+
+// crashAll records crashes of engines from first on, a second apart, with the same suspects.
+func crashAll(q *Quarantine, first, n int, from time.Duration, suspects ...Part) {
+	for i := range n {
+		q.RecordCrash(engine(first+i), prompt(suspects...), at(from+time.Duration(i)*time.Second))
+	}
+}
+
+const settled = 500 * time.Millisecond
+
+func TestProgressProvesPartSound(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		progress time.Duration
+		want     []Part
+	}{
+		{name: "long before", progress: -2 * time.Minute, want: []Part{2}},
+		{name: "shortly before", progress: -30 * time.Second, want: []Part{1}},
+		{name: "between the crashes", progress: 1500 * time.Millisecond, want: []Part{1}},
+		{name: "after the crashes", progress: 10 * time.Second, want: []Part{1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q, o := New(Config{Self: "a"}), New(Config{Self: "b"})
+			if c.progress < 2*time.Second {
+				o.RecordProgress([]Part{2}, at(c.progress))
+			}
+			crashAll(q, 0, 3, 0, 1, 2)
+			now := at(2 * time.Second)
+			deliver(q, now, o)
+			if c.progress >= 2*time.Second {
+				o.RecordProgress([]Part{2}, at(c.progress))
+			}
+			now = now.Add(20 * time.Second)
+			deliver(o, now, q)
+			assert.DeepEqual(t, blamed(q, now), c.want)
+			assert.DeepEqual(t, blamed(o, now), c.want)
+			assert.Equal(t, q.Digest(now), o.Digest(now))
+		})
+	}
+}
+
+// A part with progress at the daemon that reports a crash is not reported.
+func TestReportsNoSoundParts(t *testing.T) {
+	q := New(Config{})
+	q.RecordProgress([]Part{1, 2}, at(0))
+	q.RecordCrash(engine(1), prompt(1, 2, 3), at(time.Second))
+	q.RecordCrash(engine(2), prompt(1, 2), at(time.Second))
+	e, _ := q.TakeUpdates(at(time.Second))
+	assert.DeepEqual(t, e, Evidence{Crashes: []Crash{{Engine: engine(1), Suspects: []Suspect{{Part: 3, Depth: 2}}, At: at(time.Second)}}})
+}
+
+// Only suspicions of several crashes are refuted, once, and by few of many daemons.
+func TestRefutesSuspicionsOnce(t *testing.T) {
+	reporter := New(Config{Self: "r"})
+	var others []*Quarantine
+	for i := range 300 {
+		o := New(Config{Self: fmt.Sprint("d-", i)})
+		o.RecordProgress([]Part{1}, at(0))
+		others = append(others, o)
+	}
+	answers := 0
+	step := func(now time.Time) {
+		deliver(reporter, now, others...)
+		for _, o := range others {
+			e, _ := o.TakeUpdates(now)
+			answers += len(e.Progress)
+			if e.Empty() {
+				continue
+			}
+			reporter.Apply(e, false, now)
+			for _, p := range others {
+				p.Apply(e, false, now)
+			}
+		}
+	}
+	for i, want := range []struct{ least, most int }{{0, 0}, {1, 1}, {1, 1}, {1, 1}} {
+		from := time.Duration(i) * time.Second
+		reporter.RecordCrash(engine(i), prompt(1, 2), at(from))
+		for d := time.Duration(0); d < time.Second; d += 20 * time.Millisecond {
+			step(at(from + d))
+		}
+		assert.Check(t, answers >= want.least && answers <= want.most, "crash %d: %d answers", i, answers)
+	}
+	assert.DeepEqual(t, blamed(others[0], at(4*time.Second)), []Part{2})
+}
+
+// A daemon that knows of progress says so at once when a part is blamed.
+func TestRefutesBlameAtOnce(t *testing.T) {
+	q, o := New(Config{Self: "a"}), New(Config{Self: "b"})
+	o.RecordProgress([]Part{1}, at(0))
+	crashAll(q, 0, 3, time.Second, 1)
+	now := at(3*time.Second + settled)
+	assert.DeepEqual(t, blamed(q, now), []Part{1})
+	deliver(q, now, o)
+	_, ok := o.Check([]Part{1}, now)
+	assert.Check(t, !ok)
+	deliver(o, now, q)
+	assert.DeepEqual(t, blamed(q, now), []Part(nil))
+}
+
+func TestCrashesCloseToEachOtherAreOneIncident(t *testing.T) {
+	q := New(Config{})
+	for i := range 40 {
+		q.RecordCrash(engine(i), prompt(1, Part(100+i)), at(time.Duration(i)*5*time.Millisecond))
+	}
+	assert.DeepEqual(t, blamed(q, at(settled)), []Part(nil))
+	q.RecordCrash(engine(40), prompt(1), at(time.Second))
+	assert.DeepEqual(t, blamed(q, at(time.Second)), []Part{1}) // Many crashes in two incidents.
+}
+
+func TestStaggeredCrashesWithoutCommonPartBlameNobody(t *testing.T) {
+	q := New(Config{})
+	for i := range 60 {
+		q.RecordCrash(engine(i), prompt(Part(i%7), Part(100+i)), at(time.Duration(i)*time.Second))
+	}
+	assert.DeepEqual(t, blamed(q, at(time.Minute+settled)), []Part(nil))
+}
+
+// Reports of several daemons about the same engine are one crash.
+func TestMergesReportsOfOneEngine(t *testing.T) {
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	for i := range 2 {
+		for range 3 {
+			a.RecordCrash(engine(i), prompt(1, 2), at(time.Duration(i)*time.Second))
+			b.RecordCrash(engine(i), prompt(1, 3), at(time.Duration(i)*time.Second+settled))
+		}
+	}
+	now := at(3 * time.Second)
+	exchange(t, a, b, now)
+	assert.DeepEqual(t, blamed(a, now), []Part(nil))
+	s := a.Snapshot(now)
+	assert.Equal(t, len(s.Crashes), 2)
+	assert.DeepEqual(t, s.Crashes[0], Crash{Engine: engine(0), At: at(0), Suspects: []Suspect{{Part: 1}, {Part: 2, Depth: 1}, {Part: 3, Depth: 1}}})
+}
+
+func TestFindsTwoPartsAtOnce(t *testing.T) {
+	q := New(Config{})
+	for i := range 6 {
+		q.RecordCrash(engine(i), prompt(1, Part(2+i%2), Part(100+i)), at(time.Duration(i)*time.Second))
+		q.RecordProgress([]Part{1}, at(time.Duration(i)*time.Second))
+	}
+	assert.DeepEqual(t, blamed(q, at(6*time.Second)), []Part{2, 3})
+}
+
+func TestPrefersDeeperPart(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 3, 0, 9, 5, 7)
+	assert.DeepEqual(t, blamed(q, at(3*time.Second)), []Part{7})
+}
+
+// A part that came with the bad one by chance was blamed until the bad one came without it.
+func TestCommonPartSupersedesPartsThatCameWithIt(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 3, 0, 1, 2, 3)
+	assert.DeepEqual(t, blamed(q, at(3*time.Second)), []Part{3})
+	crashAll(q, 10, 3, 5*time.Second, 1, 2, 4)
+	q.RecordProgress([]Part{1, 4}, at(5*time.Second))
+	assert.DeepEqual(t, blamed(q, at(8*time.Second)), []Part{2})
+	_, ok := q.Check([]Part{1, 3}, at(8*time.Second))
+	assert.Check(t, !ok)
+}
+
+func TestExplainedCrashesBlameNoOtherPart(t *testing.T) {
+	q := New(Config{})
+	q.RecordProgress([]Part{1}, at(0))
+	crashAll(q, 0, 3, 0, 1, 2)
+	crashAll(q, 10, 10, 5*time.Second, 7, 2, 8)
+	assert.DeepEqual(t, blamed(q, at(20*time.Second)), []Part{2})
+}
+
+func TestRetractedCrashIsNoEvidence(t *testing.T) {
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	crashAll(a, 0, 3, 0, 1)
+	now := at(3 * time.Second)
+	deliver(a, now, b)
+	assert.DeepEqual(t, blamed(b, now), []Part{1})
+	b.Retract(engine(1), now)
+	deliver(b, now, a)
+	assert.DeepEqual(t, blamed(a, now), []Part(nil))
+	assert.DeepEqual(t, blamed(b, now), []Part(nil))
+	a.RecordCrash(engine(1), prompt(1), now.Add(time.Second)) // A late report of the same crash.
+	assert.DeepEqual(t, blamed(a, now.Add(2*time.Second)), []Part(nil))
+	a.RecordCrash(engine(1), prompt(1), now.Add(time.Minute)) // It ran, and crashed later.
+	assert.DeepEqual(t, blamed(a, now.Add(time.Minute+settled)), []Part{1})
+}
+
+// A daemon that knew the cause of an end before another one reported it says so.
+func TestRetractsReportsOfOthers(t *testing.T) {
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	b.Retract(engine(1), at(0))
+	e, _ := b.TakeUpdates(at(0))
+	assert.Check(t, e.Empty())
+	crashAll(a, 0, 3, 0, 1)
+	now := at(3 * time.Second)
+	deliver(a, now, b)
+	now = now.Add(time.Second)
+	deliver(b, now, a)
+	assert.DeepEqual(t, blamed(a, now), []Part(nil))
+	assert.Equal(t, a.Digest(now), b.Digest(now))
+}
+
+func TestTrialIsForOneRequestOfOneDaemon(t *testing.T) {
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	crashAll(a, 0, 3, 0, 1)
+	deliver(a, at(2*time.Second), b)
+	last := 2 * time.Second
+	assert.Check(t, !a.TryTrial(1, true, at(last+59*time.Second)), "not due")
+	now := at(last + time.Minute)
+	assert.Check(t, !b.TryTrial(1, false, now), "not chosen")
+	assert.Check(t, a.TryTrial(1, true, now))
+	assert.Check(t, !a.TryTrial(1, true, now), "only once")
+	deliver(a, now, b)
+	assert.Check(t, !b.TryTrial(1, true, now))
+	v, ok := b.Check([]Part{1}, now)
+	assert.Check(t, ok)
+	assert.Equal(t, v.Trials, 1)
+	assert.Equal(t, v.RetryAfter, 2*time.Minute+time.Second)
+
+	// One crash extends the block.
+	now = now.Add(time.Second)
+	a.RecordCrash(engine(5), prompt(1), now)
+	deliver(a, now, b)
+	v, ok = b.Check([]Part{1}, now)
+	assert.Check(t, ok)
+	assert.Equal(t, v.Crashes, 4)
+	assert.Equal(t, v.RetryAfter, 2*time.Minute+time.Second)
+
+	// Progress ends it.
+	now = now.Add(2 * time.Minute)
+	assert.Check(t, b.TryTrial(1, true, now))
+	b.RecordProgress([]Part{1}, now.Add(time.Second))
+	deliver(b, now.Add(time.Second), a)
+	for _, q := range []*Quarantine{a, b} {
+		_, ok = q.Check([]Part{1}, now.Add(time.Second))
+		assert.Check(t, !ok)
+	}
+}
+
+func TestBlocksGrowToLimit(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 3, 0, 1)
+	now := at(2 * time.Second)
+	for i, want := range []time.Duration{1, 2, 4, 8, 15, 15} {
+		v, _ := q.Check([]Part{1}, now.Add(settled))
+		assert.Equal(t, v.RetryAfter+settled, want*time.Minute+time.Second)
+		now = now.Add(want * time.Minute)
+		assert.Check(t, q.TryTrial(1, true, now))
+		now = now.Add(time.Second)
+		q.RecordCrash(engine(10+i), prompt(1), now)
+	}
+}
+
+// The chosen daemon may have no request with the part.
+func TestOtherDaemonTriesLater(t *testing.T) {
+	q := New(Config{Self: "a"})
+	crashAll(q, 0, 3, 0, 1)
+	due := at(2*time.Second + time.Minute)
+	assert.Check(t, !q.TryTrial(1, false, due.Add(14*time.Second)))
+	assert.Check(t, q.TryTrial(1, false, due.Add(30*time.Second)))
+}
+
+func TestEvidenceAges(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 2, 0, 1)
+	crashAll(q, 10, 1, 6*time.Minute, 1)
+	assert.DeepEqual(t, blamed(q, at(7*time.Minute)), []Part(nil)) // The crashes are too far apart.
+
+	crashAll(q, 20, 3, 20*time.Minute, 1)
+	last := 20*time.Minute + 2*time.Second
+	assert.DeepEqual(t, blamed(q, at(last+10*time.Minute)), []Part{1})
+	assert.DeepEqual(t, blamed(q, at(last+15*time.Minute+59*time.Second)), []Part{1})
+	assert.DeepEqual(t, blamed(q, at(last+16*time.Minute+time.Second)), []Part(nil))
+	assert.Equal(t, q.Digest(at(last+16*time.Minute+time.Second)), uint64(0))
+	assert.Check(t, q.Snapshot(at(time.Hour)).Empty())
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	q := New(Config{})
+	now := at(0)
+	for i := range 700 {
+		now = at(time.Duration(i) * 10 * time.Millisecond)
+		var parts []Part
+		for j := range 100 {
+			parts = append(parts, Part(i*100+j+1000))
+		}
+		q.RecordCrash(engine(i), prompt(append(parts, Part(i%50))...), now)
+		q.Apply(Evidence{Progress: []Progress{{Part: parts[0], At: now}}, Trials: []Trial{{Part: parts[1], Round: 1, At: now}}}, true, now)
+		q.Retract(engine(100000+i), now)
+	}
+	s := q.Snapshot(now)
+	assert.Check(t, len(s.Crashes) <= maxCrashes, "%d crashes", len(s.Crashes))
+	assert.Check(t, len(s.Progress) <= maxProgress)
+	assert.Check(t, len(s.Trials) <= maxTrials)
+	assert.Check(t, len(q.retracted) <= maxRetracted)
+	t.Logf("%d bytes of a snapshot of %d crashes", encodedSize(s), len(s.Crashes))
+	for i := 0; ; i++ {
+		own, relayed := q.TakeUpdates(now)
+		if own.Empty() && relayed.Empty() {
+			break
+		}
+		assert.Check(t, encodedSize(own) < 16<<10, "%d bytes", encodedSize(own))
+		assert.Check(t, i < 1000)
+	}
+}
+
+// A blame survives many crashes of other causes, and many of its own.
+func TestBlameOutlivesOtherCrashes(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 3, 0, 1)
+	for i := range 600 {
+		q.RecordCrash(engine(100+i), prompt(Part(1000+i)), at(3*time.Second+time.Duration(i)*20*time.Millisecond))
+		q.RecordCrash(engine(1000+i), prompt(1, Part(2000+i)), at(3*time.Second+time.Duration(i)*20*time.Millisecond))
+	}
+	assert.DeepEqual(t, blamed(q, at(20*time.Second)), []Part{1})
+	assert.Check(t, len(q.Snapshot(at(20*time.Second)).Crashes) <= maxCrashes)
+}
+
+// What a daemon drops at once it doesn't relay, or daemons would relay it forever.
+func TestRelaysOnlyWhatIsNew(t *testing.T) {
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	crashAll(a, 0, 20, 0, 1)
+	now := at(20 * time.Second)
+	own, _ := a.TakeUpdates(now)
+	assert.Check(t, b.Apply(own, true, now))
+	own, relayed := b.TakeUpdates(now)
+	assert.Check(t, own.Empty())
+	assert.Check(t, len(relayed.Crashes) > 0)
+	for range 3 {
+		assert.Check(t, !b.Apply(relayed, true, now))
+		assert.Check(t, !a.Apply(relayed, true, now))
+		old := Evidence{
+			Crashes:  []Crash{{Engine: engine(99), Suspects: prompt(7), At: at(-time.Hour)}, {Engine: engine(5), Suspects: prompt(1), At: at(5 * time.Second)}},
+			Progress: []Progress{{Part: 7, At: at(-time.Hour)}},
+			Trials:   []Trial{{Part: 7, At: at(-time.Hour)}},
+		}
+		assert.Check(t, !b.Apply(old, true, now))
+	}
+	own, relayed = b.TakeUpdates(now)
+	assert.Check(t, own.Empty() && relayed.Empty())
+}
+
+func TestSyncsWhenEvidenceStaysDifferent(t *testing.T) {
+	a, late := New(Config{Self: "a"}), New(Config{Self: "b"})
+	assert.Check(t, !a.ShouldSync(0, at(0)))
+	crashAll(a, 0, 1, 0, 1)
+	assert.Check(t, late.ShouldSync(a.Digest(at(0)), at(0)), "a daemon without evidence")
+	other := a.Digest(at(0)) + 1
+	assert.Check(t, !a.ShouldSync(other, at(100*time.Millisecond)), "evidence still spreads")
+	assert.Check(t, a.ShouldSync(other, at(1100*time.Millisecond)))
+	assert.Check(t, !a.ShouldSync(other, at(1200*time.Millisecond)), "an exchange was begun")
+}
+
+func TestCheckAllocatesNothing(t *testing.T) {
+	q := New(Config{})
+	parts := []Part{1, 2, 3, 4}
+	q.RecordProgress(parts, at(0))
+	crashAll(q, 0, 2, 0, 5)
+	q.Check(parts, at(time.Second))
+	assert.Equal(t, testing.AllocsPerRun(100, func() {
+		q.Check(parts, at(time.Second))
+		q.RecordProgress(parts, at(time.Second))
+	}), 0.0)
+}
+
+func TestProgressTableKeepsNewest(t *testing.T) {
+	var table progressTable
+	for i := range 200_000 {
+		table.record(PartOf("s", fmt.Sprint(i)), at(time.Duration(i)*time.Millisecond))
+		table.record(1, at(time.Duration(i)*time.Millisecond))
+	}
+	got, ok := table.last(1)
+	assert.Check(t, ok)
+	assert.Equal(t, got.Sub(start), 199_999*time.Millisecond)
+	kept := 0
+	for i := 198_000; i < 200_000; i++ {
+		if _, ok := table.last(PartOf("s", fmt.Sprint(i))); ok {
+			kept++
+		}
+	}
+	assert.Check(t, kept > 1900, "%d of 2000 kept", kept)
+}
+
+func TestConcurrentUse(t *testing.T) {
+	q := New(Config{Self: "a"})
+	var wg conc.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 200 {
+				now := at(time.Duration(i) * 20 * time.Millisecond)
+				q.RecordCrash(engine(g*1000+i), prompt(1, 2, Part(1000+i)), now)
+				q.RecordProgress([]Part{1, Part(1000 + i)}, now)
+				q.Check([]Part{1, 2, 3}, now)
+				q.TryTrial(2, true, now.Add(time.Minute))
+				own, _ := q.TakeUpdates(now)
+				q.Apply(own, true, now)
+				q.Retract(engine(g*1000+2*i), now)
+				q.Digest(now)
+				q.Blamed(now)
+			}
+		})
+	}
+	wg.Wait()
+	assert.DeepEqual(t, blamed(q, at(4*time.Second)), []Part{2})
+}
