--- a/coordination/quarantiner/config.go
+++ b/coordination/quarantiner/config.go
@@ -28,7 +28,7 @@
 
 	// The block of a part that was blamed for less than ManyCrashes crashes begins after
 	// Settle, so that daemons that know progress of it can say so first.
-	Settle time.Duration // Default: 400 ms.
+	Settle time.Duration // Default: 1 s.
 	// A blamed part is blocked for Block after the last crash with it, for twice the time
 	// after each trial, and at most for MaxBlock.
 	Block    time.Duration // Default: 1 min.
@@ -77,7 +77,7 @@
 	setDefault(&c.BurstShare, 2.0/3)
 	setDefault(&c.Window, 5*time.Minute)
 	setDefault(&c.ProgressRetention, time.Minute)
-	setDefault(&c.Settle, 400*time.Millisecond)
+	setDefault(&c.Settle, time.Second)
 	setDefault(&c.Block, time.Minute)
 	setDefault(&c.MaxBlock, 15*time.Minute)
 	setDefault(&c.BlameRetention, 15*time.Minute)
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -112,18 +112,21 @@
 // add adds a crash without an explanation, and looks for one.
 func (f *inference) add(c *crash) {
 	f.open = append(f.open, c)
+	var parts []Part // Of all parts, only these can be blamed now that could not before.
 	for _, s := range c.suspects {
 		if f.mayCause(s.Part, c) {
 			f.occurs[s.Part] = append(f.occurs[s.Part], c)
 			f.depth[s.Part] = max(f.depth[s.Part], s.Depth)
+			parts = append(parts, s.Part)
 		}
 	}
 	for {
-		p, ok := f.choose(c.at)
+		p, ok := f.choose(parts, c.at)
 		if !ok {
 			return
 		}
 		f.blame(p)
+		parts = slices.AppendSeq(parts[:0], maps.Keys(f.occurs))
 	}
 }
 
@@ -169,11 +172,12 @@
 	return slices.Compact(all)
 }
 
-// choose returns the part that explains most of the open crashes, if one can be blamed.
-func (f *inference) choose(now time.Time) (Part, bool) {
+// choose returns the one of the parts that explains most of the open crashes, if one can be
+// blamed.
+func (f *inference) choose(parts []Part, now time.Time) (Part, bool) {
 	var best Part
 	most := 0
-	for p := range f.occurs {
+	for _, p := range parts {
 		n, ok := f.coverage(p, now)
 		if !ok {
 			continue
