experimenter: the fault "crashing_part", a part of prompts that crashes engines

The emulator's engine crashes when the first token of a sequence with Config.CrashPart is due. Under the new fault 5 % of the requests from 195 s on have that part; the engine starts again after 5 s, with a new boot. Requests whose prefill had begun fail, the others are rerouted. Results count crashes, requests with the part that reach an engine later than 3 s after the fifth crash, and refused requests without it.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -20,7 +20,7 @@
 	Deployment  string        `default:"registro" enum:"registro,carpati,tiny" help:"Deployment: ${enum}."`
 	Policy      []string      `default:"all" help:"Policies by name, or all: fixed, free, reserve, alone, split, ours, oracle."`
 	Load        []string      `default:"0.9" help:"Loads by name: 0.7, 0.9, 1.1, burst3."`
-	Fault       string        `default:"none" help:"Fault: none, engine_lost, engine_reclaimed, owner_lost, late_reports, domain_cut."`
+	Fault       string        `default:"none" help:"Fault: none, engine_lost, engine_reclaimed, owner_lost, late_reports, domain_cut, crashing_part."`
 	Routing     string        `default:"ordered" enum:"ordered,both,random,affine" help:"Endpoints asked for an estimate: ordered (the one with prefix affinity, then a random one if needed), both (these two in parallel), random (two random ones), affine (only the one with prefix affinity)."`
 	Unnamed     bool          `help:"Clients do not state the kind of their jobs."`
 	Seeds       int           `default:"20" help:"Number of seeds."`
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -21,6 +21,8 @@
 	MaxBatch         int // Maximum number of sequences in the batch.
 	MaxPrefillTokens int // Maximum number of tokens prefilled in one step.
 	Step             StepModel
+	CrashPart        uint64                       // Part of prompts that crashes the engine before their first token; 0 for none.
+	OnCrash          func(unfinished []*Sequence) // Called at such a crash, unless it is nil.
 }
 
 // StepModel holds the components of the duration of a step.
@@ -44,9 +46,10 @@
 	ID           string
 	Priority     int // Lower values are scheduled first.
 	PromptTokens int
-	OutputTokens int    // Actual output length; known to the engine only.
-	Prefix       uint64 // Hash of the shared prefix of the prompt, or 0 for none.
-	PrefixTokens int    // Length of the shared prefix.
+	OutputTokens int      // Actual output length; known to the engine only.
+	Prefix       uint64   // Hash of the shared prefix of the prompt, or 0 for none.
+	PrefixTokens int      // Length of the shared prefix.
+	Parts        []uint64 // Hashes of the parts of the prompt after the prefix, without the last one.
 	Listener     Listener
 
 	produced       int
@@ -308,6 +311,13 @@
 	if e.killed {
 		return
 	}
+	if slices.ContainsFunc(e.batch, e.crashesOn) {
+		unfinished := e.Kill()
+		if e.cfg.OnCrash != nil {
+			e.cfg.OnCrash(unfinished)
+		}
+		return
+	}
 	e.stepInProgress = false
 	for _, s := range slices.Clone(e.batch) {
 		if !s.running || s.prefilling() {
@@ -322,6 +332,11 @@
 	e.startStepIfIdle()
 }
 
+// crashesOn reports whether the first token of s is due and crashes the engine.
+func (e *Engine) crashesOn(s *Sequence) bool {
+	return e.cfg.CrashPart != 0 && s.running && !s.prefilling() && s.produced == 0 && slices.Contains(s.Parts, e.cfg.CrashPart)
+}
+
 func (e *Engine) finish(s *Sequence) {
 	i := slices.Index(e.batch, s)
 	if i < 0 {
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -112,6 +112,26 @@
 	assert.Assert(t, rec.tokens["a"] < 100)
 }
 
+func TestPartOfPromptCrashesEngineAfterPrefill(t *testing.T) {
+	loop := &emulator.Loop{}
+	rec := newRecorder(loop)
+	var lost []*emulator.Sequence
+	engine := emulator.New(emulator.Config{
+		MemoryTokens: 1600, BlockTokens: 16, MaxBatch: 8, MaxPrefillTokens: 100, Step: emulator.StepModel{Base: 10 * time.Millisecond},
+		CrashPart: 7, OnCrash: func(unfinished []*emulator.Sequence) { lost = unfinished },
+	}, loop)
+	engine.Submit(&emulator.Sequence{ID: "sound", PromptTokens: 10, OutputTokens: 100, Prefix: 1, Parts: []uint64{2, 3}, Listener: rec})
+	loop.Run(100 * time.Millisecond)
+	engine.Submit(&emulator.Sequence{ID: "bad", PromptTokens: 250, OutputTokens: 100, Prefix: 1, Parts: []uint64{2, 7}, Listener: rec})
+	loop.Run(120 * time.Millisecond)
+	assert.Assert(t, !engine.Killed(), "the prefill takes three steps")
+	loop.Run(time.Second)
+	assert.Assert(t, engine.Killed())
+	assert.Equal(t, len(lost), 2)
+	assert.Equal(t, rec.tokens["bad"], 0)
+	assert.Assert(t, rec.tokens["sound"] < 20)
+}
+
 // TestRandomLoadWithCancellations checks that each sequence that is not cancelled
 // receives every token exactly once, and that all memory is freed.
 func TestRandomLoadWithCancellations(t *testing.T) {
--- a/experimenter/experimenter_test.go
+++ b/experimenter/experimenter_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// TestCrashingPart checks that engines crash and start again while some prompts have a part
+// that crashes them, and only then.
+func TestCrashingPart(t *testing.T) {
+	for _, p := range policiesByName(t, "free", "ours") {
+		opt := tinyOptions(t, "1.1", experimenter.FaultCrashingPart)
+		opt.Deployment.Engines = 4
+		r := experimenter.Run(opt, p)
+		t.Logf("%s: %.0f crashes, %.0f late sends, %.0f sound requests refused, in time %.2f", p.Name, r.Crashes, r.LateSends, r.SoundRefused, r.InTimeFraction)
+		assert.Assert(t, r.Crashes > float64(opt.Deployment.Engines), "%.0f crashes", r.Crashes)
+		assert.Assert(t, r.LateSends > 0)
+		assert.Assert(t, r.InTimeFraction > 0.5)
+		opt.Fault = experimenter.FaultEngineLost
+		assert.Equal(t, experimenter.Run(opt, p).Crashes, 0.0)
+	}
+}
+
 func TestUnknownNames(t *testing.T) {
 	_, err := experimenter.DeploymentByName("x")
 	assert.ErrorIs(t, err, experimenter.ErrUnknownName)
--- a/experimenter/fault.go
+++ b/experimenter/fault.go
@@ -1,12 +1,16 @@
 package experimenter
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/coordination/admitter"
+	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/emulator"
+	"monsoonspar.example/state/cataloger"
 )
 
 // Fault is a failure injected into a run.
@@ -20,10 +24,11 @@
 	FaultDaemonLost      Fault = "owner_lost"       // A daemon fails.
 	FaultLateReports     Fault = "late_reports"     // Load reports are delayed by lateReportDelay.
 	FaultPartition       Fault = "domain_cut"       // A failure domain is partitioned from the others.
+	FaultCrashingPart    Fault = "crashing_part"    // Some prompts have a part that crashes each engine that begins to respond.
 )
 
 // Faults lists all faults.
-var Faults = []Fault{FaultNone, FaultEngineLost, FaultEngineReclaimed, FaultDaemonLost, FaultLateReports, FaultPartition}
+var Faults = []Fault{FaultNone, FaultEngineLost, FaultEngineReclaimed, FaultDaemonLost, FaultLateReports, FaultPartition, FaultCrashingPart}
 
 // FaultByName returns the fault with the given name.
 func FaultByName(name string) (Fault, error) {
@@ -39,10 +44,24 @@
 	partitionDuration = 60 * time.Second
 )
 
+// Parameters of FaultCrashingPart.
+const (
+	crashingPart      = 1 << 32
+	crashingPartShare = 0.05 // Fraction of the requests from faultTime on whose prompts have the part.
+	engineDowntime    = 5 * time.Second
+)
+
+// From lateSendDelay after the crash number firstCrashes on, the sends of requests with
+// crashingPart count as late.
+const (
+	firstCrashes  = 5
+	lateSendDelay = 3 * time.Second
+)
+
 // schedule schedules the events of the fault.
 func (x Fault) schedule(f *fleet) {
 	switch x {
-	case FaultNone:
+	case FaultNone, FaultCrashingPart: // The requests cause the crashes.
 	case FaultEngineLost:
 		f.loop.At(faultTime, func() { f.killEngine(f.engines[0]) })
 	case FaultEngineReclaimed:
@@ -74,6 +93,49 @@
 	f.loop.After(failureDetectionDelay, func() { f.announceShutdown(e) })
 }
 
+// addCrashingPart adds crashingPart to the prompts of some requests.
+func (x Fault) addCrashingPart(rs []*request, rnd *rand.Rand) {
+	if x != FaultCrashingPart {
+		return
+	}
+	for _, r := range rs {
+		if r.arrivedAt >= faultTime && rnd.Float64() < crashingPartShare {
+			r.parts = []uint64{crashingPart}
+		}
+	}
+}
+
+// crashed handles the crash of an engine, which starts again after engineDowntime. Requests
+// whose prefill had begun fail; the others are rerouted immediately.
+func (f *fleet) crashed(e *engineNode, unfinished []*emulator.Sequence) {
+	f.metrics.crashes++
+	if f.metrics.crashes == firstCrashes {
+		f.metrics.lateSendsFrom = f.loop.Now() + lateSendDelay
+	}
+	for _, s := range unfinished {
+		j := s.Listener.(*job)
+		if j.started {
+			j.fail()
+			continue
+		}
+		j.sequence = nil
+		j.reroute(e.name)
+	}
+	f.loop.After(failureDetectionDelay, func() { f.announceShutdown(e) })
+	f.loop.After(engineDowntime, func() { f.restartEngine(e) })
+}
+
+// restartEngine replaces an engine that has crashed by a new boot of it.
+func (f *fleet) restartEngine(e *engineNode) {
+	e.boot++
+	e.engine = f.newEngine(e)
+	e.cacheEvents = nil
+	for _, d := range f.daemons {
+		delete(d.controllers, e.name)
+		d.router.Observe(router.EndpointStatus{Endpoint: e.name, BootID: e.bootID(), Ready: []cataloger.Placement{target.Placement}})
+	}
+}
+
 // reclaim begins the shutdown of an engine and kills it after reclaimNotice.
 func (f *fleet) reclaim(e *engineNode) {
 	e.engine.BeginShutdown()
@@ -83,7 +145,7 @@
 
 func (f *fleet) announceShutdown(e *engineNode) {
 	for _, d := range f.daemons {
-		d.router.MarkShuttingDown(e.name, "")
+		d.router.MarkShuttingDown(e.name, e.bootID())
 		if n := d.controllers[e.name]; n != nil && !d.dead {
 			n.dispatch(n.controller.StopAdmission(f.now()))
 		}
--- a/experimenter/fleet.go
+++ b/experimenter/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"monsoonspar.example/coordination/router"
@@ -56,6 +57,7 @@
 type engineNode struct {
 	name        string
 	domain      string
+	boot        int // Number of the current start.
 	engine      *emulator.Engine
 	cacheEvents []router.CacheEvent
 	fairness    *fairness
@@ -85,14 +87,13 @@
 	}
 	var declared []cataloger.Endpoint
 	for i := range f.deployment.Engines {
-		cfg := f.deployment.Engine
-		cfg.Name = fmt.Sprintf("engine-%02d", i)
 		e := &engineNode{
-			name:     cfg.Name,
+			name:     fmt.Sprintf("engine-%02d", i),
 			domain:   f.deployment.Domains[i%len(f.deployment.Domains)],
-			engine:   emulator.New(cfg, f.loop),
+			boot:     1,
 			fairness: newFairness(f.deployment.Customers),
 		}
+		e.engine = f.newEngine(e)
 		f.engines = append(f.engines, e)
 		f.byName[e.name] = e
 		declared = append(declared, cataloger.Endpoint{
@@ -105,6 +106,17 @@
 	return f
 }
 
+// newEngine returns an idle engine for e.
+func (f *fleet) newEngine(e *engineNode) *emulator.Engine {
+	cfg := f.deployment.Engine
+	cfg.Name, cfg.CrashPart = e.name, crashingPart
+	cfg.OnCrash = func(unfinished []*emulator.Sequence) { f.crashed(e, unfinished) }
+	return emulator.New(cfg, f.loop)
+}
+
+// bootID identifies the current start of the engine.
+func (e *engineNode) bootID() string { return strconv.Itoa(e.boot) }
+
 func (f *fleet) newDaemon(i int, declared []cataloger.Endpoint) *daemon {
 	d := &daemon{
 		name:        fmt.Sprintf("daemon-%d", i),
@@ -213,7 +225,9 @@
 // run simulates all requests and returns the results.
 func (f *fleet) run() Results {
 	arrivals := rand.New(rand.NewPCG(f.opt.Seed, 1))
-	for _, r := range f.deployment.generate(f.opt.Load, f.opt.Capacity, f.opt.Duration, arrivals) {
+	requests := f.deployment.generate(f.opt.Load, f.opt.Capacity, f.opt.Duration, arrivals)
+	f.opt.Fault.addCrashingPart(requests, rand.New(rand.NewPCG(f.opt.Seed, 3)))
+	for _, r := range requests {
 		if r.arrivedAt >= f.opt.WarmUp {
 			f.metrics.requests++
 		}
--- a/experimenter/job.go
+++ b/experimenter/job.go
@@ -224,6 +224,7 @@
 		OutputTokens: j.request.outputTokens,
 		Prefix:       j.request.prefix,
 		PrefixTokens: j.request.kind.PrefixTokens,
+		Parts:        j.request.parts,
 		Listener:     j,
 	}
 	j.sequence = s
@@ -233,6 +234,7 @@
 		}
 		j.submittedAt = j.f.loop.Now()
 		j.lastTokenAt = j.submittedAt
+		j.f.metrics.recordSend(j.request, j.submittedAt)
 		if !e.engine.Submit(s) {
 			j.sequence = nil
 			j.reroute(e.name)
@@ -341,6 +343,9 @@
 	f := j.f
 	if f.measured(j.request) {
 		f.metrics.refused++
+		if !j.request.crashes() {
+			f.metrics.soundRefused++
+		}
 		if j.queued {
 			f.metrics.recordWait(j.request.kind, f.loop.Now()-j.request.arrivedAt)
 		}
--- a/experimenter/metrics.go
+++ b/experimenter/metrics.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -32,7 +33,12 @@
 	retries       int
 	retriesInTime int
 	preemptions   int
+	soundRefused  int     // Refused requests that crash no engine.
 	serviceGap    float64 // Output tokens divided by weight.
+
+	crashes       int           // Of engines, because of parts of prompts.
+	lateSendsFrom time.Duration // Time from which on sends of requests that crash engines are late; zero for none.
+	lateSends     int
 }
 
 func newMetrics() *metrics {
@@ -52,6 +58,16 @@
 	_ = h.RecordValue(min(d.Microseconds(), histogramMax)) // Cannot fail: the value is in range.
 }
 
+// crashes reports whether the request crashes the engine that begins to respond to it.
+func (r *request) crashes() bool { return slices.Contains(r.parts, crashingPart) }
+
+// recordSend records that a request reaches an engine.
+func (m *metrics) recordSend(r *request, now time.Duration) {
+	if r.crashes() && m.lateSendsFrom > 0 && now > m.lateSendsFrom {
+		m.lateSends++
+	}
+}
+
 func (m *metrics) recordStall(d time.Duration) {
 	record(m.stall, d)
 	m.stallSum += d
@@ -90,6 +106,9 @@
 	LateFraction               float64 `json:"late_part"`
 	FailedFraction             float64 `json:"failed_part"`
 	PrefixHitFraction          float64 `json:"prefix_hit_part"`
+	Crashes                    float64 `json:"crashes"`       // Of engines, because of parts of prompts.
+	LateSends                  float64 `json:"late_sends"`    // Requests that crash engines and reached one after several crashes.
+	SoundRefused               float64 `json:"sound_refused"` // Refused requests that crash no engine.
 }
 
 func (m *metrics) results(engines int, window time.Duration) Results {
@@ -117,6 +136,9 @@
 		LateFraction:               ratio(float64(m.late), arrived),
 		FailedFraction:             ratio(float64(m.failed), arrived),
 		PrefixHitFraction:          ratio(float64(m.prefixHits), m.started),
+		Crashes:                    float64(m.crashes),
+		LateSends:                  float64(m.lateSends),
+		SoundRefused:               float64(m.soundRefused),
 	}
 }
 
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -153,7 +153,7 @@
 			sent = append(sent, c)
 		}
 	}
-	all := e.cacheEvents
+	all, boot := e.cacheEvents, e.bootID()
 	f.loop.After(cacheEventDelay, func() {
 		for _, d := range f.daemons {
 			n := d.controllers[e.name]
@@ -161,10 +161,10 @@
 				continue
 			}
 			if n.cacheIndex.Stale() {
-				n.cacheIndex.Apply("1", all)
+				n.cacheIndex.Apply(boot, all)
 				continue
 			}
-			n.cacheIndex.Apply("1", sent)
+			n.cacheIndex.Apply(boot, sent)
 		}
 	})
 }
--- a/experimenter/summary.go
+++ b/experimenter/summary.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -115,7 +116,7 @@
 	digits int
 }
 
-var columns = []column{
+var resultColumns = []column{
 	{"stall mean ms", "stall_mean_ms", 1, 0},
 	{"p95", "stall_p95_ms", 1, 0},
 	{"p99", "stall_p99_ms", 1, 0},
@@ -136,9 +137,20 @@
 	{"prefix hit %", "prefix_hit_part", 100, 1},
 }
 
+// crashColumns are the further columns of FaultCrashingPart.
+var crashColumns = []column{
+	{"crashes", "crashes", 1, 1},
+	{"late sends", "late_sends", 1, 1},
+	{"sound refused", "sound_refused", 1, 1},
+}
+
 // WriteText writes t as a Markdown table with mean and standard deviation in each
 // cell.
 func (t Table) WriteText(w io.Writer) error {
+	columns := slices.Clone(resultColumns)
+	if t.Fault == FaultCrashingPart {
+		columns = append(columns, crashColumns...)
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s, load %s, fault %s: capacity %.1f requests/s, %d seeds from %d, mean ±sd\n\n",
 		t.Deployment, t.Load, t.Fault, t.Capacity, t.Seeds, t.FirstSeed)
--- a/experimenter/workload.go
+++ b/experimenter/workload.go
@@ -16,8 +16,9 @@
 	slack        time.Duration // From arrival to deadline.
 	promptTokens int           // Includes the prefix.
 	outputTokens int
-	prefix       uint64 // Identifies the shared prefix of the prompt.
-	retry        bool   // Sent again by a client that was refused.
+	prefix       uint64   // Identifies the shared prefix of the prompt.
+	parts        []uint64 // Parts of the prompt after the prefix.
+	retry        bool     // Sent again by a client that was refused.
 }
 
 func (l LengthDistribution) draw(rnd *rand.Rand) int {
