standin/engine: a text of prompts that crashes the engine

Faults crash_on and crash_down_ms: before the first token of a prompt with the text the engine closes its listener and all connections, loses its sequences and its cache, and listens again at the same address after the time, with a new boot ID. The listener of the stand-ins can be started again after Close.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,6 +8,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -86,12 +87,14 @@
 	EventDelayMS   int    `json:"event_delay_ms"`  // Delay until a cache event can be read.
 	EventGapEvery  int    `json:"event_gap_every"` // Omits every Nth cache event.
 	FailLoads      int    `json:"fail_loads"`      // Number of load orders that are accepted but not executed.
+	CrashOn        string `json:"crash_on"`        // If set, the engine crashes before the first token of each prompt with this text.
+	CrashDownMS    int    `json:"crash_down_ms"`   // Time from a crash until the engine starts again at its address, with a new boot ID.
 }
 
 // Server is an engine stand-in. Create it with New.
 type Server struct {
 	cfg      Config
-	bootID   string
+	addr     string // Bound address.
 	listener listener.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -99,6 +102,7 @@
 	wake     chan struct{}
 
 	mu            sync.Mutex
+	bootID        string
 	faults        Faults
 	scheduler     scheduler
 	cache         prefixCache
@@ -115,7 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		cfg:       cfg,
-		bootID:    fmt.Sprintf("%x", time.Now().UnixNano()),
+		bootID:    newBootID(),
 		ctx:       ctx,
 		cancel:    cancel,
 		wake:      make(chan struct{}, 1),
@@ -128,12 +132,15 @@
 	return s
 }
 
+func newBootID() string { return fmt.Sprintf("%x", time.Now().UnixNano()) }
+
 // Start listens on addr, starts the scheduler and returns the bound address.
 func (s *Server) Start(addr string) (string, error) {
 	bound, err := s.listener.Start(addr)
 	if err != nil {
 		return "", err
 	}
+	s.addr = bound
 	s.group.Go(s.runSteps)
 	s.group.Go(s.recordLoad)
 	return bound, nil
@@ -144,7 +151,8 @@
 	s.cancel()
 	err := s.listener.Close()
 	s.group.Wait()
-	return err
+	// After a crash, the listener may have been started again.
+	return errors.Wrap(cmp.Or(err, s.listener.Close()), "close engine")
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
@@ -179,6 +187,7 @@
 	Started int `json:"started"` // Completions accepted.
 	Refused int `json:"refused"` // Completions refused because of Faults.ShuttingDown.
 	Resumed int `json:"resumed"` // Streams reopened by GET.
+	Crashes int `json:"crashes"` // Because of Faults.CrashOn.
 }
 
 type errorResponse struct {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,3 +188,30 @@
 		assert.NilError(t, json.NewDecoder(call(t, http.MethodGet, url+"/load", "").Body).Decode(&load))
 	}
 }
+
+func TestTextOfPromptCrashesEngineBeforeFirstToken(t *testing.T) {
+	url := startEngine(t, engine.Config{Faults: engine.Faults{CrashOn: "poison", CrashDownMS: 300}})
+	boot := bootID(t, url)
+	sound := postCompletion(t, url, "a", "[[id=a]][[tokens=4000]]")
+	bad := postCompletion(t, url, "b", "[[id=b]][[tokens=40]] some poison in between")
+	tokens, done := readTokens(t, bad.Body)
+	assert.Assert(t, len(tokens) == 0 && !done)
+	_, done = readTokens(t, sound.Body)
+	assert.Assert(t, !done)
+	_, err := net.DialTimeout("tcp", strings.TrimPrefix(url, "http://"), time.Second)
+	assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), err)
+	time.Sleep(600 * time.Millisecond)
+	assert.Assert(t, bootID(t, url) != boot)
+	tokens, done = readTokens(t, postCompletion(t, url, "c", "[[id=c]][[tokens=20]]").Body)
+	assert.Assert(t, done)
+	assertComplete(t, tokens, "c", 0, 20)
+}
+
+func bootID(t *testing.T, url string) string {
+	t.Helper()
+	var load struct {
+		BootID string `json:"boot_id"`
+	}
+	assert.NilError(t, json.NewDecoder(call(t, http.MethodGet, url+"/load", "").Body).Decode(&load))
+	return load.BootID
+}
--- a/standin/engine/scheduler.go
+++ b/standin/engine/scheduler.go
@@ -26,6 +26,7 @@
 	length        int  // Number of tokens to produce.
 	truncated     bool // The length was reduced to max_tokens.
 	priority      int
+	crashes       bool // The engine crashes before the first token.
 	arrivalNumber int
 	blockHashes   []string // Of the blocks of the prompt.
 
@@ -196,12 +197,53 @@
 		if !s.sleep(d) {
 			return
 		}
-		s.mu.Lock()
-		s.scheduler.step(time.Now())
-		s.mu.Unlock()
+		if !s.endStep() && !s.crash() {
+			return
+		}
+	}
+}
+
+// endStep produces the tokens of a step. It returns false if a first token is due that
+// crashes the engine.
+func (s *Server) endStep() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.ContainsFunc(s.scheduler.running, func(seq *sequence) bool { return seq.crashes && seq.produced == 0 }) {
+		return false
+	}
+	s.scheduler.step(time.Now())
+	return true
+}
+
+// crash closes the listener and all connections, and starts the engine again at the same
+// address after the time in its faults. It returns false if the server is closed first.
+func (s *Server) crash() bool {
+	_ = s.listener.Close() // Nothing depends on the error.
+	s.mu.Lock()
+	downtime := time.Duration(s.faults.CrashDownMS) * time.Millisecond
+	for _, seq := range s.scheduler.sequences {
+		s.scheduler.cancel(seq)
+	}
+	s.scheduler, s.cache, s.loadHistory = newScheduler(s.cfg), newPrefixCache(s.cfg.CacheBlocks), nil
+	s.orders = orderState{readyModels: slices.Clone(s.cfg.Models)}
+	s.bootID, s.counts.Crashes = newBootID(), s.counts.Crashes+1
+	s.mu.Unlock()
+	if !s.sleep(downtime) {
+		return false
+	}
+	for {
+		if _, err := s.listener.Start(s.addr); err == nil {
+			return true
+		}
+		if !s.sleep(restartInterval) { // The port may be in use for a moment.
+			return false
+		}
 	}
 }
 
+// restartInterval is the time between attempts to listen again.
+const restartInterval = 10 * time.Millisecond
+
 // beginStep admits sequences and returns the duration of the step, or zero if
 // nothing is running.
 func (s *Server) beginStep() time.Duration {
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -122,6 +123,7 @@
 		promptTokens: len(req.Prompt)/bytesPerToken + 1,
 		length:       min(length, limit) + s.faults.ExtraTokens,
 		truncated:    length > limit,
+		crashes:      s.faults.CrashOn != "" && strings.Contains(req.Prompt, s.faults.CrashOn),
 		priority:     req.Priority,
 		blockHashes:  prefixHashes(m, req.Prompt),
 		lastActive:   time.Now(),
--- a/standin/listener/listener.go
+++ b/standin/listener/listener.go
@@ -24,7 +24,7 @@
 }
 
 // Start listens on addr and serves in the background. It returns the bound
-// address.
+// address. It may be called again after Close.
 func (l *Listener) Start(addr string) (string, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -38,7 +38,7 @@
 		Logger:                discardLogger{},
 	}
 	l.mu.Lock()
-	l.ln = ln
+	l.ln, l.closed = ln, false
 	l.conns = make(map[net.Conn]fasthttp.ConnState)
 	l.mu.Unlock()
 	l.group.Go(func() {
@@ -48,11 +48,12 @@
 	return ln.Addr().String(), nil
 }
 
-// Close stops listening and closes all connections.
+// Close stops listening and closes all connections. It has no effect if Start has not been
+// called since the last Close.
 func (l *Listener) Close() error {
 	l.mu.Lock()
 	ln := l.ln
-	l.closed = true
+	l.ln, l.closed = nil, true
 	l.mu.Unlock()
 	if ln == nil {
 		return nil
