forwarder: don't count attempts that reached no engine

What callers saw: sound requests were refused with 503 while engines that would have served them were idle: after four engines that had just crashed had refused the connection.

Cause: attempts that were not sent counted like those that an engine had refused.

Change: they have a bound of their own (12); resumes don't count them either.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -19,6 +19,7 @@
 	maxRefusalBytes       = 64 << 10               // Size of the body of a refusal, which is dropped.
 	refusalReadTime       = 50 * time.Millisecond  // A refusal whose body takes longer ends with its connection.
 	maxAttempts           = 4                      // Attempts for one request, refused ones included.
+	maxUnsentAttempts     = 12                     // Attempts for one generation that reach no engine.
 	retryReserve          = 0.3                    // Fraction of the retry budget kept for requests that no endpoint has executed.
 	unavailableRetryAfter = 300 * time.Millisecond // Retry-After of a refused call; the queues of plain services empty within this time.
 	attemptTimeDivisor    = 2                      // An attempt that may be retried gets the remaining time divided by this, to leave time for the next one.
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -84,6 +84,7 @@
 	deadline        time.Time
 	attempts        atomic.Int64 // Attempts, refused ones included.
 	limitDenied     bool         // The limit of an endpoint has denied an attempt.
+	unsent          atomic.Int64 // Attempts that reached no endpoint.
 	deliveries      int          // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -17,7 +17,7 @@
 const (
 	unresponsiveTimeout = 600 * time.Millisecond // A run of an engine that does not answer polls is replaced if it has sent nothing for this long.
 	migrationTimeout    = 900 * time.Millisecond // Limits how long a run is stopped for a migration; clients notice even much shorter pauses.
-	maxStreamAttempts   = 6                      // Attempts for one stream, refused ones included, after which it is not resumed again.
+	maxStreamAttempts   = 6                      // Attempts for one stream that reached an engine, refused ones included, after which it is not resumed again.
 )
 
 // errNoCopy means that no copy of the run could be continued.
@@ -192,7 +192,7 @@
 	s.mu.Lock()
 	age := s.ageOf(source, startedAt)
 	resumeFrom := Resume{Copy: copyName, LastEvent: s.lastEvent}
-	exhausted := s.x.attempts.Load() > maxStreamAttempts
+	exhausted := s.x.attempts.Load()-s.x.unsent.Load() > maxStreamAttempts
 	s.x.attempts.Add(1)
 	s.mu.Unlock()
 	if resumeFrom.LastEvent == "" {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -223,7 +223,7 @@
 		if r, ended := refusalForContext(s.ctx, false); ended {
 			return &r, err
 		}
-		if s.x.attempts.Load() >= maxAttempts {
+		if unsent := s.x.unsent.Load(); s.x.attempts.Load()-unsent >= maxAttempts || unsent >= maxUnsentAttempts {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRefused, RetryAfter: defaultRetryAfter}, err
 		}
 	}
@@ -235,7 +235,9 @@
 	s.x.attempts.Add(1)
 	r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.setRun)
 	notSent := err != nil && provesNotRun(err)
-	if !notSent {
+	if notSent {
+		s.x.unsent.Add(1)
+	} else {
 		s.x.deliveries++
 	}
 	res := &r.response
