forwarder: an entry that is listed as leaving refutes no crash

Cause: a daemon that had restarted took the list of endpoints from a peer, in which engines whose addresses others had taken are marked as leaving, and told all daemons that their ends were planned. That refuted the crashes.

Change: only what an engine itself says, in an answer or report, refutes its crash.

--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -261,9 +261,6 @@
 	}
 	f.updateServices()
 	for _, c := range changes {
-		if c.ShuttingDown && c.Endpoint.Draining { // An entry that is only removed may be that of an engine that has crashed.
-			f.quarantine.Retract(c.Endpoint.Identity, f.clock.Now())
-		}
 		if c.ShuttingDown {
 			f.evacuate(c.Endpoint, 0)
 		}
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -201,6 +201,7 @@
 	}
 	for p := range w.blocked {
 		if !blocked[p] {
+			f.metrics.count("parts_released")
 			f.log.Info().Str("part", formatPart(p)).Msg("forwarder: part of prompts no longer quarantined")
 		}
 	}
