--- a/forwarder/migration_test.go
+++ b/forwarder/migration_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/state/registrar"
 )
 
 // When an engine is reclaimed, a run waits for the runs ahead of it as long as the
@@ -22,3 +23,15 @@
 	assert.Equal(t, start(2, 1, defaultShutdownNotice), defaultShutdownNotice-minMigrationTime-2*migrationTime)
 	assert.Equal(t, start(4, 2, defaultShutdownNotice), 4*migrationTime)
 }
+
+// Guards against a second run that continues a run which another one on the same engine has
+// replaced since.
+func TestReplacedRunIsNotContinued(t *testing.T) {
+	e := registrar.Endpoint{Identity: registrar.Identity{Name: "i-1"}}
+	source := run{engine: e, state: &runState{}}
+	s := &stream{run: run{engine: e, state: &runState{}}}
+	started := false
+	err := s.startReplacement(source, errEngineShuttingDown, func() (run, error) { started = true; return run{}, errNoCopy })
+	assert.ErrorIs(t, err, errBeingResumed)
+	assert.Assert(t, !started)
+}
