resumer: don't count a pause between events as time of producing

What callers saw: a streaming request ran at two engines after the link to its engine had stalled, or the daemon had been held up, between two of its first events.

Cause: the time from the first event to the last one, as they arrive, was taken for the time for which the engine had produced. An event may be late on its way, the run preempted meanwhile, or the daemon slow to read it.

Change: the time between two events counts up to a quarter of the interval of copies.

--- a/coordination/resumer/resumer.go
+++ b/coordination/resumer/resumer.go
@@ -26,7 +26,7 @@
 // Backup is what is known of a copy at a backup.
 type Backup struct {
 	Used       bool          // A request that named the copy may have been run.
-	Producing  time.Duration // Time from the first event of the copied run to its last one; zero if there was none.
+	Producing  time.Duration // Progress.Producing of the copied run.
 	HolderRuns func() bool   // Asks whether the process of the engine still runs to which the copy was sent.
 }
 
@@ -43,3 +43,24 @@
 	}
 	return nil
 }
+
+// maxEventGap limits what the time between two events adds to the time for which an engine is known
+// to have produced. An event that comes late may have been held up on its way, or the run preempted.
+const maxEventGap = copyInterval / 4
+
+// Progress is what the arrival of its events tells of a run. The zero value is a run without events.
+type Progress struct {
+	producing time.Duration
+	last      time.Time
+}
+
+// RecordEvents records that events have arrived.
+func (p *Progress) RecordEvents(now time.Time) {
+	if !p.last.IsZero() {
+		p.producing += min(now.Sub(p.last), maxEventGap)
+	}
+	p.last = now
+}
+
+// Producing returns for how long the engine is known to have produced events.
+func (p Progress) Producing() time.Duration { return p.producing }
--- a/coordination/resumer/resumer_test.go
+++ b/coordination/resumer/resumer_test.go
@@ -43,3 +43,16 @@
 		})
 	}
 }
+
+// Guards against a pause between two events that counts as time in which the engine has produced.
+func TestProducing(t *testing.T) {
+	var p resumer.Progress
+	now := time.Unix(0, 0)
+	p.RecordEvents(now)
+	p.RecordEvents(now.Add(time.Hour))
+	assert.Equal(t, p.Producing(), 100*time.Millisecond)
+	for i := range 60 {
+		p.RecordEvents(now.Add(time.Hour + time.Duration(i+1)*10*time.Millisecond))
+	}
+	assert.Equal(t, p.Producing(), 700*time.Millisecond)
+}
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -220,12 +220,12 @@
 // runAge is how long a run has been observed.
 type runAge struct {
 	sent      time.Duration // Since its request was sent.
-	producing time.Duration // From its first event to its last one; zero if it has brought none.
+	producing time.Duration // As in resumer.Progress.
 }
 
 // ageOf returns the age of the current run. The mutex is held.
 func (s *stream) ageOf(source run, now time.Time) runAge {
-	return runAge{sent: now.Sub(source.sentAt), producing: s.runLastEvent.Sub(s.runFirstEvent)}
+	return runAge{sent: now.Sub(source.sentAt), producing: s.progress.Producing()}
 }
 
 // backupOf returns what is known of the copy at the backup of the current run.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -14,6 +14,7 @@
 
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/resumer"
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
@@ -54,11 +55,10 @@
 
 	mu             sync.Mutex
 	run            run
-	eventCount     int       // Number of events received so far.
-	lastEvent      string    // ID of the last event that was received.
-	lastReadAt     time.Time // Time at which the engine last sent any bytes.
-	runFirstEvent  time.Time // Time of the first event of the current run; zero before.
-	runLastEvent   time.Time
+	eventCount     int                // Number of events received so far.
+	lastEvent      string             // ID of the last event that was received.
+	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
+	progress       resumer.Progress   // Of the current run.
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
 	resuming       bool               // The stream is being resumed after its run has broken off.
@@ -409,7 +409,7 @@
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
 	}
-	s.runFirstEvent, s.runLastEvent = time.Time{}, time.Time{}
+	s.progress = resumer.Progress{}
 	s.replacement = nil
 	s.mu.Unlock()
 	s.ended = false
@@ -541,10 +541,7 @@
 	s.eventCount, s.lastEvent = s.sequencer.eventCount, s.sequencer.lastEvent()
 	s.lastReadAt = now
 	if s.sequencer.sourceEvents > sourceEvents {
-		s.runLastEvent = now
-		if s.runFirstEvent.IsZero() {
-			s.runFirstEvent = now
-		}
+		s.progress.RecordEvents(now)
 	}
 	s.mu.Unlock()
 	if before == 0 && s.sequencer.eventCount > 0 {
