forwarder: replace only the run that was looked at

What callers saw: nothing yet; found by review. A run that went back to its engine may be continued on the word of the run before it: its backup, its stop, and that its copy was not used.

Cause: a replacement is started if the stream still runs on the same engine, though it may be another run.

Change: the runs are compared.

Measured: TestReplacedRunIsNotContinued failed and passes.

--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -155,7 +155,7 @@
 	return err == nil || errors.Is(err, ErrRunNotFound)
 }
 
-// errBeingResumed means that the stream is being resumed, or its run replaced, already.
+// errBeingResumed means that the stream is being resumed, or its run was replaced, already.
 var errBeingResumed = errors.New("the stream is being resumed")
 
 // startReplacement starts the run that replaces the source while the stream still
@@ -168,7 +168,7 @@
 		s.mu.Unlock()
 		return ErrRunNotFound
 	}
-	if s.resuming || s.replacement != nil {
+	if s.resuming || s.replacement != nil || s.run.state != source.state {
 		s.mu.Unlock()
 		return errBeingResumed
 	}
