forwarder: don't promise that a request was not run without proof

What callers saw: a request ran, and its client got 503, 429 or 408, which tell it to send the request again.

Cause: a response with such a status but without the mark that the request was not run was passed on, for streams even without the proof that the endpoint sent it.

Change: the outcome of such a request is unknown, and its client gets 502.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -28,6 +28,20 @@
 // itself sent it.
 var errUnverifiedResponse = errors.New("response lacks the proof that it was sent by the endpoint")
 
+// errUnprovenRefusal means that a response refuses the request, but does not prove that the
+// request was not executed. Its status would promise that to the client.
+var errUnprovenRefusal = errors.New("refusal does not prove that the request was not executed")
+
+// promisesNotRun reports whether a client takes the status as a promise that the request was
+// not executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // callAttempt is the result of one attempt at a call.
 type callAttempt struct {
 	response Response
@@ -126,6 +140,9 @@
 		f.observeLimit(e, &res, limited)
 		a = f.readResponse(c, res, cancel)
 	}
+	if a.err == nil && !a.notRun && x.route.Kind != matcher.Safe && promisesNotRun(res.Status) {
+		a.err = errUnprovenRefusal
+	}
 	if a.err == nil || !a.notRun {
 		x.deliveries++
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -229,6 +229,9 @@
 		s.x.deliveries++
 	}
 	res := &r.response
+	if err == nil && !res.NotExecuted && promisesNotRun(res.Status) {
+		err = errUnprovenRefusal
+	}
 	if err == nil && !res.NotExecuted && (res.FromEndpoint || res.Status >= fasthttp.StatusInternalServerError) {
 		s.events = isEventStream(res)
 		s.setRun(r)
