resumer: name no copy that may have expired

What callers saw: nothing yet; found by review. A streaming request ran at two engines: its engine produced nothing for longer than a copy is kept, and then crashed.

Cause: the age of the copy was not considered.

Change: a copy counts as known to exist while the run has produced events within the retention of copies, less the time between two parts.

--- a/coordination/resumer/resumer.go
+++ b/coordination/resumer/resumer.go
@@ -20,6 +20,7 @@
 var (
 	ErrUsed        = errors.New("a request has named the copy before")
 	ErrNotCopied   = errors.New("the run has not produced tokens for long enough to be copied to its backup")
+	ErrExpired     = errors.New("the copy may have been dropped since the run last produced tokens")
 	ErrHolderEnded = errors.New("the engine that held the copy does not run any more")
 )
 
@@ -27,6 +28,8 @@
 type Backup struct {
 	Used       bool          // A request that named the copy may have been run.
 	Producing  time.Duration // Progress.Producing of the copied run.
+	Idle       time.Duration // Time since the last event of the copied run.
+	Retention  time.Duration // How long the holder keeps a copy after its last part; zero for no limit.
 	HolderRuns func() bool   // Asks whether the process of the engine still runs to which the copy was sent.
 }
 
@@ -38,6 +41,8 @@
 		return ErrUsed
 	case b.Producing < copyInterval:
 		return ErrNotCopied
+	case b.Retention > 0 && b.Idle+copyInterval >= b.Retention:
+		return ErrExpired
 	case !b.HolderRuns():
 		return ErrHolderEnded
 	}
@@ -62,5 +67,13 @@
 	p.last = now
 }
 
+// Idle returns the time since the last event; zero if there was none.
+func (p Progress) Idle(now time.Time) time.Duration {
+	if p.last.IsZero() {
+		return 0
+	}
+	return now.Sub(p.last)
+}
+
 // Producing returns for how long the engine is known to have produced events.
 func (p Progress) Producing() time.Duration { return p.producing }
--- a/coordination/resumer/resumer_test.go
+++ b/coordination/resumer/resumer_test.go
@@ -25,6 +25,7 @@
 		name      string
 		used      bool
 		producing time.Duration
+		idle      time.Duration
 		runs      bool
 		want      error
 		asked     bool
@@ -33,11 +34,13 @@
 		{name: "no event", runs: true, want: resumer.ErrNotCopied},
 		{name: "first events", producing: 399 * time.Millisecond, runs: true, want: resumer.ErrNotCopied},
 		{name: "used", used: true, producing: time.Second, runs: true, want: resumer.ErrUsed},
+		{name: "kept", producing: time.Second, idle: 4 * time.Second, runs: true, asked: true},
+		{name: "expired", producing: time.Second, idle: 4600 * time.Millisecond, runs: true, want: resumer.ErrExpired},
 		{name: "holder ended", producing: time.Second, want: resumer.ErrHolderEnded, asked: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			asked := false
-			b := resumer.Backup{Used: tt.used, Producing: tt.producing, HolderRuns: func() bool { asked = true; return tt.runs }}
+			b := resumer.Backup{Used: tt.used, Producing: tt.producing, Idle: tt.idle, Retention: 5 * time.Second, HolderRuns: func() bool { asked = true; return tt.runs }}
 			assert.ErrorIs(t, b.Check(), tt.want)
 			assert.Equal(t, asked, tt.asked)
 		})
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -233,7 +233,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return resumer.Backup{
-		Used: source.state.resumeLost.Load(), Producing: s.ageOf(source, s.f.clock.Now()).producing,
+		Used: source.state.resumeLost.Load(), Producing: s.progress.Producing(),
+		Idle: s.progress.Idle(s.f.clock.Now()), Retention: s.jobPlacer.engine.CopyRetention,
 		HolderRuns: func() bool { return s.f.stillRuns(s.ctx, source.backup) },
 	}
 }
