resumer: allow for the transfer of the KV cache to the backup

What callers saw: nothing yet; found by review. A streaming request ran at two engines: its engine had produced events for longer than the interval of copies, but the first copy was still on its way.

Cause: the time of a transfer was not considered. It grows with the prompt and doubles between failure domains.

Change: a copy counts as known to exist once the run has produced for the interval of copies and the time of the transfer of its KV cache on an idle link.

The share of generations that resume was not measured again.

--- a/coordination/resumer/resumer.go
+++ b/coordination/resumer/resumer.go
@@ -28,6 +28,7 @@
 type Backup struct {
 	Used       bool          // A request that named the copy may have been run.
 	Producing  time.Duration // Progress.Producing of the copied run.
+	Transfer   time.Duration // Time that the transfer of the KV cache takes.
 	Idle       time.Duration // Time since the last event of the copied run.
 	Retention  time.Duration // How long the holder keeps a copy after its last part; zero for no limit.
 	HolderRuns func() bool   // Asks whether the process of the engine still runs to which the copy was sent.
@@ -39,7 +40,7 @@
 	switch {
 	case b.Used:
 		return ErrUsed
-	case b.Producing < copyInterval:
+	case b.Producing < copyInterval+b.Transfer:
 		return ErrNotCopied
 	case b.Retention > 0 && b.Idle+copyInterval >= b.Retention:
 		return ErrExpired
--- a/coordination/resumer/resumer_test.go
+++ b/coordination/resumer/resumer_test.go
@@ -25,6 +25,7 @@
 		name      string
 		used      bool
 		producing time.Duration
+		transfer  time.Duration
 		idle      time.Duration
 		runs      bool
 		want      error
@@ -33,6 +34,8 @@
 		{name: "copied", producing: time.Second, runs: true, asked: true},
 		{name: "no event", runs: true, want: resumer.ErrNotCopied},
 		{name: "first events", producing: 399 * time.Millisecond, runs: true, want: resumer.ErrNotCopied},
+		{name: "transferred", producing: time.Second, transfer: 600 * time.Millisecond, runs: true, asked: true},
+		{name: "being transferred", producing: time.Second, transfer: 601 * time.Millisecond, runs: true, want: resumer.ErrNotCopied},
 		{name: "used", used: true, producing: time.Second, runs: true, want: resumer.ErrUsed},
 		{name: "kept", producing: time.Second, idle: 4 * time.Second, runs: true, asked: true},
 		{name: "expired", producing: time.Second, idle: 4600 * time.Millisecond, runs: true, want: resumer.ErrExpired},
@@ -40,7 +43,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			asked := false
-			b := resumer.Backup{Used: tt.used, Producing: tt.producing, Idle: tt.idle, Retention: 5 * time.Second, HolderRuns: func() bool { asked = true; return tt.runs }}
+			b := resumer.Backup{Used: tt.used, Producing: tt.producing, Transfer: tt.transfer, Idle: tt.idle, Retention: 5 * time.Second, HolderRuns: func() bool { asked = true; return tt.runs }}
 			assert.ErrorIs(t, b.Check(), tt.want)
 			assert.Equal(t, asked, tt.asked)
 		})
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -233,12 +233,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return resumer.Backup{
-		Used: source.state.resumeLost.Load(), Producing: s.progress.Producing(),
+		Used: source.state.resumeLost.Load(), Producing: s.progress.Producing(), Transfer: s.copyTime(source),
 		Idle: s.progress.Idle(s.f.clock.Now()), Retention: s.jobPlacer.engine.CopyRetention,
 		HolderRuns: func() bool { return s.f.stillRuns(s.ctx, source.backup) },
 	}
 }
 
+// copyTime returns the time that the transfer of the KV cache of the current run to its backup
+// takes on an idle link; twice as long between failure domains. The mutex is held.
+func (s *stream) copyTime(source run) time.Duration {
+	e := s.jobPlacer.engine
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	tokens := s.job.PromptTokens + s.eventCount*max(e.TokensPerEvent, 1)
+	d := time.Duration(float64(tokens) * float64(e.TokenBytes) / (e.LinkMbps * bytesPerMbit) * float64(time.Second))
+	if source.engine.Domain != source.backup.Domain {
+		d *= 2
+	}
+	return d
+}
+
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
 // their backups, if it has sent them nothing for unresponsiveTimeout. The others wait: an
 // engine that is only silent for a while goes on with its runs.
