--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -134,3 +134,16 @@
 		_, _ = s.feed(nil, b)
 	})
 }
+
+// Guards against events without an ID that are passed on twice because the source that continues
+// the stream can't know of them.
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	for _, first := range []string{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"} {
+		var s eventSequencer
+		_, err := s.feed(nil, []byte(first))
+		assert.NilError(t, err)
+		s.resumeSource()
+		out, err := s.feed(nil, []byte("data: b\n\nid: 2\ndata: c\n\n"))
+		assert.ErrorIs(t, err, errUnexpectedEvents, "%q", out)
+	}
+}
