forwarder: end a resumed stream that may repeat events without an ID

What callers saw: nothing yet; found by review. A resumed stream brought pieces twice that had no ID, since the new run goes on at the last ID.

Cause: only events with an ID are compared with those that were passed on.

Change: a stream that has passed on an event without an ID after the last one is not continued by another source.

Measured: TestEventsWithoutIDAreNotRepeated failed and passes.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -27,6 +27,7 @@
 	sourceEvents int  // Number of events with fields that the current source has sent.
 	commentBytes int  // Size of the blocks without fields since the last event.
 	resumed      bool // The current source continues an earlier one.
+	unnumbered   bool // An event without an ID was passed on after the last one that has an ID.
 }
 
 // resumeSource prepares for a new source that continues the stream. An incomplete
@@ -84,6 +85,9 @@
 		if err := s.countBlock(event); err != nil {
 			return out, err
 		}
+		if s.resumed && s.unnumbered && hasField(event) {
+			return out, errUnexpectedEvents // The source may repeat the events without an ID.
+		}
 		if ok && s.hasLast && id <= s.lastID {
 			if s.resumed {
 				continue // The source repeats an event that was passed on.
@@ -98,6 +102,7 @@
 			s.lastID, s.hasLast = id, true
 			s.eventCount++
 		}
+		s.unnumbered = !ok && (s.unnumbered || hasField(event))
 		out = append(out, event...)
 	}
 	s.partial = append(s.partial[:0], rest...)
