--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -85,30 +85,43 @@
 		if err := s.countBlock(event); err != nil {
 			return out, err
 		}
-		if s.resumed && s.unnumbered && hasField(event) {
-			return out, errUnexpectedEvents // The source may repeat the events without an ID.
-		}
-		if ok && s.hasLast && id <= s.lastID {
-			if s.resumed {
-				continue // The source repeats an event that was passed on.
-			}
-			return out, errUnexpectedEvents
-		}
-		if ok && s.resumed && s.hasLast && id != s.lastID+1 {
-			return out, errUnexpectedEvents
-		}
-		if ok {
-			asserter.That(!s.hasLast || id > s.lastID, asserter.TokensInOrder, "event passed on out of order")
-			s.lastID, s.hasLast = id, true
-			s.eventCount++
+		switch repeated, err := s.record(id, ok, hasField(event)); {
+		case err != nil:
+			return out, err
+		case repeated:
+			continue
 		}
-		s.unnumbered = !ok && (s.unnumbered || hasField(event))
 		out = append(out, event...)
 	}
 	s.partial = append(s.partial[:0], rest...)
 	return out, nil
 }
 
+// record records a complete block that is to be passed on. It reports whether the block is an event
+// that was passed on before and that a resumed source repeats.
+func (s *eventSequencer) record(id int64, hasID, isEvent bool) (repeated bool, err error) {
+	if s.resumed && s.unnumbered && isEvent {
+		return false, errUnexpectedEvents // The source may repeat the events without an ID.
+	}
+	if !hasID {
+		s.unnumbered = s.unnumbered || isEvent
+		return false, nil
+	}
+	if s.hasLast && id <= s.lastID {
+		if s.resumed {
+			return true, nil
+		}
+		return false, errUnexpectedEvents
+	}
+	if s.resumed && s.hasLast && id != s.lastID+1 {
+		return false, errUnexpectedEvents
+	}
+	asserter.That(!s.hasLast || id > s.lastID, asserter.TokensInOrder, "event passed on out of order")
+	s.lastID, s.hasLast, s.unnumbered = id, true, false
+	s.eventCount++
+	return false, nil
+}
+
 // countBlock counts a complete block. It returns an error if the source sends too many
 // blocks that hold only comments and blank lines.
 func (s *eventSequencer) countBlock(block []byte) error {
