--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -223,7 +223,7 @@
 // cancelRun interrupts the run of the stream unless it has brought an event.
 func (s *stream) cancelRun(cause error) {
 	s.mu.Lock()
-	interrupt, started := s.run.interrupt, s.eventCount > 0 || !s.runFirstEvent.IsZero()
+	interrupt, started := s.run.interrupt, s.eventCount > 0 || s.progress.Started()
 	s.mu.Unlock()
 	if interrupt == nil || started {
 		return
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -15,6 +15,7 @@
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/resumer"
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
@@ -57,11 +58,10 @@
 
 	mu             sync.Mutex
 	run            run
-	eventCount     int       // Number of events received so far.
-	lastEvent      string    // ID of the last event that was received.
-	lastReadAt     time.Time // Time at which the engine last sent any bytes.
-	runFirstEvent  time.Time // Time of the first event of the current run; zero before.
-	runLastEvent   time.Time
+	eventCount     int                // Number of events received so far.
+	lastEvent      string             // ID of the last event that was received.
+	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
+	progress       resumer.Progress   // Of the current run.
 	runSound       bool               // The current run has made progress.
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
@@ -241,6 +241,9 @@
 		s.x.deliveries++
 	}
 	res := &r.response
+	if err == nil && !res.NotExecuted && promisesNotRun(res.Status) {
+		err = errUnprovenRefusal
+	}
 	if err == nil && !res.NotExecuted && (res.FromEndpoint || res.Status >= fasthttp.StatusInternalServerError) {
 		s.events = isEventStream(res)
 		s.setRun(r)
@@ -440,7 +443,7 @@
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
 	}
-	s.runFirstEvent, s.runLastEvent, s.runSound = time.Time{}, time.Time{}, false
+	s.progress, s.runSound = resumer.Progress{}, false
 	s.replacement = nil
 	s.mu.Unlock()
 	s.ended = false
@@ -572,12 +575,9 @@
 	s.eventCount, s.lastEvent = s.sequencer.eventCount, s.sequencer.lastEvent()
 	s.lastReadAt = now
 	if s.sequencer.sourceEvents > sourceEvents {
-		s.runLastEvent = now
-		if s.runFirstEvent.IsZero() {
-			s.runFirstEvent = now
-		}
+		s.progress.RecordEvents(now)
 	}
-	becameSound := !s.runSound && s.runLastEvent.Sub(s.runFirstEvent) >= soundAfter
+	becameSound := !s.runSound && s.progress.Producing() >= soundAfter
 	s.runSound = s.runSound || becameSound
 	s.mu.Unlock()
 	if becameSound {
