forwarder: a call without framing whose process has ended is not complete

Callers saw a 200 with half a body: the response of a plain service had neither a length nor chunks, its process was killed in mid-body, and the operating system closed the connection in an orderly way.

After the end of such a body the daemon connects to the endpoint again. Other responses are not checked. The new connection serves the next request.

--- a/coordination/verifier/verifier.go
+++ b/coordination/verifier/verifier.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Stop tells whether the run behind a stream was stopped before its end.
+// Stop tells whether the run or the process behind a response was stopped before its end.
 type Stop int
 
 // What is known of a stop.
@@ -81,6 +81,8 @@
 // framing marks, and an error that matches ErrIncomplete otherwise.
 func (b *Body) CheckEnd(stop Stop) error {
 	switch {
+	case !b.Stream && b.Framing == ByConnection && stop != NotStopped:
+		return errors.Wrap(ErrIncomplete, "the sender may have ended")
 	case !b.Stream:
 		return nil
 	case b.Unfinished:
--- a/coordination/verifier/verifier_test.go
+++ b/coordination/verifier/verifier_test.go
@@ -33,6 +33,9 @@
 		whole bool
 	}{
 		{verifier.Body{Framing: verifier.ByConnection}, verifier.NotStopped, true},
+		{verifier.Body{Framing: verifier.ByConnection}, verifier.MaybeStopped, false},
+		{verifier.Body{Framing: verifier.ByLength}, verifier.MaybeStopped, true},
+		{verifier.Body{Framing: verifier.ByChunks}, verifier.MaybeStopped, true},
 		{verifier.Body{Framing: verifier.ByLength, Stream: true}, verifier.NotStopped, true},
 		{verifier.Body{Framing: verifier.ByChunks, Stream: true, Events: 1}, verifier.MaybeStopped, true},
 		{verifier.Body{Framing: verifier.ByChunks, Stream: true, Events: 1}, verifier.Stopped, false},
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -124,7 +124,7 @@
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
 		f.observeLimit(e, &res, limited)
-		a = f.readResponse(c, res, cancel)
+		a = f.readResponse(c, e, res, cancel)
 	}
 	if a.err == nil || !a.notRun {
 		x.deliveries++
@@ -149,9 +149,9 @@
 	return r
 }
 
-// readResponse reads the body of a response and verifies that the endpoint sent it. It may
+// readResponse reads the body of a response and verifies that the endpoint sent all of it. It may
 // call cancel, which ends ctx, to close the connection.
-func (f *Forwarder) readResponse(ctx context.Context, res Response, cancel context.CancelFunc) callAttempt {
+func (f *Forwarder) readResponse(ctx context.Context, e registrar.Endpoint, res Response, cancel context.CancelFunc) callAttempt {
 	a := callAttempt{response: res, notRun: res.NotExecuted || res.Misdirected}
 	if a.notRun {
 		f.spawn(func() {
@@ -167,6 +167,9 @@
 	if a.err == nil && !res.FromEndpoint {
 		a.err = errUnverifiedResponse
 	}
+	if a.err == nil {
+		a.err = f.confirmEnd(ctx, e, res)
+	}
 	return a
 }
 
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -134,6 +134,7 @@
 
 // EndpointClient sends requests to endpoints.
 type EndpointClient interface {
+	requester.Connector
 	// Send sends a request and returns the response. The error matches
 	// requester.ErrNotSent or requester.ErrOutcomeUnknown.
 	Send(ctx context.Context, r *Request, d Dispatch) (Response, error)
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -117,6 +117,20 @@
 	return r != nil && r.endpoint.Identity == id
 }
 
+// Replaced reports whether an entry that was written later than e names another endpoint with
+// the address or the name of e.
+func (g *Registrar) Replaced(e Endpoint) bool {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, r := range g.records {
+		o := &r.endpoint
+		if (o.Addr == e.Addr || o.Name == e.Name) && o.Identity != e.Identity && o.Revision > e.Revision {
+			return true
+		}
+	}
+	return false
+}
+
 // ShuttingDown reports whether the endpoint accepts no new work, because it is
 // draining or shutting down, or because its entry has been removed or replaced
 // by that of a later run.
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -63,7 +63,7 @@
 	defaulter.Set(&c.MaxIdlePerAddr, 64)
 }
 
-// Dialer is a requester.Doer. It is safe for concurrent use.
+// Dialer is a requester.Client. It is safe for concurrent use.
 type Dialer struct {
 	cfg   Config
 	clock timekeeper.Clock
@@ -133,15 +133,31 @@
 			return c, nil
 		}
 	}
-	raw, err := d.net.DialContext(ctx, "tcp", req.Addr)
+	return d.open(ctx, req.Addr)
+}
+
+// open opens a connection.
+func (d *Dialer) open(ctx context.Context, addr string) (*conn, error) {
+	raw, err := d.net.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{raw: raw, addr: req.Addr, clock: d.clock}
+	c := &conn{raw: raw, addr: addr, clock: d.clock}
 	c.r = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
 
+// Connect opens a connection to addr and adds it to the idle ones. It fails if the server
+// does not accept it before ctx or Config.DialTimeout ends.
+func (d *Dialer) Connect(ctx context.Context, addr string) error {
+	c, err := d.open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	d.pool.put(c, d.clock.Now())
+	return nil
+}
+
 func (d *Dialer) send(c *conn, req requester.Request) error {
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
