server: a reply without framing whose service has ended is not complete

Callers of serve saw a 200 with half a body, and with an idempotency key half a body was stored in the claim: as in forwarder, the end of a killed process was taken for the end of its reply.

After the end of a reply without length and chunks the daemon connects to the service again and counts the reply as lost if that fails: the outcome is unknown, and the claim says so.

The stand-in of the service can pause in the middle of such a body.

--- a/server/server.go
+++ b/server/server.go
@@ -66,7 +66,7 @@
 	tracing *tracing
 	tracer  trace.Tracer
 
-	doer         requester.Doer
+	doer         requester.Client
 	engines      *generator.Client
 	store        *storer.Client
 	node         *framer.Node
--- a/server/services.go
+++ b/server/services.go
@@ -113,6 +113,9 @@
 	if err == nil {
 		var reply responder.Response
 		if reply, err = readReply(res); err == nil {
+			err = res.ConfirmEnd(ctx, s.doer, e.Addr)
+		}
+		if err == nil {
 			s.eachRouter(func(r *router.Router) { r.ReportSuccess(endpoint) })
 			return reply, nil
 		}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -25,17 +25,18 @@
 // Faults is the body of POST /faults. Omitted fields keep their values; counters
 // are decremented as faults are injected.
 type Faults struct {
-	DelayMS       int    `json:"delay_ms"`     // Delay before a request runs.
-	SlowMS        int    `json:"slow_ms"`      // Delay between the effect of a request and its response.
-	Silent        bool   `json:"silent"`       // Requests are read, but neither run nor answered.
-	LoseResponses int    `json:"lose_answers"` // Number of requests that run, but whose connections are closed before the response.
-	DropCalls     int    `json:"drop_calls"`   // Number of requests that are not run; their connections are closed.
-	RefuseCalls   int    `json:"refuse_calls"` // Number of requests that are refused with 503 and not run.
-	ShuttingDown  bool   `json:"leaving"`      // Reports that it is shutting down and refuses requests.
-	Unframed      bool   `json:"unframed"`     // Responses have neither a length nor chunks and end with their connections.
-	Endless       string `json:"endless"`      // Requests run and get an endless response of this kind; see listener.Endless.
-	CloseIdle     bool   `json:"close_idle"`   // One-shot: closes the idle connections.
-	ReclaimMS     int    `json:"reclaim_ms"`   // One-shot: sets ShuttingDown, and calls Config.OnReclaim after this notice period.
+	DelayMS       int    `json:"delay_ms"`      // Delay before a request runs.
+	SlowMS        int    `json:"slow_ms"`       // Delay between the effect of a request and its response.
+	Silent        bool   `json:"silent"`        // Requests are read, but neither run nor answered.
+	LoseResponses int    `json:"lose_answers"`  // Number of requests that run, but whose connections are closed before the response.
+	DropCalls     int    `json:"drop_calls"`    // Number of requests that are not run; their connections are closed.
+	RefuseCalls   int    `json:"refuse_calls"`  // Number of requests that are refused with 503 and not run.
+	ShuttingDown  bool   `json:"leaving"`       // Reports that it is shutting down and refuses requests.
+	Unframed      bool   `json:"unframed"`      // Responses have neither a length nor chunks and end with their connections.
+	BodyPauseMS   int    `json:"body_pause_ms"` // Pause in the middle of a body that has neither a length nor chunks.
+	Endless       string `json:"endless"`       // Requests run and get an endless response of this kind; see listener.Endless.
+	CloseIdle     bool   `json:"close_idle"`    // One-shot: closes the idle connections.
+	ReclaimMS     int    `json:"reclaim_ms"`    // One-shot: sets ShuttingDown, and calls Config.OnReclaim after this notice period.
 }
 
 // Server is a service stand-in. Create it with New.
@@ -181,7 +182,12 @@
 		listener.Endless(ctx, faults.Endless, nil)
 	case faults.Unframed:
 		body := bytes.Clone(ctx.Response.Body())
-		listener.Unframed(ctx, func(c net.Conn) { _, _ = c.Write(body) })
+		listener.Unframed(ctx, func(c net.Conn) {
+			half := len(body) / 2
+			_, _ = c.Write(body[:half]) // The caller may have closed the connection.
+			s.sleep(time.Duration(faults.BodyPauseMS) * time.Millisecond)
+			_, _ = c.Write(body[half:])
+		})
 	}
 }
 
