attempter: an attempt that was not sent says nothing of the one before

Callers of serve could get the outcome not_run, a promise, for a generation that had run: its first attempt was lost after it was sent, and the endpoint of the next one was leaving, so that it failed before it was recorded. The proof that nothing was sent was taken to hold for the attempt before. Requests that must not run twice were not affected, since they get no next attempt.

A retry now moves the state of its attempt to those before.

TestRandomFailures also draws attempts that fail before they are recorded.

--- a/coordination/attempter/attempter.go
+++ b/coordination/attempter/attempter.go
@@ -164,6 +164,9 @@
 	if !ok {
 		return a.giveUp()
 	}
+	// A failure of the next attempt says nothing of this one, also if it comes before RecordSend.
+	a.earlierMayHaveRun, a.currentMayHaveRun = a.MayHaveRun(), false
+	a.resuming = false
 	return Decision{Step: Retry, Delay: delay}
 }
 
--- a/coordination/attempter/attempter_test.go
+++ b/coordination/attempter/attempter_test.go
@@ -100,6 +100,24 @@
 	}
 }
 
+// Guards against a request that may have run and is reported as not run, since another attempt
+// was not sent: its endpoint was leaving.
+func TestUnsentAttemptSaysNothingOfEarlierOnes(t *testing.T) {
+	for _, resumable := range []bool{false, true} {
+		cfg := attempter.Config{Resumable: resumable, Deadline: epoch.Add(time.Second), MaxAttempts: 3, MaxResumes: 1}
+		a := attempter.New(cfg, unlimitedBudget{})
+		a.RecordSend()
+		d := a.HandleFailure(epoch, attempter.ConnectionLost)
+		if resumable {
+			d = a.HandleFailure(epoch, attempter.StreamNotFound)
+		}
+		assert.Equal(t, d.Step, attempter.Retry)
+		assert.Equal(t, a.HandleFailure(epoch, attempter.NotSent).Step, attempter.Retry)
+		d = a.HandleFailure(cfg.Deadline, attempter.NotSent)
+		assert.Equal(t, d, attempter.Decision{Step: attempter.GiveUp, Outcome: attempter.Unknown})
+	}
+}
+
 func TestMain(m *testing.M) { os.Exit(seeder.Main(m, 2000)) }
 
 // TestRandomFailures applies random failures to requests. Whether an attempt
@@ -118,8 +136,12 @@
 		a := attempter.New(cfg, unlimitedBudget{})
 		now, runs := epoch, 0
 		a.RecordSend()
+		unsent := false // The attempt failed before its send was recorded.
 		for {
 			f := attempter.Failure(rapid.IntRange(int(attempter.NotSent), int(attempter.StreamTruncated)).Draw(t, "failure"))
+			if unsent {
+				f = attempter.NotSent
+			}
 			ran := f > attempter.Refused && rapid.Bool().Draw(t, "ran")
 			if ran {
 				runs++
@@ -130,9 +152,12 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			d := a.HandleFailure(now, f)
 			if d.Step == attempter.Retry {
-				a.RecordSend()
+				if unsent = rapid.Bool().Draw(t, "unsent"); !unsent {
+					a.RecordSend()
+				}
 				continue
 			}
+			assert.Assert(t, !unsent || d.Step != attempter.Resume, "resume of an attempt that was not sent")
 			if d.Step == attempter.Resume {
 				continue
 			}
