server: a repeat whose stream is lost does not run its generation again

A generation that must run at most once ran twice: a repeat with its idempotency key read the stream of the first attempt, the engine was lost, and the repeat started the generation at another engine, without a claim. Its attempter knew of no attempt that may have run, since the daemon had sent none itself. It happened where no token had been delivered yet, so always to answers that are not streamed.

The attempt that a repeat attaches to now counts as one of the repeat's own: its outcome is unknown if its stream is lost.

--- a/server/genclaims.go
+++ b/server/genclaims.go
@@ -136,7 +136,8 @@
 		return claimer.AttachUnreachable
 	}
 	c.releaseUnusedPermit()
-	g.claim = nil // The earlier attempt records the outcome.
+	g.claim = nil           // The earlier attempt records the outcome.
+	g.attempts.RecordSend() // The earlier attempt has run: if its stream is lost, no other may be started.
 	g.seq = sequencer.New(sequencer.AttemptID(t.AttemptID), 0)
 	// The permit belongs to the earlier attempt, so it is not kept here.
 	c.deliver(openResult{permit: &permit{endpoint: e, request: admitter.Request{ID: admitter.PermitID(t.AttemptID)}}, stream: st})
