server: a late refusal of an earlier request proves nothing of this one

A call or generation that must run at most once was reported as not_run although it ran, or sent to another endpoint as well, if a second copy of an earlier refusal arrived on its connection: nothing in a refusal names its request.

Such requests get their own connections, as migrations do in forwarder. Idempotent ones share connections as before. The price is a new connection for each, and none of them is lost any more because an idle connection is closed while it is written.

The stand-ins can send such copies (late_refusals).

Measured: before, TestLateRefusalIsNoProof got not_run for a filing that ran and, with the calls mended, for a generation that an engine had started; it passes now.

--- a/e2e/repeat_test.go
+++ b/e2e/repeat_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/sourcegraph/conc"
@@ -32,3 +33,36 @@
 		assert.Equal(t, r.Outcome, "unknown", "daemon %d: %s", i, r.Text)
 	}
 }
+
+// Guards against a request that ran and counts as refused, since a copy of an earlier refusal
+// arrived on its connection: it was sent to another endpoint as well, or reported as not run.
+func TestLateRefusalIsNoProof(t *testing.T) {
+	c := startCluster(t, clusterConfig{daemons: 1, engines: 2})
+	file := func(id string) caller.Result { return c.caller.Do(t.Context(), c.filingCall(0, id, "")) }
+	generate := func(id string) caller.Result {
+		call := c.generationCall(0, id, 5)
+		call.NonIdempotent = true
+		return c.caller.Do(t.Context(), call)
+	}
+	setFaults(t, c.service, "listening", `{"late_refusals":true}`)
+	for n := range 3 {
+		id := fmt.Sprint("f", n)
+		assert.Equal(t, file(id).Outcome, "ran")
+		assert.Equal(t, c.runCount(id), 1)
+	}
+	for _, e := range c.engines {
+		setFaults(t, e, "listening", `{"refuse":"overloaded"}`)
+	}
+	assert.Equal(t, generate("refused").Outcome, "not_run")
+	for _, e := range c.engines {
+		setFaults(t, e, "listening", `{"refuse":"","late_refusals":true}`)
+	}
+	var result caller.Result
+	started := func() int { return c.counts(0).Started + c.counts(1).Started }
+	waitFor(t, "an engine to be used again", func() bool {
+		result = generate("g")
+		return result.Outcome != "not_run" || started() > 0
+	})
+	assertComplete(t, result, "g")
+	assert.Equal(t, started(), 1)
+}
--- a/protocol/generator/generator.go
+++ b/protocol/generator/generator.go
@@ -54,6 +54,10 @@
 	Prompt    string
 	MaxTokens int // Maximum number of output tokens.
 	Priority  int // Lower numbers are scheduled first.
+
+	// NonIdempotent means that the attempt must run at most once. It gets its own
+	// connection, on which no refusal of an earlier request can arrive.
+	NonIdempotent bool
 }
 
 // completionRequest is the wire form of Request.
@@ -105,7 +109,7 @@
 	header := append([]requester.Header{{Name: "Content-Type", Value: "application/json"}}, trace...)
 	return c.openStream(ctx, requester.Request{
 		Method: "POST", Addr: addr, Path: "/v1/completions", Header: header, Body: body,
-		ReadTimeout: c.cfg.TokenTimeout(),
+		NonIdempotent: r.NonIdempotent, OwnConnection: r.NonIdempotent, ReadTimeout: c.cfg.TokenTimeout(),
 	}, r.Attempt)
 }
 
--- a/server/services.go
+++ b/server/services.go
@@ -106,9 +106,11 @@
 	if c.ContentType != "" {
 		header = append(header, requester.Header{Name: "Content-Type", Value: c.ContentType})
 	}
+	nonIdempotent := c.NonIdempotent || !isIdempotent(c.Method)
 	res, err := s.doer.Do(ctx, requester.Request{
 		Method: c.Method, Addr: e.Addr, Path: c.Path, Header: header, Body: c.Body,
-		NonIdempotent: c.NonIdempotent || !isIdempotent(c.Method), ReadTimeout: c.Timeout,
+		// A late refusal of an earlier call must not prove that this one did not run.
+		NonIdempotent: nonIdempotent, OwnConnection: nonIdempotent, ReadTimeout: c.Timeout,
 	})
 	if err == nil {
 		var reply responder.Response
--- a/server/start.go
+++ b/server/start.go
@@ -77,6 +77,7 @@
 	return g.s.engines.Start(ctx, p.endpoint.Addr, generator.Request{
 		Attempt: sequencer.AttemptID(p.request.ID), Model: g.placement.Model, Version: g.placement.Version,
 		Adapter: g.placement.Adapter, Prompt: g.req.Prompt, MaxTokens: g.req.MaxTokens, Priority: p.priority,
+		NonIdempotent: g.req.NonIdempotent,
 	}, hopHeader(ctx, g.s.clock.Now()))
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -75,6 +75,7 @@
 	DropCalls      int    `json:"drop_calls"`      // Number of completion requests that are not run; their connections are closed.
 	LoseResponses  int    `json:"lose_answers"`    // Number of completions that run, but whose connections are closed before the response.
 	Refuse         string `json:"refuse"`          // If set, every completion is refused with this error code.
+	LateRefusals   bool   `json:"late_refusals"`   // Completions run and get a late copy of an earlier refusal; see listener.LateRefusal.
 	DuplicateEvery int    `json:"duplicate_every"` // Sends every Nth token twice.
 	ReorderEvery   int    `json:"reorder_every"`   // Sends every Nth token after its successor.
 	ForeignEvery   int    `json:"foreign_every"`   // Sends a token of another attempt before every Nth token.
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -165,6 +165,9 @@
 	seq.readers++
 	w := streamWriter{server: s, sequence: seq, nextIndex: offset, streamNumber: s.streamsOpened, initial: initial}
 	ctx.SetContentType("text/event-stream")
+	if initial && s.faults.LateRefusals {
+		listener.LateRefusal(ctx, "", `{"error":{"code":"overloaded"}}`)
+	}
 	switch {
 	case initial && s.faults.Endless != "":
 		listener.Endless(ctx, s.faults.Endless, func(int, time.Duration) { w.close() })
--- a/standin/listener/faulty.go
+++ b/standin/listener/faulty.go
@@ -79,3 +79,13 @@
 		}
 	})
 }
+
+// LateRefusal sends a second copy of the refusal of an earlier request before the response
+// to this one, unless this is the first request on its connection. The refusal has the given
+// header fields and body.
+func LateRefusal(ctx *fasthttp.RequestCtx, fields, body string) {
+	if ctx.ConnRequestNum() > 1 {
+		// If the connection is lost, the response is too.
+		_, _ = fmt.Fprintf(ctx.Conn(), "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	}
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -33,6 +33,7 @@
 	RefuseCalls   int    `json:"refuse_calls"`  // Number of requests that are refused with 503 and not run.
 	ShuttingDown  bool   `json:"leaving"`       // Reports that it is shutting down and refuses requests.
 	Unframed      bool   `json:"unframed"`      // Responses have neither a length nor chunks and end with their connections.
+	LateRefusals  bool   `json:"late_refusals"` // Requests run and get a late copy of an earlier refusal; see listener.LateRefusal.
 	BodyPauseMS   int    `json:"body_pause_ms"` // Pause in the middle of a body that has neither a length nor chunks.
 	Endless       string `json:"endless"`       // Requests run and get an endless response of this kind; see listener.Endless.
 	CloseIdle     bool   `json:"close_idle"`    // One-shot: closes the idle connections.
@@ -177,6 +178,9 @@
 		return
 	}
 	listener.WriteJSON(ctx, fasthttp.StatusOK, response)
+	if faults.LateRefusals {
+		listener.LateRefusal(ctx, "Monsoonspar-Not-Run: true\r\n", "")
+	}
 	switch {
 	case faults.Endless != "":
 		listener.Endless(ctx, faults.Endless, nil)
