e2e: a generation that may have run is sent to one engine only

Beside an engine that loses the response, cuts the stream or closes the connection of a request, the other one, which would run it, gets nothing.

--- a/e2e/repeat_test.go
+++ b/e2e/repeat_test.go
@@ -66,3 +66,34 @@
 	assertComplete(t, result, "g")
 	assert.Equal(t, started(), 1)
 }
+
+// A generation that must run at most once is sent to one engine only once it may have run: the
+// engine closes the connection without a response. The other engine would run it.
+func TestGenerationThatMayHaveRunIsSentOnce(t *testing.T) {
+	for fault, whole := range map[string]bool{
+		`{"lose_answers":1}`:               true, // It has run, and its stream is resumed.
+		`{"lose_answers":1,"cut_after":1}`: true,
+		`{"drop_calls":1}`:                 false,
+	} {
+		t.Run(fault, func(t *testing.T) {
+			c := startCluster(t, clusterConfig{daemons: 1, engines: 2})
+			call := c.generationCall(0, "g", 5)
+			assertComplete(t, c.caller.Do(t.Context(), call), "g")
+			engine := 0 // That the prompt is sent to.
+			if c.counts(1).Started > 0 {
+				engine = 1
+			}
+			setFaults(t, c.engines[engine], "listening", fault)
+			call.NonIdempotent = true
+			result := c.caller.Do(t.Context(), call)
+			assert.Equal(t, c.counts(1-engine).Started, 0)
+			if whole {
+				assertComplete(t, result, "g")
+				assert.Equal(t, c.counts(engine).Started, 2)
+				return
+			}
+			assert.Equal(t, result.Outcome, "unknown", result.Text)
+			assert.Equal(t, c.counts(engine).Started, 1)
+		})
+	}
+}
