storer: a response about another object or write proves nothing

A late copy of the response to an earlier call on the same connection was taken for that of a write: the claim of a request that must run at most once counted as written, and the request could be sent beside another one that held it.

A write has taken effect only if the response shows the object with the name and the writer that were sent; otherwise the object is read back, as after a lost response. A read returns only the object that was asked for.

--- a/protocol/storer/storer.go
+++ b/protocol/storer/storer.go
@@ -111,7 +111,11 @@
 	if err != nil {
 		return Object{}, err
 	}
-	return decodeObject(resource, body, ErrUnavailable)
+	o, err := decodeObject(resource, body, ErrUnavailable)
+	if err == nil && o.Name != name {
+		return Object{}, CallError{Kind: ErrUnavailable, Detail: "response to another call"}
+	}
+	return o, err
 }
 
 // List returns the objects whose labels match selector; an empty selector
--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -63,6 +63,7 @@
 const (
 	ours   = `{"metadata":{"name":"a","resourceVersion":"7"},"spec":{"writer":"w1"}}`
 	theirs = `{"metadata":{"name":"a","resourceVersion":"8"},"spec":{"writer":"w2"}}`
+	other  = `{"metadata":{"name":"b","resourceVersion":"9"},"spec":{"writer":"w3"}}`
 )
 
 var (
@@ -96,6 +97,10 @@
 		{"lost, read back missing", withWriter, []reply{lostResponse, lostResponse, lostResponse, notFound}, storer.ErrOutcomeUnknown},
 		{"lost, read back ours", withWriter, []reply{lostResponse, lostResponse, lostResponse, foundOurs}, nil},
 		{"malformed response, read back ours", withWriter, []reply{{status: 201, body: "{"}, foundOurs}, nil},
+		{"response to an earlier write, read back missing", withWriter, []reply{{status: 201, body: other}, notFound}, storer.ErrOutcomeUnknown},
+		{"response to an earlier write, read back ours", withWriter, []reply{{status: 201, body: other}, foundOurs}, nil},
+		{"response to an earlier write of the object, read back ours", withWriter, []reply{foundTheirs, foundOurs}, nil},
+		{"response to an earlier write, no writer", withoutWriter, []reply{{status: 201, body: other}}, storer.ErrOutcomeUnknown},
 		{"malformed response, no writer", withoutWriter, []reply{{status: 201, body: "{"}}, storer.ErrOutcomeUnknown},
 		{"server error", withoutWriter, []reply{{status: 500}}, storer.ErrOutcomeUnknown},
 		{"refused", withoutWriter, []reply{{status: 403}}, storer.ErrRejected},
--- a/protocol/storer/write.go
+++ b/protocol/storer/write.go
@@ -46,6 +46,9 @@
 	if err == nil {
 		stored, err = decodeObject(w.object.Resource, response, ErrOutcomeUnknown)
 	}
+	if err == nil && !isWriteOf(w.object, stored) {
+		stored, err = Object{}, CallError{Kind: ErrOutcomeUnknown, Detail: "response to another call"}
+	}
 	outcomeUnknown = outcomeUnknown || errors.Is(err, ErrOutcomeUnknown)
 	if err == nil || !outcomeUnknown {
 		return stored, err
@@ -56,6 +59,13 @@
 	return c.resolve(ctx, w.object, err)
 }
 
+// isWriteOf reports whether found is what a write of want stored, rather than the object in
+// the response to an earlier call.
+func isWriteOf(want, found Object) bool {
+	writer := WriterID(want.Spec)
+	return found.Name == want.Name && (writer == "" || WriterID(found.Spec) == writer)
+}
+
 // resolve determines whether a write took effect by reading the object back. last
 // is the error of the last attempt.
 func (c *Client) resolve(ctx context.Context, want Object, last error) (Object, error) {
@@ -66,7 +76,7 @@
 		// in flight.
 		return Object{}, unknownErr
 	}
-	if WriterID(found.Spec) == WriterID(want.Spec) && found.Version > want.Version {
+	if isWriteOf(want, found) && found.Version > want.Version {
 		return found, nil
 	}
 	if errors.Is(last, ErrExists) {
