generator: a late response to an earlier call does not end an order

An order counted as done, or as failed, while it was still on its way, if a copy of the response to an earlier call, such as a load report, arrived on its connection: the next order to the engine was sent beside it, and the lease could be released.

Orders get their own connections. They are few.

Measured: before, the order of TestLateCopyOfResponseDoesNotEndOrder was done where the engine had refused it; it passes now.

--- a/protocol/generator/load.go
+++ b/protocol/generator/load.go
@@ -154,7 +154,7 @@
 	}
 	var out struct{}
 	return c.call(ctx, requester.Request{
-		Method: "POST", Addr: addr, Path: "/orders", Body: body, NonIdempotent: true,
+		Method: "POST", Addr: addr, Path: "/orders", Body: body, NonIdempotent: true, OwnConnection: true,
 		Header: []requester.Header{{Name: "Content-Type", Value: "application/json"}},
 	}, &out)
 }
