--- a/server/services.go
+++ b/server/services.go
@@ -106,13 +106,18 @@
 	if c.ContentType != "" {
 		header = append(header, requester.Header{Name: "Content-Type", Value: c.ContentType})
 	}
+	nonIdempotent := c.NonIdempotent || !isIdempotent(c.Method)
 	res, err := s.doer.Do(ctx, requester.Request{
 		Method: c.Method, Addr: e.Addr, Path: c.Path, Header: header, Body: c.Body,
-		NonIdempotent: c.NonIdempotent || !isIdempotent(c.Method), ReadTimeout: c.Timeout,
+		// A late refusal of an earlier call must not prove that this one did not run.
+		NonIdempotent: nonIdempotent, OwnConnection: nonIdempotent, ReadTimeout: c.Timeout,
 	})
 	if err == nil {
 		var reply responder.Response
 		if reply, err = readReply(res); err == nil {
+			err = res.ConfirmEnd(ctx, s.doer, e.Addr)
+		}
+		if err == nil {
 			s.eachRouter(func(r *router.Router) { r.ReportSuccess(endpoint) })
 			return reply, nil
 		}
