registrar: keep the mark of a shutdown for the lifetime of the endpoint

An endpoint that had been marked as shutting down got requests again when its entry was removed and written again (as after an outage or a restore of the store), and a mark that arrived before the entry was lost.

The marks are kept by name and start time, apart from the entries. Without a start time the mark ends with the entry, as before.

--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -11,7 +11,8 @@
 // An endpoint is identified by its name and start time, not by its address: an
 // address may be reused by another endpoint, and an endpoint may restart under
 // the same name. The removal of an entry means that its endpoint is shutting
-// down.
+// down. An endpoint that is known to shut down from another source than its entry
+// stays so until it restarts.
 package registrar
 
 import (
@@ -50,7 +51,6 @@
 // record is an endpoint with the state that this daemon has observed itself.
 type record struct {
 	endpoint     Endpoint
-	shuttingDown bool      // Set by MarkShuttingDown.
 	missingSince time.Time // When the entry was found missing after an outage; zero while it is present.
 }
 
@@ -67,6 +67,7 @@
 	records  map[string]*record
 	removed  map[string]removal    // Last removal of each name.
 	held     map[string]heldEntry  // Entries that may be those of endpoints that have left, by name.
+	shutdown map[Identity]bool     // Endpoints marked by MarkShuttingDown, whether they have an entry or not.
 	usable   map[string][]Endpoint // Endpoints that accept new work, by service; rebuilt after each change.
 	revision int64
 	grace    time.Duration
@@ -77,7 +78,10 @@
 // New returns an empty Registrar. Entries that are missing after an outage of
 // their source are kept for grace.
 func New(grace time.Duration) *Registrar {
-	return &Registrar{records: map[string]*record{}, removed: map[string]removal{}, held: map[string]heldEntry{}, usable: map[string][]Endpoint{}, grace: grace}
+	return &Registrar{
+		records: map[string]*record{}, removed: map[string]removal{}, held: map[string]heldEntry{}, shutdown: map[Identity]bool{},
+		usable: map[string][]Endpoint{}, grace: grace,
+	}
 }
 
 // Revision returns the revision of the source that the endpoints reflect.
@@ -102,7 +106,7 @@
 	all := make([]Endpoint, 0, len(g.records))
 	for _, r := range g.records {
 		e := r.endpoint
-		e.Draining = e.Draining || r.shuttingDown
+		e.Draining = e.Draining || g.shutdown[e.Identity]
 		all = append(all, e)
 	}
 	return all
@@ -124,7 +128,7 @@
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	r := g.records[id.Name]
-	return r == nil || r.endpoint.Identity != id || r.shuttingDown || r.endpoint.Draining
+	return r == nil || r.endpoint.Identity != id || g.shutdown[id] || r.endpoint.Draining
 }
 
 // Replace applies a complete list as of a revision. Entries that are not in it
@@ -150,7 +154,7 @@
 		if present[name] || r.endpoint.Revision > revision {
 			continue
 		}
-		if afterOutage && !r.shuttingDown && !r.endpoint.Draining {
+		if afterOutage && !g.shutdown[r.endpoint.Identity] && !r.endpoint.Draining {
 			if r.missingSince.IsZero() {
 				r.missingSince = now
 			}
@@ -232,19 +236,39 @@
 }
 
 // MarkShuttingDown marks the endpoint as shutting down on evidence other than its
-// entry. It returns the endpoint and whether this is new: false if its entry is
-// draining already, and for an endpoint that is unknown or marked already.
+// entry. The mark holds whatever its entry says from then on, also if that is removed
+// and written again, or arrives only later. It returns the endpoint and whether this is
+// new: false if its entry is draining already, and for an endpoint that is unknown or
+// marked already.
 func (g *Registrar) MarkShuttingDown(id Identity) (Endpoint, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.records[id.Name]
-	if r == nil || r.endpoint.Identity != id || r.shuttingDown {
+	known := r != nil && r.endpoint.Identity == id
+	if g.shutdown[id] || (!known && id.Started == 0) {
+		return Endpoint{}, false
+	}
+	g.shutdown[id] = true
+	if len(g.shutdown) > maxShutdowns {
+		g.pruneShutdowns()
+	}
+	if !known {
 		return Endpoint{}, false
 	}
-	r.shuttingDown = true
-	isNew := !r.endpoint.Draining
 	g.rebuild()
-	return r.endpoint, isNew
+	return r.endpoint, !r.endpoint.Draining
+}
+
+// maxShutdowns bounds the marks of MarkShuttingDown that are kept.
+const maxShutdowns = 4096
+
+// pruneShutdowns drops the marks of endpoints without an entry. The mutex must be held.
+func (g *Registrar) pruneShutdowns() {
+	for id := range g.shutdown {
+		if r := g.records[id.Name]; r == nil || r.endpoint.Identity != id {
+			delete(g.shutdown, id)
+		}
+	}
 }
 
 // set stores e unless a later revision has been applied. The mutex must be held.
@@ -262,7 +286,7 @@
 			changes = append(changes, Change{Endpoint: old.endpoint, ShuttingDown: true})
 		}
 		g.records[e.Name] = &record{endpoint: e}
-		return append(changes, Change{Endpoint: e, ShuttingDown: e.Draining, New: true})
+		return append(changes, Change{Endpoint: e, ShuttingDown: e.Draining || g.shutdown[e.Identity], New: true})
 	}
 	if Era(e.Revision) > Era(old.endpoint.Revision) {
 		e.Draining = e.Draining || old.endpoint.Draining // The copy may be older than the drain.
@@ -276,7 +300,7 @@
 	if !changed {
 		return nil
 	}
-	return []Change{{Endpoint: e, ShuttingDown: e.Draining || old.shuttingDown}}
+	return []Change{{Endpoint: e, ShuttingDown: e.Draining || g.shutdown[e.Identity]}}
 }
 
 // remove deletes the entry and records its removal. The mutex must be held.
@@ -296,6 +320,9 @@
 		return nil
 	}
 	delete(g.records, name)
+	if r.endpoint.Started == 0 { // The name may be that of a later run next time.
+		delete(g.shutdown, r.endpoint.Identity)
+	}
 	return []Change{{Endpoint: r.endpoint, ShuttingDown: true}}
 }
 
@@ -320,7 +347,7 @@
 func (g *Registrar) rebuild() {
 	usable := make(map[string][]Endpoint, len(g.usable))
 	for _, r := range g.records {
-		if !r.shuttingDown && !r.endpoint.Draining {
+		if !g.shutdown[r.endpoint.Identity] && !r.endpoint.Draining {
 			usable[r.endpoint.Service] = append(usable[r.endpoint.Service], r.endpoint)
 		}
 	}
