forwarder: heed endpoints that say in an answer that they are shutting down

A worker that leaves says so in all its answers. The daemon ignored that and went on sending it new requests until its entry or its report told the same.

The mark holds for the lifetime of the endpoint.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -123,7 +123,7 @@
 	})
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
-		f.observeLimit(e, &res, limited)
+		f.observeResponse(e, &res, limited)
 		a = f.readResponse(c, res, cancel)
 	}
 	if a.err == nil || !a.notRun {
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -106,6 +106,7 @@
 	_, limited := f.limits.Limit(from.Identity)
 	result, err := f.endpoints.Migrate(ctx, from, id, to, stopRun)
 	f.observeNamedLimit(from, result.RequestLimit, limited)
+	f.observeNotice(from, result.Notice)
 	return result, err
 }
 
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -109,6 +109,7 @@
 	for range aliveAttempts {
 		f.acquireGrant(c, e, limiter.Sent)
 		r, err := f.endpoints.Report(c, e)
+		f.observeNotice(e, r.Notice)
 		if err == nil {
 			return r.Started == 0 || e.Started == 0 || r.Started == e.Started
 		}
@@ -133,6 +134,9 @@
 	f.acquireGrant(c, e, limiter.Sent)
 	r, err := f.endpoints.Report(c, e)
 	f.observeNamedLimit(e, r.RequestLimit, limited)
+	if err != nil { // Otherwise the report has the notice, and the time until the engine ends.
+		f.observeNotice(e, r.Notice)
+	}
 	select {
 	case results <- pollResult{endpoint: e, report: r.Report, err: err}:
 	case <-ctx.Done():
@@ -180,24 +184,11 @@
 		pl.Observe(r.endpoint.Identity, r.report, now)
 	}
 	f.peers.queueReport(r.endpoint.Service, r.endpoint.Identity, r.report)
-	if r.report.ShuttingDown && f.handleEngineShutdown(r.endpoint.Identity, r.report.ShutdownIn, "report") {
+	if r.report.ShuttingDown && f.handleShutdown(r.endpoint.Identity, r.report.ShutdownIn, "report") {
 		f.peers.queueShutdown(r.endpoint.Identity, r.report.ShutdownIn)
 	}
 }
 
-// handleEngineShutdown handles a sign that an engine is shutting down and evacuates
-// it. It reports whether the shutdown was not known before.
-func (f *Forwarder) handleEngineShutdown(id registrar.Identity, notice time.Duration, source string) bool {
-	e, changed := f.registry.MarkShuttingDown(id)
-	if !changed {
-		return false
-	}
-	f.log.Info().Str("endpoint", id.Name).Dur("leaves_in_ms", notice).Str("source", source).Msg("forwarder: engine is shutting down")
-	f.updateServices()
-	f.evacuate(e, notice)
-	return true
-}
-
 // processQueues delivers the outcomes of queued jobs of all services.
 func (f *Forwarder) processQueues(now time.Time) {
 	denied := f.deniedEngines(now)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -372,7 +372,7 @@
 		Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
 	})
 	if err == nil {
-		s.f.observeLimit(to, &r.response, limited)
+		s.f.observeResponse(to, &r.response, limited)
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -103,6 +103,12 @@
 	ContentLength int            // Length of the body in bytes; negative if unknown.
 	Framing       verifier.Framing
 	RequestLimit  *float64 // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
+	Notice        Notice
+}
+
+// Notice is what any answer of an endpoint may say about the requests that it wants.
+type Notice struct {
+	ShuttingDown bool // The endpoint accepts no new work.
 }
 
 // readAll reads the body to its end, up to a limit in bytes, and closes it.
@@ -116,6 +122,7 @@
 	Events int    // Number of events produced before the run was stopped.
 	// RequestLimit is that of the engine that was called, as in Response.
 	RequestLimit *float64
+	Notice       Notice // Of the engine that was called.
 }
 
 // EngineReport is the load report of an engine.
@@ -123,6 +130,7 @@
 	placer.Report
 	Started      int64    // As in registrar.Identity; zero if the report does not tell.
 	RequestLimit *float64 // As in Response.
+	Notice       Notice   // As in Response; set also if the engine refused to report.
 }
 
 // Errors of a migration.
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -36,10 +36,10 @@
 	takenAt time.Time          // Not sent; AgeMs is computed from it.
 }
 
-// shutdownUpdate states that an engine is shutting down.
+// shutdownUpdate states that an endpoint is shutting down.
 type shutdownUpdate struct {
-	Engine     registrar.Identity `msgpack:"engine"`
-	ShutdownMs int64              `msgpack:"leave_ms"` // Time until the engine ends; zero if not known.
+	Endpoint   registrar.Identity `msgpack:"engine"`
+	ShutdownMs int64              `msgpack:"leave_ms"` // Time until the endpoint ends; zero if not known.
 }
 
 // applyMessage applies a batch of updates from the named peer.
@@ -56,7 +56,7 @@
 			pl.Observe(r.Engine, r.Report, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
 		}
 		if r.Report.ShuttingDown { // This daemon may have started after the news was sent.
-			p.f.handleEngineShutdown(r.Engine, r.Report.ShutdownIn, "report of a peer")
+			p.f.handleShutdown(r.Engine, r.Report.ShutdownIn, "report of a peer")
 		}
 	}
 	if len(m.Endpoints) > 0 {
@@ -65,7 +65,7 @@
 	p.f.applyLimits(m.Limits, p.domainOf(name))
 	p.offerManifest(name, m.Manifest)
 	for _, u := range m.ShuttingDown {
-		p.f.handleEngineShutdown(u.Engine, time.Duration(u.ShutdownMs)*time.Millisecond, "peer")
+		p.f.handleShutdown(u.Endpoint, time.Duration(u.ShutdownMs)*time.Millisecond, "peer")
 	}
 }
 
@@ -181,11 +181,11 @@
 	p.pending.Reports = append(p.pending.Reports, reportUpdate{Service: service, Engine: id, Report: r, takenAt: p.f.clock.Now()})
 }
 
-// queueShutdown queues the update that an engine is shutting down.
+// queueShutdown queues the update that an endpoint is shutting down.
 func (p *peers) queueShutdown(id registrar.Identity, notice time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pending.ShuttingDown = append(p.pending.ShuttingDown, shutdownUpdate{Engine: id, ShutdownMs: notice.Milliseconds()})
+	p.pending.ShuttingDown = append(p.pending.ShuttingDown, shutdownUpdate{Endpoint: id, ShutdownMs: notice.Milliseconds()})
 }
 
 // queueManifest queues the version of the manifest that is in force now.
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -106,7 +106,7 @@
 	all := make([]Endpoint, 0, len(g.records))
 	for _, r := range g.records {
 		e := r.endpoint
-		e.Draining = e.Draining || g.shutdown[e.Identity]
+		e.Draining = g.isShuttingDown(&e)
 		all = append(all, e)
 	}
 	return all
@@ -128,7 +128,7 @@
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	r := g.records[id.Name]
-	return r == nil || r.endpoint.Identity != id || g.shutdown[id] || r.endpoint.Draining
+	return r == nil || r.endpoint.Identity != id || g.isShuttingDown(&r.endpoint)
 }
 
 // Replace applies a complete list as of a revision. Entries that are not in it
@@ -154,7 +154,7 @@
 		if present[name] || r.endpoint.Revision > revision {
 			continue
 		}
-		if afterOutage && !g.shutdown[r.endpoint.Identity] && !r.endpoint.Draining {
+		if afterOutage && !g.isShuttingDown(&r.endpoint) {
 			if r.missingSince.IsZero() {
 				r.missingSince = now
 			}
@@ -259,6 +259,10 @@
 	return r.endpoint, !r.endpoint.Draining
 }
 
+// isShuttingDown reports whether an endpoint shuts down according to its entry or to a
+// mark. The mutex must be held.
+func (g *Registrar) isShuttingDown(e *Endpoint) bool { return e.Draining || g.shutdown[e.Identity] }
+
 // maxShutdowns bounds the marks of MarkShuttingDown that are kept.
 const maxShutdowns = 4096
 
@@ -286,7 +290,7 @@
 			changes = append(changes, Change{Endpoint: old.endpoint, ShuttingDown: true})
 		}
 		g.records[e.Name] = &record{endpoint: e}
-		return append(changes, Change{Endpoint: e, ShuttingDown: e.Draining || g.shutdown[e.Identity], New: true})
+		return append(changes, Change{Endpoint: e, ShuttingDown: g.isShuttingDown(&e), New: true})
 	}
 	if Era(e.Revision) > Era(old.endpoint.Revision) {
 		e.Draining = e.Draining || old.endpoint.Draining // The copy may be older than the drain.
@@ -300,7 +304,7 @@
 	if !changed {
 		return nil
 	}
-	return []Change{{Endpoint: e, ShuttingDown: e.Draining || g.shutdown[e.Identity]}}
+	return []Change{{Endpoint: e, ShuttingDown: g.isShuttingDown(&e)}}
 }
 
 // remove deletes the entry and records its removal. The mutex must be held.
@@ -347,7 +351,7 @@
 func (g *Registrar) rebuild() {
 	usable := make(map[string][]Endpoint, len(g.usable))
 	for _, r := range g.records {
-		if !g.shutdown[r.endpoint.Identity] && !r.endpoint.Draining {
+		if !g.isShuttingDown(&r.endpoint) {
 			usable[r.endpoint.Service] = append(usable[r.endpoint.Service], r.endpoint)
 		}
 	}
