forwarder: evacuate runs that begin on an engine that is shutting down

A run that was continued on an engine stayed there to its end if the engine's first sign of its shutdown came between the choice of the engine and the response that begins the run, as with a response that says so itself: the evacuation covers only the runs that are known at the first sign.

A run that starts on an engine that is shutting down is evacuated too, unless it continues on the same engine after a migration that failed.

TestRunThatBeginsWithTheNoticeMoves failed before: the run left the engine 5.3 s after the notice, at its end; now within 2 s.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -399,6 +399,7 @@
 // setRun makes r the run that the stream reads from.
 func (s *stream) setRun(r run) {
 	s.mu.Lock()
+	moved := s.run.engine.Identity != r.engine.Identity
 	s.run = r
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
@@ -411,6 +412,9 @@
 		s.body.Limit = maxStreamBytes
 	}
 	s.f.addStream(s)
+	if moved && s.f.registry.ShuttingDown(r.engine.Identity) { // Since the engine was chosen.
+		s.f.evacuate(r.engine, 0)
+	}
 }
 
 // close closes the connection of a run that is no longer read.
