forwarder: keep requests off an endpoint for the time that its refusal names

A worker that turns a request away with 503 may add Retry-After: it wants nothing from that daemon for so long. The daemon ignored it and went on with requests and polls.

Until it has passed the daemon sends no calls, generations, resumes, migrations and polls and names the engine for no backup. When all endpoints of a service are deferred, requests are refused at once (endpoints_deferred) with the time until the first may be asked; a queued generation is, once that is too late for it. A poll that was refused in this way does not make an engine count as unresponsive.

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -25,6 +25,7 @@
 	unreachableUntil time.Time       // Set when the engine does not answer.
 	lastMigrationAt  time.Time       // Start of the last migration to this engine.
 	fullUntil        time.Time       // Set when it has no memory for a migration.
+	deferredUntil    time.Time       // Until when it wants no requests of this daemon.
 	limited          bool            // Its limit on requests permits none now.
 	unusableSince    time.Time       // Since when it accepts no new jobs, as it is shutting down or draining; zero while it accepts them.
 	lastPrefillAt    time.Time       // When a prefill last ended, seen as the first event of a job.
@@ -40,10 +41,10 @@
 // acceptsJobs reports whether the engine accepts new jobs now.
 func (e *engine) acceptsJobs(now time.Time) bool { return e.acceptsRuns(now) && !e.limited }
 
-// acceptsRuns reports whether the engine is not shutting down and not known to be
-// unreachable.
+// acceptsRuns reports whether the engine is not shutting down, not known to be
+// unreachable, and wants requests of this daemon.
 func (e *engine) acceptsRuns(now time.Time) bool {
-	return e.unusableSince.IsZero() && !now.Before(e.unreachableUntil)
+	return e.unusableSince.IsZero() && !now.Before(e.unreachableUntil) && !now.Before(e.deferredUntil)
 }
 
 // refresh recomputes the derived fields if they are out of date.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -46,8 +46,9 @@
 		return nil
 	}
 	var outcomes []Outcome
+	opening := p.firstOpening(now)
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedJob) bool {
-		missed := p.missesDeadline(&q.job, now)
+		missed := p.missesDeadline(&q.job, opening)
 		if missed {
 			outcomes = append(outcomes, p.refuse(q, now))
 		}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -126,5 +126,6 @@
 	"client_gone":           "the client closed its connection before the response was complete",
 	"stream_cut":            "the engine was lost, or its response ended early, and the generation could not be continued from any copy of its KV cache; see the lines before",
 	"endpoints_limited":     "the endpoints of the service limit their requests, and the limits permitted no further one; see the log lines \"limit of an endpoint changed\"",
+	"endpoints_deferred":    "every endpoint of the service has refused a request of this daemon and asked for none until later; see the log lines \"endpoint wants no requests for a time\"",
 	"daemon_stopping":       "the daemon was stopping, and the generation would probably have run for longer",
 }
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -25,6 +25,14 @@
 	golden.Assert(t, b.String(), "cut-stream.golden")
 }
 
+func TestExplainDeferredRequest(t *testing.T) {
+	lines, err := explainer.Read(strings.NewReader(`{"level":"warn","request":"r1","attempts":1,"status":503,"reason":"endpoints_deferred","retry_after_ms":2990,"time":"2026-12-04T12:40:00Z","message":"forwarder: request refused"}`), "r1")
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	assert.NilError(t, explainer.Explain(&b, "r1", lines))
+	golden.Assert(t, b.String(), "deferred.golden")
+}
+
 func TestExplainUnknownRequest(t *testing.T) {
 	lines, err := explainer.Read(strings.NewReader("no json\n{\"request\":\"other\"}\n{bad r1}\n"), "r1")
 	assert.NilError(t, err)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -210,8 +210,9 @@
 		return
 	}
 	r := Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: unavailableRetryAfter}
-	if reason == ReasonLimited {
-		r = f.limitRefusal(x.service, f.clock.Now())
+	now := f.clock.Now()
+	if _, all := f.allDeferred(f.registry.Usable(x.service), now); all || reason == ReasonLimited {
+		r = f.limitRefusal(x.service, now)
 	}
 	f.refuse(out, x, r, lastAttempt.err)
 }
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -53,6 +53,7 @@
 	ReasonStreamCut           Reason = "stream_cut"
 	ReasonStopping            Reason = "daemon_stopping"
 	ReasonLimited             Reason = "endpoints_limited"
+	ReasonDeferred            Reason = "endpoints_deferred"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 )
 
--- /dev/null
+++ b/forwarder/deferral.go
@@ -0,0 +1,46 @@
+package forwarder
+
+import (
+	"time"
+
+	"monsoonspar.example/state/registrar"
+)
+
+// An endpoint that refuses a request may name a time for which it wants no request of this
+// daemon. Calls, generations, resumes, migrations and polls keep it then; other daemons are
+// not concerned.
+
+// deferRequests records that an endpoint wants no requests for a time.
+func (f *Forwarder) deferRequests(e registrar.Endpoint, asked time.Duration) {
+	now := f.clock.Now()
+	left, isNew := f.deferrals.Defer(e.Identity, asked, now)
+	if p := f.knownPlacer(e.Service); p != nil {
+		p.Defer(e.Identity, now.Add(left))
+	}
+	if isNew {
+		f.metrics.count("deferrals")
+		f.log.Info().Str("endpoint", e.Name).Str("service", e.Service).Dur("asked_ms", asked).Dur("deferred_ms", left).
+			Msg("forwarder: endpoint wants no requests for a time")
+	}
+}
+
+// isDeferred reports whether the endpoint wants no requests of this daemon now.
+func (f *Forwarder) isDeferred(e registrar.Endpoint, now time.Time) bool {
+	return f.deferrals.For(e.Identity, now) > 0
+}
+
+// allDeferred reports whether all endpoints want no requests of this daemon now, and returns
+// the time until the first of them does.
+func (f *Forwarder) allDeferred(endpoints []registrar.Endpoint, now time.Time) (time.Duration, bool) {
+	first := time.Duration(0)
+	for _, e := range endpoints {
+		d := f.deferrals.For(e.Identity, now)
+		if d == 0 {
+			return 0, false
+		}
+		if first == 0 || d < first {
+			first = d
+		}
+	}
+	return first, len(endpoints) > 0
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -50,8 +50,9 @@
 	randMu     sync.Mutex
 	rand       *rand.Rand
 
-	limits  *limiter.Limiter
-	members *limiter.Members // The daemons that share the limits.
+	limits    *limiter.Limiter
+	members   *limiter.Members // The daemons that share the limits.
+	deferrals limiter.Deferrals
 
 	streamsMu   sync.Mutex
 	streams     map[*stream]struct{}
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -123,13 +123,13 @@
 }
 
 // mayAsk reports whether a request to the endpoint could be granted now, as far as
-// this daemon knows.
+// this daemon knows, and the endpoint has not asked for none.
 func (f *Forwarder) mayAsk(e registrar.Endpoint, now time.Time) bool {
-	return f.limits.DeniedFor(e.Identity, limiter.Normal, now) == 0
+	return f.limits.DeniedFor(e.Identity, limiter.Normal, now) == 0 && !f.isDeferred(e, now)
 }
 
 // permittedEndpoints returns the endpoints without those that accept no request now
-// because of their limits.
+// because of their limits or of a deferral.
 func (f *Forwarder) permittedEndpoints(all []registrar.Endpoint, now time.Time) []registrar.Endpoint {
 	for i := range all {
 		if f.mayAsk(all[i], now) {
@@ -146,20 +146,34 @@
 	return all
 }
 
-// limitRefusal returns the refusal of a request that the limits of all endpoints of
-// its service exclude. The client may return when the first of them may permit it.
+// limitRefusal returns the refusal of a request that the limits and deferrals of the
+// endpoints of its service exclude, as far as they have not refused it themselves. The
+// client may return when the first of them may permit it.
 func (f *Forwarder) limitRefusal(service string, now time.Time) Refusal {
-	first := time.Duration(0)
-	for _, e := range f.registry.Usable(service) {
+	usable := f.registry.Usable(service)
+	if first, all := f.allDeferred(usable, now); all {
+		return Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonDeferred, RetryAfter: first}
+	}
+	first, deferred := time.Duration(0), false
+	for _, e := range usable {
+		deferred = deferred || f.isDeferred(e, now)
 		if d := f.limits.DeniedFor(e.Identity, limiter.Normal, now); d > 0 && (first == 0 || d < first) {
 			first = d
 		}
 	}
-	return Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonLimited, RetryAfter: max(first, unavailableRetryAfter)}
+	reason := ReasonLimited
+	if deferred && first == 0 {
+		reason = ReasonRefused // By those that are not deferred.
+	}
+	return Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: max(first, unavailableRetryAfter)}
 }
 
 // acquireGrant reports whether a request may be sent to the endpoint now.
 func (f *Forwarder) acquireGrant(ctx context.Context, e registrar.Endpoint, u limiter.Urgency) bool {
+	if u != limiter.Sent && f.isDeferred(e, f.clock.Now()) {
+		f.metrics.count("deferral_denials")
+		return false
+	}
 	rate, limited := f.limits.Limit(e.Identity)
 	if !limited {
 		return true
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -130,6 +130,9 @@
 	if err == nil || errors.Is(err, errBeingResumed) {
 		return err == nil
 	}
+	if s.f.isDeferred(source.engine, s.f.clock.Now()) { // It wants no request to migrate either.
+		return false
+	}
 	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
 	if !ok {
 		s.f.addRequestFields(s.f.log.Info(), s.x).Str("endpoint", source.engine.Name).Msg("forwarder: no engine has enough free memory for a run that must migrate")
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -8,6 +8,9 @@
 
 // observeNotice handles what an answer of an endpoint says besides the response.
 func (f *Forwarder) observeNotice(e registrar.Endpoint, n Notice) {
+	if n.RetryAfter > 0 {
+		f.deferRequests(e, n.RetryAfter)
+	}
 	if n.ShuttingDown && f.handleShutdown(e.Identity, 0, "response") {
 		f.metrics.count("shutdowns_in_responses")
 		f.peers.queueShutdown(e.Identity, 0)
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -78,12 +78,13 @@
 	}
 }
 
-// shouldPoll reports whether this daemon should poll an engine. One daemon does so
+// shouldPoll reports whether this daemon should poll an engine that has not asked for no
+// requests. One daemon does so
 // on behalf of its peers, preferably one in the failure domain of the engine. The
 // others poll the engine only if they have received no report for maxReportAge.
 func (f *Forwarder) shouldPoll(e registrar.Endpoint, peers []Daemon, now time.Time) bool {
 	p := f.knownPlacer(e.Service)
-	if p == nil {
+	if p == nil || f.isDeferred(e, now) {
 		return false
 	}
 	self := Daemon{Name: f.cfg.Daemon.Name, Domain: f.cfg.Daemon.Domain}
@@ -107,6 +108,9 @@
 	c, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	for range aliveAttempts {
+		if f.isDeferred(e, f.clock.Now()) {
+			break
+		}
 		f.acquireGrant(c, e, limiter.Sent)
 		r, err := f.endpoints.Report(c, e)
 		f.observeNotice(e, r.Notice)
@@ -123,6 +127,7 @@
 type pollResult struct {
 	endpoint registrar.Endpoint
 	report   placer.Report
+	deferred bool // The engine has refused the poll and named a time to return.
 	err      error
 }
 
@@ -138,7 +143,7 @@
 		f.observeNotice(e, r.Notice)
 	}
 	select {
-	case results <- pollResult{endpoint: e, report: r.Report, err: err}:
+	case results <- pollResult{endpoint: e, report: r.Report, deferred: r.Notice.RetryAfter > 0, err: err}:
 	case <-ctx.Done():
 	}
 }
@@ -159,6 +164,9 @@
 func (f *Forwarder) handlePollResult(p *enginePoll, r pollResult, now time.Time) {
 	p.inProgress = false
 	f.metrics.count("reports_asked")
+	if r.err != nil && r.deferred { // The engine has answered.
+		return
+	}
 	if r.err != nil {
 		p.failures++
 		if p.failures == maxFailedPolls {
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -108,7 +108,8 @@
 
 // Notice is what any answer of an endpoint may say about the requests that it wants.
 type Notice struct {
-	ShuttingDown bool // The endpoint accepts no new work.
+	ShuttingDown bool          // The endpoint accepts no new work.
+	RetryAfter   time.Duration // Time for which the endpoint wants no request of this daemon; zero if it names none.
 }
 
 // readAll reads the body to its end, up to a limit in bytes, and closes it.
