forwarder: return to the store when its refusal says so

The store's 429 and 503 may name a time to return. The daemon ignored it and called again after a backoff of at most 0.8 s; refused calls are priced too.

A refusal is a StoreRefusedError with that time, at most 2 s of which the daemon waits, so that changes of the configuration are not missed for long.

--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -17,6 +17,7 @@
 	watchTimeout          = 20 * time.Second // Duration of a long-poll; the store allows up to 30 s.
 	backoffBase           = 100 * time.Millisecond
 	backoffLimit          = 800 * time.Millisecond // Short enough to notice a recovered store well within the time limit for configuration changes.
+	maxStoreRetryAfter    = 2 * time.Second        // Bounds the time that a refusal of the store names, for the same reason.
 	outageThreshold       = time.Second            // A store that did not answer for longer had an outage.
 	daemonListInterval    = 10 * time.Second
 	initialDaemonLists    = 3                      // Number of lists after the start that are read at shorter intervals, since daemons start at the same time.
@@ -55,8 +56,8 @@
 	return hadOutage
 }
 
-// recordFailure records a failed call and waits for the backoff before the next
-// one.
+// recordFailure records a failed call and waits before the next one: for the time that a
+// refusal names, or else for the backoff.
 func (d *dependency) recordFailure(ctx context.Context, err error) error {
 	if d.failures == 0 {
 		d.lostSince = d.f.clock.Now()
@@ -64,7 +65,12 @@
 	}
 	d.failures++
 	d.f.metrics.count("store_failures")
-	return d.f.clock.Sleep(ctx, d.f.backoff(d.failures))
+	delay := d.f.backoff(d.failures)
+	var refusal StoreRefusedError
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 { // All daemons may have been refused; jitter spreads them.
+		delay = max(delay, min(refusal.RetryAfter, maxStoreRetryAfter)+d.f.backoff(0))
+	}
+	return d.f.clock.Sleep(ctx, delay)
 }
 
 // followManifest installs each new manifest of the store until ctx ends. It is idle
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -41,6 +42,21 @@
 	ErrRefused         = errors.New("the store refused the call")
 )
 
+// StoreRefusedError is the error of a call that the store refused and for which it may have named
+// a time to return. It matches ErrRefused.
+type StoreRefusedError struct {
+	Status     int
+	RetryAfter time.Duration // Zero if the store named none.
+}
+
+// Error implements error.
+func (e StoreRefusedError) Error() string {
+	return fmt.Sprintf("%v: status %d, retry after %v", ErrRefused, e.Status, e.RetryAfter)
+}
+
+// Unwrap returns ErrRefused.
+func (StoreRefusedError) Unwrap() error { return ErrRefused }
+
 // ErrBadRequest means that a client request could not be parsed.
 var ErrBadRequest = errors.New("malformed request")
 
