--- a/forwarder/deferral.go
+++ b/forwarder/deferral.go
@@ -7,8 +7,8 @@
 )
 
 // An endpoint that refuses a request may name a time for which it wants no request of this
-// daemon. Calls, generations, resumes, migrations and polls keep it then; other daemons are
-// not concerned.
+// daemon. Until then it gets no calls, generations, resumes, migrations and polls of this
+// daemon; other daemons are not concerned.
 
 // deferRequests records that an endpoint wants no requests for a time.
 func (f *Forwarder) deferRequests(e registrar.Endpoint, asked time.Duration) {
