--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -55,6 +55,7 @@
 	ReasonLimited             Reason = "endpoints_limited"
 	ReasonDeferred            Reason = "endpoints_deferred"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
+	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 )
 
 // Refusal is an error response that the daemon itself generates.
--- a/forwarder/deferral.go
+++ b/forwarder/deferral.go
@@ -44,6 +44,12 @@
 	return f.clock.Sleep(ctx, left) == nil
 }
 
+// runsAfterEnd reports whether the process of an engine still runs after the end of a stream.
+// It waits until the engine may be asked, if the deadline of ctx permits that.
+func (f *Forwarder) runsAfterEnd(ctx context.Context, e registrar.Endpoint) bool {
+	return f.awaitDeferral(ctx, e) && f.stillRuns(ctx, e)
+}
+
 // allDeferred reports whether all endpoints want no requests of this daemon now, and returns
 // the time until the first of them does.
 func (f *Forwarder) allDeferred(endpoints []registrar.Endpoint, now time.Time) (time.Duration, bool) {
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -130,6 +130,9 @@
 	if err == nil || errors.Is(err, errBeingResumed) {
 		return err == nil
 	}
+	if source.state.resumeLost.Load() {
+		return true
+	}
 	if s.f.isDeferred(source.engine, s.f.clock.Now()) { // It wants no request to migrate either.
 		return false
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -34,6 +34,7 @@
 	if !changed {
 		return false
 	}
+	f.quarantine.Retract(id, f.clock.Now())
 	f.log.Info().Str("endpoint", id.Name).Dur("leaves_in_ms", notice).Str("source", source).Msg("forwarder: endpoint is shutting down")
 	f.updateServices()
 	f.evacuate(e, notice)
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -103,10 +103,10 @@
 	aliveAttempts = 2 // An idle connection may have been closed.
 )
 
-// stillRuns reports whether the process of an engine answers a poll.
+// stillRuns reports whether the process of an engine answers a poll. One that has asked for
+// no requests is not polled.
 func (f *Forwarder) stillRuns(ctx context.Context, e registrar.Endpoint) bool {
-	if !f.awaitDeferral(ctx, e) {
-		f.metrics.count("ends_doubted")
+	if f.isDeferred(e, f.clock.Now()) {
 		return false
 	}
 	c, cancel := context.WithTimeout(ctx, aliveTimeout)
@@ -118,9 +118,8 @@
 		if err == nil {
 			return r.Started == 0 || e.Started == 0 || r.Started == e.Started
 		}
-		f.log.Debug().Err(err).Str("endpoint", e.Name).Msg("forwarder: engine does not answer after the end of a stream")
+		f.log.Debug().Err(err).Str("endpoint", e.Name).Msg("forwarder: engine does not answer whether it still runs")
 	}
-	f.metrics.count("ends_doubted")
 	return false
 }
 
