forwarder: probe an engine that defers requests until it answers once

Each stream that an engine breaks off has the engine polled up to five times, to find out whether its process has ended. An engine that wants no requests but resets its streams got all of these polls.

Meanwhile the probes go out one at a time and end with the first answer. An engine that has ended answers none, so evidence against parts of prompts is not lost.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,7 @@
 	limits    *limiter.Limiter
 	members   *limiter.Members // The daemons that share the limits.
 	deferrals limiter.Deferrals
+	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
 	quarantineWatch *quarantineWatch
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -146,8 +146,10 @@
 	c, cancel := context.WithTimeout(ctx, endProbeTimeout)
 	defer cancel()
 	for range endProbes {
-		r, err := f.endpoints.Report(c, e)
+		r, err := f.probeEnd(c, e)
 		switch {
+		case errors.Is(err, errEndpointDeferred):
+			return false
 		case err == nil:
 			return r.Started != 0 && e.Started != 0 && r.Started != e.Started
 		case errors.Is(err, syscall.ECONNREFUSED):
