--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -138,7 +138,7 @@
 	})
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
-		f.observeLimit(e, &res, limited)
+		f.observeResponse(e, &res, limited)
 		a = f.readResponse(c, e, res, cancel)
 	}
 	if a.err == nil && !a.notRun && x.route.Kind != matcher.Safe && promisesNotRun(res.Status) {
@@ -231,8 +231,9 @@
 		return
 	}
 	r := Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: unavailableRetryAfter}
-	if reason == ReasonLimited {
-		r = f.limitRefusal(x.service, f.clock.Now())
+	now := f.clock.Now()
+	if _, all := f.allDeferred(f.registry.Usable(x.service), now); all || reason == ReasonLimited {
+		r = f.limitRefusal(x.service, now)
 	}
 	f.refuse(out, x, r, lastAttempt.err)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -51,8 +51,10 @@
 	randMu     sync.Mutex
 	rand       *rand.Rand
 
-	limits  *limiter.Limiter
-	members *limiter.Members // The daemons that share the limits.
+	limits    *limiter.Limiter
+	members   *limiter.Members // The daemons that share the limits.
+	deferrals limiter.Deferrals
+	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
 	quarantineWatch *quarantineWatch
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -38,6 +38,6 @@
 	e := registrar.Endpoint{Identity: registrar.Identity{Name: "i-1", Started: 1}, Service: "eng", Addr: "10.0.0.1:80"}
 	f.handleEndpointChanges(f.registry.Replace([]registrar.Endpoint{e}, 1, false, f.clock.Now()))
 	f.quarantine.RecordCrash(e.Identity, []quarantiner.Suspect{{Part: 1}}, f.clock.Now())
-	f.handleEngineShutdown(e.Identity, 0, "report")
+	f.handleShutdown(e.Identity, 0, "report")
 	assert.Assert(t, f.quarantine.Snapshot(f.clock.Now()).Crashes[0].Retracted)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -412,7 +412,7 @@
 		Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
 	})
 	if err == nil {
-		s.f.observeLimit(to, &r.response, limited)
+		s.f.observeResponse(to, &r.response, limited)
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
@@ -439,6 +439,7 @@
 // setRun makes r the run that the stream reads from.
 func (s *stream) setRun(r run) {
 	s.mu.Lock()
+	moved := s.run.engine.Identity != r.engine.Identity
 	s.run = r
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
@@ -452,6 +453,9 @@
 		s.body.Limit = maxStreamBytes
 	}
 	s.f.addStream(s)
+	if moved && s.f.registry.ShuttingDown(r.engine.Identity) { // Since the engine was chosen.
+		s.f.evacuate(r.engine, 0)
+	}
 }
 
 // close closes the connection of a run that is no longer read.
@@ -534,7 +538,7 @@
 // returns an error otherwise.
 func (s *stream) checkEnd() error {
 	err := s.body.CheckEnd(s.stopOfRun())
-	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.stillRuns(s.ctx, s.run.engine) {
+	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.runsAfterEnd(s.ctx, s.run.engine) {
 		// The connections of a process that has ended are closed in the same way.
 		s.f.metrics.count("ends_doubted")
 		s.run.state.suspectStop()
