--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -49,10 +49,10 @@
 // addCrash adds a report of a crash or a retraction, and returns what was new of it. The
 // mutex is held.
 func (q *Quarantine) addCrash(in Crash, now time.Time) (Crash, bool) {
-	if age := now.Sub(in.At); age < -q.cfg.Window || age > q.cfg.Window && in.Retracted {
+	old := q.crashes[in.Engine]
+	if q.inFuture(in.At, now) || old == nil && in.Retracted && now.Sub(in.At) > q.cfg.Window {
 		return Crash{}, false
 	}
-	old := q.crashes[in.Engine]
 	if old == nil {
 		old = &crash{engine: in.Engine}
 	}
@@ -114,7 +114,7 @@
 func (c *crash) sum() uint64 {
 	h := engineHash(c.engine)
 	for _, s := range c.suspects {
-		h += mix(uint64(s.Part))
+		h += mix(uint64(s.Part) + uint64(s.Depth))
 	}
 	if c.crashed() {
 		h += mix(uint64(c.at.UnixNano()))
@@ -125,10 +125,13 @@
 	return mix(h)
 }
 
+// inFuture reports whether a time can't be explained by clocks that differ.
+func (q *Quarantine) inFuture(at, now time.Time) bool { return at.Sub(now) > q.cfg.Window }
+
 // addProgress adds progress, and reports whether it was new. Then it is added to out as well,
 // which may be nil. The mutex is held.
 func (q *Quarantine) addProgress(p Progress, out *facts, now time.Time) bool {
-	if q.named[p.Part] == 0 && now.Sub(p.At) > q.cfg.ProgressRetention {
+	if q.inFuture(p.At, now) || q.named[p.Part] == 0 && now.Sub(p.At) > q.cfg.ProgressRetention {
 		return false
 	}
 	if !p.At.After(q.published[p.Part]) {
@@ -147,7 +150,7 @@
 // addTrial adds a trial, and reports whether it was new. Then it is added to out as well,
 // which may be nil. The mutex is held.
 func (q *Quarantine) addTrial(t Trial, out *facts, now time.Time) bool {
-	if f := q.findings.Load(); now.Sub(t.At) > q.cfg.Window && (f == nil || f.blamed[t.Part] == nil) {
+	if q.inFuture(t.At, now) {
 		return false
 	}
 	old, ok := q.trials[t.Part]
@@ -256,7 +259,7 @@
 // prune removes the evidence that has expired or that exceeds the bounds. The mutex is held.
 func (q *Quarantine) prune(in *inference, now time.Time) {
 	for _, b := range in.blamed {
-		for _, c := range in.redundant(b) {
+		for _, c := range in.thin(b) {
 			q.replace(c, nil)
 		}
 	}
@@ -335,7 +338,7 @@
 		all = normalize(all[:maxSuspects])
 	}
 	for _, s := range all {
-		if _, ok := slices.BinarySearchFunc(old, s, func(a, b Suspect) int { return cmp.Compare(a.Part, b.Part) }); !ok {
+		if i, ok := slices.BinarySearchFunc(old, s, func(a, b Suspect) int { return cmp.Compare(a.Part, b.Part) }); !ok || s.Depth > old[i].Depth {
 			fresh = append(fresh, s)
 		}
 	}
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -71,10 +71,6 @@
 	}
 	for _, b := range f.blamed {
 		f.block(b)
-		b.engines = make([]registrar.Identity, len(b.crashes))
-		for i, c := range b.crashes {
-			b.engines[i] = c.engine
-		}
 	}
 }
 
@@ -251,16 +247,23 @@
 	b.expires = b.until.Add(f.cfg.BlameRetention)
 }
 
-// redundant returns the crashes without which a part would be blamed and blocked in the same
-// way.
-func (f *inference) redundant(b *blame) []*crash {
-	var drop []*crash
-	for i := b.founding; i < len(b.crashes)-keptNewest; i++ {
-		if c := b.crashes[i]; len(f.causes[c]) == 1 {
-			drop = append(drop, c)
+// thin removes the crashes from the blamed part without which it would be blamed and blocked
+// in the same way, and returns them.
+func (f *inference) thin(b *blame) []*crash {
+	var kept, dropped []*crash
+	for i, c := range b.crashes {
+		if i < b.founding || i >= len(b.crashes)-keptNewest || len(f.causes[c]) > 1 {
+			kept = append(kept, c)
+		} else {
+			dropped = append(dropped, c)
 		}
 	}
-	return drop
+	b.crashes = kept
+	b.engines = make([]registrar.Identity, len(kept))
+	for i, c := range kept {
+		b.engines[i] = c.engine
+	}
+	return dropped
 }
 
 // names reports whether a part is a suspect of the crash.
--- a/coordination/quarantiner/outbox.go
+++ b/coordination/quarantiner/outbox.go
@@ -94,7 +94,7 @@
 // prepareRetraction prepares to retract a crash that another daemon reported, if this one
 // knows of another cause. The mutex is held.
 func (q *Quarantine) prepareRetraction(c Crash, now time.Time) {
-	if _, ok := q.retracted[c.Engine]; !ok || c.Retracted {
+	if c.Retracted || !q.retracts(c.Engine, c.At) {
 		return
 	}
 	if _, ok := q.outbox.retractions[c.Engine]; !ok {
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -163,7 +163,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c := Crash{Engine: engine, At: now.Round(0), Suspects: q.reportable(engine, suspects, now)}
-	if _, ok := q.retracted[engine]; ok || len(c.Suspects) == 0 {
+	if len(c.Suspects) == 0 || q.retracts(engine, now) {
 		return
 	}
 	if delta, changed := q.addCrash(c, now); changed {
@@ -203,8 +203,9 @@
 }
 
 // Retract records that an engine runs, or that the cause of its end is known: it was
-// killed, shut down or replaced. Its crash is no evidence then. The other daemons are told
-// if any reported a crash of it.
+// killed, shut down or replaced. A crash of it that any daemon reported is no evidence then,
+// nor is one that is reported up to 10 s later; the other daemons are told if there is one.
+// Of an engine whose end is announced, Retract should be called when it ends.
 func (q *Quarantine) Retract(engine registrar.Identity, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -215,6 +216,12 @@
 	}
 }
 
+// retracts reports whether this daemon knows that a crash is no evidence. The mutex is held.
+func (q *Quarantine) retracts(engine registrar.Identity, at time.Time) bool {
+	retracted, ok := q.retracted[engine]
+	return ok && !at.After(retracted.Add(retractionCoverage))
+}
+
 // retractCrash tells the other daemons that a crash is no evidence. The mutex is held.
 func (q *Quarantine) retractCrash(engine registrar.Identity, now time.Time) {
 	if delta, changed := q.addCrash(Crash{Engine: engine, At: now.Round(0), Retracted: true}, now); changed {
@@ -233,49 +240,61 @@
 	if relay {
 		out = &q.outbox.relayed
 	}
-	var fresh []Crash
-	for _, c := range e.Crashes {
-		if delta, changed := q.addCrash(c, now); changed {
-			fresh = append(fresh, delta)
-		}
-	}
-	var progress []Progress
-	for _, p := range e.Progress {
-		if q.addProgress(p, nil, now) {
-			progress = append(progress, p)
-		}
-	}
-	if q.mayDrop(fresh, progress, now) || len(e.Trials) > 0 {
+	fresh := q.add(e, now)
+	if q.mayDrop(fresh, now) {
 		q.update(now)
 	}
 	changed := false
-	for _, c := range fresh {
-		if q.crashes[c.Engine] == nil {
-			continue
+	for _, c := range fresh.Crashes {
+		if q.crashes[c.Engine] != nil {
+			changed = true
+			out.addCrash(c)
+			q.prepareRetraction(c, now)
 		}
-		changed = true
-		out.addCrash(c)
-		q.prepareRetraction(c, now)
 	}
-	for _, p := range progress {
+	for _, p := range fresh.Progress {
 		if at, ok := q.published[p.Part]; ok && at.Equal(p.At) {
 			changed = true
 			out.addProgress(p)
 		}
 	}
-	for _, t := range e.Trials {
-		changed = q.addTrial(t, out, now) || changed
+	for _, t := range fresh.Trials {
+		if held, ok := q.trials[t.Part]; ok && held.At.Equal(t.At) {
+			changed = true
+			out.addTrial(t)
+		}
 	}
 	return changed
 }
 
+// add adds evidence of another daemon, and returns what was new. The mutex is held.
+func (q *Quarantine) add(e Evidence, now time.Time) Evidence {
+	var fresh Evidence
+	for _, c := range e.Crashes {
+		if delta, changed := q.addCrash(c, now); changed {
+			fresh.Crashes = append(fresh.Crashes, delta)
+		}
+	}
+	for _, p := range e.Progress {
+		if q.addProgress(p, nil, now) {
+			fresh.Progress = append(fresh.Progress, p)
+		}
+	}
+	for _, t := range e.Trials {
+		if q.addTrial(t, nil, now) {
+			fresh.Trials = append(fresh.Trials, t)
+		}
+	}
+	return fresh
+}
+
 // mayDrop reports whether some of the evidence may not be worth holding. It must not be
 // passed on then, or daemons would send it to each other forever.
-func (q *Quarantine) mayDrop(crashes []Crash, progress []Progress, now time.Time) bool {
+func (q *Quarantine) mayDrop(e Evidence, now time.Time) bool {
 	f := q.findings.Load()
-	return len(q.crashes) > maxCrashes || f != nil && len(f.blamed) > 0 && len(crashes) > 0 ||
-		slices.ContainsFunc(crashes, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window }) ||
-		slices.ContainsFunc(progress, func(p Progress) bool { return now.Sub(p.At) > q.cfg.ProgressRetention })
+	return len(q.crashes) > maxCrashes || len(e.Trials) > 0 || f != nil && len(f.blamed) > 0 && len(e.Crashes) > 0 ||
+		slices.ContainsFunc(e.Crashes, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window }) ||
+		slices.ContainsFunc(e.Progress, func(p Progress) bool { return now.Sub(p.At) > q.cfg.ProgressRetention })
 }
 
 // Digest returns a hash of the evidence. Daemons with the same evidence have the same
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -296,6 +296,32 @@
 	assert.DeepEqual(t, blamed(a, now.Add(time.Minute+settled)), []Part{1})
 }
 
+// A daemon that found an engine running ignored all its later crashes.
+func TestCrashAfterRetractionIsEvidence(t *testing.T) {
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	a.Retract(engine(0), at(0))
+	crashAll(a, 0, 3, time.Minute, 1)
+	now := at(time.Minute + 10*time.Second)
+	assert.DeepEqual(t, blamed(a, now), []Part{1})
+	deliver(a, now, b)
+	b.Retract(engine(0), at(0))
+	deliver(b, now.Add(time.Second), a)
+	assert.DeepEqual(t, blamed(a, now.Add(time.Second)), []Part{1})
+}
+
+func TestIgnoresEvidenceOfTheFuture(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 3, 0, 1)
+	now := at(10 * time.Second)
+	future := at(time.Hour)
+	assert.Check(t, !q.Apply(Evidence{
+		Crashes:  []Crash{{Engine: engine(9), Suspects: prompt(2), At: future}},
+		Progress: []Progress{{Part: 1, At: future}},
+		Trials:   []Trial{{Part: 1, Round: 9, At: future}},
+	}, true, now))
+	assert.DeepEqual(t, blamed(q, now), []Part{1})
+}
+
 // A daemon that knew the cause of an end before another one reported it says so.
 func TestRetractsReportsOfOthers(t *testing.T) {
 	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
