--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -38,10 +38,8 @@
 
 // Suspect is a part that may have caused a crash.
 type Suspect struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
-
-	Part  Part
-	Depth int // Greatest position in a prompt; 0 for the first part.
+	Part  Part `msgpack:"p"`
+	Depth int  `msgpack:"d"` // Greatest position in a prompt; 0 for the first part.
 }
 
 // Crash is an engine that ended unexpectedly, or the finding that it did not.
@@ -103,9 +101,11 @@
 
 	mu        sync.Mutex
 	changedAt time.Time // When the evidence last changed.
+	busySince time.Time // When it began to change, or ShouldSync returned true since.
 	syncedAt  time.Time // When ShouldSync last returned true.
 	crashes   map[registrar.Identity]*crash
-	named     map[Part]struct{}  // Suspects of crashes.
+	order     []*crash           // Those in crashes.
+	named     map[Part]int       // Number of crashes of which a part is a suspect.
 	published map[Part]time.Time // Latest progress of suspects that daemons published.
 	trials    map[Part]Trial     // The last one of each part.
 	retracted map[registrar.Identity]time.Time
@@ -122,7 +122,7 @@
 // New returns a Quarantine without evidence.
 func New(cfg Config) *Quarantine {
 	return &Quarantine{
-		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Part]struct{}{}, published: map[Part]time.Time{},
+		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Part]int{}, published: map[Part]time.Time{},
 		trials: map[Part]Trial{}, retracted: map[registrar.Identity]time.Time{}, outbox: newOutbox(),
 	}
 }
@@ -163,7 +163,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c := Crash{Engine: engine, At: now.Round(0), Suspects: q.reportable(engine, suspects, now)}
-	if _, ok := q.retracted[engine]; ok || len(c.Suspects) == 0 {
+	if len(c.Suspects) == 0 || q.retracts(engine, now) {
 		return
 	}
 	if delta, changed := q.addCrash(c, now); changed {
@@ -203,8 +203,9 @@
 }
 
 // Retract records that an engine runs, or that the cause of its end is known: it was
-// killed, shut down or replaced. Its crash is no evidence then. The other daemons are told
-// if any reported a crash of it.
+// killed, shut down or replaced. A crash of it that any daemon reported is no evidence then,
+// nor is one that is reported up to 10 s later; the other daemons are told if there is one.
+// Of an engine whose end is announced, Retract should be called when it ends.
 func (q *Quarantine) Retract(engine registrar.Identity, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -215,6 +216,12 @@
 	}
 }
 
+// retracts reports whether this daemon knows that a crash is no evidence. The mutex is held.
+func (q *Quarantine) retracts(engine registrar.Identity, at time.Time) bool {
+	retracted, ok := q.retracted[engine]
+	return ok && !at.After(retracted.Add(retractionCoverage))
+}
+
 // retractCrash tells the other daemons that a crash is no evidence. The mutex is held.
 func (q *Quarantine) retractCrash(engine registrar.Identity, now time.Time) {
 	if delta, changed := q.addCrash(Crash{Engine: engine, At: now.Round(0), Retracted: true}, now); changed {
@@ -233,39 +240,61 @@
 	if relay {
 		out = &q.outbox.relayed
 	}
-	var fresh []Crash
+	fresh := q.add(e, now)
+	if q.mayDrop(fresh, now) {
+		q.update(now)
+	}
+	changed := false
+	for _, c := range fresh.Crashes {
+		if q.crashes[c.Engine] != nil {
+			changed = true
+			out.addCrash(c)
+			q.prepareRetraction(c, now)
+		}
+	}
+	for _, p := range fresh.Progress {
+		if at, ok := q.published[p.Part]; ok && at.Equal(p.At) {
+			changed = true
+			out.addProgress(p)
+		}
+	}
+	for _, t := range fresh.Trials {
+		if held, ok := q.trials[t.Part]; ok && held.At.Equal(t.At) {
+			changed = true
+			out.addTrial(t)
+		}
+	}
+	return changed
+}
+
+// add adds evidence of another daemon, and returns what was new. The mutex is held.
+func (q *Quarantine) add(e Evidence, now time.Time) Evidence {
+	var fresh Evidence
 	for _, c := range e.Crashes {
 		if delta, changed := q.addCrash(c, now); changed {
-			fresh = append(fresh, delta)
+			fresh.Crashes = append(fresh.Crashes, delta)
 		}
 	}
-	changed := false
 	for _, p := range e.Progress {
-		changed = q.addProgress(p, out, now) || changed
-	}
-	if q.mayDrop(fresh, now) || len(e.Trials) > 0 {
-		q.update(now)
-	}
-	for _, c := range fresh {
-		if q.crashes[c.Engine] == nil {
-			continue
+		if q.addProgress(p, nil, now) {
+			fresh.Progress = append(fresh.Progress, p)
 		}
-		changed = true
-		out.addCrash(c)
-		q.prepareRetraction(c, now)
 	}
 	for _, t := range e.Trials {
-		changed = q.addTrial(t, out, now) || changed
+		if q.addTrial(t, nil, now) {
+			fresh.Trials = append(fresh.Trials, t)
+		}
 	}
-	return changed
+	return fresh
 }
 
-// mayDrop reports whether some of the crashes may not be worth holding. Such ones must not
-// be passed on, or daemons would send them to each other forever.
-func (q *Quarantine) mayDrop(fresh []Crash, now time.Time) bool {
+// mayDrop reports whether some of the evidence may not be worth holding. It must not be
+// passed on then, or daemons would send it to each other forever.
+func (q *Quarantine) mayDrop(e Evidence, now time.Time) bool {
 	f := q.findings.Load()
-	return len(q.crashes) > maxCrashes || f != nil && len(f.blamed) > 0 && len(fresh) > 0 ||
-		slices.ContainsFunc(fresh, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window })
+	return len(q.crashes) > maxCrashes || len(e.Trials) > 0 || f != nil && len(f.blamed) > 0 && len(e.Crashes) > 0 ||
+		slices.ContainsFunc(e.Crashes, func(c Crash) bool { return now.Sub(c.At) > q.cfg.Window }) ||
+		slices.ContainsFunc(e.Progress, func(p Progress) bool { return now.Sub(p.At) > q.cfg.ProgressRetention })
 }
 
 // Digest returns a hash of the evidence. Daemons with the same evidence have the same
@@ -289,10 +318,11 @@
 	if own == 0 || digest == 0 {
 		pause = 0
 	}
-	if now.Sub(q.changedAt) < pause && now.Sub(q.syncedAt) < syncDelays*pause || now.Sub(q.syncedAt) < pause {
+	busy := now.Sub(q.changedAt) < pause && now.Sub(q.busySince) < syncDelays*pause
+	if busy || now.Sub(q.syncedAt) < pause {
 		return false
 	}
-	q.syncedAt = now
+	q.syncedAt, q.busySince = now, now
 	return true
 }
 
@@ -306,7 +336,7 @@
 	}
 	var worst *blame
 	for _, p := range parts {
-		if b := f.blamed[p]; b != nil && (worst == nil || b.until.After(worst.until)) {
+		if b := f.blamed[p]; b != nil && !now.Before(b.effective) && (worst == nil || b.until.After(worst.until)) {
 			worst = b
 		}
 	}
@@ -331,7 +361,9 @@
 	}
 	all := make([]Verdict, 0, len(f.blamed))
 	for _, b := range f.blamed {
-		all = append(all, q.verdict(b, now))
+		if !now.Before(b.effective) {
+			all = append(all, q.verdict(b, now))
+		}
 	}
 	slices.SortFunc(all, func(a, b Verdict) int {
 		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Part, b.Part))
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -19,6 +19,7 @@
 	maxRefusalBytes       = 64 << 10               // Size of the body of a refusal, which is dropped.
 	refusalReadTime       = 50 * time.Millisecond  // A refusal whose body takes longer ends with its connection.
 	maxAttempts           = 4                      // Attempts for one request, refused ones included.
+	maxUnsentAttempts     = 12                     // Attempts for one generation that reach no engine.
 	retryReserve          = 0.3                    // Fraction of the retry budget kept for requests that no endpoint has executed.
 	unavailableRetryAfter = 300 * time.Millisecond // Retry-After of a refused call; the queues of plain services empty within this time.
 	attemptTimeDivisor    = 2                      // An attempt that may be retried gets the remaining time divided by this, to leave time for the next one.
@@ -28,6 +29,20 @@
 // itself sent it.
 var errUnverifiedResponse = errors.New("response lacks the proof that it was sent by the endpoint")
 
+// errUnprovenRefusal means that a response refuses the request, but does not prove that the
+// request was not executed. Its status would promise that to the client.
+var errUnprovenRefusal = errors.New("refusal does not prove that the request was not executed")
+
+// promisesNotRun reports whether a client takes the status as a promise that the request was
+// not executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // callAttempt is the result of one attempt at a call.
 type callAttempt struct {
 	response Response
@@ -123,8 +138,11 @@
 	})
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
-		f.observeLimit(e, &res, limited)
-		a = f.readResponse(c, res, cancel)
+		f.observeResponse(e, &res, limited)
+		a = f.readResponse(c, e, res, cancel)
+	}
+	if a.err == nil && !a.notRun && x.route.Kind != matcher.Safe && promisesNotRun(res.Status) {
+		a.err = errUnprovenRefusal
 	}
 	if a.err == nil || !a.notRun {
 		x.deliveries++
@@ -149,9 +167,9 @@
 	return r
 }
 
-// readResponse reads the body of a response and verifies that the endpoint sent it. It may
+// readResponse reads the body of a response and verifies that the endpoint sent all of it. It may
 // call cancel, which ends ctx, to close the connection.
-func (f *Forwarder) readResponse(ctx context.Context, res Response, cancel context.CancelFunc) callAttempt {
+func (f *Forwarder) readResponse(ctx context.Context, e registrar.Endpoint, res Response, cancel context.CancelFunc) callAttempt {
 	a := callAttempt{response: res, notRun: res.NotExecuted || res.Misdirected}
 	if a.notRun {
 		f.spawn(func() {
@@ -167,6 +185,9 @@
 	if a.err == nil && !res.FromEndpoint {
 		a.err = errUnverifiedResponse
 	}
+	if a.err == nil {
+		a.err = f.confirmEnd(ctx, e, res)
+	}
 	return a
 }
 
@@ -210,8 +231,9 @@
 		return
 	}
 	r := Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: unavailableRetryAfter}
-	if reason == ReasonLimited {
-		r = f.limitRefusal(x.service, f.clock.Now())
+	now := f.clock.Now()
+	if _, all := f.allDeferred(f.registry.Usable(x.service), now); all || reason == ReasonLimited {
+		r = f.limitRefusal(x.service, now)
 	}
 	f.refuse(out, x, r, lastAttempt.err)
 }
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -53,6 +53,7 @@
 	ReasonStreamCut           Reason = "stream_cut"
 	ReasonStopping            Reason = "daemon_stopping"
 	ReasonLimited             Reason = "endpoints_limited"
+	ReasonDeferred            Reason = "endpoints_deferred"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 )
@@ -84,6 +85,7 @@
 	deadline        time.Time
 	attempts        atomic.Int64 // Attempts, refused ones included.
 	limitDenied     bool         // The limit of an endpoint has denied an attempt.
+	unsent          atomic.Int64 // Attempts that reached no endpoint.
 	deliveries      int          // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 }
 
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -133,6 +133,9 @@
 	if source.state.resumeLost.Load() {
 		return true
 	}
+	if s.f.isDeferred(source.engine, s.f.clock.Now()) { // It wants no request to migrate either.
+		return false
+	}
 	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
 	if !ok {
 		s.f.addRequestFields(s.f.log.Info(), s.x).Str("endpoint", source.engine.Name).Msg("forwarder: no engine has enough free memory for a run that must migrate")
@@ -155,7 +158,7 @@
 	return err == nil || errors.Is(err, ErrRunNotFound)
 }
 
-// errBeingResumed means that the stream is being resumed, or its run replaced, already.
+// errBeingResumed means that the stream is being resumed, or its run was replaced, already.
 var errBeingResumed = errors.New("the stream is being resumed")
 
 // startReplacement starts the run that replaces the source while the stream still
@@ -168,7 +171,7 @@
 		s.mu.Unlock()
 		return ErrRunNotFound
 	}
-	if s.resuming || s.replacement != nil {
+	if s.resuming || s.replacement != nil || s.run.state != source.state {
 		s.mu.Unlock()
 		return errBeingResumed
 	}
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -146,8 +146,10 @@
 	c, cancel := context.WithTimeout(ctx, endProbeTimeout)
 	defer cancel()
 	for range endProbes {
-		r, err := f.endpoints.Report(c, e)
+		r, err := f.probeEnd(c, e)
 		switch {
+		case errors.Is(err, errEndpointDeferred):
+			return false
 		case err == nil:
 			return r.Started != 0 && e.Started != 0 && r.Started != e.Started
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -201,6 +203,7 @@
 	}
 	for p := range w.blocked {
 		if !blocked[p] {
+			f.metrics.count("parts_released")
 			f.log.Info().Str("part", formatPart(p)).Msg("forwarder: part of prompts no longer quarantined")
 		}
 	}
@@ -222,7 +225,7 @@
 // cancelRun interrupts the run of the stream unless it has brought an event.
 func (s *stream) cancelRun(cause error) {
 	s.mu.Lock()
-	interrupt, started := s.run.interrupt, s.eventCount > 0 || !s.runFirstEvent.IsZero()
+	interrupt, started := s.run.interrupt, s.eventCount > 0 || s.progress.Started()
 	s.mu.Unlock()
 	if interrupt == nil || started {
 		return
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -78,12 +78,13 @@
 	}
 }
 
-// shouldPoll reports whether this daemon should poll an engine. One daemon does so
+// shouldPoll reports whether this daemon should poll an engine that has not asked for no
+// requests. One daemon does so
 // on behalf of its peers, preferably one in the failure domain of the engine. The
 // others poll the engine only if they have received no report for maxReportAge.
 func (f *Forwarder) shouldPoll(e registrar.Endpoint, peers []Daemon, now time.Time) bool {
 	p := f.knownPlacer(e.Service)
-	if p == nil {
+	if p == nil || f.isDeferred(e, now) {
 		return false
 	}
 	self := Daemon{Name: f.cfg.Daemon.Name, Domain: f.cfg.Daemon.Domain}
@@ -102,13 +103,18 @@
 	aliveAttempts = 2 // An idle connection may have been closed.
 )
 
-// stillRuns reports whether the process of an engine answers a poll.
+// stillRuns reports whether the process of an engine answers a poll. One that has asked for
+// no requests is not polled.
 func (f *Forwarder) stillRuns(ctx context.Context, e registrar.Endpoint) bool {
+	if f.isDeferred(e, f.clock.Now()) {
+		return false
+	}
 	c, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	for range aliveAttempts {
 		f.acquireGrant(c, e, limiter.Sent)
 		r, err := f.endpoints.Report(c, e)
+		f.observeNotice(e, r.Notice)
 		if err == nil {
 			return r.Started == 0 || e.Started == 0 || r.Started == e.Started
 		}
@@ -121,6 +127,7 @@
 type pollResult struct {
 	endpoint registrar.Endpoint
 	report   placer.Report
+	deferred bool // The engine has refused the poll and named a time to return.
 	err      error
 }
 
@@ -132,8 +139,11 @@
 	f.acquireGrant(c, e, limiter.Sent)
 	r, err := f.endpoints.Report(c, e)
 	f.observeNamedLimit(e, r.RequestLimit, limited)
+	if err != nil { // Otherwise the report has the notice, and the time until the engine ends.
+		f.observeNotice(e, r.Notice)
+	}
 	select {
-	case results <- pollResult{endpoint: e, report: r.Report, err: err}:
+	case results <- pollResult{endpoint: e, report: r.Report, deferred: r.Notice.RetryAfter > 0, err: err}:
 	case <-ctx.Done():
 	}
 }
@@ -154,6 +164,9 @@
 func (f *Forwarder) handlePollResult(p *enginePoll, r pollResult, now time.Time) {
 	p.inProgress = false
 	f.metrics.count("reports_asked")
+	if r.err != nil && r.deferred { // The engine has answered.
+		return
+	}
 	if r.err != nil {
 		p.failures++
 		if p.failures == maxFailedPolls {
@@ -179,25 +192,11 @@
 		pl.Observe(r.endpoint.Identity, r.report, now)
 	}
 	f.peers.queueReport(r.endpoint.Service, r.endpoint.Identity, r.report)
-	if r.report.ShuttingDown && f.handleEngineShutdown(r.endpoint.Identity, r.report.ShutdownIn, "report") {
+	if r.report.ShuttingDown && f.handleShutdown(r.endpoint.Identity, r.report.ShutdownIn, "report") {
 		f.peers.queueShutdown(r.endpoint.Identity, r.report.ShutdownIn)
 	}
 }
 
-// handleEngineShutdown handles a sign that an engine is shutting down and evacuates
-// it. It reports whether the shutdown was not known before.
-func (f *Forwarder) handleEngineShutdown(id registrar.Identity, notice time.Duration, source string) bool {
-	e, changed := f.registry.MarkShuttingDown(id)
-	if !changed {
-		return false
-	}
-	f.quarantine.Retract(id, f.clock.Now())
-	f.log.Info().Str("endpoint", id.Name).Dur("leaves_in_ms", notice).Str("source", source).Msg("forwarder: engine is shutting down")
-	f.updateServices()
-	f.evacuate(e, notice)
-	return true
-}
-
 // processQueues delivers the outcomes of queued jobs of all services.
 func (f *Forwarder) processQueues(now time.Time) {
 	denied := f.deniedEngines(now)
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -17,7 +17,7 @@
 const (
 	unresponsiveTimeout = 600 * time.Millisecond // A run of an engine that does not answer polls is replaced if it has sent nothing for this long.
 	migrationTimeout    = 900 * time.Millisecond // Limits how long a run is stopped for a migration; clients notice even much shorter pauses.
-	maxStreamAttempts   = 6                      // Attempts for one stream, refused ones included, after which it is not resumed again.
+	maxStreamAttempts   = 6                      // Attempts for one stream that reached an engine, refused ones included, after which it is not resumed again.
 )
 
 // errNoCopy means that no copy of the run could be continued.
@@ -192,7 +192,7 @@
 	s.mu.Lock()
 	age := s.ageOf(source, startedAt)
 	resumeFrom := Resume{Copy: copyName, LastEvent: s.lastEvent}
-	exhausted := s.x.attempts.Load() > maxStreamAttempts
+	exhausted := s.x.attempts.Load()-s.x.unsent.Load() > maxStreamAttempts
 	s.x.attempts.Add(1)
 	s.mu.Unlock()
 	if resumeFrom.LastEvent == "" {
@@ -224,12 +224,12 @@
 // runAge is how long a run has been observed.
 type runAge struct {
 	sent      time.Duration // Since its request was sent.
-	producing time.Duration // From its first event to its last one; zero if it has brought none.
+	producing time.Duration // As in resumer.Progress.
 }
 
 // ageOf returns the age of the current run. The mutex is held.
 func (s *stream) ageOf(source run, now time.Time) runAge {
-	return runAge{sent: now.Sub(source.sentAt), producing: s.runLastEvent.Sub(s.runFirstEvent)}
+	return runAge{sent: now.Sub(source.sentAt), producing: s.progress.Producing()}
 }
 
 // backupOf returns what is known of the copy at the backup of the current run.
@@ -237,11 +237,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return resumer.Backup{
-		Used: source.state.resumeLost.Load(), Producing: s.ageOf(source, s.f.clock.Now()).producing,
+		Used: source.state.resumeLost.Load(), Producing: s.progress.Producing(), Transfer: s.copyTime(source),
+		Idle: s.progress.Idle(s.f.clock.Now()), Retention: s.jobPlacer.engine.CopyRetention,
 		HolderRuns: func() bool { return s.f.stillRuns(s.ctx, source.backup) },
 	}
 }
 
+// copyTime returns the time that the transfer of the KV cache of the current run to its backup
+// takes on an idle link; twice as long between failure domains. The mutex is held.
+func (s *stream) copyTime(source run) time.Duration {
+	e := s.jobPlacer.engine
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	tokens := s.job.PromptTokens + s.eventCount*max(e.TokensPerEvent, 1)
+	d := time.Duration(float64(tokens) * float64(e.TokenBytes) / (e.LinkMbps * bytesPerMbit) * float64(time.Second))
+	if source.engine.Domain != source.backup.Domain {
+		d *= 2
+	}
+	return d
+}
+
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
 // their backups, if it has sent them nothing for unresponsiveTimeout. The others wait: an
 // engine that is only silent for a while goes on with its runs.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -15,6 +15,7 @@
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/resumer"
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
@@ -57,11 +58,10 @@
 
 	mu             sync.Mutex
 	run            run
-	eventCount     int       // Number of events received so far.
-	lastEvent      string    // ID of the last event that was received.
-	lastReadAt     time.Time // Time at which the engine last sent any bytes.
-	runFirstEvent  time.Time // Time of the first event of the current run; zero before.
-	runLastEvent   time.Time
+	eventCount     int                // Number of events received so far.
+	lastEvent      string             // ID of the last event that was received.
+	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
+	progress       resumer.Progress   // Of the current run.
 	runSound       bool               // The current run has made progress.
 	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
 	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
@@ -223,7 +223,7 @@
 		if r, ended := refusalForContext(s.ctx, false); ended {
 			return &r, err
 		}
-		if s.x.attempts.Load() >= maxAttempts {
+		if unsent := s.x.unsent.Load(); s.x.attempts.Load()-unsent >= maxAttempts || unsent >= maxUnsentAttempts {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRefused, RetryAfter: defaultRetryAfter}, err
 		}
 	}
@@ -235,10 +235,15 @@
 	s.x.attempts.Add(1)
 	r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.setRun)
 	notSent := err != nil && provesNotRun(err)
-	if !notSent {
+	if notSent {
+		s.x.unsent.Add(1)
+	} else {
 		s.x.deliveries++
 	}
 	res := &r.response
+	if err == nil && !res.NotExecuted && promisesNotRun(res.Status) {
+		err = errUnprovenRefusal
+	}
 	if err == nil && !res.NotExecuted && (res.FromEndpoint || res.Status >= fasthttp.StatusInternalServerError) {
 		s.events = isEventStream(res)
 		s.setRun(r)
@@ -407,7 +412,7 @@
 		Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
 	})
 	if err == nil {
-		s.f.observeLimit(to, &r.response, limited)
+		s.f.observeResponse(to, &r.response, limited)
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
@@ -434,11 +439,12 @@
 // setRun makes r the run that the stream reads from.
 func (s *stream) setRun(r run) {
 	s.mu.Lock()
+	moved := s.run.engine.Identity != r.engine.Identity
 	s.run = r
 	if s.eventCount == 0 {
 		s.lastReadAt = s.f.clock.Now()
 	}
-	s.runFirstEvent, s.runLastEvent, s.runSound = time.Time{}, time.Time{}, false
+	s.progress, s.runSound = resumer.Progress{}, false
 	s.replacement = nil
 	s.mu.Unlock()
 	s.ended = false
@@ -447,6 +453,9 @@
 		s.body.Limit = maxStreamBytes
 	}
 	s.f.addStream(s)
+	if moved && s.f.registry.ShuttingDown(r.engine.Identity) { // Since the engine was chosen.
+		s.f.evacuate(r.engine, 0)
+	}
 }
 
 // close closes the connection of a run that is no longer read.
@@ -529,7 +538,7 @@
 // returns an error otherwise.
 func (s *stream) checkEnd() error {
 	err := s.body.CheckEnd(s.stopOfRun())
-	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.stillRuns(s.ctx, s.run.engine) {
+	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.runsAfterEnd(s.ctx, s.run.engine) {
 		// The connections of a process that has ended are closed in the same way.
 		s.f.metrics.count("ends_doubted")
 		s.run.state.suspectStop()
@@ -570,12 +579,9 @@
 	s.eventCount, s.lastEvent = s.sequencer.eventCount, s.sequencer.lastEvent()
 	s.lastReadAt = now
 	if s.sequencer.sourceEvents > sourceEvents {
-		s.runLastEvent = now
-		if s.runFirstEvent.IsZero() {
-			s.runFirstEvent = now
-		}
+		s.progress.RecordEvents(now)
 	}
-	becameSound := !s.runSound && s.runLastEvent.Sub(s.runFirstEvent) >= soundAfter
+	becameSound := !s.runSound && s.progress.Producing() >= soundAfter
 	s.runSound = s.runSound || becameSound
 	s.mu.Unlock()
 	if becameSound {
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -41,6 +42,21 @@
 	ErrRefused         = errors.New("the store refused the call")
 )
 
+// StoreRefusedError is the error of a call that the store refused and for which it may have named
+// a time to return. It matches ErrRefused.
+type StoreRefusedError struct {
+	Status     int
+	RetryAfter time.Duration // Zero if the store named none.
+}
+
+// Error implements error.
+func (e StoreRefusedError) Error() string {
+	return fmt.Sprintf("%v: status %d, retry after %v", ErrRefused, e.Status, e.RetryAfter)
+}
+
+// Unwrap returns ErrRefused.
+func (StoreRefusedError) Unwrap() error { return ErrRefused }
+
 // ErrBadRequest means that a client request could not be parsed.
 var ErrBadRequest = errors.New("malformed request")
 
@@ -103,6 +119,13 @@
 	ContentLength int            // Length of the body in bytes; negative if unknown.
 	Framing       verifier.Framing
 	RequestLimit  *float64 // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
+	Notice        Notice
+}
+
+// Notice is what any answer of an endpoint may say about the requests that it wants.
+type Notice struct {
+	ShuttingDown bool          // The endpoint accepts no new work.
+	RetryAfter   time.Duration // Time for which the endpoint wants no request of this daemon; zero if it names none.
 }
 
 // readAll reads the body to its end, up to a limit in bytes, and closes it.
@@ -116,6 +139,7 @@
 	Events int    // Number of events produced before the run was stopped.
 	// RequestLimit is that of the engine that was called, as in Response.
 	RequestLimit *float64
+	Notice       Notice // Of the engine that was called.
 }
 
 // EngineReport is the load report of an engine.
@@ -123,6 +147,7 @@
 	placer.Report
 	Started      int64    // As in registrar.Identity; zero if the report does not tell.
 	RequestLimit *float64 // As in Response.
+	Notice       Notice   // As in Response; set also if the engine refused to report.
 }
 
 // Errors of a migration.
@@ -134,6 +159,7 @@
 
 // EndpointClient sends requests to endpoints.
 type EndpointClient interface {
+	requester.Connector
 	// Send sends a request and returns the response. The error matches
 	// requester.ErrNotSent or requester.ErrOutcomeUnknown.
 	Send(ctx context.Context, r *Request, d Dispatch) (Response, error)
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -122,6 +123,7 @@
 		promptTokens: len(req.Prompt)/bytesPerToken + 1,
 		length:       min(length, limit) + s.faults.ExtraTokens,
 		truncated:    length > limit,
+		crashes:      s.faults.CrashOn != "" && strings.Contains(req.Prompt, s.faults.CrashOn),
 		priority:     req.Priority,
 		blockHashes:  prefixHashes(m, req.Prompt),
 		lastActive:   time.Now(),
@@ -165,6 +167,9 @@
 	seq.readers++
 	w := streamWriter{server: s, sequence: seq, nextIndex: offset, streamNumber: s.streamsOpened, initial: initial}
 	ctx.SetContentType("text/event-stream")
+	if initial && s.faults.LateRefusals {
+		listener.LateRefusal(ctx, "", `{"error":{"code":"overloaded"}}`)
+	}
 	switch {
 	case initial && s.faults.Endless != "":
 		listener.Endless(ctx, s.faults.Endless, func(int, time.Duration) { w.close() })
