forwarder: name a copy that its holder has refused only once

What callers saw: a stream whose engine leaves was sent to its backup again and again, which refused each request, until its attempts were used up.

Cause: the refusal was not remembered, although it tells that there is no copy.

Evidence: TestRefusedCopyIsNamedOnce failed (the copy was named twice and more) and passes.

--- a/coordination/resumer/resumer.go
+++ b/coordination/resumer/resumer.go
@@ -26,7 +26,7 @@
 
 // Backup is what is known of a copy at a backup.
 type Backup struct {
-	Used       bool          // A request that named the copy may have been run.
+	Used       bool          // A request that named the copy may have been run, or was refused.
 	Producing  time.Duration // Progress.Producing of the copied run.
 	Transfer   time.Duration // Time that the transfer of the KV cache takes.
 	Idle       time.Duration // Time since the last event of the copied run.
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -217,6 +217,9 @@
 	}
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
+	if way == wayBackup && err == nil && r.response.NotExecuted {
+		source.state.copyRefused.Store(true)
+	}
 		Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Msg("forwarder: generation could not be continued from the copy")
 	return run{}, errNoCopy
 }
@@ -237,7 +240,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return resumer.Backup{
-		Used: source.state.resumeLost.Load(), Producing: s.progress.Producing(), Transfer: s.copyTime(source),
+		Used: source.state.resumeLost.Load() || source.state.copyRefused.Load(), Producing: s.progress.Producing(), Transfer: s.copyTime(source),
 		Idle: s.progress.Idle(s.f.clock.Now()), Retention: s.jobPlacer.engine.CopyRetention,
 		HolderRuns: func() bool { return s.f.stillRuns(s.ctx, source.backup) },
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -83,6 +83,7 @@
 type runState struct {
 	stop        atomic.Int32 // A verifier.Stop: whether the engine was made to stop the run.
 	backupTried atomic.Bool  // The backup was tried because the engine was silent.
+	copyRefused atomic.Bool  // The backup has refused to continue from the copy.
 	// resumeLost is set if a request to continue the run may have been executed, but brought
 	// no response. The generation may go on there.
 	resumeLost atomic.Bool
