forwarder: don't use up the only replacement of a silent run before there is a copy

What callers saw: a stream stood still as long as its engine was silent, although a copy of its KV cache existed, if the engine had been silent once before there was one.

Cause: a run is replaced once for silence, and a replacement that was withheld since no copy was known to exist counted.

--- a/coordination/resumer/resumer.go
+++ b/coordination/resumer/resumer.go
@@ -37,6 +37,17 @@
 // Check returns nil if the copy exists and was not used. It asks for the holder only if the rest
 // permits a request.
 func (b Backup) Check() error {
+	if err := b.CheckRun(); err != nil {
+		return err
+	}
+	if !b.HolderRuns() {
+		return ErrHolderEnded
+	}
+	return nil
+}
+
+// CheckRun is like Check as long as the process runs to which the copy was sent.
+func (b Backup) CheckRun() error {
 	switch {
 	case b.Used:
 		return ErrUsed
@@ -44,8 +55,6 @@
 		return ErrNotCopied
 	case b.Retention > 0 && b.Idle+copyInterval >= b.Retention:
 		return ErrExpired
-	case !b.HolderRuns():
-		return ErrHolderEnded
 	}
 	return nil
 }
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -217,6 +217,9 @@
 	}
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
+	if way == wayBackup && err == nil && r.response.NotExecuted {
+		source.state.copyRefused.Store(true)
+	}
 	if way == wayBackup && err == nil && r.response.NotExecuted {
 		source.state.copyRefused.Store(true)
 	}
