forwarder: ask the holder of a copy last before the request is sent

Cause: the process that holds the copy was asked before the request was granted and its retry acquired, which may take a tenth of a second and more; a restart in between was not seen. Found on reading, by the review; no test shows it.

Measured: the tests of resumes in platform and coordination/resumer pass under -race.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -138,7 +138,7 @@
 	if backup.Name == "" || s.f.registry.ShuttingDown(backup.Identity) {
 		return run{}, errNoCopy
 	}
-	if err := s.backupOf(source).Check(); err != nil {
+	if err := s.backupOf(source).CheckRun(); err != nil {
 		return run{}, err
 	}
 	if !s.f.acquireGrant(s.ctx, backup, limiter.Urgent) {
@@ -202,6 +202,11 @@
 		s.f.addRequestFields(s.f.log.Warn(), s.x).Str("way", way).Msg("forwarder: generation not continued; retry budget or attempts used up")
 		return run{}, errNoCopy
 	}
+	if way == wayBackup { // The grant and the retry may have taken some time.
+		if err := s.backupOf(source).Check(); err != nil {
+			return run{}, err
+		}
+	}
 	backup := s.jobPlacer.RecordMigration(s.currentJob(), target, startedAt)
 	r, err := s.send(target, backup, resumeFrom, nil)
 	if err == nil && r.response.Status == fasthttp.StatusOK && r.response.FromEndpoint {
@@ -212,17 +217,14 @@
 		return r, nil
 	}
 	r.close()
+	if way == wayBackup && err == nil && r.response.NotExecuted {
+		source.state.copyRefused.Store(true)
+	}
 	if mayHaveRun := err != nil || !r.response.NotExecuted; mayHaveRun && !provesNotRun(err) {
 		source.state.resumeLost.Store(true)
 	}
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
-	if way == wayBackup && err == nil && r.response.NotExecuted {
-		source.state.copyRefused.Store(true)
-	}
-	if way == wayBackup && err == nil && r.response.NotExecuted {
-		source.state.copyRefused.Store(true)
-	}
 		Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Msg("forwarder: generation could not be continued from the copy")
 	return run{}, errNoCopy
 }
@@ -273,7 +275,7 @@
 		source := s.run
 		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > unresponsiveTimeout
 		s.mu.Unlock()
-		if !silent || source.backup.Name == "" || source.state.backupTried.Swap(true) {
+		if !silent || source.backup.Name == "" || s.backupOf(source).CheckRun() != nil || source.state.backupTried.Swap(true) {
 			continue
 		}
 		f.spawn(func() {
