forwarder: act on blocks that begin without new evidence

What callers saw: requests waited in a queue for seconds although a part of their prompt was blocked, and runs that had not begun went on, if fewer than five engines had crashed.

Cause: such a block begins a second after the last crash, and the daemon looked at the verdicts only when the evidence changed. Found in the read-through.

Evidence: TestBlockThatBeginsLaterWakesQueues failed and passes.

Measured: the tests of prompts that crash engines pass.

--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -24,7 +24,8 @@
 	endProbes        = 5                      // Idle connections of a process that has ended may be left.
 	endProbePause    = 20 * time.Millisecond
 	endProbeTimeout  = 400 * time.Millisecond
-	maxCrashAge      = time.Second // Of news that keeps new jobs off an engine; its successor may have started after more.
+	maxCrashAge      = time.Second            // Of news that keeps new jobs off an engine; its successor may have started after more.
+	verdictInterval  = 100 * time.Millisecond // A block may begin without new evidence.
 	maxLoggedEngines = 8
 )
 
@@ -164,8 +165,9 @@
 
 // quarantineWatch holds the parts that were blocked when the daemon last acted on the verdicts.
 type quarantineWatch struct {
-	digest  uint64
-	blocked map[quarantiner.Part]bool
+	digest    uint64
+	checkedAt time.Time
+	blocked   map[quarantiner.Part]bool
 
 	mu      sync.Mutex
 	changed chan struct{} // Closed when another part is blocked.
@@ -187,10 +189,10 @@
 func (f *Forwarder) enforceQuarantine(now time.Time) {
 	w := f.quarantineWatch
 	digest := f.quarantine.Digest(now)
-	if digest == w.digest {
+	if digest == w.digest && (digest == 0 || now.Sub(w.checkedAt) < verdictInterval) {
 		return
 	}
-	w.digest = digest
+	w.digest, w.checkedAt = digest, now
 	blocked := map[quarantiner.Part]bool{}
 	added := false
 	for _, v := range f.quarantine.Blamed(now) {
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -41,3 +42,22 @@
 	f.handleShutdown(e.Identity, 0, "report")
 	assert.Assert(t, f.quarantine.Snapshot(f.clock.Now()).Crashes[0].Retracted)
 }
+
+// Guards against requests that stay in queues although a part of their prompt is blocked: the
+// block begins some time after the last evidence.
+func TestBlockThatBeginsLaterWakesQueues(t *testing.T) {
+	f := newTestForwarder(t)
+	now := f.clock.Now()
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * 400 * time.Millisecond)
+		f.quarantine.RecordCrash(registrar.Identity{Name: "i-" + string(rune('1'+i))}, []quarantiner.Suspect{{Part: 1}}, at)
+		f.enforceQuarantine(at)
+	}
+	blocked := f.quarantineWatch.next()
+	f.enforceQuarantine(now.Add(5 * time.Second))
+	select {
+	case <-blocked:
+	default:
+		t.Fatal("the queues were not told of the block")
+	}
+}
