quarantiner: bounds of the model from the target

The model allowed up to 2, 5 and 10 sound requests refused in three scenarios, taken from what was measured. The target is none.

--- a/coordination/quarantiner/fleet_test.go
+++ b/coordination/quarantiner/fleet_test.go
@@ -539,13 +539,12 @@
 
 // scenario is a series of events after some time of sound traffic.
 type scenario struct {
-	name    string
-	cold    bool // No sound traffic before.
-	inject  func(f *fleet, s size)
-	sends   int // Allowed late sends of each bad part.
-	refused int // Allowed refusals of sound requests.
-	skip    func(s size) bool
-	served  bool // Requests with the part must be served in the end.
+	name   string
+	cold   bool // No sound traffic before.
+	inject func(f *fleet, s size)
+	sends  int // Allowed late sends of each bad part.
+	skip   func(s size) bool
+	served bool // Requests with the part must be served in the end.
 }
 
 const warmUp = 15 * time.Second
@@ -583,7 +582,7 @@
 		f.run(badTime)
 	}},
 	// Nothing has proven other parts sound when the crashes begin.
-	{name: "bad part in the middle, no history", cold: true, sends: allowedSends, refused: 2, inject: func(f *fleet, s size) {
+	{name: "bad part in the middle, no history", cold: true, sends: allowedSends, inject: func(f *fleet, s size) {
 		f.addBad(1)
 		f.startBad(s.badRate, f.middle(s, 1))
 		f.run(badTime)
@@ -619,7 +618,7 @@
 		f.run(badTime)
 	}},
 	// Nor the customer's.
-	{name: "new customer sends sound and bad requests", sends: allowedSends, refused: 5, inject: func(f *fleet, s size) {
+	{name: "new customer sends sound and bad requests", sends: allowedSends, inject: func(f *fleet, s size) {
 		f.addBad(1)
 		first, customer := PartOf("first", "new"), PartOf("customer", "new")
 		f.startBad(s.badRate, func() []Part {
@@ -642,12 +641,6 @@
 		f.schedule(func() float64 { return killRate(s) }, func() { f.kill(f.engines[f.rand.IntN(s.engines)]) })
 		f.run(badTime)
 	}},
-	// A fifth of the runs are killed, some parts' first three among them.
-	{name: "engines killed at random, no history, slow", cold: true, refused: 10, inject: func(f *fleet, s size) {
-		f.slow = 4
-		f.schedule(func() float64 { return killRate(s) }, func() { f.kill(f.engines[f.rand.IntN(s.engines)]) })
-		f.run(badTime)
-	}},
 	{name: "failure domain killed", inject: func(f *fleet, s size) {
 		for _, m := range f.engines {
 			if m.domain == 0 {
@@ -791,7 +784,7 @@
 	r.messages = float64(f.messages-messages) / n / seconds
 	r.bytes = float64(f.bytes-bytes) / n / seconds
 	assert.Check(t, r.late <= s.sends, "seed %d: %d late requests with a bad part", seed, r.late)
-	assert.Check(t, r.refused <= s.refused, "seed %d: %d sound requests refused", seed, r.refused)
+	assert.Check(t, r.refused == 0, "seed %d: %d sound requests refused", seed, r.refused)
 	assert.Check(t, f.served == s.served)
 	return r
 }
@@ -815,25 +808,41 @@
 	r.mostRefused, r.maxLate = max(r.mostRefused, o.refused), max(r.maxLate, o.late)
 }
 
+// slowKills kills a fifth of the runs, the first three of some parts among them.
+var slowKills = scenario{name: "engines killed at random, no history, slow", cold: true, inject: func(f *fleet, s size) {
+	f.slow = 4
+	f.schedule(func() float64 { return killRate(s) }, func() { f.kill(f.engines[f.rand.IntN(s.engines)]) })
+	f.run(badTime)
+}}
+
 // Daemons together stop sending requests with a part that crashes engines soon, and refuse
 // no others.
 func TestFleetBlocksBadParts(t *testing.T) {
 	for _, s := range scenarios {
-		for _, z := range sizes {
-			if z.daemons > *fleetMax || s.skip != nil && s.skip(z) {
-				continue
-			}
-			t.Run(fmt.Sprintf("%s/%d daemons/%v bad", s.name, z.daemons, z.badRate), func(t *testing.T) {
-				t.Parallel()
-				var r result
-				for i := range uint64(*fleetSeeds) {
-					r.add(s.run(t, *fleetFirst+i, z))
-				}
-				n := float64(*fleetSeeds)
-				t.Logf("| %s | %d | %v | %.0f | %.1f | %.1f | %d (%d) | %.1f | %.0f | %d in %d, most %d | %.0f | %.1f | %.0f (%.0f) | %.0f |",
-					s.name, z.daemons, z.badRate, float64(r.kills)/n, float64(r.crashes)/n, float64(r.sends)/n, r.maxLate, r.lateRuns, float64(r.trials)/n,
-					float64(r.sound)/n, r.refused, r.refusedRuns, r.mostRefused, float64(r.broken)/n, r.messages/n, r.bytes/n, r.maxBytes, float64(r.syncs)/n)
-			})
+		s.runAll(t)
+	}
+}
+
+// Guards against sound parts that are blamed because engines are killed faster than their prompts
+// make progress.
+func TestFleetBlamesNobodyForSlowKills(t *testing.T) { slowKills.runAll(t) }
+
+// runAll runs the scenario with all sizes and seeds.
+func (s scenario) runAll(t *testing.T) {
+	for _, z := range sizes {
+		if z.daemons > *fleetMax || s.skip != nil && s.skip(z) {
+			continue
 		}
+		t.Run(fmt.Sprintf("%s/%d daemons/%v bad", s.name, z.daemons, z.badRate), func(t *testing.T) {
+			t.Parallel()
+			var r result
+			for i := range uint64(*fleetSeeds) {
+				r.add(s.run(t, *fleetFirst+i, z))
+			}
+			n := float64(*fleetSeeds)
+			t.Logf("| %s | %d | %v | %.0f | %.1f | %.1f | %d (%d) | %.1f | %.0f | %d in %d, most %d | %.0f | %.1f | %.0f (%.0f) | %.0f |",
+				s.name, z.daemons, z.badRate, float64(r.kills)/n, float64(r.crashes)/n, float64(r.sends)/n, r.maxLate, r.lateRuns, float64(r.trials)/n,
+				float64(r.sound)/n, r.refused, r.refusedRuns, r.mostRefused, float64(r.broken)/n, r.messages/n, r.bytes/n, r.maxBytes, float64(r.syncs)/n)
+		})
 	}
 }
