dialer: a connection that ends at once was not accepted for good

Cause: the kernel ends the connections of a killed process before its listener; on a busy machine the daemon connects anew in between, and is accepted.

Change: Connect looks 20 ms later whether the connection is still open. Connections that no process has taken are reset when the listener closes.

--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -22,6 +22,7 @@
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/defaulter"
 	"monsoonspar.example/state/timekeeper"
+	"monsoonspar.example/transport/peeker"
 )
 
 // readBufferBytes limits the size of a response header.
@@ -147,13 +148,32 @@
 	return c, nil
 }
 
+// errConnectionEnded means that the server has ended a connection at once.
+var errConnectionEnded = errors.New("connection ended after it was accepted")
+
+// settleTime is the time after which Connect looks whether a connection is still open. A process
+// that is being ended may accept one between the ends of its connections and of its listener.
+const settleTime = 20 * time.Millisecond
+
 // Connect opens a connection to addr and adds it to the idle ones. It fails if the server
-// does not accept it before ctx or Config.DialTimeout ends.
+// does not accept it before ctx or Config.DialTimeout ends, or ends it within settleTime.
 func (d *Dialer) Connect(ctx context.Context, addr string) error {
 	c, err := d.open(ctx, addr)
 	if err != nil {
 		return err
 	}
+	settled := time.NewTimer(settleTime)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+	case <-ctx.Done():
+		_ = c.raw.Close() // It was not used.
+		return ctx.Err()
+	}
+	if peeker.Peek(c.raw) == peeker.Closed {
+		_ = c.raw.Close() // It was not used.
+		return errConnectionEnded
+	}
 	d.pool.put(c, d.clock.Now())
 	return nil
 }
