--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -78,10 +78,10 @@
 	}
 }
 
-// shouldPoll reports whether this daemon should poll an engine that has not asked for no
-// requests. One daemon does so
-// on behalf of its peers, preferably one in the failure domain of the engine. The
-// others poll the engine only if they have received no report for maxReportAge.
+// shouldPoll reports whether this daemon should poll an engine. One daemon does so on
+// behalf of its peers, preferably one in the failure domain of the engine. The others
+// poll the engine only if they have received no report for maxReportAge. An engine that
+// is deferred gets no polls.
 func (f *Forwarder) shouldPoll(e registrar.Endpoint, peers []Daemon, now time.Time) bool {
 	p := f.knownPlacer(e.Service)
 	if p == nil || f.isDeferred(e, now) {
