follower: bound the time until a change is in force by design

Cause: each daemon makes one call for the manifest at a time and gave it up after 21.5 s, reads included, while the answers to all calls that were made during an outage of the store were lost without the ends of their connections. Daemons told each other that they watch, by the endpoints alone, and nobody knew how old its manifest was.

Change: the decisions move from forwarder/follow.go to coordination/follower, which does no I/O. Two of four watchers poll for 0.8 s at most, reads are given up after 0.3 s (doubling to 1 s while the store is slow), a long poll when a peer had the change first. Syncs carry the age of the latest proof that the manifest and the endpoints are the newest, and whether the store answers; a daemon without a proof for 2.5 s, or behind a peer for 0.5 s, asks the store itself, and a daemon that the store does not answer is no longer counted as a watcher. A fetch from a peer is given up after 0.3 s, and the peer comes last instead of being forgotten. The watch of the endpoints had the same cause and gets the same core. The age is in the lines of refused and routed requests and in the metrics.

--- /dev/null
+++ b/coordination/follower/simulation_test.go
@@ -0,0 +1,382 @@
+package follower_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"monsoonspar.example/coordination/fetcher"
+	"monsoonspar.example/coordination/follower"
+)
+
+// The simulation has a store, daemons with a Follower and a Fetcher each, and the messages
+// between them, on virtual time. What is lost is never answered.
+const (
+	tick         = 4 * time.Millisecond
+	storeTime    = 8 * time.Millisecond // Of a call that is answered at once.
+	hopTime      = 4 * time.Millisecond // Of a message.
+	fetchTime    = 12 * time.Millisecond
+	syncInterval = time.Second
+	syncTimeout  = 600 * time.Millisecond
+	applyTime    = 2 * time.Second // From the change to the last daemon.
+)
+
+// fleet is a simulated deployment.
+type fleet struct {
+	now      time.Time
+	rand     *rand.Rand
+	version  int64 // In the store.
+	silent   bool  // The store answers no call.
+	daemons  []*node
+	messages []message
+	calls    int
+}
+
+// node is a simulated daemon.
+type node struct {
+	i          int
+	fleet      *fleet
+	follower   *follower.Follower
+	fetcher    *fetcher.Fetcher
+	version    int64
+	frozen     bool
+	cut        bool // From the store.
+	call       *call
+	pauseUntil time.Time
+	fetchFrom  int
+	fetchEnds  time.Time // Zero if no fetch is under way.
+	fetchOK    bool
+	failFetch  int               // Number of fetches whose answers will be lost.
+	reachable  map[int]bool      // By index of the other daemon.
+	lost       map[int]bool      // Others whose calls the store does not answer.
+	muted      map[int]bool      // Others from which nothing arrives any more.
+	nextSync   map[int]time.Time // With each other daemon.
+	seen       int64             // Version known from the last answer of the store.
+	longest    time.Duration     // Greatest age of its knowledge.
+}
+
+// call is a call to the store that is pending.
+type call struct {
+	step    follower.Step
+	started time.Time
+	read    bool
+	lost    bool
+}
+
+// message is an offer of a version.
+type message struct {
+	from, to int
+	version  int64
+	at       time.Time
+}
+
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), version: 1}
+	for i := range n {
+		d := &node{
+			i: i, fleet: f, follower: follower.New(rand.New(rand.NewPCG(seed, uint64(i+10)))), fetcher: fetcher.New(rand.New(rand.NewPCG(seed, uint64(i+1000)))),
+			reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{},
+		}
+		for j := range n {
+			if j != i {
+				d.reachable[j] = true
+				d.nextSync[j] = f.now.Add(time.Duration(f.rand.Float64() * float64(syncInterval)))
+			}
+		}
+		f.daemons = append(f.daemons, d)
+	}
+	return f
+}
+
+// view returns the view of a daemon; daemons with lower indexes come first as watchers.
+func (d *node) view() follower.View {
+	v := follower.View{Known: d.version > 0, Behind: d.fetcher.Behind(d.version, d.fleet.now)}
+	for j, ok := range d.reachable {
+		if !ok {
+			continue
+		}
+		v.Peers++
+		if j < d.i {
+			v.Preceding++
+			if d.lost[j] {
+				v.Lost++
+			}
+		}
+	}
+	return v
+}
+
+// install puts a version in force and offers it to the peers.
+func (d *node) install(version int64, fromStore bool) {
+	if version <= d.version {
+		return
+	}
+	d.version = version
+	if !fromStore {
+		d.follower.Overtake(d.fleet.now)
+	}
+	for j, ok := range d.reachable {
+		if ok {
+			d.fleet.messages = append(d.fleet.messages, message{from: d.i, to: j, version: version, at: d.fleet.now.Add(hopTime)})
+		}
+	}
+}
+
+// step lets one tick pass.
+func (f *fleet) step() {
+	f.now = f.now.Add(tick)
+	f.messages = slices.DeleteFunc(f.messages, func(m message) bool {
+		if m.at.After(f.now) {
+			return false
+		}
+		if to := f.daemons[m.to]; !to.frozen && !to.muted[m.from] {
+			to.fetcher.Offer(fmt.Sprint(m.from), m.version, len(f.daemons)-1, f.now)
+		}
+		return true
+	})
+	for _, d := range f.daemons {
+		if d.frozen {
+			continue
+		}
+		d.poll()
+		d.sync()
+		d.fetch()
+		if age, ok := d.follower.Age(f.now); ok {
+			d.longest = max(d.longest, age)
+		}
+	}
+}
+
+// poll advances the call to the store.
+func (d *node) poll() {
+	f := d.fleet
+	if d.call == nil {
+		if f.now.Before(d.pauseUntil) {
+			return
+		}
+		if s := d.follower.Next(d.view(), f.now); s.Delay == 0 {
+			d.call = &call{step: s, started: f.now, read: d.seen == 0, lost: f.silent || d.cut}
+			f.calls++
+		}
+		return
+	}
+	c := d.call
+	age := f.now.Sub(c.started)
+	changed := f.version > d.seen
+	limit := c.step.Timeout
+	if c.read {
+		limit = d.follower.ReadTimeout()
+	}
+	switch {
+	case !c.lost && !f.silent && age >= storeTime && (c.read || changed || age >= c.step.Wait):
+		d.follower.Answered(c.read || changed)
+		d.seen = f.version
+		d.install(f.version, true)
+		if c.step.Wait > follower.ShortPoll {
+			d.pauseUntil = f.now.Add(time.Second)
+		}
+	case age >= limit:
+		d.follower.Failed(d.view(), 0, f.now)
+	case d.follower.GiveUp(d.view(), f.now):
+		d.follower.GivenUp()
+	default:
+		return
+	}
+	d.call = nil
+}
+
+// sync exchanges versions with the peers whose turn it is.
+func (d *node) sync() {
+	f := d.fleet
+	for j, at := range d.nextSync {
+		if f.now.Before(at) {
+			continue
+		}
+		o := f.daemons[j]
+		if o.frozen || d.muted[j] {
+			if f.now.Before(at.Add(syncTimeout)) {
+				continue
+			}
+			d.reachable[j] = false
+			d.fetcher.Defer(fmt.Sprint(j))
+			d.muted[j] = false // A new connection.
+			d.nextSync[j] = f.now.Add(syncInterval)
+			continue
+		}
+		d.reachable[j], d.lost[j] = true, o.follower.Lost()
+		d.nextSync[j] = f.now.Add(syncInterval)
+		d.fetcher.Offer(fmt.Sprint(j), o.version, len(f.daemons)-1, f.now)
+		if age, ok := o.follower.Age(f.now); ok && o.version == d.version {
+			d.follower.Confirm(f.now.Add(-age - hopTime))
+		}
+	}
+}
+
+// fetch advances the fetch from a peer.
+func (d *node) fetch() {
+	f := d.fleet
+	if d.fetchEnds.IsZero() {
+		peer, ok := d.fetcher.Next(d.version, f.now)
+		if !ok {
+			return
+		}
+		_, err := fmt.Sscan(peer, &d.fetchFrom)
+		if err != nil {
+			panic(err)
+		}
+		d.fetchOK = d.failFetch == 0 && !f.daemons[d.fetchFrom].frozen && !d.muted[d.fetchFrom]
+		d.fetchEnds = f.now.Add(fetchTime)
+		if !d.fetchOK {
+			d.failFetch = max(d.failFetch-1, 0)
+			d.fetchEnds = f.now.Add(d.fetcher.Timeout())
+		}
+		return
+	}
+	if f.now.Before(d.fetchEnds) {
+		return
+	}
+	d.fetchEnds = time.Time{}
+	if !d.fetchOK {
+		d.fetcher.End(fmt.Sprint(d.fetchFrom), errors.New("timeout"))
+		return
+	}
+	d.fetcher.End(fmt.Sprint(d.fetchFrom), nil)
+	d.install(f.daemons[d.fetchFrom].version, false)
+}
+
+// run lets time pass.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+	}
+}
+
+// change writes a new version and returns how long the slowest daemon that runs takes to put it
+// in force.
+func (f *fleet) change() time.Duration {
+	f.version++
+	acked := f.now
+	for f.now.Sub(acked) < 10*applyTime {
+		f.step()
+		if !slices.ContainsFunc(f.daemons, func(d *node) bool { return !d.frozen && d.version < f.version }) {
+			break
+		}
+	}
+	return f.now.Sub(acked)
+}
+
+// loss is something that is lost at one moment.
+type loss struct {
+	name string
+	lose func(f *fleet)
+}
+
+// losses are the losses that must not delay a change.
+var losses = []loss{
+	{"nothing", func(*fleet) {}},
+	{"all pending answers", func(f *fleet) {
+		for _, d := range f.daemons {
+			if d.call != nil {
+				d.call.lost = true
+			}
+		}
+	}},
+	{"an answer to a watcher", func(f *fleet) {
+		if c := f.daemons[f.rand.IntN(follower.Watchers)].call; c != nil {
+			c.lost = true
+		}
+	}},
+	{"a watcher", func(f *fleet) { f.daemons[f.rand.IntN(follower.Watchers)].frozen = true }},
+	{"a watcher's path to the store", func(f *fleet) {
+		d := f.daemons[f.rand.IntN(follower.Watchers)]
+		d.cut = true
+		if d.call != nil {
+			d.call.lost = true
+		}
+	}},
+	{"a connection from a watcher", func(f *fleet) {
+		for _, d := range f.daemons[follower.Watchers:] {
+			d.muted[f.rand.IntN(follower.Watchers)] = true
+		}
+	}},
+	{"the answer to a fetch", func(f *fleet) {
+		for _, d := range f.daemons {
+			d.failFetch++
+		}
+	}},
+}
+
+// Guards against daemons that keep an old value because one answer, connection, peer or watcher
+// was lost, or two at once: nobody asked the store again until a poll of 20 s had timed out.
+func TestChangeIsInForceInTimeAfterLosses(t *testing.T) {
+	for _, size := range []struct {
+		daemons int
+		seeds   uint64
+	}{{9, 12}, {60, 1}} {
+		for i, a := range losses {
+			for _, b := range losses[i:] {
+				slowest := time.Duration(0)
+				for seed := range size.seeds {
+					f := newFleet(size.daemons, seed)
+					f.run(4*time.Second + time.Duration(f.rand.IntN(3000))*time.Millisecond)
+					a.lose(f)
+					if a.name != "nothing" {
+						b.lose(f)
+					}
+					f.run(time.Duration(f.rand.IntN(int(follower.ShortPoll))))
+					slowest = max(slowest, f.change())
+				}
+				t.Logf("%d daemons: %s, %s: %v", size.daemons, a.name, b.name, slowest)
+				assert.Check(t, slowest <= applyTime, "%d daemons: %s, %s: %v", size.daemons, a.name, b.name, slowest)
+			}
+		}
+	}
+}
+
+// Guards against a change that is missed after an outage of the store in which answers were lost
+// without the ends of their connections, and against a rush of calls at its end.
+func TestChangeIsInForceInTimeAfterOutage(t *testing.T) {
+	for _, n := range []int{9, 60} {
+		for seed := range uint64(3) {
+			f := newFleet(n, seed)
+			f.run(5 * time.Second)
+			f.silent = true
+			for _, d := range f.daemons {
+				if d.call != nil {
+					d.call.lost = true
+				}
+			}
+			f.run(8 * time.Second)
+			f.silent = false
+			f.calls = 0
+			f.run(time.Second)
+			took := f.change()
+			assert.Check(t, took <= applyTime, "%d daemons: %v", n, took)
+			assert.Check(t, f.calls <= 8*n, "%d daemons: %d calls", n, f.calls)
+		}
+	}
+}
+
+// Guards against calls to the store that grow with the number of daemons, and against daemons
+// that take old knowledge for new or new for old.
+func TestFewDaemonsAskTheStore(t *testing.T) {
+	for _, n := range []int{9, 60} {
+		f := newFleet(n, 1)
+		f.run(5 * time.Second)
+		f.calls = 0
+		for _, d := range f.daemons {
+			d.longest = 0
+		}
+		f.run(20 * time.Second)
+		t.Logf("%d daemons: %.2f calls a second", n, float64(f.calls)/20)
+		assert.Check(t, f.calls <= 20*3, "%d daemons: %d calls", n, f.calls)
+		for _, d := range f.daemons {
+			assert.Check(t, d.longest <= 2500*time.Millisecond, "daemon %d of %d: age %v", d.i, n, d.longest)
+		}
+	}
+}
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -231,7 +231,7 @@
 // log event.
 func (f *Forwarder) addRequestFields(e *zerolog.Event, x *exchange) *zerolog.Event {
 	now := f.clock.Now()
-	e.Str("request", x.req.ID[:min(len(x.req.ID), maxLoggedIDBytes)]).Int64("manifest", x.manifestVersion).Dur("held_ms", now.Sub(x.arrived)).Int64("attempts", x.attempts.Load())
+	e.Str("request", x.req.ID[:min(len(x.req.ID), maxLoggedIDBytes)]).Int64("manifest", x.manifestVersion).Int64("manifest_age_ms", f.manifests.ageMillis(now)).Dur("held_ms", now.Sub(x.arrived)).Int64("attempts", x.attempts.Load())
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("service", x.service).Dur("left_ms", x.deadline.Sub(now))
 	}
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -3,40 +3,28 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"monsoonspar.example/coordination/follower"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
 
-// Timing of the calls to the store, and the number of daemons that watch it.
+// Timing of the calls to the store.
 const (
-	watchTimeout          = 20 * time.Second // Duration of a long-poll; the store allows up to 30 s.
-	backoffBase           = 100 * time.Millisecond
-	backoffLimit          = 800 * time.Millisecond // Short enough to notice a recovered store well within the time limit for configuration changes.
-	maxStoreRetryAfter    = 2 * time.Second        // Bounds the time that a refusal of the store names, for the same reason.
-	outageThreshold       = time.Second            // A store that did not answer for longer had an outage.
-	daemonListInterval    = 10 * time.Second
-	initialDaemonLists    = 3                      // Number of lists after the start that are read at shorter intervals, since daemons start at the same time.
-	roleCheckInterval     = 100 * time.Millisecond // Interval for checking whether this daemon has to watch the store.
-	watcherCount          = 4                      // Daemons that watch the store; the others get the changes from them.
-	immediateWatcherCount = 2                      // Of these, the daemons that fetch each change at once.
-	batchedWatchPause     = time.Second            // Pause between the watches of the others, which return all changes since the last one.
-	listTimeout           = 2 * time.Second
-	watchTimeoutMargin    = 1500 * time.Millisecond // Added to watchTimeout before a watch counts as unanswered.
-	removeTimeout         = time.Second             // For the deletion of this daemon's entry when it stops.
+	outageThreshold    = time.Second // A store that did not answer for longer had an outage.
+	daemonListInterval = 10 * time.Second
+	initialDaemonLists = 3                      // Number of lists after the start that are read at shorter intervals, since daemons start at the same time.
+	roleCheckInterval  = 100 * time.Millisecond // Interval for checking whether a call to the store should be given up.
+	batchedWatchPause  = time.Second            // Pause between long polls, which return all changes since the last one.
+	listTimeout        = 2 * time.Second
+	removeTimeout      = time.Second // For the deletion of this daemon's entry when it stops.
 )
 
-// backoff returns the delay before the next call after a number of consecutive
-// failures, with jitter.
-func (f *Forwarder) backoff(failures int) time.Duration {
-	bound := min(backoffBase<<min(failures, 8), backoffLimit)
-	return time.Duration((0.5 + 0.5*f.random()) * float64(bound))
-}
-
 // dependency tracks whether the store answers one kind of call.
 type dependency struct {
 	f         *Forwarder
@@ -56,83 +44,229 @@
 	return hadOutage
 }
 
-// recordFailure records a failed call and waits before the next one: for the time that a
-// refusal names, or else for the backoff.
-func (d *dependency) recordFailure(ctx context.Context, err error) error {
+// count records a failed call.
+func (d *dependency) count(err error) {
 	if d.failures == 0 {
 		d.lostSince = d.f.clock.Now()
 		d.f.log.Warn().Err(err).Str("dependency", d.name).Msg("forwarder: dependency lost")
 	}
 	d.failures++
 	d.f.metrics.count("store_failures")
-	delay := d.f.backoff(d.failures)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, ErrUnavailable) {
+		d.f.metrics.count("store_calls_unanswered")
+	}
+}
+
+// recordFailure records a failed call and waits before the next one: for the time that a
+// refusal names, or else for the backoff.
+func (d *dependency) recordFailure(ctx context.Context, err error) error {
+	d.count(err)
+	return d.f.clock.Sleep(ctx, follower.Backoff(d.failures, retryAfter(err), d.f.random))
+}
+
+// retryAfter returns the time that a refusal of the store names, or zero.
+func retryAfter(err error) time.Duration {
 	var refusal StoreRefusedError
-	if errors.As(err, &refusal) && refusal.RetryAfter > 0 { // All daemons may have been refused; jitter spreads them.
-		delay = max(delay, min(refusal.RetryAfter, maxStoreRetryAfter)+d.f.backoff(0))
+	if errors.As(err, &refusal) {
+		return refusal.RetryAfter
 	}
-	return d.f.clock.Sleep(ctx, delay)
+	return 0
 }
 
-// followManifest installs each new manifest of the store until ctx ends. It is idle
-// while this daemon is not a watcher.
-func (f *Forwarder) followManifest(ctx context.Context) {
-	d := &dependency{f: f, name: "store_manifest"}
-	revision := int64(0)
+// subscription is what this daemon does to keep its knowledge of one kind of object current:
+// calls to the store when it watches, and updates of peers.
+type subscription struct {
+	*follower.Follower
+	f      *Forwarder
+	health *dependency
+	view   func(now time.Time) follower.View
+	// poll makes one call. It reports whether the answer has a change.
+	poll func(ctx context.Context, step follower.Step) (changed bool, err error)
+
+	mu     sync.Mutex
+	cancel context.CancelCauseFunc // Ends the call that is pending; nil if none is.
+	stale  bool                    // The log says that there is no recent proof.
+}
+
+// errGivenUp means that a call to the store was ended because its answer may be lost.
+var errGivenUp = errors.New("the call was given up, since its answer may be lost")
+
+// run makes calls to the store until ctx ends.
+func (s *subscription) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !f.isWatcher() {
-			revision = 0
-			if f.clock.Sleep(ctx, roleCheckInterval) != nil {
+		now := s.f.clock.Now()
+		v := s.view(now)
+		step := s.Next(v, now)
+		if step.Delay > 0 {
+			if s.f.clock.Sleep(ctx, step.Delay) != nil {
 				return
 			}
 			continue
 		}
-		c, cancel := context.WithTimeout(ctx, watchTimeout+watchTimeoutMargin)
-		var m *matcher.Manifest
-		var err error
-		if revision == 0 {
-			m, revision, err = f.store.Manifest(c)
-		} else {
-			m, revision, err = f.store.WatchManifest(c, revision, watchTimeout)
+		s.logAge(v, now)
+		if s.call(ctx, step) == nil && step.Wait > follower.ShortPoll && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
+			return
+		}
+	}
+}
+
+// call makes one call to the store and records its result.
+func (s *subscription) call(ctx context.Context, step follower.Step) error {
+	c, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.setCancel(cancel)
+	changed, err := s.poll(c, step)
+	s.setCancel(nil)
+	s.f.metrics.count("store_calls")
+	switch {
+	case err == nil:
+		s.Answered(changed)
+		s.health.recordSuccess()
+	case errors.Is(context.Cause(c), errGivenUp):
+		s.GivenUp()
+		s.f.metrics.count("store_calls_given_up")
+	case ctx.Err() == nil:
+		now := s.f.clock.Now()
+		s.Failed(s.view(now), retryAfter(err), now)
+		s.health.count(err)
+	}
+	return err
+}
+
+func (s *subscription) setCancel(cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancel = cancel
+}
+
+// supervise ends calls that should be given up, until ctx ends.
+func (s *subscription) supervise(ctx context.Context) {
+	for s.f.clock.Sleep(ctx, roleCheckInterval) == nil {
+		now := s.f.clock.Now()
+		v := s.view(now)
+		s.logAge(v, now)
+		if !s.GiveUp(v, now) {
+			continue
+		}
+		s.mu.Lock()
+		if s.cancel != nil {
+			s.cancel(errGivenUp)
 		}
-		cancel()
-		f.metrics.count("store_calls")
-		switch {
-		case err == nil:
-			d.recordSuccess()
-			f.installManifest(m, "store")
-		case errors.Is(err, ErrRevisionExpired):
-			revision = 0
-		default:
-			revision = 0
-			if d.recordFailure(ctx, err) != nil {
-				return
+		s.mu.Unlock()
+	}
+}
+
+// logAge logs when the daemon begins or ceases to lack a recent proof that its knowledge is
+// current.
+func (s *subscription) logAge(v follower.View, now time.Time) {
+	age, known := s.Age(now)
+	stale := !s.Fresh(now)
+	s.mu.Lock()
+	changed := stale != s.stale
+	s.stale = stale
+	s.mu.Unlock()
+	if !changed || !known {
+		return
+	}
+	msg := "forwarder: knowledge is current"
+	if stale {
+		msg = "forwarder: no recent proof that knowledge is current"
+	}
+	s.f.log.Info().Str("dependency", s.health.name).Dur("age_ms", age).Dur("behind_ms", v.Behind).Int("preceding", v.Preceding).Int("preceding_lost", v.Lost).Msg(msg)
+}
+
+// ageMillis returns the age of the latest proof that the knowledge is current, or -1 if there
+// is none.
+func (s *subscription) ageMillis(now time.Time) int64 {
+	age, ok := s.Age(now)
+	if !ok {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// newSubscriptions creates the subscriptions of the manifest and the endpoints.
+func (f *Forwarder) newSubscriptions() {
+	m := &manifestWatch{f: f}
+	f.manifests = &subscription{
+		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_manifest"}, poll: m.poll,
+		view: func(now time.Time) follower.View {
+			v := f.peers.watcherView(func(o *peer) bool { return o.manifestLost })
+			v.Known, v.Behind = f.table.Load() != nil, f.peers.manifests.Behind(f.manifestVersion(), now)
+			return v
+		},
+	}
+	w := &endpointWatch{f: f, needsList: true}
+	f.endpointEntries = &subscription{
+		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_endpoints"}, poll: w.poll,
+		view: func(time.Time) follower.View {
+			v := f.peers.watcherView(func(o *peer) bool { return o.endpointsLost })
+			v.Known = f.registry.Revision() > 0
+			return v
+		},
+	}
+	w.health = f.endpointEntries.health
+}
+
+// watcherView returns what a Follower has to know of the peers. Those with lower hashes of
+// their names come first as watchers.
+func (p *peers) watcherView(lost func(*peer) bool) follower.View {
+	own := xxhash.Sum64String(p.f.cfg.Daemon.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var v follower.View
+	for _, o := range p.known {
+		if !o.reachable() {
+			continue
+		}
+		v.Peers++
+		if xxhash.Sum64String(o.daemon.Name) < own {
+			v.Preceding++
+			if lost(o) {
+				v.Lost++
 			}
 		}
 	}
+	return v
 }
 
-// isWatcher reports whether this daemon has to watch the store. The daemons with the
-// lowest hashes of their names among those that reach each other do, and so does
-// every daemon that has no live watcher among its peers, or no manifest or list of
-// endpoints yet.
-func (f *Forwarder) isWatcher() bool { return f.watcherRank() < watcherCount }
-
-// watcherRank returns the number of daemons that precede this one as watchers, or
-// 0 if this daemon has to watch regardless of the others.
-func (f *Forwarder) watcherRank() int {
-	if f.table.Load() == nil || f.registry.Revision() == 0 || !f.peers.hasLiveWatcher() {
-		return 0
-	}
-	ahead := 0
-	own := xxhash.Sum64String(f.cfg.Daemon.Name)
-	for _, d := range f.peers.reachablePeers() {
-		if xxhash.Sum64String(d.Name) < own {
-			ahead++
+// manifestWatch is the state of the watch of the manifest.
+type manifestWatch struct {
+	f        *Forwarder
+	revision int64 // Zero if the manifest has to be read before the next watch.
+}
+
+// poll reads the manifest, or waits for a change of it.
+func (w *manifestWatch) poll(ctx context.Context, step follower.Step) (bool, error) {
+	if w.revision == 0 {
+		c, cancel := context.WithTimeout(ctx, w.f.manifests.ReadTimeout())
+		defer cancel()
+		m, revision, err := w.f.store.Manifest(c)
+		if err != nil {
+			return false, err
 		}
+		w.revision = revision
+		w.f.installManifest(m, sourceStore)
+		return true, nil
+	}
+	c, cancel := context.WithTimeout(ctx, step.Timeout)
+	defer cancel()
+	m, revision, err := w.f.store.WatchManifest(c, w.revision, step.Wait)
+	switch {
+	case errors.Is(err, ErrRevisionExpired):
+		w.revision = 0
+		return true, nil
+	case err != nil:
+		return false, err
 	}
-	return ahead
+	w.revision = revision
+	w.f.installManifest(m, sourceStore)
+	return m != nil, nil
 }
 
+// sourceStore is the source of a manifest that came from the store, in the log.
+const sourceStore = "store"
+
 // manifestVersion returns the version of the manifest in force; zero if there is none.
 func (f *Forwarder) manifestVersion() int64 {
 	if t := f.table.Load(); t != nil {
@@ -156,34 +290,10 @@
 		}
 	}
 	f.peers.queueManifest(m.Version)
-	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Msg("forwarder: manifest in force")
-}
-
-// followEndpoints keeps the registry of endpoints current until ctx ends. While this
-// daemon is not a watcher, it gets the changes from its peers.
-func (f *Forwarder) followEndpoints(ctx context.Context) {
-	w := &endpointWatch{f: f, health: &dependency{f: f, name: "store_endpoints"}, needsList: true}
-	for ctx.Err() == nil {
-		if !f.isWatcher() {
-			w.needsList = true
-			f.watchingStore.Store(false)
-			if f.clock.Sleep(ctx, roleCheckInterval) != nil {
-				return
-			}
-			continue
-		}
-		f.metrics.count("store_calls")
-		err := w.pollStore(ctx)
-		if err != nil {
-			f.watchingStore.Store(false)
-			err = w.health.recordFailure(ctx, err)
-		} else if f.watcherRank() >= immediateWatcherCount {
-			err = f.clock.Sleep(ctx, batchedWatchPause)
-		}
-		if err != nil {
-			return
-		}
+	if source != sourceStore {
+		f.manifests.Overtake(f.clock.Now())
 	}
+	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Msg("forwarder: manifest in force")
 }
 
 // endpointWatch is the state of the watch of the endpoints.
@@ -194,25 +304,25 @@
 	revision  int64
 }
 
-// pollStore makes one call to the store and applies the result.
-func (w *endpointWatch) pollStore(ctx context.Context) error {
+// poll reads the list of endpoints, or waits for changes of it, and applies the result.
+func (w *endpointWatch) poll(ctx context.Context, step follower.Step) (bool, error) {
 	if w.needsList {
-		return w.listEndpoints(ctx)
+		return true, w.listEndpoints(ctx)
 	}
-	c, cancel := context.WithTimeout(ctx, watchTimeout+watchTimeoutMargin)
+	c, cancel := context.WithTimeout(ctx, step.Timeout)
 	defer cancel()
-	changes, next, err := w.f.store.WatchEndpoints(c, w.revision, watchTimeout)
+	changes, next, err := w.f.store.WatchEndpoints(c, w.revision, step.Wait)
 	if errors.Is(err, ErrRevisionExpired) {
 		w.f.log.Info().Int64("revision", w.revision).Msg("forwarder: store no longer has the changes after the revision; reading the complete list of endpoints")
 		w.needsList = true
-		return nil
+		return true, nil
 	}
 	if err != nil {
 		w.needsList = true
-		return err
+		return false, err
 	}
-	w.health.recordSuccess()
 	w.revision = next
+	changed := len(changes) > 0
 	changes = slices.DeleteFunc(changes, func(c EndpointChange) bool {
 		revision := c.Endpoint.Revision
 		if c.Deleted {
@@ -222,18 +332,17 @@
 	})
 	w.f.applyEndpoints(changes)
 	w.f.peers.queueEndpointChanges(changes)
-	return nil
+	return changed, nil
 }
 
 // listEndpoints reads and applies the complete list.
 func (w *endpointWatch) listEndpoints(ctx context.Context) error {
-	c, cancel := context.WithTimeout(ctx, listTimeout)
+	c, cancel := context.WithTimeout(ctx, w.f.endpointEntries.ReadTimeout())
 	defer cancel()
 	l, err := w.f.store.Endpoints(c)
 	if err != nil {
 		return err
 	}
-	w.f.watchingStore.Store(true)
 	hadOutage := w.health.recordSuccess()
 	w.f.handleEndpointChanges(w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now()))
 	w.revision, w.needsList = l.Revision, false
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -59,16 +59,15 @@
 	quarantine      *quarantiner.Quarantine
 	quarantineWatch *quarantineWatch
 
-	streamsMu   sync.Mutex
-	streams     map[*stream]struct{}
-	disconnects *disconnectWatcher
-	inFlight    atomic.Int64
-	peers       *peers
-	// watchingStore is set while the registry is kept current by this daemon's own
-	// watch of the store.
-	watchingStore atomic.Bool
-	codec         Codec
-	server        *fasthttp.Server
+	streamsMu       sync.Mutex
+	streams         map[*stream]struct{}
+	disconnects     *disconnectWatcher
+	inFlight        atomic.Int64
+	peers           *peers
+	manifests       *subscription // Keeps table current.
+	endpointEntries *subscription // Keeps registry current.
+	codec           Codec
+	server          *fasthttp.Server
 
 	clientListener  net.Listener
 	readyListener   net.Listener
@@ -94,6 +93,7 @@
 	}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
+	f.newSubscriptions()
 	f.budget.SetDaemons(f.members.Count())
 	return f
 }
@@ -117,8 +117,10 @@
 	f.spawn(f.serveClients)
 	f.spawn(f.serveReady)
 	f.spawn(f.serveMetrics)
-	f.spawn(func() { f.followManifest(f.ctx) })
-	f.spawn(func() { f.followEndpoints(f.ctx) })
+	for _, s := range []*subscription{f.manifests, f.endpointEntries} {
+		f.spawn(func() { s.run(f.ctx) })
+		f.spawn(func() { s.supervise(f.ctx) })
+	}
 	f.spawn(func() { f.followDaemons(f.ctx) })
 	f.spawn(func() { f.pollReports(f.ctx) })
 	f.spawn(func() { f.pollDisconnects(f.ctx) })
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -22,13 +22,11 @@
 
 // Timing and limits of the communication between daemons.
 const (
-	updateInterval        = 8 * time.Millisecond    // Interval of urgent updates; at 60 placements per second, peers receive each one before most later ones are made.
-	batchedUpdateInterval = 300 * time.Millisecond  // Interval of other updates, such as ended jobs and reports; a tenth of the duration of a job.
-	smallDeployment       = 16                      // With fewer peers, updates that are not urgent are not delayed either.
-	syncInterval          = time.Second             // Interval of version exchanges with a peer, which also detect a peer that does not answer.
-	syncTimeout           = 600 * time.Millisecond  // Enough for several round trips between failure domains.
-	manifestTimeout       = time.Second             // For fetching a manifest, which may be large.
-	watcherTimeout        = 2500 * time.Millisecond // Two syncs; without a sync with a watcher for longer, a daemon watches the store itself.
+	updateInterval        = 8 * time.Millisecond   // Interval of urgent updates; at 60 placements per second, peers receive each one before most later ones are made.
+	batchedUpdateInterval = 300 * time.Millisecond // Interval of other updates, such as ended jobs and reports; a tenth of the duration of a job.
+	smallDeployment       = 16                     // With fewer peers, updates that are not urgent are not delayed either.
+	syncInterval          = time.Second            // Interval of version exchanges with a peer, which also detect a peer that does not answer.
+	syncTimeout           = 600 * time.Millisecond // Enough for several round trips between failure domains.
 	peerRetryInterval     = time.Second
 	fullMeshLimit         = 128 // With more daemons than this, each sends updates only within its own failure domain and to remotePeers of each other one.
 	remotePeers           = 2
@@ -53,13 +51,39 @@
 
 // syncMessage describes the state that a daemon has.
 type syncMessage struct {
-	Daemon        Daemon `msgpack:"daemon"`
-	Manifest      int64  `msgpack:"manifest"` // Version in force; zero if there is none.
-	Digest        uint64 `msgpack:"digest"`   // Digest of the endpoints.
-	WatchingStore bool   `msgpack:"fresh"`    // The daemon watches the store and gets answers.
-	Daemons       int    `msgpack:"daemons"`  // Number of daemons that the daemon knows, itself included.
-	Limits        uint64 `msgpack:"limits"`   // Digest of the limits of the endpoints; zero if there are none.
-	Evidence      uint64 `msgpack:"evidence"` // Digest of the evidence against parts of prompts; zero if there is none.
+	Daemon   Daemon `msgpack:"daemon"`
+	Manifest int64  `msgpack:"manifest"` // Version in force; zero if there is none.
+	Digest   uint64 `msgpack:"digest"`   // Digest of the endpoints.
+	Fresh    bool   `msgpack:"fresh"`    // The endpoints of the daemon are current.
+	Daemons  int    `msgpack:"daemons"`  // Number of daemons that the daemon knows, itself included.
+	Limits   uint64 `msgpack:"limits"`   // Digest of the limits of the endpoints; zero if there are none.
+	Evidence uint64 `msgpack:"evidence"` // Digest of the evidence against parts of prompts; zero if there is none.
+	// Age of the latest proofs that the manifest and the endpoints are the newest.
+	ManifestAge  proofAge `msgpack:"manifest_age"`
+	EndpointsAge proofAge `msgpack:"endpoints_age"`
+	// The store does not answer the calls of the daemon for them.
+	ManifestLost  bool `msgpack:"manifest_lost,omitempty"`
+	EndpointsLost bool `msgpack:"endpoints_lost,omitempty"`
+}
+
+// proofAge is the age of a proof in milliseconds plus one; zero if there is no proof, or if the
+// version of the sender knows none.
+type proofAge int64
+
+// proofAgeOf returns the age of the latest proof of a follower.
+func proofAgeOf(s *subscription, now time.Time) proofAge {
+	age, ok := s.Age(now)
+	if !ok {
+		return 0
+	}
+	return proofAge(age.Milliseconds() + 1)
+}
+
+// confirm records the proof of a peer, as of a time before it was sent.
+func (a proofAge) confirm(s *subscription, asOf time.Time) {
+	if a > 0 {
+		s.Confirm(asOf.Add(-time.Duration(a) * time.Millisecond))
+	}
 }
 
 // endpointsMessage is the wire form of a list of endpoints.
@@ -88,11 +112,12 @@
 
 // peer is one other daemon.
 type peer struct {
-	daemon     Daemon
-	queue      chan []byte // Encoded batches of updates.
-	cancel     context.CancelFunc
-	alive      bool      // The last call succeeded.
-	watchingAt time.Time // Time at which it last reported that it watches the store; zero if it does not.
+	daemon Daemon
+	queue  chan []byte // Encoded batches of updates.
+	cancel context.CancelFunc
+	alive  bool // The last call succeeded.
+	// The store does not answer its calls for the manifest and the endpoints.
+	manifestLost, endpointsLost bool
 }
 
 func newPeers(f *Forwarder) *peers {
@@ -237,6 +262,9 @@
 	o.alive = err == nil
 	current := p.known[o.daemon.Name] == o
 	p.mu.Unlock()
+	if err != nil {
+		p.manifests.Defer(o.daemon.Name)
+	}
 	if current {
 		p.f.members.SetReachable(o.daemon.Name, err == nil, p.f.clock.Now())
 	}
@@ -272,16 +300,21 @@
 	c, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var remote syncMessage
+	asOf := p.f.clock.Now()
 	if err := p.call(c, o.daemon.Addr, methodSync, p.syncState(), &remote); err != nil {
 		return err
 	}
-	// Daemons of versions that send no count number revisions without eras, so that
-	// their changes seem older than any of this daemon.
-	p.recordWatching(o, remote.WatchingStore && remote.Daemons > 0)
+	p.recordLost(o, &remote)
 	p.addDiscovered(remote.Daemon)
 	p.f.recordDaemonCount(remote.Daemons)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
+	if remote.Manifest == local.Manifest {
+		remote.ManifestAge.confirm(p.f.manifests, asOf)
+	}
+	if remote.Digest == local.Digest {
+		remote.EndpointsAge.confirm(p.f.endpointEntries, asOf)
+	}
 	if remote.Limits != local.Limits && remote.Limits != 0 {
 		if err := p.exclusively(&p.exchangingLimits, func() error { return p.exchangeLimits(c, o) }); err != nil {
 			return err
@@ -293,7 +326,7 @@
 			return err
 		}
 	}
-	if remote.Digest != local.Digest && remote.WatchingStore && !local.WatchingStore {
+	if remote.Digest != local.Digest && remote.Fresh && !local.Fresh {
 		return p.exclusively(&p.fetchingEndpoints, func() error { return p.fetchEndpoints(c, o) })
 	}
 	return nil
@@ -356,7 +389,7 @@
 	if o == nil {
 		return ErrNotFound
 	}
-	c, cancel := context.WithTimeout(p.f.ctx, manifestTimeout)
+	c, cancel := context.WithTimeout(p.f.ctx, p.manifests.Timeout())
 	defer cancel()
 	var m matcher.Manifest
 	if err := p.call(c, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
@@ -389,37 +422,23 @@
 	return body, err
 }
 
-// recordWatching records whether a peer watches the store.
-func (p *peers) recordWatching(o *peer, watching bool) {
+// recordLost records whether the store answers the calls of a peer.
+func (p *peers) recordLost(o *peer, m *syncMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	o.watchingAt = time.Time{}
-	if watching {
-		o.watchingAt = p.f.clock.Now()
-	}
-}
-
-// hasLiveWatcher reports whether a peer that answers has recently reported that it
-// watches the store.
-func (p *peers) hasLiveWatcher() bool {
-	now := p.f.clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, o := range p.known {
-		if o.alive && !o.watchingAt.IsZero() && now.Sub(o.watchingAt) < watcherTimeout {
-			return true
-		}
-	}
-	return false
+	o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
 }
 
 // syncState returns the state of this daemon for a sync.
 func (p *peers) syncState() syncMessage {
+	now := p.f.clock.Now()
 	m := syncMessage{
 		Daemon: Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
-		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), Daemons: p.f.members.Count(), WatchingStore: p.f.watchingStore.Load(),
+		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), Daemons: p.f.members.Count(), Fresh: p.f.endpointEntries.Fresh(now),
+		ManifestAge: proofAgeOf(p.f.manifests, now), EndpointsAge: proofAgeOf(p.f.endpointEntries, now),
+		ManifestLost: p.f.manifests.Lost(), EndpointsLost: p.f.endpointEntries.Lost(),
 	}
-	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(p.f.clock.Now())
+	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
 }
 
