--- a/coordination/quarantiner/bench_test.go
+++ b/coordination/quarantiner/bench_test.go
@@ -12,12 +12,12 @@
 func full(suspects int) *Quarantine {
 	q, r := New(Config{Self: "a"}), rand.New(rand.NewPCG(1, 1))
 	for i := range maxCrashes {
-		var parts []Part
+		var parts []Subject
 		for range suspects {
-			parts = append(parts, Part(r.Uint64()|1<<63))
+			parts = append(parts, Subject(r.Uint64()>>1|1<<62))
 		}
 		for j := range 3 {
-			parts[j] = Part(1 + r.IntN(100))
+			parts[j] = Subject(1 + r.IntN(100))
 		}
 		q.RecordCrash(engine(i), prompt(parts...), at(time.Duration(i)*100*time.Millisecond))
 	}
@@ -27,7 +27,7 @@
 
 func BenchmarkCheckWithoutEvidence(b *testing.B) {
 	q := New(Config{})
-	parts := []Part{1, 2, 3, 4, 5, 6, 7, 8}
+	parts := []Subject{1, 2, 3, 4, 5, 6, 7, 8}
 	b.ReportAllocs()
 	for b.Loop() {
 		q.Check(parts, start)
@@ -38,7 +38,7 @@
 	q := New(Config{})
 	crashAll(q, 0, 5, 0, 3)
 	now := at(10 * time.Second)
-	parts := []Part{1, 2, 1003, 1004, 1005, 1006, 1007, 3}
+	parts := []Subject{1, 2, 1003, 1004, 1005, 1006, 1007, 3}
 	if _, ok := q.Check(parts, now); !ok {
 		b.Fatal("not blocked")
 	}
@@ -50,7 +50,7 @@
 
 func BenchmarkRecordProgress(b *testing.B) {
 	q := full(16)
-	parts := []Part{1 << 40, 2 << 40, 3 << 40, 4 << 40, 5 << 40, 6 << 40, 7 << 40, 8 << 40}
+	parts := []Subject{1 << 40, 2 << 40, 3 << 40, 4 << 40, 5 << 40, 6 << 40, 7 << 40, 8 << 40}
 	now := at(time.Minute)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -66,7 +66,7 @@
 	for b.Loop() {
 		i++
 		now := at(time.Minute + time.Duration(i)*time.Millisecond)
-		q.Apply(Evidence{Crashes: []Crash{{Engine: engine(10000 + i), Suspects: prompt(Part(i%100+1), Part(i<<20), Part(i<<21)), At: now}}}, false, now)
+		q.Apply(Evidence{Crashes: []Crash{{Engine: engine(10000 + i), Suspects: prompt(Subject(i%100+1), Subject(i<<20), Subject(i<<21)), At: now}}}, false, now)
 		q.Digest(now)
 	}
 }
--- a/coordination/quarantiner/config.go
+++ b/coordination/quarantiner/config.go
@@ -11,10 +11,16 @@
 
 	// Crashes closer to each other than Spacing count as one incident for a part.
 	Spacing time.Duration // Default: 250 ms.
+	// Likewise for a request. The same request seldom runs at two endpoints at once, so that
+	// crashes with it shortly after each other are no coincidence unless they are simultaneous.
+	RequestSpacing time.Duration // Default: 20 ms.
 	// A part is blamed if the unexplained crashes with it make up at least MinIncidents
 	// incidents and the fraction MinShare of all unexplained crashes since the first one.
 	MinIncidents int     // Default: 3.
 	MinShare     float64 // Default: 1/2.
+	// A request is blamed if they are MinIncidents crashes in two incidents and the fraction
+	// ManyShare: few requests are the same, so that several crashes with one say more than those
+	// with a part.
 	// For at least ManyCrashes crashes, the fraction ManyShare is enough, or the fraction
 	// BurstShare in only two incidents.
 	ManyCrashes int     // Default: 5.
@@ -29,6 +35,9 @@
 	// The block of a part that was blamed for less than ManyCrashes crashes begins after
 	// Settle, so that daemons that know progress of it can say so first.
 	Settle time.Duration // Default: 1 s.
+	// The block of a request begins no sooner than RequestSettle after the second crash with it,
+	// for the same reason.
+	RequestSettle time.Duration // Default: 300 ms.
 	// A blamed part is blocked for Block after the last crash with it, for twice the time
 	// after each trial, and at most for MaxBlock.
 	Block    time.Duration // Default: 1 min.
@@ -70,6 +79,7 @@
 // withDefaults returns the parameters with defaults for zero values.
 func (c Config) withDefaults() Config {
 	setDefault(&c.Spacing, 250*time.Millisecond)
+	setDefault(&c.RequestSpacing, 20*time.Millisecond)
 	setDefault(&c.MinIncidents, 3)
 	setDefault(&c.MinShare, 0.5)
 	setDefault(&c.ManyCrashes, 5)
@@ -78,6 +88,7 @@
 	setDefault(&c.Window, 5*time.Minute)
 	setDefault(&c.ProgressRetention, time.Minute)
 	setDefault(&c.Settle, time.Second)
+	setDefault(&c.RequestSettle, 300*time.Millisecond)
 	setDefault(&c.Block, time.Minute)
 	setDefault(&c.MaxBlock, 15*time.Minute)
 	setDefault(&c.BlameRetention, 15*time.Minute)
--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -41,7 +41,7 @@
 
 // sound reports whether a part is proven sound for a crash at the given time. The mutex is
 // held.
-func (q *Quarantine) sound(p Part, at time.Time) bool {
+func (q *Quarantine) sound(p Subject, at time.Time) bool {
 	t, ok := q.published[p]
 	return ok && !t.Add(q.cfg.ProgressRetention).Before(at)
 }
@@ -89,8 +89,8 @@
 func (q *Quarantine) replace(old, c *crash) {
 	if old != nil {
 		for _, s := range old.suspects {
-			if q.named[s.Part]--; q.named[s.Part] == 0 {
-				delete(q.named, s.Part)
+			if q.named[s.Subject]--; q.named[s.Subject] == 0 {
+				delete(q.named, s.Subject)
 			}
 		}
 	}
@@ -100,7 +100,7 @@
 		return
 	}
 	for _, s := range c.suspects {
-		q.named[s.Part]++
+		q.named[s.Subject]++
 	}
 	q.crashes[c.engine] = c
 	if i := slices.Index(q.order, old); i >= 0 {
@@ -114,7 +114,7 @@
 func (c *crash) sum() uint64 {
 	h := engineHash(c.engine)
 	for _, s := range c.suspects {
-		h += mix(uint64(s.Part) + uint64(s.Depth))
+		h += mix(uint64(s.Subject) + uint64(s.Depth))
 	}
 	if c.crashed() {
 		h += mix(uint64(c.at.UnixNano()))
@@ -131,17 +131,17 @@
 // addProgress adds progress, and reports whether it was new. Then it is added to out as well,
 // which may be nil. The mutex is held.
 func (q *Quarantine) addProgress(p Progress, out *facts, now time.Time) bool {
-	if q.inFuture(p.At, now) || q.named[p.Part] == 0 && now.Sub(p.At) > q.cfg.ProgressRetention {
+	if q.inFuture(p.At, now) || q.named[p.Subject] == 0 && now.Sub(p.At) > q.cfg.ProgressRetention {
 		return false
 	}
-	if !p.At.After(q.published[p.Part]) {
+	if !p.At.After(q.published[p.Subject]) {
 		return false
 	}
-	if _, ok := q.published[p.Part]; !ok {
+	if _, ok := q.published[p.Subject]; !ok {
 		bound(q.published, maxProgress-1, func(at time.Time) time.Time { return at })
 	}
-	q.published[p.Part] = p.At
-	delete(q.outbox.answers, p.Part)
+	q.published[p.Subject] = p.At
+	delete(q.outbox.answers, p.Subject)
 	q.touch(now)
 	out.addProgress(p)
 	return true
@@ -153,14 +153,14 @@
 	if q.inFuture(t.At, now) {
 		return false
 	}
-	old, ok := q.trials[t.Part]
+	old, ok := q.trials[t.Subject]
 	if ok && !t.At.After(old.At) {
 		return false
 	}
 	if !ok {
 		bound(q.trials, maxTrials-1, func(t Trial) time.Time { return t.At })
 	}
-	q.trials[t.Part] = t
+	q.trials[t.Subject] = t
 	q.touch(now)
 	out.addTrial(t)
 	return true
@@ -178,7 +178,7 @@
 
 // infer explains the crashes. The mutex is held.
 func (q *Quarantine) infer() *inference {
-	in := &inference{cfg: q.cfg, sound: q.sound, named: q.named, trial: func(p Part) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
+	in := &inference{cfg: q.cfg, sound: q.sound, named: q.named, trial: func(p Subject) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
 	in.run(q.sorted())
 	return in
 }
@@ -196,7 +196,7 @@
 			q.prepareAnswer(p, at, now)
 			continue
 		}
-		urgent = q.addProgress(Progress{Part: p, At: at.Round(0)}, &q.outbox.own, now) || urgent
+		urgent = q.addProgress(Progress{Subject: p, At: at.Round(0)}, &q.outbox.own, now) || urgent
 	}
 	return urgent
 }
@@ -275,10 +275,10 @@
 			q.replace(c, nil)
 		}
 	}
-	maps.DeleteFunc(q.published, func(p Part, at time.Time) bool {
+	maps.DeleteFunc(q.published, func(p Subject, at time.Time) bool {
 		return q.named[p] == 0 && now.Sub(at) > q.cfg.ProgressRetention
 	})
-	maps.DeleteFunc(q.trials, func(p Part, t Trial) bool {
+	maps.DeleteFunc(q.trials, func(p Subject, t Trial) bool {
 		return in.blamed[p] == nil && now.Sub(t.At) > q.cfg.Window
 	})
 }
@@ -313,7 +313,7 @@
 		}
 	}
 	for p, at := range q.published {
-		e.Progress = append(e.Progress, Progress{Part: p, At: at})
+		e.Progress = append(e.Progress, Progress{Subject: p, At: at})
 	}
 	for _, t := range q.trials {
 		e.Trials = append(e.Trials, t)
@@ -324,9 +324,9 @@
 // normalize sorts suspects by part and joins those of the same part.
 func normalize(list []Suspect) []Suspect {
 	slices.SortFunc(list, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(b.Depth, a.Depth))
+		return cmp.Or(cmp.Compare(a.Subject, b.Subject), cmp.Compare(b.Depth, a.Depth))
 	})
-	return slices.CompactFunc(list, func(a, b Suspect) bool { return a.Part == b.Part })
+	return slices.CompactFunc(list, func(a, b Suspect) bool { return a.Subject == b.Subject })
 }
 
 // merge returns the suspects of a crash when others, which are normalized, are added, and
@@ -334,11 +334,11 @@
 func merge(engine registrar.Identity, old, added []Suspect) (all, fresh []Suspect) {
 	all = normalize(slices.Concat(old, added))
 	if len(all) > maxSuspects {
-		slices.SortFunc(all, func(a, b Suspect) int { return cmp.Compare(salted(engine, a.Part), salted(engine, b.Part)) })
+		slices.SortFunc(all, func(a, b Suspect) int { return cmp.Compare(salted(engine, a.Subject), salted(engine, b.Subject)) })
 		all = normalize(all[:maxSuspects])
 	}
 	for _, s := range all {
-		if i, ok := slices.BinarySearchFunc(old, s, func(a, b Suspect) int { return cmp.Compare(a.Part, b.Part) }); !ok || s.Depth > old[i].Depth {
+		if i, ok := slices.BinarySearchFunc(old, s, func(a, b Suspect) int { return cmp.Compare(a.Subject, b.Subject) }); !ok || s.Depth > old[i].Depth {
 			fresh = append(fresh, s)
 		}
 	}
@@ -346,7 +346,7 @@
 }
 
 // salted returns a hash of a part that differs between engines.
-func salted(engine registrar.Identity, p Part) uint64 { return mix(engineHash(engine) ^ uint64(p)) }
+func salted(engine registrar.Identity, p Subject) uint64 { return mix(engineHash(engine) ^ uint64(p)) }
 
 func engineHash(id registrar.Identity) uint64 {
 	return xxhash.Sum64String(id.Name + "/" + strconv.FormatInt(id.Started, 10))
--- a/coordination/quarantiner/example_test.go
+++ b/coordination/quarantiner/example_test.go
@@ -17,17 +17,17 @@
 	// Three engines end on prompts with the document, others go on with the system prompt.
 	for i := range 3 {
 		now = now.Add(time.Second)
-		a.RecordProgress([]quarantiner.Part{system}, now)
+		a.RecordProgress([]quarantiner.Subject{system}, now)
 		engine := registrar.Identity{Name: fmt.Sprint("engine-", i)}
-		a.RecordCrash(engine, []quarantiner.Suspect{{Part: system}, {Part: document, Depth: 1}}, now)
+		a.RecordCrash(engine, []quarantiner.Suspect{{Subject: system}, {Subject: document, Depth: 1}}, now)
 	}
 	own, _ := a.TakeUpdates(now)
 	b.Apply(own, false, now)
 
 	now = now.Add(2 * time.Second)
-	v, blocked := b.Check([]quarantiner.Part{system, document}, now)
-	fmt.Println(blocked, v.Part == document, v.Crashes, v.RetryAfter)
-	_, blocked = b.Check([]quarantiner.Part{system}, now)
+	v, blocked := b.Check([]quarantiner.Subject{system, document}, now)
+	fmt.Println(blocked, v.Subject == document, v.Crashes, v.RetryAfter)
+	_, blocked = b.Check([]quarantiner.Subject{system}, now)
 	fmt.Println(blocked)
 	// Output:
 	// true true 3 59s
--- a/coordination/quarantiner/fleet_test.go
+++ b/coordination/quarantiner/fleet_test.go
@@ -63,11 +63,11 @@
 	engines []*machine
 	cut     func(a, b *node) bool // Whether daemons can't reach each other.
 
-	bad       map[Part]*badPart
+	bad       map[Subject]*badPart
 	badRate   float64 // Requests with a bad part in a second, of all daemons.
 	soundRate float64
-	badPrompt func() []Part // Without the last part.
-	sound     func() []Part
+	badPrompt func() []Subject // Without the last part.
+	sound     func() []Subject
 	slow      float64 // Factor of the time to the first token.
 	served    bool    // Requests with bad parts were served in the end.
 	fixed     bool    // Bad parts crash engines no longer.
@@ -110,8 +110,8 @@
 type run struct {
 	n          *node
 	q          *Quarantine // The daemon's, to see whether it has restarted.
-	parts      []Part
-	bad        Part
+	parts      []Subject
+	bad        Subject
 	progressed bool
 	ended      bool
 }
@@ -157,11 +157,11 @@
 func newFleet(seed uint64, s size) *fleet {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: start, domains: s.domains, soundRate: s.soundRate, slow: 1,
-		cut: func(_, _ *node) bool { return false }, bad: map[Part]*badPart{},
+		cut: func(_, _ *node) bool { return false }, bad: map[Subject]*badPart{},
 	}
-	f.sound = func() []Part {
+	f.sound = func() []Subject {
 		c := f.customer(s.customers)
-		return []Part{f.first(), c, f.document(c)}
+		return []Subject{f.first(), c, f.document(c)}
 	}
 	for i := range s.daemons {
 		f.daemons = append(f.daemons, &node{name: fmt.Sprint("d-", i), index: i, domain: i % s.domains, skew: f.skew(maxSkew)})
@@ -184,16 +184,16 @@
 	return f
 }
 
-func (f *fleet) first() Part { return PartOf("first", fmt.Sprint(f.rand.IntN(firstParts))) }
+func (f *fleet) first() Subject { return PartOf("first", fmt.Sprint(f.rand.IntN(firstParts))) }
 
 // customer returns the part of a customer; few of them send most requests.
-func (f *fleet) customer(n int) Part {
+func (f *fleet) customer(n int) Subject {
 	u := f.rand.Float64()
 	return PartOf("customer", fmt.Sprint(int(u*u*float64(n))))
 }
 
 // document returns a document of a customer.
-func (f *fleet) document(customer Part) Part {
+func (f *fleet) document(customer Subject) Subject {
 	return PartOf("document", fmt.Sprint(customer, f.rand.IntN(documentsEach)))
 }
 
@@ -267,10 +267,10 @@
 }
 
 // addBad makes a part crash engines.
-func (f *fleet) addBad(p Part) { f.bad[p] = &badPart{} }
+func (f *fleet) addBad(p Subject) { f.bad[p] = &badPart{} }
 
 // startBad begins the requests with bad parts. Prompts are without their last part.
-func (f *fleet) startBad(rate float64, prompt func() []Part) {
+func (f *fleet) startBad(rate float64, prompt func() []Subject) {
 	f.badRate, f.badPrompt = rate, prompt
 	f.schedule(func() float64 { return f.badRate }, func() {
 		parts := f.badPrompt()
@@ -286,13 +286,13 @@
 
 // request lets a daemon send a request to an engine unless a part is blocked. A bad part
 // is zero if there is none.
-func (f *fleet) request(parts []Part, bad Part) {
+func (f *fleet) request(parts []Subject, bad Subject) {
 	n := f.daemons[f.rand.IntN(len(f.daemons))]
 	if n.down {
 		return
 	}
 	v, blocked := n.q.Check(parts, f.clock(n))
-	if blocked && (v.RetryAfter > trialMarginTime || !n.q.TryTrial(v.Part, f.chosen(n, v.Part), f.clock(n))) {
+	if blocked && (v.RetryAfter > trialMarginTime || !n.q.TryTrial(v.Subject, f.chosen(n, v.Subject), f.clock(n))) {
 		if bad == 0 {
 			f.soundRefused++
 		}
@@ -316,7 +316,7 @@
 }
 
 // chosen reports whether a daemon ranks first for a part among those that it reaches.
-func (f *fleet) chosen(n *node, p Part) bool {
+func (f *fleet) chosen(n *node, p Subject) bool {
 	score := func(n *node) uint64 { return xxhash.Sum64String(fmt.Sprint(n.name, "/", uint64(p))) }
 	return !slices.ContainsFunc(f.daemons, func(o *node) bool {
 		return o != n && !o.down && !f.cut(n, o) && score(o) > score(n)
@@ -550,10 +550,10 @@
 const warmUp = 15 * time.Second
 
 // middle returns prompts of all customers with a bad part in the middle.
-func (f *fleet) middle(s size, bad ...Part) func() []Part {
-	return func() []Part {
+func (f *fleet) middle(s size, bad ...Subject) func() []Subject {
+	return func() []Subject {
 		c := f.customer(s.customers)
-		return []Part{f.first(), c, bad[f.rand.IntN(len(bad))], f.document(c)}
+		return []Subject{f.first(), c, bad[f.rand.IntN(len(bad))], f.document(c)}
 	}
 }
 
@@ -595,25 +595,25 @@
 	}},
 	{name: "bad part of one customer", sends: allowedSends, inject: func(f *fleet, s size) {
 		f.addBad(1)
-		f.startBad(s.badRate, func() []Part {
+		f.startBad(s.badRate, func() []Subject {
 			c := PartOf("customer", "0")
-			return []Part{PartOf("first", "0"), c, 1, f.document(c)}
+			return []Subject{PartOf("first", "0"), c, 1, f.document(c)}
 		})
 		f.run(badTime)
 	}},
 	{name: "bad part with a new first part and customer", sends: allowedSends, inject: func(f *fleet, s size) {
 		f.addBad(1)
 		first, customer := PartOf("first", "new"), PartOf("customer", "new")
-		f.startBad(s.badRate, func() []Part { return []Part{first, customer, 1, f.document(customer)} })
+		f.startBad(s.badRate, func() []Subject { return []Subject{first, customer, 1, f.document(customer)} })
 		f.run(badTime / 2)
-		f.badPrompt = func() []Part { // Sound requests as well, and the bad part with others.
+		f.badPrompt = func() []Subject { // Sound requests as well, and the bad part with others.
 			switch f.rand.IntN(3) {
 			case 0:
-				return []Part{first, customer, f.document(customer)}
+				return []Subject{first, customer, f.document(customer)}
 			case 1:
-				return []Part{f.first(), f.customer(s.customers), 1}
+				return []Subject{f.first(), f.customer(s.customers), 1}
 			}
-			return []Part{first, customer, 1, f.document(customer)}
+			return []Subject{first, customer, 1, f.document(customer)}
 		}
 		f.run(badTime)
 	}},
@@ -621,19 +621,19 @@
 	{name: "new customer sends sound and bad requests", sends: allowedSends, inject: func(f *fleet, s size) {
 		f.addBad(1)
 		first, customer := PartOf("first", "new"), PartOf("customer", "new")
-		f.startBad(s.badRate, func() []Part {
+		f.startBad(s.badRate, func() []Subject {
 			if f.rand.IntN(2) == 0 {
-				return []Part{first, customer, f.document(customer)}
+				return []Subject{first, customer, f.document(customer)}
 			}
-			return []Part{first, customer, 1, f.document(customer)}
+			return []Subject{first, customer, 1, f.document(customer)}
 		})
 		f.run(badTime)
 	}},
 	{name: "bad first part", sends: allowedSends, inject: func(f *fleet, s size) {
 		f.addBad(1)
-		f.startBad(s.badRate, func() []Part {
+		f.startBad(s.badRate, func() []Subject {
 			c := f.customer(s.customers)
-			return []Part{1, c, f.document(c)}
+			return []Subject{1, c, f.document(c)}
 		})
 		f.run(badTime)
 	}},
--- a/coordination/quarantiner/history_test.go
+++ b/coordination/quarantiner/history_test.go
@@ -14,7 +14,7 @@
 	now     time.Time
 	daemons []*Quarantine
 	engines int
-	sound   map[Part]time.Time // Last progress of each part at any daemon.
+	sound   map[Subject]time.Time // Last progress of each part at any daemon.
 }
 
 const (
@@ -23,15 +23,15 @@
 )
 
 func newHistory() *history {
-	h := &history{now: start, sound: map[Part]time.Time{}}
+	h := &history{now: start, sound: map[Subject]time.Time{}}
 	for i := range historyDaemons {
 		h.daemons = append(h.daemons, New(Config{Self: fmt.Sprint("d-", i)}))
 	}
 	return h
 }
 
-func drawParts(t *rapid.T) []Part {
-	return rapid.SliceOfNDistinct(rapid.Map(rapid.IntRange(1, historyParts), func(i int) Part { return Part(i) }), 1, 4, rapid.ID).Draw(t, "parts")
+func drawParts(t *rapid.T) []Subject {
+	return rapid.SliceOfNDistinct(rapid.Map(rapid.IntRange(1, historyParts), func(i int) Subject { return Subject(i) }), 1, 4, rapid.ID).Draw(t, "parts")
 }
 
 // actions returns the events.
@@ -57,7 +57,7 @@
 			daemon(t).Retract(engine(rapid.IntRange(1, h.engines+1).Draw(t, "engine")), h.now)
 		},
 		"trial": func(t *rapid.T) {
-			daemon(t).TryTrial(Part(rapid.IntRange(1, historyParts).Draw(t, "part")), true, h.now)
+			daemon(t).TryTrial(Subject(rapid.IntRange(1, historyParts).Draw(t, "part")), true, h.now)
 		},
 		"exchange": func(t *rapid.T) {
 			h.exchange(daemon(t), daemon(t))
@@ -123,17 +123,17 @@
 		actions := h.actions()
 		delete(actions, "restart")
 		delete(actions, "progress")
-		var part Part
+		var part Subject
 		var progress time.Time
 		actions["progress here"] = func(t *rapid.T) {
 			part, progress = drawParts(t)[0], h.now
-			q.RecordProgress([]Part{part}, h.now)
+			q.RecordProgress([]Subject{part}, h.now)
 		}
 		actions[""] = func(t *rapid.T) {
 			if progress.IsZero() || h.now.Sub(progress) > time.Minute {
 				return
 			}
-			v, ok := q.Check([]Part{part}, h.now)
+			v, ok := q.Check([]Subject{part}, h.now)
 			assert.Check(t, !ok, "%v", v)
 		}
 		t.Repeat(actions)
@@ -148,7 +148,7 @@
 		for i := range rapid.IntRange(1, 30).Draw(t, "facts") {
 			when := at(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "ms")) * time.Millisecond)
 			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
-				facts = append(facts, Evidence{Progress: []Progress{{Part: drawParts(t)[0], At: when}}})
+				facts = append(facts, Evidence{Progress: []Progress{{Subject: drawParts(t)[0], At: when}}})
 				continue
 			}
 			facts = append(facts, Evidence{Crashes: []Crash{{Engine: engine(i / 2), Suspects: prompt(drawParts(t)...), At: when}}})
@@ -156,7 +156,7 @@
 		a, b := New(Config{}), New(Config{})
 		for _, e := range facts {
 			a.Apply(e, false, now)
-			a.Check([]Part{1}, now)
+			a.Check([]Subject{1}, now)
 		}
 		for _, e := range rapid.Permutation(facts).Draw(t, "order") {
 			b.Apply(e, false, now)
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -11,7 +11,7 @@
 
 // blame is the finding that a part crashes engines. It doesn't change once it is published.
 type blame struct {
-	part     Part
+	subject  Subject
 	depth    int
 	crashes  []*crash             // With the part, sorted by time.
 	founding int                  // Number of crashes for which the part was blamed first.
@@ -36,34 +36,34 @@
 // their times, so that it doesn't matter in which order they became known.
 type inference struct {
 	cfg    Config
-	sound  func(p Part, at time.Time) bool // Whether a part is proven sound for a crash at that time.
-	named  map[Part]int                    // Number of crashes of which a part is a suspect.
-	trial  func(p Part) (Trial, bool)
-	blamed map[Part]*blame
-	open   []*crash            // Crashes without an explanation.
-	occurs map[Part][]*crash   // Open crashes that a part may have caused.
-	depth  map[Part]int        // Greatest one seen.
-	live   map[Part]suspicion  // Parts that may have caused several crashes.
-	causes map[*crash][]*blame // Explanations of a crash.
+	sound  func(p Subject, at time.Time) bool // Whether a part is proven sound for a crash at that time.
+	named  map[Subject]int                    // Number of crashes of which a part is a suspect.
+	trial  func(p Subject) (Trial, bool)
+	blamed map[Subject]*blame
+	open   []*crash              // Crashes without an explanation.
+	occurs map[Subject][]*crash  // Open crashes that a part may have caused.
+	depth  map[Subject]int       // Greatest one seen.
+	live   map[Subject]suspicion // Parts that may have caused several crashes.
+	causes map[*crash][]*blame   // Explanations of a crash.
 }
 
 // run explains crashes, which are sorted by time.
 func (f *inference) run(crashes []*crash) {
-	f.blamed, f.occurs, f.depth = map[Part]*blame{}, map[Part][]*crash{}, map[Part]int{}
-	f.live, f.causes = map[Part]suspicion{}, map[*crash][]*blame{}
+	f.blamed, f.occurs, f.depth = map[Subject]*blame{}, map[Subject][]*crash{}, map[Subject]int{}
+	f.live, f.causes = map[Subject]suspicion{}, map[*crash][]*blame{}
 	for _, c := range crashes {
 		for _, s := range c.suspects {
-			if f.named[s.Part] < 2 || f.sound(s.Part, c.at) {
+			if f.named[s.Subject] < 2 || f.sound(s.Subject, c.at) {
 				continue
 			}
-			l := f.live[s.Part]
+			l := f.live[s.Subject]
 			if l.crashes++; l.crashes == 1 {
 				l.first = c.at
 			}
-			f.live[s.Part] = l
+			f.live[s.Subject] = l
 		}
 	}
-	maps.DeleteFunc(f.live, func(_ Part, l suspicion) bool { return l.crashes == 1 })
+	maps.DeleteFunc(f.live, func(_ Subject, l suspicion) bool { return l.crashes == 1 })
 	for _, c := range crashes {
 		if c.crashed() && !f.explain(c) {
 			f.add(c)
@@ -75,7 +75,7 @@
 }
 
 // mayCause reports whether a part may have caused the crash and others.
-func (f *inference) mayCause(p Part, c *crash) bool {
+func (f *inference) mayCause(p Subject, c *crash) bool {
 	_, ok := f.live[p]
 	return ok && !f.sound(p, c.at)
 }
@@ -84,13 +84,13 @@
 func (f *inference) explain(c *crash) bool {
 	explained := false
 	for _, s := range c.suspects {
-		b := f.blamed[s.Part]
-		if b == nil || !f.mayCause(s.Part, c) {
+		b := f.blamed[s.Subject]
+		if b == nil || !f.mayCause(s.Subject, c) {
 			continue
 		}
 		f.block(b)
 		if c.at.After(b.expires) {
-			delete(f.blamed, s.Part)
+			delete(f.blamed, s.Subject)
 			continue
 		}
 		f.assign(b, c)
@@ -108,12 +108,12 @@
 // add adds a crash without an explanation, and looks for one.
 func (f *inference) add(c *crash) {
 	f.open = append(f.open, c)
-	var parts []Part // Of all parts, only these can be blamed now that could not before.
+	var parts []Subject // Of all parts, only these can be blamed now that could not before.
 	for _, s := range c.suspects {
-		if f.mayCause(s.Part, c) {
-			f.occurs[s.Part] = append(f.occurs[s.Part], c)
-			f.depth[s.Part] = max(f.depth[s.Part], s.Depth)
-			parts = append(parts, s.Part)
+		if f.mayCause(s.Subject, c) {
+			f.occurs[s.Subject] = append(f.occurs[s.Subject], c)
+			f.depth[s.Subject] = max(f.depth[s.Subject], s.Depth)
+			parts = append(parts, s.Subject)
 		}
 	}
 	for {
@@ -127,8 +127,8 @@
 }
 
 // blame blames a part for the open crashes that it may have caused.
-func (f *inference) blame(p Part) {
-	b := &blame{part: p, depth: f.depth[p]}
+func (f *inference) blame(p Subject) {
+	b := &blame{subject: p, depth: f.depth[p]}
 	found := slices.Concat(f.supersede(p), f.occurs[p])
 	slices.SortStableFunc(found, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, c := range slices.Compact(found) {
@@ -150,7 +150,7 @@
 // supersede withdraws the blame of parts that were blamed only for crashes that the given
 // part may have caused as well, since they may have come with it by chance. It returns these
 // crashes.
-func (f *inference) supersede(p Part) []*crash {
+func (f *inference) supersede(p Subject) []*crash {
 	var all []*crash
 	for o, b := range f.blamed {
 		if slices.ContainsFunc(b.crashes, func(c *crash) bool { return !c.names(p) || f.sound(p, c.at) }) {
@@ -170,28 +170,40 @@
 
 // choose returns the one of the parts that explains most of the open crashes, if one can be
 // blamed.
-func (f *inference) choose(parts []Part, now time.Time) (Part, bool) {
-	var best Part
-	most := 0
+func (f *inference) choose(parts []Subject, now time.Time) (Subject, bool) {
+	var best Subject
+	most, tied := 0, false
 	for _, p := range parts {
 		n, ok := f.coverage(p, now)
 		if !ok {
 			continue
 		}
+		if p.IsRequest() && n >= most {
+			tied = n == most && best.IsRequest()
+		}
 		better := cmp.Or(cmp.Compare(n, most), cmp.Compare(f.depth[p], f.depth[best]), cmp.Compare(p, best))
 		if most == 0 || better > 0 {
 			best, most = p, n
 		}
 	}
+	// While all endpoints of a service are down, a request that ran beside the bad one everywhere
+	// can't prove itself. Another crash tells them apart.
+	if tied && best.IsRequest() && most < f.cfg.ManyCrashes {
+		return 0, false
+	}
 	return best, most > 0
 }
 
 // coverage returns the number of open crashes that a part may have caused, and whether it
 // can be blamed.
-func (f *inference) coverage(p Part, now time.Time) (int, bool) {
+func (f *inference) coverage(p Subject, now time.Time) (int, bool) {
 	oldest := now.Add(-f.cfg.Window)
 	n, incidents := 0, 0
 	var first, last time.Time
+	spacing := f.cfg.Spacing
+	if p.IsRequest() {
+		spacing = f.cfg.RequestSpacing
+	}
 	for _, c := range f.occurs[p] {
 		if c.at.Before(oldest) {
 			continue
@@ -200,7 +212,7 @@
 			first = c.at
 		}
 		n++
-		if incidents == 0 || c.at.Sub(last) >= f.cfg.Spacing {
+		if incidents == 0 || c.at.Sub(last) >= spacing {
 			incidents++
 			last = c.at
 		}
@@ -209,10 +221,14 @@
 		return n, false
 	}
 	since, _ := slices.BinarySearchFunc(f.open, first, func(c *crash, t time.Time) int { return c.at.Compare(t) })
-	return n, f.suffices(n, incidents, float64(n)/float64(len(f.open)-since))
+	share := float64(n) / float64(len(f.open)-since)
+	if p.IsRequest() {
+		return n, n >= f.cfg.MinIncidents && share >= f.cfg.ManyShare
+	}
+	return n, f.suffices(n, incidents, share)
 }
 
-// suffices reports whether a part can be blamed for a number of crashes, which make up a
+// suffices reports whether a part of prompts can be blamed for a number of crashes, which make up a
 // share of all since the first of them.
 func (f *inference) suffices(crashes, incidents int, share float64) bool {
 	many := crashes >= f.cfg.ManyCrashes
@@ -226,11 +242,14 @@
 func (f *inference) block(b *blame) {
 	sign := b.crashes[len(b.crashes)-1].at
 	b.effective = b.crashes[b.founding-1].at.Add(f.cfg.Settle)
+	if b.subject.IsRequest() { // Daemons could answer since the second crash, which made it a suspect.
+		b.effective = later(b.crashes[b.founding-1].at, b.crashes[1].at.Add(f.cfg.RequestSettle))
+	}
 	if n := max(f.cfg.ManyCrashes, b.founding); n <= len(b.crashes) && b.crashes[n-1].at.Before(b.effective) {
 		b.effective = b.crashes[n-1].at
 	}
 	b.round = 0
-	if t, ok := f.trial(b.part); ok && !t.At.Before(b.since()) {
+	if t, ok := f.trial(b.subject); ok && !t.At.Before(b.since()) {
 		b.round = t.Round
 		if t.At.After(sign) {
 			sign = t.At
@@ -247,6 +266,14 @@
 	b.expires = b.until.Add(f.cfg.BlameRetention)
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // thin removes the crashes from the blamed part without which it would be blamed and blocked
 // in the same way, and returns them.
 func (f *inference) thin(b *blame) []*crash {
@@ -267,7 +294,7 @@
 }
 
 // names reports whether a part is a suspect of the crash.
-func (c *crash) names(p Part) bool {
-	_, ok := slices.BinarySearchFunc(c.suspects, p, func(s Suspect, p Part) int { return cmp.Compare(s.Part, p) })
+func (c *crash) names(p Subject) bool {
+	_, ok := slices.BinarySearchFunc(c.suspects, p, func(s Suspect, p Subject) int { return cmp.Compare(s.Subject, p) })
 	return ok
 }
--- a/coordination/quarantiner/outbox.go
+++ b/coordination/quarantiner/outbox.go
@@ -14,7 +14,7 @@
 	relayed facts
 	// Facts with which this daemon can refute the evidence of others, and when it does
 	// unless another one does so first.
-	answers     map[Part]answer
+	answers     map[Subject]answer
 	retractions map[registrar.Identity]time.Time
 }
 
@@ -32,7 +32,7 @@
 }
 
 func newOutbox() outbox {
-	return outbox{answers: map[Part]answer{}, retractions: map[registrar.Identity]time.Time{}}
+	return outbox{answers: map[Subject]answer{}, retractions: map[registrar.Identity]time.Time{}}
 }
 
 // addCrash adds a crash to the queue, which may be nil.
@@ -104,7 +104,7 @@
 
 // prepareAnswer prepares to refute a suspicion by progress at the given time. The mutex is
 // held.
-func (q *Quarantine) prepareAnswer(p Part, at, now time.Time) {
+func (q *Quarantine) prepareAnswer(p Subject, at, now time.Time) {
 	a, ok := q.outbox.answers[p]
 	if !ok {
 		a.due = q.answerTime(uint64(p), now)
@@ -121,7 +121,7 @@
 			continue
 		}
 		delete(q.outbox.answers, p)
-		q.addProgress(Progress{Part: p, At: a.at.Round(0)}, &q.outbox.own, now)
+		q.addProgress(Progress{Subject: p, At: a.at.Round(0)}, &q.outbox.own, now)
 	}
 	for id, due := range q.outbox.retractions {
 		if now.Before(due) {
--- a/coordination/quarantiner/progress.go
+++ b/coordination/quarantiner/progress.go
@@ -24,17 +24,17 @@
 }
 
 type tableEntry struct {
-	part Part
+	part Subject
 	at   int64 // Unix nanoseconds; zero if the entry is free.
 }
 
-func (t *progressTable) set(p Part) (*tableShard, *[tableWays]tableEntry) {
+func (t *progressTable) set(p Subject) (*tableShard, *[tableWays]tableEntry) {
 	s := &t.shards[uint64(p)%tableShards]
 	return s, &s.sets[uint64(p)/tableShards%tableSets]
 }
 
 // record records progress of a part.
-func (t *progressTable) record(p Part, now time.Time) {
+func (t *progressTable) record(p Subject, now time.Time) {
 	s, set := t.set(p)
 	at := now.UnixNano()
 	s.mu.Lock()
@@ -53,7 +53,7 @@
 }
 
 // last returns when a part last made progress. It returns false if that is not known.
-func (t *progressTable) last(p Part) (time.Time, bool) {
+func (t *progressTable) last(p Subject) (time.Time, bool) {
 	s, set := t.set(p)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -1,18 +1,21 @@
-// Package quarantiner finds the parts of prompts that crash engines and blocks them.
+// Package quarantiner finds what crashes endpoints and blocks it.
 //
-// A prompt is a list of parts, of which the last belongs to the request itself. A part may
-// crash each engine that begins to write an answer to a prompt with it. Daemons exchange
-// evidence: crashes with the parts of the runs that ended in them, progress of parts that
-// are suspects, and trials of blamed parts. From equal evidence they reach equal verdicts.
+// What may crash an endpoint is a Subject. A prompt is a list of parts, of which the last
+// belongs to the request itself: a part may crash each engine that begins to write an answer
+// to a prompt with it. A request, to an engine or to a plain service, may crash each endpoint
+// that runs it, and come again. Daemons exchange evidence: crashes with the subjects of what
+// ended in them, progress of suspects, and trials of blamed subjects. From equal evidence they
+// reach equal verdicts.
 //
-// A part is blamed for a crash if nothing proves it sound and if it explains the crashes
+// A subject is blamed for a crash if nothing proves it sound and if it explains the crashes
 // best: it is common to several that were not at the same time, and to a good share of all
-// that nothing else explains. Engines that are killed have few parts in common that make no
-// progress elsewhere, so their crashes blame nobody.
+// that nothing else explains. Endpoints that are killed have few subjects in common that make
+// no progress elsewhere, so their crashes blame nobody.
 package quarantiner
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,25 +26,62 @@
 	"monsoonspar.example/state/registrar"
 )
 
-// Part identifies a part of prompts for one service.
-type Part uint64
+// Subject identifies what may crash endpoints: a part of the prompts for one service, or the
+// requests to one service that are the same.
+type Subject uint64
+
+// requestBit is set in the subjects that are requests.
+const requestBit = 1 << 63
+
+// IsRequest reports whether the subject is a request.
+func (s Subject) IsRequest() bool { return s&requestBit != 0 }
 
 // PartOf returns the part with an ID for a service.
-func PartOf(service, id string) Part {
+func PartOf(service, id string) Subject {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(service) // Never fails.
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(id)
-	return Part(d.Sum64())
+	return Subject(d.Sum64() &^ requestBit)
+}
+
+// Request is what makes requests the same: they differ in none of it. What a client changes
+// from one attempt to the next, such as the ID of the request, is not part of it.
+type Request struct {
+	Service, Method, Path, Customer string
+	Prompt                          []string // IDs of the parts of the prompt, and what else describes it.
+	Body                            []byte   // Is not kept.
+}
+
+// RequestOf returns the subject of a request.
+func RequestOf(r Request) Subject {
+	var d xxhash.Digest
+	d.Reset()
+	var length [8]byte
+	add := func(n int) {
+		binary.LittleEndian.PutUint64(length[:], uint64(n)) // Separates the fields.
+		_, _ = d.Write(length[:])                           // Never fails.
+	}
+	for _, text := range slices.Concat([]string{r.Service, r.Method, r.Path, r.Customer}, r.Prompt) {
+		add(len(text))
+		_, _ = d.WriteString(text)
+	}
+	add(len(r.Body))
+	_, _ = d.Write(r.Body)
+	return Subject(d.Sum64() | requestBit)
 }
 
-// Suspect is a part that may have caused a crash.
+// Suspect is a subject that may have caused a crash.
 type Suspect struct {
-	Part  Part `msgpack:"p"`
-	Depth int  `msgpack:"d"` // Greatest position in a prompt; 0 for the first part.
+	Subject Subject `msgpack:"p"`
+	Depth   int     `msgpack:"d"` // Greatest position in a prompt; 0 for the first part.
 }
 
+// RequestDepth is the depth of a request as a suspect. Of equal evidence against a request and
+// the parts of its prompt, it is against the request, which blocks least.
+const RequestDepth = 1 << 16
+
 // Crash is an engine that ended unexpectedly, or the finding that it did not.
 type Crash struct {
 	Engine   registrar.Identity `msgpack:"e"`
@@ -53,16 +93,16 @@
 
 // Progress says that a run whose prompt contains a part made progress.
 type Progress struct {
-	Part Part      `msgpack:"p"`
-	At   time.Time `msgpack:"t"`
+	Subject Subject   `msgpack:"p"`
+	At      time.Time `msgpack:"t"`
 }
 
 // Trial says that a daemon sends a request with a blamed part to see whether it still
 // crashes engines.
 type Trial struct {
-	Part  Part      `msgpack:"p"`
-	Round int       `msgpack:"n"` // Number of trials since the part was blamed.
-	At    time.Time `msgpack:"t"`
+	Subject Subject   `msgpack:"p"`
+	Round   int       `msgpack:"n"` // Number of trials since the part was blamed.
+	At      time.Time `msgpack:"t"`
 }
 
 // Evidence is what daemons tell each other.
@@ -79,7 +119,7 @@
 
 // Verdict says that a part is blocked.
 type Verdict struct {
-	Part       Part
+	Subject    Subject
 	Depth      int                  // Greatest position in a prompt that was seen.
 	Crashes    int                  // Crashes with the part, as far as they are held.
 	Engines    []registrar.Identity // That crashed. Shared; must not be changed.
@@ -104,32 +144,33 @@
 	busySince time.Time // When it began to change, or ShouldSync returned true since.
 	syncedAt  time.Time // When ShouldSync last returned true.
 	crashes   map[registrar.Identity]*crash
-	order     []*crash           // Those in crashes.
-	named     map[Part]int       // Number of crashes of which a part is a suspect.
-	published map[Part]time.Time // Latest progress of suspects that daemons published.
-	trials    map[Part]Trial     // The last one of each part.
+	order     []*crash              // Those in crashes.
+	named     map[Subject]int       // Number of crashes of which a part is a suspect.
+	published map[Subject]time.Time // Latest progress of suspects that daemons published.
+	trials    map[Subject]Trial     // The last one of each part.
 	retracted map[registrar.Identity]time.Time
 	outbox    outbox
 }
 
 // findings is what follows from the evidence. It doesn't change once it is published.
 type findings struct {
-	blamed map[Part]*blame
-	live   map[Part]suspicion
+	blamed map[Subject]*blame
+	live   map[Subject]suspicion
 	next   time.Time // When evidence or a blame expires.
 }
 
 // New returns a Quarantine without evidence.
 func New(cfg Config) *Quarantine {
 	return &Quarantine{
-		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Part]int{}, published: map[Part]time.Time{},
-		trials: map[Part]Trial{}, retracted: map[registrar.Identity]time.Time{}, outbox: newOutbox(),
+		cfg: cfg.withDefaults(), crashes: map[registrar.Identity]*crash{}, named: map[Subject]int{}, published: map[Subject]time.Time{},
+		trials: map[Subject]Trial{}, retracted: map[registrar.Identity]time.Time{}, outbox: newOutbox(),
 	}
 }
 
 // RecordProgress records that a run at this daemon made progress: it has completed or has
-// sent events for a while. The parts are those of its prompt without the last.
-func (q *Quarantine) RecordProgress(parts []Part, now time.Time) {
+// sent events for a while. The subjects are the request and the parts of its prompt without the
+// last.
+func (q *Quarantine) RecordProgress(parts []Subject, now time.Time) {
 	for _, p := range parts {
 		q.progress.record(p, now)
 	}
@@ -145,19 +186,19 @@
 }
 
 // publishProgress adds progress at this daemon to the evidence, at once if that is urgent.
-func (q *Quarantine) publishProgress(p Part, urgent bool, now time.Time) {
+func (q *Quarantine) publishProgress(p Subject, urgent bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if urgent {
-		q.addProgress(Progress{Part: p, At: now.Round(0)}, &q.outbox.own, now)
+		q.addProgress(Progress{Subject: p, At: now.Round(0)}, &q.outbox.own, now)
 		return
 	}
 	q.prepareAnswer(p, now, now)
 }
 
 // RecordCrash records that the process of an engine ended unexpectedly. The suspects are
-// the parts of the runs on it that had not made progress, without the last part of each
-// prompt, and now is the time at which this daemon saw the end. Parts that are known to be
+// the requests that ran on it and had not made progress, and the parts of their prompts
+// without the last, and now is the time at which this daemon saw the end. Parts that are known to be
 // sound are left out.
 func (q *Quarantine) RecordCrash(engine registrar.Identity, suspects []Suspect, now time.Time) {
 	q.mu.Lock()
@@ -175,8 +216,8 @@
 func (q *Quarantine) reportable(engine registrar.Identity, suspects []Suspect, now time.Time) []Suspect {
 	kept := make([]Suspect, 0, len(suspects))
 	for _, s := range suspects {
-		at, ok := q.progress.last(s.Part)
-		if ok && !at.Add(q.cfg.ProgressRetention).Before(now) || q.sound(s.Part, now) {
+		at, ok := q.progress.last(s.Subject)
+		if ok && !at.Add(q.cfg.ProgressRetention).Before(now) || q.sound(s.Subject, now) {
 			continue
 		}
 		kept = append(kept, s)
@@ -187,13 +228,13 @@
 	}
 	known := q.findings.Load() // Parts that occur again are worth more than others.
 	slices.SortStableFunc(kept, func(a, b Suspect) int {
-		return cmp.Or(-cmp.Compare(known.lives(a.Part), known.lives(b.Part)), cmp.Compare(salted(engine, a.Part), salted(engine, b.Part)))
+		return cmp.Or(-cmp.Compare(known.lives(a.Subject), known.lives(b.Subject)), cmp.Compare(salted(engine, a.Subject), salted(engine, b.Subject)))
 	})
 	return normalize(kept[:maxReported])
 }
 
 // lives returns 1 if a part may have caused a crash that is known, or else 0.
-func (f *findings) lives(p Part) int {
+func (f *findings) lives(p Subject) int {
 	if f != nil {
 		if _, ok := f.live[p]; ok {
 			return 1
@@ -253,13 +294,13 @@
 		}
 	}
 	for _, p := range fresh.Progress {
-		if at, ok := q.published[p.Part]; ok && at.Equal(p.At) {
+		if at, ok := q.published[p.Subject]; ok && at.Equal(p.At) {
 			changed = true
 			out.addProgress(p)
 		}
 	}
 	for _, t := range fresh.Trials {
-		if held, ok := q.trials[t.Part]; ok && held.At.Equal(t.At) {
+		if held, ok := q.trials[t.Subject]; ok && held.At.Equal(t.At) {
 			changed = true
 			out.addTrial(t)
 		}
@@ -329,7 +370,7 @@
 // Check returns the verdict about a prompt, given its parts. It returns false if none of
 // them is blocked. A request should be checked whenever it is about to be sent, and not
 // only when it arrives.
-func (q *Quarantine) Check(parts []Part, now time.Time) (Verdict, bool) {
+func (q *Quarantine) Check(parts []Subject, now time.Time) (Verdict, bool) {
 	f := q.current(now)
 	if f == nil || len(f.blamed) == 0 {
 		return Verdict{}, false
@@ -348,11 +389,25 @@
 
 func (q *Quarantine) verdict(b *blame, now time.Time) Verdict {
 	return Verdict{
-		Part: b.part, Depth: b.depth, Crashes: len(b.crashes), Engines: b.engines, Trials: b.round, Since: b.since(),
+		Subject: b.subject, Depth: b.depth, Crashes: len(b.crashes), Engines: b.engines, Trials: b.round, Since: b.since(),
 		RetryAfter: max(b.until.Sub(now), 0) + q.cfg.RetryMargin,
 	}
 }
 
+// Crashes returns the number of crashes that a subject may have caused, as far as they are
+// known.
+func (q *Quarantine) Crashes(s Subject, now time.Time) int {
+	if q.current(now) == nil {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.sound(s, now) {
+		return 0
+	}
+	return q.named[s]
+}
+
 // Blamed returns the verdicts about all blocked parts, in the order of their first crashes.
 func (q *Quarantine) Blamed(now time.Time) []Verdict {
 	f := q.current(now)
@@ -366,7 +421,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Verdict) int {
-		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Subject, b.Subject))
 	})
 	return all
 }
@@ -375,7 +430,7 @@
 // true once when a trial is due, and the other daemons are told. The chosen daemon is the
 // one that ranks first for the part among those that are reachable. Another one tries only
 // some time later, since the chosen one may have no request with the part.
-func (q *Quarantine) TryTrial(part Part, chosen bool, now time.Time) bool {
+func (q *Quarantine) TryTrial(part Subject, chosen bool, now time.Time) bool {
 	f := q.current(now)
 	if f == nil || f.blamed[part] == nil || now.Before(f.blamed[part].until) {
 		return false
@@ -394,7 +449,7 @@
 	if now.Before(due) {
 		return false
 	}
-	return q.addTrial(Trial{Part: part, Round: b.round + 1, At: now.Round(0)}, &q.outbox.own, now)
+	return q.addTrial(Trial{Subject: part, Round: b.round + 1, At: now.Round(0)}, &q.outbox.own, now)
 }
 
 // spread returns a time below limit that differs between daemons and keys.
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -21,19 +21,19 @@
 }
 
 // prompt returns the parts of a prompt as suspects.
-func prompt(parts ...Part) []Suspect {
+func prompt(parts ...Subject) []Suspect {
 	list := make([]Suspect, len(parts))
 	for i, p := range parts {
-		list[i] = Suspect{Part: p, Depth: i}
+		list[i] = Suspect{Subject: p, Depth: i}
 	}
 	return list
 }
 
 // blamed returns the parts that are blocked.
-func blamed(q *Quarantine, now time.Time) []Part {
-	var parts []Part
+func blamed(q *Quarantine, now time.Time) []Subject {
+	var parts []Subject
 	for _, v := range q.Blamed(now) {
-		parts = append(parts, v.Part)
+		parts = append(parts, v.Subject)
 	}
 	return parts
 }
@@ -62,23 +62,23 @@
 func TestBlamesPartCommonToCrashes(t *testing.T) {
 	q := New(Config{})
 	for i := range 3 {
-		_, ok := q.Check([]Part{1, 2}, at(0))
+		_, ok := q.Check([]Subject{1, 2}, at(0))
 		assert.Check(t, !ok)
-		q.RecordCrash(engine(i), prompt(1, 2, Part(10+i)), at(time.Duration(i)*time.Second))
-		q.RecordProgress([]Part{1}, at(time.Duration(i)*time.Second))
+		q.RecordCrash(engine(i), prompt(1, 2, Subject(10+i)), at(time.Duration(i)*time.Second))
+		q.RecordProgress([]Subject{1}, at(time.Duration(i)*time.Second))
 	}
-	_, ok := q.Check([]Part{1, 2, 99}, at(2*time.Second))
+	_, ok := q.Check([]Subject{1, 2, 99}, at(2*time.Second))
 	assert.Check(t, !ok, "the block begins a moment later")
 	now := at(3 * time.Second)
-	v, ok := q.Check([]Part{1, 2, 99}, now)
+	v, ok := q.Check([]Subject{1, 2, 99}, now)
 	assert.Check(t, ok)
-	assert.Equal(t, v.Part, Part(2))
+	assert.Equal(t, v.Subject, Subject(2))
 	assert.Equal(t, v.Crashes, 3)
 	assert.Equal(t, v.Depth, 1)
 	assert.DeepEqual(t, v.Engines, []registrar.Identity{engine(0), engine(1), engine(2)})
 	assert.Equal(t, v.Since, at(0))
 	assert.Equal(t, v.RetryAfter, time.Minute)
-	_, ok = q.Check([]Part{1, 10}, now)
+	_, ok = q.Check([]Subject{1, 10}, now)
 	assert.Check(t, !ok)
 }
 
@@ -106,13 +106,13 @@
 		deliver(a, now, b)
 	}
 	now := at(20 * time.Second)
-	assert.DeepEqual(t, blamed(b, now), []Part{2})
+	assert.DeepEqual(t, blamed(b, now), []Subject{2})
 	exchange(t, b, late, now)
-	assert.DeepEqual(t, blamed(late, now), []Part{2})
+	assert.DeepEqual(t, blamed(late, now), []Subject{2})
 }
 
 // crashAll records crashes of engines from first on, a second apart, with the same suspects.
-func crashAll(q *Quarantine, first, n int, from time.Duration, suspects ...Part) {
+func crashAll(q *Quarantine, first, n int, from time.Duration, suspects ...Subject) {
 	for i := range n {
 		q.RecordCrash(engine(first+i), prompt(suspects...), at(from+time.Duration(i)*time.Second))
 	}
@@ -124,23 +124,23 @@
 	for _, c := range []struct {
 		name     string
 		progress time.Duration
-		want     []Part
+		want     []Subject
 	}{
-		{name: "long before", progress: -2 * time.Minute, want: []Part{2}},
-		{name: "shortly before", progress: -30 * time.Second, want: []Part{1}},
-		{name: "between the crashes", progress: 1500 * time.Millisecond, want: []Part{1}},
-		{name: "after the crashes", progress: 10 * time.Second, want: []Part{1}},
+		{name: "long before", progress: -2 * time.Minute, want: []Subject{2}},
+		{name: "shortly before", progress: -30 * time.Second, want: []Subject{1}},
+		{name: "between the crashes", progress: 1500 * time.Millisecond, want: []Subject{1}},
+		{name: "after the crashes", progress: 10 * time.Second, want: []Subject{1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			q, o := New(Config{Self: "a"}), New(Config{Self: "b"})
 			if c.progress < 2*time.Second {
-				o.RecordProgress([]Part{2}, at(c.progress))
+				o.RecordProgress([]Subject{2}, at(c.progress))
 			}
 			crashAll(q, 0, 3, 0, 1, 2)
 			now := at(2 * time.Second)
 			deliver(q, now, o)
 			if c.progress >= 2*time.Second {
-				o.RecordProgress([]Part{2}, at(c.progress))
+				o.RecordProgress([]Subject{2}, at(c.progress))
 			}
 			now = now.Add(20 * time.Second)
 			deliver(o, now, q)
@@ -154,11 +154,11 @@
 // A part with progress at the daemon that reports a crash is not reported.
 func TestReportsNoSoundParts(t *testing.T) {
 	q := New(Config{})
-	q.RecordProgress([]Part{1, 2}, at(0))
+	q.RecordProgress([]Subject{1, 2}, at(0))
 	q.RecordCrash(engine(1), prompt(1, 2, 3), at(time.Second))
 	q.RecordCrash(engine(2), prompt(1, 2), at(time.Second))
 	e, _ := q.TakeUpdates(at(time.Second))
-	assert.DeepEqual(t, e, Evidence{Crashes: []Crash{{Engine: engine(1), Suspects: []Suspect{{Part: 3, Depth: 2}}, At: at(time.Second)}}})
+	assert.DeepEqual(t, e, Evidence{Crashes: []Crash{{Engine: engine(1), Suspects: []Suspect{{Subject: 3, Depth: 2}}, At: at(time.Second)}}})
 }
 
 // Only suspicions of several crashes are refuted, once, and by few of many daemons.
@@ -167,7 +167,7 @@
 	var others []*Quarantine
 	for i := range 300 {
 		o := New(Config{Self: fmt.Sprint("d-", i)})
-		o.RecordProgress([]Part{1}, at(0))
+		o.RecordProgress([]Subject{1}, at(0))
 		others = append(others, o)
 	}
 	answers := 0
@@ -193,39 +193,39 @@
 		}
 		assert.Check(t, answers >= want.least && answers <= want.most, "crash %d: %d answers", i, answers)
 	}
-	assert.DeepEqual(t, blamed(others[0], at(4*time.Second)), []Part{2})
+	assert.DeepEqual(t, blamed(others[0], at(4*time.Second)), []Subject{2})
 }
 
 // A daemon that knows of progress says so at once when a part is blamed.
 func TestRefutesBlameAtOnce(t *testing.T) {
 	q, o := New(Config{Self: "a"}), New(Config{Self: "b"})
-	o.RecordProgress([]Part{1}, at(0))
+	o.RecordProgress([]Subject{1}, at(0))
 	crashAll(q, 0, 3, time.Second, 1)
 	now := at(3*time.Second + settled)
-	assert.DeepEqual(t, blamed(q, now), []Part{1})
+	assert.DeepEqual(t, blamed(q, now), []Subject{1})
 	deliver(q, now, o)
-	_, ok := o.Check([]Part{1}, now)
+	_, ok := o.Check([]Subject{1}, now)
 	assert.Check(t, !ok)
 	deliver(o, now, q)
-	assert.DeepEqual(t, blamed(q, now), []Part(nil))
+	assert.DeepEqual(t, blamed(q, now), []Subject(nil))
 }
 
 func TestCrashesCloseToEachOtherAreOneIncident(t *testing.T) {
 	q := New(Config{})
 	for i := range 40 {
-		q.RecordCrash(engine(i), prompt(1, Part(100+i)), at(time.Duration(i)*5*time.Millisecond))
+		q.RecordCrash(engine(i), prompt(1, Subject(100+i)), at(time.Duration(i)*5*time.Millisecond))
 	}
-	assert.DeepEqual(t, blamed(q, at(settled)), []Part(nil))
+	assert.DeepEqual(t, blamed(q, at(settled)), []Subject(nil))
 	q.RecordCrash(engine(40), prompt(1), at(time.Second))
-	assert.DeepEqual(t, blamed(q, at(time.Second)), []Part{1}) // Many crashes in two incidents.
+	assert.DeepEqual(t, blamed(q, at(time.Second)), []Subject{1}) // Many crashes in two incidents.
 }
 
 func TestStaggeredCrashesWithoutCommonPartBlameNobody(t *testing.T) {
 	q := New(Config{})
 	for i := range 60 {
-		q.RecordCrash(engine(i), prompt(Part(i%7), Part(100+i)), at(time.Duration(i)*time.Second))
+		q.RecordCrash(engine(i), prompt(Subject(i%7), Subject(100+i)), at(time.Duration(i)*time.Second))
 	}
-	assert.DeepEqual(t, blamed(q, at(time.Minute+settled)), []Part(nil))
+	assert.DeepEqual(t, blamed(q, at(time.Minute+settled)), []Subject(nil))
 }
 
 // Reports of several daemons about the same engine are one crash.
@@ -239,45 +239,45 @@
 	}
 	now := at(3 * time.Second)
 	exchange(t, a, b, now)
-	assert.DeepEqual(t, blamed(a, now), []Part(nil))
+	assert.DeepEqual(t, blamed(a, now), []Subject(nil))
 	s := a.Snapshot(now)
 	assert.Equal(t, len(s.Crashes), 2)
-	assert.DeepEqual(t, s.Crashes[0], Crash{Engine: engine(0), At: at(0), Suspects: []Suspect{{Part: 1}, {Part: 2, Depth: 1}, {Part: 3, Depth: 1}}})
+	assert.DeepEqual(t, s.Crashes[0], Crash{Engine: engine(0), At: at(0), Suspects: []Suspect{{Subject: 1}, {Subject: 2, Depth: 1}, {Subject: 3, Depth: 1}}})
 }
 
 func TestFindsTwoPartsAtOnce(t *testing.T) {
 	q := New(Config{})
 	for i := range 6 {
-		q.RecordCrash(engine(i), prompt(1, Part(2+i%2), Part(100+i)), at(time.Duration(i)*time.Second))
-		q.RecordProgress([]Part{1}, at(time.Duration(i)*time.Second))
+		q.RecordCrash(engine(i), prompt(1, Subject(2+i%2), Subject(100+i)), at(time.Duration(i)*time.Second))
+		q.RecordProgress([]Subject{1}, at(time.Duration(i)*time.Second))
 	}
-	assert.DeepEqual(t, blamed(q, at(6*time.Second)), []Part{2, 3})
+	assert.DeepEqual(t, blamed(q, at(6*time.Second)), []Subject{2, 3})
 }
 
 func TestPrefersDeeperPart(t *testing.T) {
 	q := New(Config{})
 	crashAll(q, 0, 3, 0, 9, 5, 7)
-	assert.DeepEqual(t, blamed(q, at(3*time.Second)), []Part{7})
+	assert.DeepEqual(t, blamed(q, at(3*time.Second)), []Subject{7})
 }
 
 // A part that came with the bad one by chance was blamed until the bad one came without it.
 func TestCommonPartSupersedesPartsThatCameWithIt(t *testing.T) {
 	q := New(Config{})
 	crashAll(q, 0, 3, 0, 1, 2, 3)
-	assert.DeepEqual(t, blamed(q, at(3*time.Second)), []Part{3})
+	assert.DeepEqual(t, blamed(q, at(3*time.Second)), []Subject{3})
 	crashAll(q, 10, 3, 5*time.Second, 1, 2, 4)
-	q.RecordProgress([]Part{1, 4}, at(5*time.Second))
-	assert.DeepEqual(t, blamed(q, at(8*time.Second)), []Part{2})
-	_, ok := q.Check([]Part{1, 3}, at(8*time.Second))
+	q.RecordProgress([]Subject{1, 4}, at(5*time.Second))
+	assert.DeepEqual(t, blamed(q, at(8*time.Second)), []Subject{2})
+	_, ok := q.Check([]Subject{1, 3}, at(8*time.Second))
 	assert.Check(t, !ok)
 }
 
 func TestExplainedCrashesBlameNoOtherPart(t *testing.T) {
 	q := New(Config{})
-	q.RecordProgress([]Part{1}, at(0))
+	q.RecordProgress([]Subject{1}, at(0))
 	crashAll(q, 0, 3, 0, 1, 2)
 	crashAll(q, 10, 10, 5*time.Second, 7, 2, 8)
-	assert.DeepEqual(t, blamed(q, at(20*time.Second)), []Part{2})
+	assert.DeepEqual(t, blamed(q, at(20*time.Second)), []Subject{2})
 }
 
 func TestRetractedCrashIsNoEvidence(t *testing.T) {
@@ -285,15 +285,15 @@
 	crashAll(a, 0, 3, 0, 1)
 	now := at(3 * time.Second)
 	deliver(a, now, b)
-	assert.DeepEqual(t, blamed(b, now), []Part{1})
+	assert.DeepEqual(t, blamed(b, now), []Subject{1})
 	b.Retract(engine(1), now)
 	deliver(b, now, a)
-	assert.DeepEqual(t, blamed(a, now), []Part(nil))
-	assert.DeepEqual(t, blamed(b, now), []Part(nil))
+	assert.DeepEqual(t, blamed(a, now), []Subject(nil))
+	assert.DeepEqual(t, blamed(b, now), []Subject(nil))
 	a.RecordCrash(engine(1), prompt(1), now.Add(time.Second)) // A late report of the same crash.
-	assert.DeepEqual(t, blamed(a, now.Add(2*time.Second)), []Part(nil))
+	assert.DeepEqual(t, blamed(a, now.Add(2*time.Second)), []Subject(nil))
 	a.RecordCrash(engine(1), prompt(1), now.Add(time.Minute)) // It ran, and crashed later.
-	assert.DeepEqual(t, blamed(a, now.Add(time.Minute+settled)), []Part{1})
+	assert.DeepEqual(t, blamed(a, now.Add(time.Minute+settled)), []Subject{1})
 }
 
 // A daemon that found an engine running ignored all its later crashes.
@@ -302,11 +302,11 @@
 	a.Retract(engine(0), at(0))
 	crashAll(a, 0, 3, time.Minute, 1)
 	now := at(time.Minute + 10*time.Second)
-	assert.DeepEqual(t, blamed(a, now), []Part{1})
+	assert.DeepEqual(t, blamed(a, now), []Subject{1})
 	deliver(a, now, b)
 	b.Retract(engine(0), at(0))
 	deliver(b, now.Add(time.Second), a)
-	assert.DeepEqual(t, blamed(a, now.Add(time.Second)), []Part{1})
+	assert.DeepEqual(t, blamed(a, now.Add(time.Second)), []Subject{1})
 }
 
 func TestIgnoresEvidenceOfTheFuture(t *testing.T) {
@@ -316,10 +316,10 @@
 	future := at(time.Hour)
 	assert.Check(t, !q.Apply(Evidence{
 		Crashes:  []Crash{{Engine: engine(9), Suspects: prompt(2), At: future}},
-		Progress: []Progress{{Part: 1, At: future}},
-		Trials:   []Trial{{Part: 1, Round: 9, At: future}},
+		Progress: []Progress{{Subject: 1, At: future}},
+		Trials:   []Trial{{Subject: 1, Round: 9, At: future}},
 	}, true, now))
-	assert.DeepEqual(t, blamed(q, now), []Part{1})
+	assert.DeepEqual(t, blamed(q, now), []Subject{1})
 }
 
 // A daemon that knew the cause of an end before another one reported it says so.
@@ -333,7 +333,7 @@
 	deliver(a, now, b)
 	now = now.Add(time.Second)
 	deliver(b, now, a)
-	assert.DeepEqual(t, blamed(a, now), []Part(nil))
+	assert.DeepEqual(t, blamed(a, now), []Subject(nil))
 	assert.Equal(t, a.Digest(now), b.Digest(now))
 }
 
@@ -349,7 +349,7 @@
 	assert.Check(t, !a.TryTrial(1, true, now), "only once")
 	deliver(a, now, b)
 	assert.Check(t, !b.TryTrial(1, true, now))
-	v, ok := b.Check([]Part{1}, now)
+	v, ok := b.Check([]Subject{1}, now)
 	assert.Check(t, ok)
 	assert.Equal(t, v.Trials, 1)
 	assert.Equal(t, v.RetryAfter, 2*time.Minute+time.Second)
@@ -358,7 +358,7 @@
 	now = now.Add(time.Second)
 	a.RecordCrash(engine(5), prompt(1), now)
 	deliver(a, now, b)
-	v, ok = b.Check([]Part{1}, now)
+	v, ok = b.Check([]Subject{1}, now)
 	assert.Check(t, ok)
 	assert.Equal(t, v.Crashes, 4)
 	assert.Equal(t, v.RetryAfter, 2*time.Minute+time.Second)
@@ -366,10 +366,10 @@
 	// Progress ends it.
 	now = now.Add(2 * time.Minute)
 	assert.Check(t, b.TryTrial(1, true, now))
-	b.RecordProgress([]Part{1}, now.Add(time.Second))
+	b.RecordProgress([]Subject{1}, now.Add(time.Second))
 	deliver(b, now.Add(time.Second), a)
 	for _, q := range []*Quarantine{a, b} {
-		_, ok = q.Check([]Part{1}, now.Add(time.Second))
+		_, ok = q.Check([]Subject{1}, now.Add(time.Second))
 		assert.Check(t, !ok)
 	}
 }
@@ -379,7 +379,7 @@
 	crashAll(q, 0, 3, 0, 1)
 	now := at(2 * time.Second)
 	for i, want := range []time.Duration{1, 2, 4, 8, 15, 15} {
-		v, _ := q.Check([]Part{1}, now.Add(settled))
+		v, _ := q.Check([]Subject{1}, now.Add(settled))
 		assert.Equal(t, v.RetryAfter+settled, want*time.Minute+time.Second)
 		now = now.Add(want * time.Minute)
 		assert.Check(t, q.TryTrial(1, true, now))
@@ -401,13 +401,13 @@
 	q := New(Config{})
 	crashAll(q, 0, 2, 0, 1)
 	crashAll(q, 10, 1, 6*time.Minute, 1)
-	assert.DeepEqual(t, blamed(q, at(7*time.Minute)), []Part(nil)) // The crashes are too far apart.
+	assert.DeepEqual(t, blamed(q, at(7*time.Minute)), []Subject(nil)) // The crashes are too far apart.
 
 	crashAll(q, 20, 3, 20*time.Minute, 1)
 	last := 20*time.Minute + 2*time.Second
-	assert.DeepEqual(t, blamed(q, at(last+10*time.Minute)), []Part{1})
-	assert.DeepEqual(t, blamed(q, at(last+15*time.Minute+59*time.Second)), []Part{1})
-	assert.DeepEqual(t, blamed(q, at(last+16*time.Minute+time.Second)), []Part(nil))
+	assert.DeepEqual(t, blamed(q, at(last+10*time.Minute)), []Subject{1})
+	assert.DeepEqual(t, blamed(q, at(last+15*time.Minute+59*time.Second)), []Subject{1})
+	assert.DeepEqual(t, blamed(q, at(last+16*time.Minute+time.Second)), []Subject(nil))
 	assert.Equal(t, q.Digest(at(last+16*time.Minute+time.Second)), uint64(0))
 	assert.Check(t, q.Snapshot(at(time.Hour)).Empty())
 }
@@ -417,12 +417,12 @@
 	now := at(0)
 	for i := range 700 {
 		now = at(time.Duration(i) * 10 * time.Millisecond)
-		var parts []Part
+		var parts []Subject
 		for j := range 100 {
-			parts = append(parts, Part(i*100+j+1000))
+			parts = append(parts, Subject(i*100+j+1000))
 		}
-		q.RecordCrash(engine(i), prompt(append(parts, Part(i%50))...), now)
-		q.Apply(Evidence{Progress: []Progress{{Part: parts[0], At: now}}, Trials: []Trial{{Part: parts[1], Round: 1, At: now}}}, true, now)
+		q.RecordCrash(engine(i), prompt(append(parts, Subject(i%50))...), now)
+		q.Apply(Evidence{Progress: []Progress{{Subject: parts[0], At: now}}, Trials: []Trial{{Subject: parts[1], Round: 1, At: now}}}, true, now)
 		q.Retract(engine(100000+i), now)
 	}
 	s := q.Snapshot(now)
@@ -446,10 +446,10 @@
 	q := New(Config{})
 	crashAll(q, 0, 3, 0, 1)
 	for i := range 600 {
-		q.RecordCrash(engine(100+i), prompt(Part(1000+i)), at(3*time.Second+time.Duration(i)*20*time.Millisecond))
-		q.RecordCrash(engine(1000+i), prompt(1, Part(2000+i)), at(3*time.Second+time.Duration(i)*20*time.Millisecond))
+		q.RecordCrash(engine(100+i), prompt(Subject(1000+i)), at(3*time.Second+time.Duration(i)*20*time.Millisecond))
+		q.RecordCrash(engine(1000+i), prompt(1, Subject(2000+i)), at(3*time.Second+time.Duration(i)*20*time.Millisecond))
 	}
-	assert.DeepEqual(t, blamed(q, at(20*time.Second)), []Part{1})
+	assert.DeepEqual(t, blamed(q, at(20*time.Second)), []Subject{1})
 	assert.Check(t, len(q.Snapshot(at(20*time.Second)).Crashes) <= maxCrashes)
 }
 
@@ -468,8 +468,8 @@
 		assert.Check(t, !a.Apply(relayed, true, now))
 		old := Evidence{
 			Crashes:  []Crash{{Engine: engine(99), Suspects: prompt(7), At: at(-time.Hour)}, {Engine: engine(5), Suspects: prompt(1), At: at(5 * time.Second)}},
-			Progress: []Progress{{Part: 7, At: at(-time.Hour)}},
-			Trials:   []Trial{{Part: 7, At: at(-time.Hour)}},
+			Progress: []Progress{{Subject: 7, At: at(-time.Hour)}},
+			Trials:   []Trial{{Subject: 7, At: at(-time.Hour)}},
 		}
 		assert.Check(t, !b.Apply(old, true, now))
 	}
@@ -490,7 +490,7 @@
 
 func TestCheckAllocatesNothing(t *testing.T) {
 	q := New(Config{})
-	parts := []Part{1, 2, 3, 4}
+	parts := []Subject{1, 2, 3, 4}
 	q.RecordProgress(parts, at(0))
 	crashAll(q, 0, 2, 0, 5)
 	q.Check(parts, at(time.Second))
@@ -525,9 +525,9 @@
 		wg.Go(func() {
 			for i := range 200 {
 				now := at(time.Duration(i) * 20 * time.Millisecond)
-				q.RecordCrash(engine(g*1000+i), prompt(1, 2, Part(1000+i)), now)
-				q.RecordProgress([]Part{1, Part(1000 + i)}, now)
-				q.Check([]Part{1, 2, 3}, now)
+				q.RecordCrash(engine(g*1000+i), prompt(1, 2, Subject(1000+i)), now)
+				q.RecordProgress([]Subject{1, Subject(1000 + i)}, now)
+				q.Check([]Subject{1, 2, 3}, now)
 				q.TryTrial(2, true, now.Add(time.Minute))
 				own, _ := q.TakeUpdates(now)
 				q.Apply(own, true, now)
@@ -538,5 +538,5 @@
 		})
 	}
 	wg.Wait()
-	assert.DeepEqual(t, blamed(q, at(4*time.Second)), []Part{2})
+	assert.DeepEqual(t, blamed(q, at(4*time.Second)), []Subject{2})
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -127,6 +127,7 @@
 	"stream_cut":            "the engine was lost, or its response ended early, and the generation could not be continued from any copy of its KV cache; see the lines before",
 	"endpoints_limited":     "the endpoints of the service limit their requests, and the limits permitted no further one; see the log lines \"limit of an endpoint changed\"",
 	"endpoints_deferred":    "every endpoint of the service has refused a request of this daemon and asked for none until later; see the log lines \"endpoint wants no requests for a time\"",
-	"prompt_quarantined":    "a part of the prompt has crashed several engines; see part, crashes and engines in the line before, and the log lines \"part of prompts quarantined\"",
+	"prompt_quarantined":    "a part of the prompt has crashed several engines; see subject, part_id, crashes and engines in the line before, and the log lines \"quarantined; endpoints crash on it\"",
+	"request_quarantined":   "requests that are the same have crashed several endpoints; see subject, crashes and engines in the line before, and the log lines \"quarantined; endpoints crash on it\"",
 	"daemon_stopping":       "the daemon was stopping, and the generation would probably have run for longer",
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -48,7 +48,8 @@
 	response Response
 	body     []byte
 	err      error
-	notRun   bool // It is certain that the endpoint did not execute the request.
+	notRun   bool        // It is certain that the endpoint did not execute the request.
+	ended    <-chan bool // Gets whether the endpoint has ended; nil unless the attempt was lost.
 }
 
 // serveCall serves a request to a plain service. It retries on other endpoints
@@ -59,6 +60,13 @@
 	reason := ReasonNoEndpoint
 	var lastAttempt callAttempt
 	for {
+		if refusal := f.refuseQuarantined(x); refusal != nil {
+			if !mayHaveRun {
+				f.refuse(out, x, *refusal, errQuarantined)
+				return
+			}
+			break
+		}
 		e, ok := f.pickEndpoint(ctx, x, exclude)
 		if !ok {
 			reason = f.noEndpointReason(x, lastAttempt)
@@ -79,7 +87,7 @@
 			mayHaveRun = true
 			possibleRuns++
 		}
-		if ctx.Err() != nil || (mayHaveRun && x.route.Kind != matcher.Safe) || possibleRuns >= max(x.route.Attempts, 1) || x.attempts.Load() >= maxAttempts {
+		if !f.mayContinue(ctx, x, lastAttempt, mayHaveRun, possibleRuns) {
 			reason = ReasonRefused
 			break
 		}
@@ -87,6 +95,14 @@
 	f.failCall(ctx, out, x, lastAttempt, mayHaveRun, reason)
 }
 
+// mayContinue reports whether a call may be sent to another endpoint after its last attempt.
+func (f *Forwarder) mayContinue(ctx context.Context, x *exchange, lastAttempt callAttempt, mayHaveRun bool, possibleRuns int) bool {
+	if ctx.Err() != nil || (mayHaveRun && x.route.Kind != matcher.Safe) || possibleRuns >= max(x.route.Attempts, 1) || x.attempts.Load() >= maxAttempts {
+		return false
+	}
+	return lastAttempt.ended == nil || f.mayRepeat(ctx, x, lastAttempt.ended)
+}
+
 // pickEndpoint picks an endpoint whose limit, if it names one, permits the request.
 // Those that do not are added to exclude.
 func (f *Forwarder) pickEndpoint(ctx context.Context, x *exchange, exclude map[registrar.Identity]bool) (registrar.Endpoint, bool) {
@@ -147,6 +163,7 @@
 	if a.err == nil || !a.notRun {
 		x.deliveries++
 	}
+	f.recordEvidence(c, x, e, &a)
 	result := a.balancerResult(f.clock.Now().Sub(start))
 	if errors.Is(context.Cause(ctx), errClientDisconnected) {
 		result.Failed, result.Unreachable = false, false // The failure was caused by the client.
@@ -160,6 +177,18 @@
 	return a
 }
 
+// recordEvidence records what an attempt says about whether the request crashes endpoints: it
+// does not if there is a complete response, and may if the connection broke off.
+func (f *Forwarder) recordEvidence(ctx context.Context, x *exchange, e registrar.Endpoint, a *callAttempt) {
+	switch {
+	case a.notRun:
+	case a.err == nil:
+		f.quarantine.RecordProgress(x.subjects, f.clock.Now())
+	case ctx.Err() == nil:
+		a.ended = f.checkService(x, e)
+	}
+}
+
 // balancerResult returns the result of the attempt for the balancer.
 func (a *callAttempt) balancerResult(took time.Duration) balancer.Result {
 	r := balancer.Result{Load: a.response.Load, Latency: took, Unreachable: a.err != nil && a.notRun, Refused: a.err == nil && a.notRun}
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
 )
@@ -56,6 +57,7 @@
 	ReasonDeferred            Reason = "endpoints_deferred"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
+	ReasonRequestQuarantined  Reason = "request_quarantined"
 )
 
 // Refusal is an error response that the daemon itself generates.
@@ -83,10 +85,12 @@
 	manifestVersion int64
 	arrived         time.Time
 	deadline        time.Time
-	attempts        atomic.Int64 // Attempts, refused ones included.
-	limitDenied     bool         // The limit of an endpoint has denied an attempt.
-	unsent          atomic.Int64 // Attempts that reached no endpoint.
-	deliveries      int          // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
+	attempts        atomic.Int64          // Attempts, refused ones included.
+	limitDenied     bool                  // The limit of an endpoint has denied an attempt.
+	unsent          atomic.Int64          // Attempts that reached no endpoint.
+	subjects        []quarantiner.Subject // What of the request may crash endpoints; the request itself is the last one.
+	trial           atomic.Bool           // The request is sent although it is quarantined, to try it again.
+	deliveries      int                   // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 }
 
 // SetCodec sets the codec of the client protocol. It must be called before Start.
@@ -209,6 +213,7 @@
 		timeout = req.ClientTimeout
 	}
 	x.deadline = now.Add(timeout)
+	x.subjects = subjectsOf(x)
 	return x, nil
 }
 
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -13,12 +14,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
 
-// A part of a prompt may crash each engine that begins to write an answer to it. Package
-// quarantiner decides which one; the daemons tell each other which engines have ended under
-// runs that had made no progress, and refuse requests with a part that is blamed.
+// A part of a prompt may crash each engine that begins to write an answer to it, and a request
+// each endpoint that runs it. Package quarantiner decides which one; the daemons tell each other
+// which endpoints have ended under what had made no progress, and refuse requests with a subject
+// that is blamed.
 const (
 	soundAfter       = 200 * time.Millisecond // A run that has produced events for this long has made progress.
 	endProbes        = 5                      // Idle connections of a process that has ended may be left.
@@ -27,103 +30,127 @@
 	maxCrashAge      = time.Second            // Of news that keeps new jobs off an engine; its successor may have started after more.
 	verdictInterval  = 100 * time.Millisecond // A block may begin without new evidence.
 	maxLoggedEngines = 8
+	endDecisionTime  = 30 * time.Millisecond // For which a call that was lost waits for the result of the probe before it is repeated.
 )
 
-// errPromptQuarantined means that a part of the prompt crashes engines.
-var errPromptQuarantined = errors.New("a part of the prompt crashes engines")
+// errQuarantined means that the request, or a part of its prompt, crashes endpoints.
+var errQuarantined = errors.New("the request or a part of its prompt crashes endpoints")
 
-// promptParts returns the parts of a prompt that it may share with others, which are all but
-// the last one.
-func promptParts(service string, prefix []PrefixPart) []quarantiner.Part {
-	if len(prefix) < 2 {
-		return nil
+// subjectsOf returns what of a request may crash endpoints: the parts of its prompt that it may
+// share with others, which are all but the last one, in their order, and the request itself.
+func subjectsOf(x *exchange) []quarantiner.Subject {
+	g := &x.req.Generation
+	shared := max(len(g.Prefix)-1, 0)
+	subjects := make([]quarantiner.Subject, shared, shared+1)
+	for i := range subjects {
+		subjects[i] = quarantiner.PartOf(x.service, g.Prefix[i].ID)
+	}
+	r := quarantiner.Request{Service: x.service, Method: x.req.Method, Path: x.req.Path, Customer: x.customer.Name, Body: x.req.Body}
+	if x.route.Kind == matcher.Streaming {
+		r.Prompt = append(r.Prompt, g.Model, strconv.Itoa(g.PromptTokens), strconv.Itoa(g.MaxTokens))
+		for _, p := range g.Prefix {
+			r.Prompt = append(r.Prompt, p.ID)
+		}
 	}
-	parts := make([]quarantiner.Part, len(prefix)-1)
-	for i := range parts {
-		parts[i] = quarantiner.PartOf(service, prefix[i].ID)
+	return append(subjects, quarantiner.RequestOf(r))
+}
+
+// suspectsOf returns the subjects of a request as suspects of a crash.
+func suspectsOf(subjects []quarantiner.Subject) []quarantiner.Suspect {
+	suspects := make([]quarantiner.Suspect, len(subjects))
+	for i, s := range subjects {
+		suspects[i] = quarantiner.Suspect{Subject: s, Depth: i}
+		if s.IsRequest() {
+			suspects[i].Depth = quarantiner.RequestDepth
+		}
 	}
-	return parts
+	return suspects
 }
 
-// formatPart formats a part for logs.
-func formatPart(p quarantiner.Part) string { return strconv.FormatUint(uint64(p), 16) }
+// formatSubject formats a subject for logs.
+func formatSubject(s quarantiner.Subject) string { return strconv.FormatUint(uint64(s), 16) }
 
-// quarantined returns the verdict about the prompt. It returns false if the stream may send
-// requests to engines.
-func (s *stream) quarantined() (quarantiner.Verdict, bool) {
-	if s.trial.Load() {
+// kindOf returns the kind of a subject for logs.
+func kindOf(s quarantiner.Subject) string {
+	if s.IsRequest() {
+		return "request"
+	}
+	return "part"
+}
+
+// quarantined returns the verdict about a request. It returns false if the request may be sent
+// to endpoints.
+func (f *Forwarder) quarantined(x *exchange) (quarantiner.Verdict, bool) {
+	if x.trial.Load() {
 		return quarantiner.Verdict{}, false
 	}
-	return s.f.quarantine.Check(s.parts, s.f.clock.Now())
+	return f.quarantine.Check(x.subjects, f.clock.Now())
 }
 
-// refuseQuarantined returns the refusal of a request whose prompt is quarantined, or nil if it
-// may be sent. One daemon tries a request again now and then.
-func (s *stream) refuseQuarantined() *Refusal {
-	v, blocked := s.quarantined()
+// refuseQuarantined returns the refusal of a request that is quarantined, or nil if it may be
+// sent. One daemon tries a request again now and then.
+func (f *Forwarder) refuseQuarantined(x *exchange) *Refusal {
+	v, blocked := f.quarantined(x)
 	if !blocked {
 		return nil
 	}
-	now := s.f.clock.Now()
-	if s.f.quarantine.TryTrial(v.Part, s.f.triesPart(v.Part, now), now) {
-		s.trial.Store(true)
-		s.f.metrics.count("quarantine_trials")
-		s.logVerdict(v, "forwarder: request sent to try whether a part of its prompt still crashes engines")
+	now := f.clock.Now()
+	if f.quarantine.TryTrial(v.Subject, f.triesSubject(v.Subject, now), now) {
+		x.trial.Store(true)
+		f.metrics.count("quarantine_trials")
+		f.logVerdict(x, v, "forwarder: request sent to try whether it, or a part of its prompt, still crashes endpoints")
 		return nil
 	}
-	s.logVerdict(v, "forwarder: prompt contains a part that crashes engines")
-	return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonPromptQuarantined, RetryAfter: v.RetryAfter}
+	reason, msg := ReasonPromptQuarantined, "forwarder: prompt contains a part that crashes engines"
+	if v.Subject.IsRequest() {
+		reason, msg = ReasonRequestQuarantined, "forwarder: request crashes endpoints"
+	}
+	f.logVerdict(x, v, msg)
+	return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: v.RetryAfter}
 }
 
-// logVerdict logs the evidence against a part of the prompt.
-func (s *stream) logVerdict(v quarantiner.Verdict, msg string) {
-	id := ""
-	for i, p := range s.parts {
-		if p == v.Part {
-			id = s.x.req.Generation.Prefix[i].ID
-		}
+// logVerdict logs the evidence against a subject of the request.
+func (f *Forwarder) logVerdict(x *exchange, v quarantiner.Verdict, msg string) {
+	e := addVerdictFields(f.addRequestFields(f.log.Info(), x), &v, f.clock.Now())
+	if i := slices.Index(x.subjects, v.Subject); !v.Subject.IsRequest() && i >= 0 {
+		id := x.req.Generation.Prefix[i].ID
+		e = e.Str("part_id", id[:min(len(id), maxLoggedIDBytes)])
 	}
-	addVerdictFields(s.f.addRequestFields(s.f.log.Info(), s.x), &v, s.f.clock.Now()).Str("part_id", id[:min(len(id), maxLoggedIDBytes)]).Msg(msg)
+	e.Msg(msg)
 }
 
-// addVerdictFields adds a part and the evidence against it to a log event.
+// addVerdictFields adds a subject and the evidence against it to a log event.
 func addVerdictFields(e *zerolog.Event, v *quarantiner.Verdict, now time.Time) *zerolog.Event {
 	engines := make([]string, 0, maxLoggedEngines)
 	for _, id := range v.Engines[:min(len(v.Engines), maxLoggedEngines)] {
 		engines = append(engines, id.Name)
 	}
-	return e.Str("part", formatPart(v.Part)).Int("crashes", v.Crashes).Strs("engines", engines).Dur("since_ms", now.Sub(v.Since)).Int("trials", v.Trials)
+	return e.Str("kind", kindOf(v.Subject)).Str("subject", formatSubject(v.Subject)).Int("crashes", v.Crashes).Strs("engines", engines).Dur("since_ms", now.Sub(v.Since)).Int("trials", v.Trials)
 }
 
-// triesPart reports whether this daemon is the one that tries a part again.
-func (f *Forwarder) triesPart(p quarantiner.Part, now time.Time) bool {
-	rank := f.members.Rank(registrar.Endpoint{Identity: registrar.Identity{Name: formatPart(p)}}, now)
+// triesSubject reports whether this daemon is the one that tries a subject again.
+func (f *Forwarder) triesSubject(p quarantiner.Subject, now time.Time) bool {
+	rank := f.members.Rank(registrar.Endpoint{Identity: registrar.Identity{Name: formatSubject(p)}}, now)
 	return f.members.IsSelf(rank[0])
 }
 
-// recordProgress records that the prompt made progress on an engine, which proves its parts
-// sound.
-func (s *stream) recordProgress(now time.Time) {
-	if len(s.parts) > 0 {
-		s.f.quarantine.RecordProgress(s.parts, now)
-	}
-}
+// recordProgress records that the request made progress on an engine, which proves it and the
+// parts of its prompt sound.
+func (s *stream) recordProgress(now time.Time) { s.f.quarantine.RecordProgress(s.x.subjects, now) }
 
 // checkEngine finds out whether the engine of a run that has broken off has ended, and records
-// the parts of its prompt as suspects unless the run has made progress.
+// the request and the parts of its prompt as suspects unless the run has made progress.
 func (s *stream) checkEngine(cause error) {
 	now := s.f.clock.Now()
 	s.mu.Lock()
 	e, sound, replaced := s.run.engine, s.runSound, s.replacement != nil
 	s.mu.Unlock()
-	if replaced || s.ctx.Err() != nil || errors.Is(cause, errPromptQuarantined) || s.f.registry.ShuttingDown(e.Identity) {
+	if replaced || s.ctx.Err() != nil || errors.Is(cause, errQuarantined) || s.f.registry.ShuttingDown(e.Identity) {
 		return
 	}
 	var suspects []quarantiner.Suspect
 	if !sound {
-		for i, p := range s.parts {
-			suspects = append(suspects, quarantiner.Suspect{Part: p, Depth: i})
-		}
+		suspects = suspectsOf(s.x.subjects)
 	}
 	s.f.spawn(func() {
 		if !s.f.hasEnded(s.f.ctx, e) {
@@ -163,18 +190,73 @@
 	return false
 }
 
-// quarantineWatch holds the parts that were blocked when the daemon last acted on the verdicts.
+// checkService finds out whether the endpoint of a plain service has ended under a call, and
+// records the call as a suspect. The channel gets the result, unless that takes long.
+func (f *Forwarder) checkService(x *exchange, e registrar.Endpoint) <-chan bool {
+	now := f.clock.Now()
+	result := make(chan bool, 1)
+	if f.registry.ShuttingDown(e.Identity) {
+		result <- false
+		return result
+	}
+	f.spawn(func() {
+		ended := f.hasStopped(f.ctx, e)
+		if ended {
+			f.metrics.count("calls_lost_with_endpoint")
+			f.addRequestFields(f.log.Info(), x).Str("endpoint", e.Name).Str("subject", formatSubject(x.subjects[0])).Msg("forwarder: endpoint has ended; call lost")
+			f.quarantine.RecordCrash(e.Identity, suspectsOf(x.subjects), now)
+		}
+		result <- ended
+	})
+	return result
+}
+
+// hasStopped reports whether it is certain that the process of an endpoint of a plain service
+// has ended, like hasEnded. Such an endpoint has no report that tells its process from another.
+func (f *Forwarder) hasStopped(ctx context.Context, e registrar.Endpoint) bool {
+	c, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	defer cancel()
+	for range endProbes {
+		err := f.endpoints.Connect(c, e.Addr)
+		switch {
+		case err == nil:
+			return f.registry.Replaced(e)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		}
+		if f.clock.Sleep(c, endProbePause) != nil {
+			break
+		}
+	}
+	return false
+}
+
+// mayRepeat reports whether a call whose last attempt was lost may be sent to another endpoint.
+// If its endpoint has ended, it may be the cause: it is repeated once, but not if it has crashed
+// an endpoint before.
+func (f *Forwarder) mayRepeat(ctx context.Context, x *exchange, ended <-chan bool) bool {
+	c, cancel := context.WithTimeout(ctx, endDecisionTime)
+	defer cancel()
+	select {
+	case is := <-ended:
+		return !is || f.quarantine.Crashes(x.subjects[len(x.subjects)-1], f.clock.Now()) < 2
+	case <-c.Done():
+		return true
+	}
+}
+
+// quarantineWatch holds the subjects that were blocked when the daemon last acted on the verdicts.
 type quarantineWatch struct {
 	digest    uint64
 	checkedAt time.Time
-	blocked   map[quarantiner.Part]bool
+	blocked   map[quarantiner.Subject]bool
 
 	mu      sync.Mutex
 	changed chan struct{} // Closed when another part is blocked.
 }
 
 func newQuarantineWatch() *quarantineWatch {
-	return &quarantineWatch{blocked: map[quarantiner.Part]bool{}, changed: make(chan struct{})}
+	return &quarantineWatch{blocked: map[quarantiner.Subject]bool{}, changed: make(chan struct{})}
 }
 
 // next returns a channel that is closed when another part is blocked.
@@ -193,20 +275,20 @@
 		return
 	}
 	w.digest, w.checkedAt = digest, now
-	blocked := map[quarantiner.Part]bool{}
+	blocked := map[quarantiner.Subject]bool{}
 	added := false
 	for _, v := range f.quarantine.Blamed(now) {
-		blocked[v.Part] = true
-		if !w.blocked[v.Part] {
+		blocked[v.Subject] = true
+		if !w.blocked[v.Subject] {
 			added = true
 			f.metrics.count("parts_quarantined")
-			addVerdictFields(f.log.Warn(), &v, now).Int("depth", v.Depth).Dur("retry_after_ms", v.RetryAfter).Msg("forwarder: part of prompts quarantined; engines crash on it")
+			addVerdictFields(f.log.Warn(), &v, now).Int("depth", v.Depth).Dur("retry_after_ms", v.RetryAfter).Msg("forwarder: quarantined; endpoints crash on it")
 		}
 	}
 	for p := range w.blocked {
 		if !blocked[p] {
 			f.metrics.count("parts_released")
-			f.log.Info().Str("part", formatPart(p)).Msg("forwarder: part of prompts no longer quarantined")
+			f.log.Info().Str("kind", kindOf(p)).Str("subject", formatSubject(p)).Msg("forwarder: no longer quarantined")
 		}
 	}
 	w.blocked = blocked
@@ -218,8 +300,8 @@
 	w.changed = make(chan struct{})
 	w.mu.Unlock()
 	for _, s := range f.runningStreams() {
-		if _, is := s.quarantined(); is {
-			s.cancelRun(errPromptQuarantined)
+		if _, is := s.f.quarantined(s.x); is {
+			s.cancelRun(errQuarantined)
 		}
 	}
 }
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -26,7 +26,7 @@
 	f := newTestForwarder(t)
 	e := registrar.Endpoint{Identity: registrar.Identity{Name: "i-1", Started: 1}, Service: "eng", Addr: "10.0.0.1:80"}
 	f.handleEndpointChanges(f.registry.Replace([]registrar.Endpoint{e}, 1, false, f.clock.Now()))
-	f.quarantine.RecordCrash(e.Identity, []quarantiner.Suspect{{Part: 1}}, f.clock.Now())
+	f.quarantine.RecordCrash(e.Identity, []quarantiner.Suspect{{Subject: 1}}, f.clock.Now())
 	e.Draining = true
 	f.handleEndpointChanges(f.registry.Replace([]registrar.Endpoint{e}, 2, false, f.clock.Now()))
 	assert.Equal(t, len(f.quarantine.Snapshot(f.clock.Now()).Crashes), 1)
@@ -38,7 +38,7 @@
 	f := newTestForwarder(t)
 	e := registrar.Endpoint{Identity: registrar.Identity{Name: "i-1", Started: 1}, Service: "eng", Addr: "10.0.0.1:80"}
 	f.handleEndpointChanges(f.registry.Replace([]registrar.Endpoint{e}, 1, false, f.clock.Now()))
-	f.quarantine.RecordCrash(e.Identity, []quarantiner.Suspect{{Part: 1}}, f.clock.Now())
+	f.quarantine.RecordCrash(e.Identity, []quarantiner.Suspect{{Subject: 1}}, f.clock.Now())
 	f.handleShutdown(e.Identity, 0, "report")
 	assert.Assert(t, f.quarantine.Snapshot(f.clock.Now()).Crashes[0].Retracted)
 }
@@ -50,7 +50,7 @@
 	now := f.clock.Now()
 	for i := range 3 {
 		at := now.Add(time.Duration(i) * 400 * time.Millisecond)
-		f.quarantine.RecordCrash(registrar.Identity{Name: "i-" + string(rune('1'+i))}, []quarantiner.Suspect{{Part: 1}}, at)
+		f.quarantine.RecordCrash(registrar.Identity{Name: "i-" + string(rune('1'+i))}, []quarantiner.Suspect{{Subject: 1}}, at)
 		f.enforceQuarantine(at)
 	}
 	blocked := f.quarantineWatch.next()
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -76,8 +76,8 @@
 	if s.ctx.Err() != nil {
 		return run{}, context.Cause(s.ctx)
 	}
-	if _, is := s.quarantined(); is {
-		return run{}, errPromptQuarantined
+	if _, is := s.f.quarantined(s.x); is {
+		return run{}, errQuarantined
 	}
 	if s.ended && s.checkEnd() == nil { // The attempt to stop the run has failed since.
 		return run{}, errRunEnded
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -14,7 +14,6 @@
 
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
-	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/coordination/resumer"
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
@@ -38,8 +37,6 @@
 	ctx       context.Context
 	jobPlacer *servicePlacer
 	job       placer.Job
-	parts     []quarantiner.Part // Of the prompt, without the last one.
-	trial     atomic.Bool        // The request tries a part that is quarantined.
 
 	release func()
 
@@ -106,7 +103,7 @@
 		service.Engine = &matcher.Engine{Slots: defaultEngineSlots}
 	}
 	s := &stream{f: f, x: x, ctx: ctx, jobPlacer: f.placerFor(x.service, service.Engine), release: release}
-	s.job, s.parts = s.newJob(service.Engine), promptParts(x.service, x.req.Generation.Prefix)
+	s.job = s.newJob(service.Engine)
 	refusal, cause := s.start()
 	if refusal != nil {
 		f.removeStream(s)
@@ -194,8 +191,8 @@
 func (s *stream) start() (*Refusal, error) {
 	exclude := map[registrar.Identity]bool{}
 	for {
-		if refusal := s.refuseQuarantined(); refusal != nil {
-			return refusal, errPromptQuarantined
+		if refusal := s.f.refuseQuarantined(s.x); refusal != nil {
+			return refusal, errQuarantined
 		}
 		pl, refusal := s.confirmedPlacement(exclude)
 		if refusal != nil {
@@ -210,8 +207,8 @@
 		if s.x.deliveries > 0 && !s.f.budget.TryRetry(s.x.service, 0, s.f.clock.Now()) {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: defaultRetryAfter}, nil
 		}
-		if refusal := s.refuseQuarantined(); refusal != nil { // The placement took some time.
-			return refusal, errPromptQuarantined
+		if refusal := s.f.refuseQuarantined(s.x); refusal != nil { // The placement took some time.
+			return refusal, errQuarantined
 		}
 		accepted, refused, err := s.attempt(pl)
 		if accepted {
@@ -327,7 +324,7 @@
 func (s *stream) awaitOutcome(ch <-chan placer.Outcome) (placer.Placement, *Refusal) {
 	for {
 		verdicts := s.f.quarantineWatch.next()
-		if refusal := s.refuseQuarantined(); refusal != nil {
+		if refusal := s.f.refuseQuarantined(s.x); refusal != nil {
 			s.withdraw()
 			return placer.Placement{}, refusal
 		}
