--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -380,3 +380,18 @@
 		}
 	}
 }
+
+// Guards against daemons that wait for watchers that have all frozen at one moment.
+func TestChangeIsInForceInTimeWithoutAnyWatcher(t *testing.T) {
+	slowest := time.Duration(0)
+	for seed := range uint64(20) {
+		f := newFleet(9, seed)
+		f.run(4*time.Second + time.Duration(f.rand.IntN(1000))*time.Millisecond)
+		for _, d := range f.daemons[:follower.Watchers] {
+			d.frozen = true
+		}
+		slowest = max(slowest, f.change())
+	}
+	t.Logf("%v", slowest)
+	assert.Check(t, slowest <= applyTime, "%v", slowest)
+}
