--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -57,7 +57,7 @@
 	Fresh    bool   `msgpack:"fresh"`    // The endpoints of the daemon are current.
 	Daemons  int    `msgpack:"daemons"`  // Number of daemons that the daemon knows, itself included.
 	Limits   uint64 `msgpack:"limits"`   // Digest of the limits of the endpoints; zero if there are none.
-	Evidence uint64 `msgpack:"evidence"` // Digest of the evidence against parts of prompts; zero if there is none.
+	Evidence uint64 `msgpack:"evidence"` // Digest of the evidence about crashes; zero if there is none.
 	// Age of the latest proofs that the manifest and the endpoints are the newest.
 	ManifestAge  proofAge `msgpack:"manifest_age"`
 	EndpointsAge proofAge `msgpack:"endpoints_age"`
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -20,7 +20,7 @@
 	Manifest  int64            `msgpack:"manifest,omitempty"`
 	Endpoints []EndpointChange `msgpack:"endpoints,omitempty"`
 	Limits    []limitUpdate    `msgpack:"limits,omitempty"`
-	// Evidence against parts of prompts, or nil.
+	// Evidence about crashes, or nil.
 	Evidence *quarantiner.Evidence `msgpack:"evidence,omitempty"`
 }
 
