--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -34,15 +34,15 @@
 // Delays between calls.
 const (
 	backoffBase    = 100 * time.Millisecond
-	backoffLimit   = 800 * time.Millisecond // Short enough to notice a recovered store well within the time limit for changes.
-	peerPause      = 100 * time.Millisecond // Limit of the backoff for each peer, of daemons that do not usually watch, so that an outage ends without a rush.
-	maxRetryAfter  = 2 * time.Second        // Of the time that a refusal of the store names.
-	lostAfter      = 2                      // Failed calls in a row after which other daemons take this one's place.
-	roleInterval   = 100 * time.Millisecond // Between checks of whether to watch.
-	staleAfter     = 2500 * time.Millisecond
-	stalePerPeer   = 20 * time.Millisecond // Spreads the daemons that are stale at the same time.
-	maxBehind      = 500 * time.Millisecond
-	overtakenAfter = 300 * time.Millisecond // By which a poll may report a change later than a peer.
+	backoffLimit   = 800 * time.Millisecond  // Short enough to notice a recovered store well within the time limit for changes.
+	peerPause      = 100 * time.Millisecond  // Limit of the backoff for each peer, of daemons that do not usually watch, so that an outage ends without a rush.
+	maxRetryAfter  = 2 * time.Second         // Of the time that a refusal of the store names.
+	lostAfter      = 2                       // Failed calls in a row after which other daemons take this one's place.
+	roleInterval   = 100 * time.Millisecond  // Between checks of whether to watch.
+	staleAfter     = 2500 * time.Millisecond // Age of the latest proof after which a daemon asks the store itself: two syncs with peers, and the poll behind them.
+	stalePerPeer   = 20 * time.Millisecond   // Added for each peer, to spread the daemons that are stale at the same time.
+	maxBehind      = 500 * time.Millisecond  // A fetch from a peer that is given up, and the next one.
+	overtakenAfter = 300 * time.Millisecond  // By which a poll may report a change later than a peer.
 )
 
 // View is what a Follower has to know of its daemon at a moment.
