Resumable streams: the caller's last event, and new runs within a response

A stream whose engine broke off before there was a copy of its memory was cut, although the route permits it to go on.

Cause: the adapter removed Last-Event-Id as a field that only the system sets, and nothing read "resumable" of a route.

Change: - matcher.Route has Resumable and Repeatable; what asks "may this run again" asks the latter. - The caller's ID is parsed once, reaches the engine on resumable routes only, and starts the sequencer: repeated events are dropped, a gap breaks the stream off. An ID that is no number is refused (400, malformed_event_id).

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -246,9 +246,9 @@
 
 // add adds the prompt of a run without a first event.
 func (b *prefillBacklog) add(r *run) {
-	b.tokens += float64(r.job.PromptTokens)
+	b.tokens += r.job.tokensToRead()
 	if b.headPlacedAt.IsZero() || r.addedAt.Before(b.headPlacedAt) {
-		b.headPlacedAt, b.headTokens = r.addedAt, float64(r.job.PromptTokens)
+		b.headPlacedAt, b.headTokens = r.addedAt, r.job.tokensToRead()
 	}
 }
 
@@ -314,7 +314,7 @@
 // now.
 func (e *engine) expectedOutput(p *Placer, r *run, now time.Time) int {
 	if r.firstEventAt.IsZero() {
-		return 0
+		return r.job.OutputTokens
 	}
 	return r.job.OutputTokens + int(now.Sub(r.firstEventAt)/p.cfg.StepTime)
 }
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -36,7 +36,7 @@
 	PromptTokens    int
 	MaxTokens       int       // Limit on output tokens; zero means none.
 	EstimatedTokens int       // The client's estimate of the output tokens; zero means none.
-	OutputTokens    int       // Output tokens so far, of a job that migrates.
+	OutputTokens    int       // Output tokens so far, of a job that migrates or is resumed.
 	Priority        int       // 0 is the most urgent.
 	FirstEventDue   time.Time // When the first event is due.
 	FirstEventLimit time.Time // When the client leaves if it has received no event; zero if unknown.
@@ -44,6 +44,10 @@
 	AllowBackup     bool      // The engine may replicate the memory to a backup engine.
 }
 
+// tokensToRead returns the number of tokens that an engine reads before it produces the first
+// event of the job. A job that is resumed without a copy of its memory is read with its output so far.
+func (j *Job) tokensToRead() float64 { return float64(j.PromptTokens + j.OutputTokens) }
+
 // Placement is the engine chosen for a job.
 type Placement struct {
 	Engine       registrar.Endpoint
@@ -129,7 +133,7 @@
 	FirstEventIn   time.Duration `msgpack:"FirstIn"`            // For Queued: time until the first event is due.
 	ClientLeavesIn time.Duration `msgpack:"LeavesIn,omitempty"` // For Queued: time until the client leaves without an event; zero if unknown.
 	Running        bool          // For Placed: the job has had its first event.
-	// OutputTokens is the number of output tokens so far of a job that migrates.
+	// OutputTokens is the number of output tokens so far of a job that migrates or is resumed.
 	OutputTokens int `msgpack:"Produced"`
 	FinalTokens  int `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
 }
--- a/coordination/placer/queue.go
+++ b/coordination/placer/queue.go
@@ -19,10 +19,10 @@
 	return !start.Add(p.prefillTime(job)).After(job.FirstEventDue)
 }
 
-// prefillTime returns the prefill time of a job's prompt on an engine that runs
-// other sequences.
+// prefillTime returns the prefill time of a job on an engine that runs other
+// sequences.
 func (p *Placer) prefillTime(job *Job) time.Duration {
-	return p.prefillTimeOf(float64(job.PromptTokens))
+	return p.prefillTimeOf(job.tokensToRead())
 }
 
 // prefillTimeOf returns the prefill time of a number of prompt tokens on an engine
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -40,6 +40,7 @@
 	ReasonServed              Reason = "served"
 	ReasonNoManifest          Reason = "no_manifest"
 	ReasonMalformed           Reason = "malformed"
+	ReasonMalformedEventID    Reason = "malformed_event_id"
 	ReasonNoRoute             Reason = "no_route"
 	ReasonUnknownKey          Reason = "unknown_key"
 	ReasonTooLarge            Reason = "too_large"
@@ -90,6 +91,8 @@
 	unsent          atomic.Int64          // Attempts that reached no endpoint.
 	subjects        []quarantiner.Subject // What of the request may crash endpoints; the request itself is the last one.
 	trial           atomic.Bool           // The request is sent although it is quarantined, to try it again.
+	resumeAfter     int64                 // ID of the last event that the client has received; noEvent if it resumes no stream.
+	runs            atomic.Int64          // Engines that may run the request; those that go on from a copy of another run do not count.
 	deliveries      int                   // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 }
 
@@ -191,7 +194,7 @@
 
 // admit determines the route, customer, service and deadline of a request.
 func (f *Forwarder) admit(req *Request, now time.Time) (*exchange, *Refusal) {
-	x := &exchange{req: req, arrived: now}
+	x := &exchange{req: req, arrived: now, resumeAfter: noEvent}
 	t := f.table.Load()
 	if t == nil {
 		return x, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoManifest, RetryAfter: defaultRetryAfter}
@@ -207,6 +210,12 @@
 	if n := t.Manifest.Limits.BodyBytes; n > 0 && len(req.Body) > n {
 		return x, &Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Reason: ReasonTooLarge}
 	}
+	if x.resumeAfter, err = resumePoint(x.route, req.LastEvent); err != nil {
+		return x, &Refusal{Status: fasthttp.StatusBadRequest, Reason: ReasonMalformedEventID}
+	}
+	if x.resumeAfter != noEvent {
+		f.metrics.count("streams_resumed_by_client")
+	}
 	x.service = x.route.Service(req.ID)
 	timeout := x.route.Timeout
 	if req.ClientTimeout > 0 && (timeout <= 0 || req.ClientTimeout < timeout) {
@@ -243,6 +252,9 @@
 	if x.customer != nil {
 		e.Str("customer", x.customer.Name)
 	}
+	if x.resumeAfter != noEvent {
+		e.Int64("resumed_after", x.resumeAfter)
+	}
 	return e
 }
 
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -30,6 +30,15 @@
 	unnumbered   bool // An event without an ID was passed on after the last one that has an ID.
 }
 
+// noEvent stands for the ID of an event where there is none.
+const noEvent = int64(-1)
+
+// startAfter makes the stream go on after the event with an ID that the client has received
+// before. It is called before the first source.
+func (s *eventSequencer) startAfter(id int64) {
+	s.lastID, s.hasLast, s.resumed = id, true, true
+}
+
 // resumeSource prepares for a new source that continues the stream. An incomplete
 // event of the previous source is dropped.
 func (s *eventSequencer) resumeSource() {
@@ -188,6 +197,24 @@
 	return -1
 }
 
+// errMalformedEventID means that a client resumes a stream after an event whose ID is no number.
+var errMalformedEventID = errors.New("ID of the last event is not a whole number from 0 to 2^63-1")
+
+// parseEventID parses the ID of an event as a client sends it. It is stricter than eventID: what a
+// client resumes after is not guessed.
+func parseEventID(text string) (int64, error) {
+	for _, c := range []byte(text) {
+		if c < '0' || c > '9' {
+			return noEvent, errMalformedEventID
+		}
+	}
+	id, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return noEvent, errMalformedEventID
+	}
+	return id, nil
+}
+
 // eventID returns the number in the id field of an event.
 func eventID(event []byte) (int64, bool) {
 	for len(event) > 0 {
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -76,7 +76,7 @@
 			return
 		}
 		tokens := s.outputTokens()
-		worthMigrating := tokens > 0 && s.jobPlacer.SurvivalProbability(s.job, tokens, shutdownAt.Sub(now)) > minSurvivalToMigrate
+		worthMigrating := s.hasEvents() && s.jobPlacer.SurvivalProbability(s.job, tokens, shutdownAt.Sub(now)) > minSurvivalToMigrate
 		mayStart := worthMigrating && (!now.Before(latestStartAt) || s.f.evacuationTurns(e, now)[s.job.ID].RunsAhead == 0)
 		if mayStart && s.migrateOnce(e.Identity, shutdownAt) {
 			return
@@ -110,11 +110,19 @@
 	return job
 }
 
-// outputTokens returns the number of output tokens received so far.
+// outputTokens returns the number of output tokens that the client has received so far, before it
+// resumed the stream too.
 func (s *stream) outputTokens() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.eventCount * max(s.jobPlacer.engine.TokensPerEvent, 1)
+	return s.job.OutputTokens + s.eventCount*max(s.jobPlacer.engine.TokensPerEvent, 1)
+}
+
+// hasEvents reports whether a run has brought an event.
+func (s *stream) hasEvents() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eventCount > 0
 }
 
 // migrateOnce tries once to continue the run on another engine, from its backup or
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -139,21 +139,25 @@
 func (s *stream) recordProgress(now time.Time) { s.f.quarantine.RecordProgress(s.x.subjects, now) }
 
 // checkEngine finds out whether the engine of a run that has broken off has ended, and records
-// the request and the parts of its prompt as suspects unless the run has made progress.
-func (s *stream) checkEngine(cause error) {
+// the request and the parts of its prompt as suspects unless the run has made progress. The channel
+// gets the result; it is nil if nobody asks the engine.
+func (s *stream) checkEngine(cause error) <-chan bool {
 	now := s.f.clock.Now()
 	s.mu.Lock()
 	e, sound, replaced := s.run.engine, s.runSound, s.replacement != nil
 	s.mu.Unlock()
 	if replaced || s.ctx.Err() != nil || errors.Is(cause, errQuarantined) || s.f.registry.ShuttingDown(e.Identity) {
-		return
+		return nil
 	}
+	result := make(chan bool, 1)
 	var suspects []quarantiner.Suspect
 	if !sound {
 		suspects = suspectsOf(s.x.subjects)
 	}
 	s.f.spawn(func() {
-		if !s.f.hasEnded(s.f.ctx, e) {
+		ended := s.f.hasEnded(s.f.ctx, e)
+		defer func() { result <- ended }()
+		if !ended {
 			return
 		}
 		if p := s.f.knownPlacer(e.Service); p != nil {
@@ -165,6 +169,7 @@
 			s.f.quarantine.RecordCrash(e.Identity, suspects, now)
 		}
 	})
+	return result
 }
 
 // hasEnded reports whether it is certain that the process of an engine has ended: nothing
@@ -235,13 +240,28 @@
 // If its endpoint has ended, it may be the cause: it is repeated once, but not if it has crashed
 // an endpoint before.
 func (f *Forwarder) mayRepeat(ctx context.Context, x *exchange, ended <-chan bool) bool {
-	c, cancel := context.WithTimeout(ctx, endDecisionTime)
+	return !f.awaitEnd(ctx, ended, endDecisionTime) || f.mayCrashAnother(x)
+}
+
+// mayCrashAnother reports whether a request under which an endpoint has ended may be sent to another
+// one: it is repeated once.
+func (f *Forwarder) mayCrashAnother(x *exchange) bool {
+	return f.quarantine.Crashes(x.subjects[len(x.subjects)-1], f.clock.Now()) < 2
+}
+
+// awaitEnd waits for the result of a probe, which tells whether an endpoint has ended. It returns
+// false if that is not known in time; the channel may be nil.
+func (f *Forwarder) awaitEnd(ctx context.Context, ended <-chan bool, wait time.Duration) bool {
+	if ended == nil {
+		return false
+	}
+	c, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	select {
 	case is := <-ended:
-		return !is || f.quarantine.Crashes(x.subjects[len(x.subjects)-1], f.clock.Now()) < 2
+		return is
 	case <-c.Done():
-		return true
+		return false
 	}
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -30,12 +30,13 @@
 const (
 	wayBackup    = "backup"
 	wayMigration = "move"
+	wayAgain     = "again"
 )
 
 // resume continues the generation after its run has broken off.
 func (s *stream) resume(cause error) error {
 	startedAt := s.f.clock.Now()
-	s.checkEngine(cause)
+	s.engineEnded = s.checkEngine(cause)
 	s.setResuming(true)
 	defer s.setResuming(false)
 	r, err := s.findRun(cause)
@@ -67,8 +68,8 @@
 }
 
 // findRun returns the run that continues the generation: a replacement that is
-// being started, a run from the backup, or a run that is migrated if the engine
-// still answers.
+// being started, a run from the backup, a run that is migrated if the engine
+// still answers, or a new one where the route permits it.
 func (s *stream) findRun(cause error) (run, error) {
 	if r, ok := s.awaitReplacement(); ok {
 		return r, nil
@@ -89,13 +90,33 @@
 	}
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
 		Msg("forwarder: generation not continued from its backup")
-	c, cancel := context.WithTimeout(s.ctx, migrationTimeout)
+	if r, err = s.migrateBroken(source, cause); err == nil {
+		return r, nil
+	}
+	return s.continueByNewRun(source, cause)
+}
+
+// migrateBroken continues a generation whose connection has broken off by a migration, if its engine
+// answers.
+func (s *stream) migrateBroken(source run, cause error) (run, error) {
+	timeout := migrationTimeout
+	if s.mayRunAgain() {
+		timeout = againTimeout
+	}
+	if source.state.left.Load() || !s.hasEvents() && s.x.route.Repeatable() {
+		return run{}, errNoCopy // The engine answers nothing, or has nothing that is worth a migration.
+	}
+	c, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
 	if !ok {
 		return run{}, errNoCopy
 	}
-	return s.continueByMigration(c, source, target, cause)
+	r, err := s.continueByMigration(c, source, target, cause)
+	if err != nil {
+		s.jobPlacer.MigrationFailed(s.job.ID, false, s.f.clock.Now())
+	}
+	return r, err
 }
 
 // awaitReplacement waits for the replacement that is being started, if any.
@@ -258,7 +279,7 @@
 	if e.LinkMbps <= 0 {
 		return 0
 	}
-	tokens := s.job.PromptTokens + s.eventCount*max(e.TokensPerEvent, 1)
+	tokens := s.job.PromptTokens + s.job.OutputTokens + s.eventCount*max(e.TokensPerEvent, 1)
 	d := time.Duration(float64(tokens) * float64(e.TokenBytes) / (e.LinkMbps * bytesPerMbit) * float64(time.Second))
 	if source.engine.Domain != source.backup.Domain {
 		d *= 2
@@ -267,15 +288,22 @@
 }
 
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
-// their backups, if it has sent them nothing for unresponsiveTimeout. The others wait: an
-// engine that is only silent for a while goes on with its runs.
+// their backups, or in new runs where the route permits it, if it has sent them nothing for
+// unresponsiveTimeout. The others wait: an engine that is only silent for a while goes on with its runs.
 func (f *Forwarder) replaceUnresponsive(id registrar.Identity, now time.Time) {
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
 		source := s.run
 		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > unresponsiveTimeout
 		s.mu.Unlock()
-		if !silent || source.backup.Name == "" || s.backupOf(source).CheckRun() != nil || source.state.backupTried.Swap(true) {
+		if !silent {
+			continue
+		}
+		if source.backup.Name == "" || s.backupOf(source).CheckRun() != nil {
+			s.leaveSilentEngine(source)
+			continue
+		}
+		if source.state.backupTried.Swap(true) {
 			continue
 		}
 		f.spawn(func() {
@@ -283,6 +311,7 @@
 			if err != nil {
 				f.addRequestFields(f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
 					Msg("forwarder: generation waits for an engine that is silent")
+				s.leaveSilentEngine(source)
 			}
 		})
 	}
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -105,7 +105,7 @@
 	if deadline == nil {
 		return false
 	}
-	return s.f.listenerClosed.Load() || s.jobPlacer.SurvivalProbability(s.job, 0, deadline.Sub(now)-s.x.route.LatencyTarget) > maxOutlastProbability
+	return s.f.listenerClosed.Load() || s.jobPlacer.SurvivalProbability(s.job, s.job.OutputTokens, deadline.Sub(now)-s.x.route.LatencyTarget) > maxOutlastProbability
 }
 
 // Close stops the daemon at once and aborts all requests.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -41,17 +41,21 @@
 	release func()
 
 	// Used only by the goroutine that serves the client.
+	header          Response // Header of the response to the client: of the first run, unless it brought no event.
 	sequencer       eventSequencer
 	chunk           []byte
 	firstEventDelay time.Duration // Time from the arrival of the request to the first event.
 	longestPause    time.Duration // Longest time between events.
 	resumeCount     int           // Number of times the generation was continued by another run.
-	events          bool          // The response is a series of events.
-	body            verifier.Body // Of the current run.
-	ended           bool          // The body of the current run was read to the end that its framing marks.
-	pending         []byte        // Bytes for the next calls of Read.
-	pendingRead     int           // Number of bytes of pending that Read has returned.
-	complete        bool
+	engineEnded     <-chan bool   // Gets whether the engine of the run that broke off last has ended; may be nil.
+	// awaitsFirstEvent is set while a new run that continues the generation has brought no event.
+	awaitsFirstEvent bool
+	events           bool          // The response is a series of events.
+	body             verifier.Body // Of the current run.
+	ended            bool          // The body of the current run was read to the end that its framing marks.
+	pending          []byte        // Bytes for the next calls of Read.
+	pendingRead      int           // Number of bytes of pending that Read has returned.
+	complete         bool
 
 	mu             sync.Mutex
 	run            run
@@ -81,6 +85,7 @@
 	stop        atomic.Int32 // A verifier.Stop: whether the engine was made to stop the run.
 	backupTried atomic.Bool  // The backup was tried because the engine was silent.
 	copyRefused atomic.Bool  // The backup has refused to continue from the copy.
+	left        atomic.Bool  // The stream goes on elsewhere, since the engine was silent.
 	// resumeLost is set if a request to continue the run may have been executed, but brought
 	// no response. The generation may go on there.
 	resumeLost atomic.Bool
@@ -104,6 +109,10 @@
 	}
 	s := &stream{f: f, x: x, ctx: ctx, jobPlacer: f.placerFor(x.service, service.Engine), release: release}
 	s.job = s.newJob(service.Engine)
+	if x.resumeAfter != noEvent {
+		s.sequencer.startAfter(x.resumeAfter)
+		s.lastEvent = s.sequencer.lastEvent()
+	}
 	refusal, cause := s.start()
 	if refusal != nil {
 		f.removeStream(s)
@@ -122,8 +131,8 @@
 		_ = s.Close() // Returns no error.
 		return
 	}
-	copyResponseHeader(out, &s.run.response)
-	length := s.run.response.ContentLength
+	copyResponseHeader(out, &s.header)
+	length := s.header.ContentLength
 	if s.events {
 		length = unknownLength // Another run may continue the generation.
 	}
@@ -174,7 +183,7 @@
 	priority := s.x.customer.Priority*customerPriorityFactor + s.x.route.Priority
 	job := placer.Job{
 		ID: s.x.req.ID, Class: placer.ClassOf(g.Model, priority), PromptTokens: g.PromptTokens, MaxTokens: g.MaxTokens, EstimatedTokens: g.EstimatedTokens,
-		Priority: priority, FirstEventDue: s.x.arrived.Add(s.x.route.LatencyTarget), Deadline: s.x.deadline, AllowBackup: e.Backups,
+		OutputTokens: s.x.resumedTokens(max(e.TokensPerEvent, 1)), Priority: priority, FirstEventDue: s.x.arrived.Add(s.x.route.LatencyTarget), Deadline: s.x.deadline, AllowBackup: e.Backups,
 	}
 	if s.x.route.Patience > 0 {
 		job.FirstEventLimit = s.x.arrived.Add(s.x.route.Patience)
@@ -194,7 +203,7 @@
 		if refusal := s.f.refuseQuarantined(s.x); refusal != nil {
 			return refusal, errQuarantined
 		}
-		pl, refusal := s.confirmedPlacement(exclude)
+		pl, refusal := s.confirmedPlacement(s.job, exclude)
 		if refusal != nil {
 			return refusal, nil
 		}
@@ -231,7 +240,7 @@
 // the request, and if not, whether the request is certain not to have been executed.
 func (s *stream) attempt(pl placer.Placement) (accepted, refused bool, err error) {
 	s.x.attempts.Add(1)
-	r, err := s.send(pl.Engine, pl.Backup, Resume{}, s.setRun)
+	r, err := s.send(pl.Engine, pl.Backup, s.resumeWithoutCopy(), s.setRun)
 	notSent := err != nil && provesNotRun(err)
 	if notSent {
 		s.x.unsent.Add(1)
@@ -242,12 +251,18 @@
 	if err == nil && !res.NotExecuted && promisesNotRun(res.Status) {
 		err = errUnprovenRefusal
 	}
+	refused = notSent || err == nil && res.NotExecuted
+	if !refused {
+		s.x.runs.Add(1)
+	}
 	if err == nil && !res.NotExecuted && (res.FromEndpoint || res.Status >= fasthttp.StatusInternalServerError) {
-		s.events = isEventStream(res)
+		if res.Status >= fasthttp.StatusInternalServerError {
+			r = s.repeatFailed(r)
+		}
+		s.events = isEventStream(&r.response)
 		s.setRun(r)
 		return true, false, nil
 	}
-	refused = notSent || err == nil && res.NotExecuted
 	r.close()
 	s.f.handleMisdirected(pl.Engine, *res)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", res.Status).
@@ -279,9 +294,9 @@
 
 // confirmedPlacement returns a placement that still holds after the daemons have
 // exchanged their concurrent placements.
-func (s *stream) confirmedPlacement(exclude map[registrar.Identity]bool) (placer.Placement, *Refusal) {
+func (s *stream) confirmedPlacement(job placer.Job, exclude map[registrar.Identity]bool) (placer.Placement, *Refusal) {
 	for try := 1; ; try++ {
-		pl, refusal := s.awaitPlacement(exclude)
+		pl, refusal := s.awaitPlacement(job, exclude)
 		if refusal != nil || try > maxConfirmations || !s.f.peers.anyReachable() || !s.f.mayAsk(pl.Engine, s.f.clock.Now()) {
 			return pl, refusal
 		}
@@ -294,9 +309,9 @@
 }
 
 // awaitPlacement submits the job and waits until it is placed or refused.
-func (s *stream) awaitPlacement(exclude map[registrar.Identity]bool) (placer.Placement, *Refusal) {
+func (s *stream) awaitPlacement(job placer.Job, exclude map[registrar.Identity]bool) (placer.Placement, *Refusal) {
 	now := s.f.clock.Now()
-	if s.jobPlacer.engine.MemoryTokens > 0 && s.job.PromptTokens >= s.jobPlacer.engine.MemoryTokens {
+	if s.jobPlacer.engine.MemoryTokens > 0 && job.PromptTokens >= s.jobPlacer.engine.MemoryTokens {
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Reason: ReasonExceedsEngineMemory}
 	}
 	if s.outlastsDaemon(now) {
@@ -311,7 +326,7 @@
 	}
 	ch := make(chan placer.Outcome, 1)
 	s.jobPlacer.addWaiter(s.job.ID, ch)
-	pl, placed := s.jobPlacer.Submit(s.job, exclude, now)
+	pl, placed := s.jobPlacer.Submit(job, exclude, now)
 	if placed {
 		s.jobPlacer.removeWaiter(s.job.ID)
 		s.logPlacement(pl, 0)
@@ -440,6 +455,7 @@
 	moved := s.run.engine.Identity != r.engine.Identity
 	s.run = r
 	if s.eventCount == 0 {
+		s.header = r.response
 		s.lastReadAt = s.f.clock.Now()
 	}
 	s.progress, s.runSound = resumer.Progress{}, false
@@ -585,8 +601,11 @@
 	if becameSound {
 		s.recordProgress(now)
 	}
-	if before == 0 && s.sequencer.eventCount > 0 {
+	if s.awaitsFirstEvent && s.sequencer.sourceEvents > 0 || before == 0 && s.sequencer.eventCount > 0 {
+		s.awaitsFirstEvent = false
 		s.jobPlacer.RecordFirstEvent(s.job.ID, now)
+	}
+	if before == 0 && s.sequencer.eventCount > 0 {
 		s.firstEventDelay = now.Sub(s.x.arrived)
 		s.f.metrics.observe("first_event", s.firstEventDelay)
 	} else if before > 0 {
@@ -621,7 +640,7 @@
 	s.run.close()
 	s.discardReplacement()
 	s.f.removeStream(s)
-	s.jobPlacer.RecordEnd(s.job, s.sequencer.eventCount*max(s.jobPlacer.engine.TokensPerEvent, 1), s.complete, s.f.clock.Now())
+	s.jobPlacer.RecordEnd(s.job, s.outputTokens(), s.complete, s.f.clock.Now())
 	s.jobPlacer.deliverOutcomes(s.f.clock.Now())
 	if s.complete {
 		if s.sequencer.eventCount > 0 {
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -70,6 +70,7 @@
 	Header        []requester.Header
 	Body          []byte
 	ClientTimeout time.Duration // Timeout set by the client; zero if it set none.
+	LastEvent     string        // ID of the last event of a stream that the client resumes, as it sent it; else empty.
 	Generation    Generation
 }
 
@@ -99,11 +100,10 @@
 	Safe       bool // The request is safe to repeat.
 }
 
-// Resume describes how to continue a generation from a copy of its KV cache. The
-// zero value starts a new generation.
+// Resume describes how to continue a generation. The zero value starts a new one.
 type Resume struct {
-	Copy      string // Name of the copy, as returned by EndpointClient.CopyName.
-	LastEvent string // ID of the last event that was received.
+	Copy      string // Name of the copy of its KV cache, as returned by EndpointClient.CopyName; empty for a new run, which reads the prompt again.
+	LastEvent string // ID of the last event that was received; empty if there was none.
 }
 
 // Response is the response of an endpoint: its status and header, and a reader for
--- a/state/matcher/manifest.go
+++ b/state/matcher/manifest.go
@@ -15,7 +15,7 @@
 const (
 	Unsafe    Kind = iota // Runs at most once. The zero value is the conservative choice.
 	Safe                  // May run more than once.
-	Streaming             // Runs at most once; the response is a stream of events.
+	Streaming             // Runs at most once unless the route is resumable; the response is a stream of events.
 )
 
 // String returns the name of the kind in logs.
@@ -49,6 +49,7 @@
 	Timeout        time.Duration // Longest time that a request may take.
 	LatencyTarget  time.Duration `msgpack:"Target"`    // Latency target; for streams, of the first event.
 	EventGapTarget time.Duration `msgpack:"GapTarget"` // Target for the time between two events of a stream.
+	Resumable      bool          // A stream may go on in another run, which starts after a given event.
 	Patience       time.Duration // How long clients of a stream wait for its next event before they leave; zero if unknown.
 	Priority       int           // 0 is the highest.
 	Attempts       int           // Largest number of endpoints that one request is sent to.
@@ -56,6 +57,10 @@
 	Shares         []Share       // Weighted services; never empty.
 }
 
+// Repeatable reports whether a request of the route may run more than once, as far as Attempts
+// permits.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Streaming && r.Resumable }
+
 // Share is one service of a route and its weight.
 type Share struct {
 	Service string
