Large fleets: reports in groups, passed on between failure domains; fewer wake-ups

Cause: above 128 daemons a report reaches the failure domain of the daemon that polled and two daemons of each other one, so every daemon polls nearly every engine. Each of some 94 connections has a ticker of its own; updates are looked for each 8 ms, clients each 100 ms, calls to the store each 100 ms, whether there is anything or not; both daemons of a pair sync each second. A daemon that has just started and knows no peer polls the store again at once after each change (1,046 calls in one second).

Change: - coordination/reporter: one daemon polls a group of engines, at the same times, so that the reports of a group are one message; reports from other failure domains are passed on within the own one; the polls of daemons without a report are spread by rank.

explain names the request and the daemon at which a stream was resumed. TestUnansweredPingTimesOut checks the same error of the same function, which now returns two values.

--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -44,10 +44,11 @@
 	refusalBackoff     = 300 * time.Millisecond  // Time for which refusedCostMs is added.
 	startedUpdateLag   = 300 * time.Millisecond  // Bounds the delay of a peer's update that a job has started.
 	endedRetention     = 3 * time.Second         // An engine's report may list a sequence this long after its end.
+	copyDelay          = 50 * time.Millisecond   // By which the times of copies of one report may differ, which come on different ways.
 	minOutputSteps     = 16                      // A job is refused if its deadline leaves time for fewer decode steps.
 )
 
-// Config describes the engines of one service. All fields are required.
+// Config describes the engines of one service. All fields but Updated are required.
 type Config struct {
 	Domain             string        // Failure domain of the daemon.
 	Slots              int           // Largest number of sequences on an engine.
@@ -57,7 +58,9 @@
 	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
 	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
 	ReportLag          time.Duration // Age of the figures in a report when it is received.
-	Deviations         float64       // Standard deviations added to the forecast mean as a safety margin.
+	// Updated, if not nil, gets a value when there are updates to take. It should have a buffer.
+	Updated    chan<- struct{}
+	Deviations float64 // Standard deviations added to the forecast mean as a safety margin.
 }
 
 // Placer places the jobs of one service for one daemon. It is safe for
@@ -116,14 +119,15 @@
 }
 
 // Observe records a report of an engine. Reports older than the newest one are
-// ignored.
-func (p *Placer) Observe(id registrar.Identity, r Report, now time.Time) {
+// ignored. It returns false for these, and for another copy of the newest one.
+func (p *Placer) Observe(id registrar.Identity, r Report, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engines[id]
 	if e == nil || now.Before(e.reportedAt) {
-		return
+		return false
 	}
+	isNew := now.Sub(e.reportedAt) > copyDelay
 	e.report, e.reportedAt, e.dirty = r, now, true
 	clear(e.listed)
 	for i := range r.Sequences {
@@ -135,6 +139,7 @@
 			delete(p.endedAt, job)
 		}
 	}
+	return isNew
 }
 
 // ReportAge returns the age of the newest report of an engine, or of the engine
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -13,7 +13,13 @@
 )
 
 // publish queues an update for the peers. The mutex is held.
-func (p *Placer) publish(u Update) { p.updates = append(p.updates, u) }
+func (p *Placer) publish(u Update) {
+	p.updates = append(p.updates, u)
+	select {
+	case p.cfg.Updated <- struct{}{}:
+	default: // One is waiting, or nobody is told.
+	}
+}
 
 // publishPlaced queues the update that a job was placed. The mutex is held.
 func (p *Placer) publishPlaced(r *run, e *engine) {
--- a/coordination/quarantiner/outbox.go
+++ b/coordination/quarantiner/outbox.go
@@ -134,6 +134,9 @@
 	}
 }
 
+// HasUpdates reports whether there may be evidence for TakeUpdates, now or within AnswerDelay.
+func (q *Quarantine) HasUpdates() bool { return q.pending.Load() }
+
 // TakeUpdates returns facts that other daemons should be told, as many as fit in one message:
 // own are for all peers, and relayed, which come from other failure domains, for those of
 // this one. Both are empty if there is nothing to tell. It should be called a few times per
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -2,7 +2,9 @@
 // explains its outcome.
 //
 // The daemons log JSON lines. A line about a request carries its ID in the field
-// request, and the last one carries the reason for the outcome in the field reason.
+// request, and the last one carries the reason for the outcome in the field reason. A client that
+// resumes a stream sends a request with another ID; the lines about both carry the same stream_key, and
+// those about the second one the field resumed_after.
 package explainer
 
 import (
@@ -28,14 +30,15 @@
 
 // Line is one log line about a request.
 type Line struct {
+	Request string
 	Time    time.Time
 	Daemon  string
 	Message string
-	Fields  map[string]any // All other fields, except level and request.
+	Fields  map[string]any // All other fields, except level.
 }
 
-// Read returns the lines in r about the request with the given ID. It ignores text
-// before the JSON object of a line, such as the prefix of a log collector, and
+// Read returns the lines in r about the request with the given ID, and those about requests that
+// resume a stream. It ignores text before the JSON object of a line, such as the prefix of a log collector, and
 // lines without a JSON object.
 func Read(r io.Reader, request string) ([]Line, error) {
 	var lines []Line
@@ -43,7 +46,7 @@
 	s.Buffer(nil, maxLineBytes)
 	for s.Scan() {
 		text := s.Bytes()
-		if !bytes.Contains(text, []byte(request)) {
+		if !bytes.Contains(text, []byte(request)) && !bytes.Contains(text, []byte(fieldResumedAfter)) {
 			continue
 		}
 		start := bytes.IndexByte(text, '{')
@@ -51,7 +54,7 @@
 			continue
 		}
 		fields := map[string]any{}
-		if json.Unmarshal(text[start:], &fields) != nil || fields["request"] != request {
+		if json.Unmarshal(text[start:], &fields) != nil || fields["request"] != request && fields[fieldResumedAfter] == nil {
 			continue
 		}
 		lines = append(lines, newLine(fields))
@@ -62,7 +65,7 @@
 // newLine returns the Line for the fields of a log line. It removes the common
 // fields from the map.
 func newLine(fields map[string]any) Line {
-	l := Line{Daemon: textOf(fields["daemon"]), Message: textOf(fields["message"]), Fields: fields}
+	l := Line{Request: textOf(fields["request"]), Daemon: textOf(fields["daemon"]), Message: textOf(fields["message"]), Fields: fields}
 	// A line without a valid time sorts first.
 	l.Time, _ = time.Parse(time.RFC3339, textOf(fields["time"]))
 	for _, name := range []string{"daemon", "message", "time", "level", "request"} {
@@ -76,13 +79,51 @@
 	return s
 }
 
-// Explain writes the lines about a request in order of time, and its outcome. It
-// returns ErrNoLines if there are no lines.
-func Explain(w io.Writer, request string, lines []Line) error {
+// Names of the fields that connect a resumed stream to the one that broke off.
+const (
+	fieldResumedAfter = "resumed_after" // ID of the last event that the client had received.
+	fieldStreamKey    = "stream_key"    // Identifies requests that differ in their IDs only.
+)
+
+// related returns the lines about the request, and the requests that may have resumed its stream with
+// their lines: they are the same but for their IDs and came later.
+func related(request string, lines []Line) (own []Line, resumed map[string][]Line) {
+	resumed = map[string][]Line{}
+	keys := map[string]bool{}
+	for _, l := range lines {
+		if l.Request == request {
+			own = append(own, l)
+			keys[textOf(l.Fields[fieldStreamKey])] = true
+		}
+	}
+	delete(keys, "")
+	for _, l := range lines {
+		if l.Request != request && keys[textOf(l.Fields[fieldStreamKey])] && !l.Time.Before(own[0].Time) {
+			resumed[l.Request] = append(resumed[l.Request], l)
+		}
+	}
+	return own, resumed
+}
+
+// Explain writes the lines about a request in order of time, its outcome, and where its client went
+// on. It returns ErrNoLines if there are no lines about the request.
+func Explain(w io.Writer, request string, all []Line) error {
+	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	lines, resumed := related(request, all)
 	if len(lines) == 0 {
 		return errors.Wrap(ErrNoLines, request)
 	}
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	explainOne(w, request, lines)
+	for _, id := range slices.Sorted(maps.Keys(resumed)) {
+		first := resumed[id][0]
+		fmt.Fprintf(w, "\nresumed after event %v at %s by ", first.Fields[fieldResumedAfter], first.Daemon)
+		explainOne(w, id, resumed[id])
+	}
+	return nil
+}
+
+// explainOne writes the lines about one request and its outcome.
+func explainOne(w io.Writer, request string, lines []Line) {
 	fmt.Fprintf(w, "request %s\n", request)
 	for _, l := range lines {
 		fmt.Fprintf(w, "%s %s %s%s\n", l.Time.Format("15:04:05.000"), l.Daemon, l.Message, formatFields(l.Fields))
@@ -91,10 +132,9 @@
 	reason := textOf(last.Fields["reason"])
 	if reason == "" {
 		fmt.Fprintln(w, "outcome: not in these logs; the daemon was terminated, or its log is missing")
-		return nil
+		return
 	}
 	fmt.Fprintf(w, "outcome: %s: %s\n", reason, cmp.Or(reasonTexts[reason], "no further explanation"))
-	return nil
 }
 
 // formatFields formats the fields that are not empty, sorted by name.
@@ -113,6 +153,7 @@
 	"served":                "the response of the endpoint was passed on to the client",
 	"no_manifest":           "the daemon had just started and had no manifest; see its log lines about dependencies",
 	"malformed":             "the request of the client could not be parsed",
+	"malformed_event_id":    "the client resumed a stream after an event whose ID is not a whole number",
 	"no_route":              "the manifest in force has no route for the host and path",
 	"unknown_key":           "the API key belongs to no customer of the manifest in force",
 	"too_large":             "the request exceeds a limit of the manifest",
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -33,6 +33,19 @@
 	golden.Assert(t, b.String(), "deferred.golden")
 }
 
+// The daemon of a stream was killed, and the client went on at another one.
+func TestExplainResumedStream(t *testing.T) {
+	lines, err := explainer.Read(strings.NewReader(`{"daemon":"d-1","request":"r1","stream_key":"ab","time":"2026-12-04T12:40:00Z","message":"forwarder: generation placed"}
+{"daemon":"d-2","request":"r2","stream_key":"ab","resumed_after":17,"time":"2026-12-04T12:40:01Z","message":"forwarder: generation placed"}
+{"daemon":"d-2","request":"r2","stream_key":"ab","resumed_after":17,"events":43,"reason":"served","time":"2026-12-04T12:40:02Z","message":"forwarder: stream answered"}
+{"daemon":"d-3","request":"r3","stream_key":"cd","resumed_after":3,"reason":"served","time":"2026-12-04T12:40:02Z","message":"forwarder: stream answered"}
+`), "r1")
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	assert.NilError(t, explainer.Explain(&b, "r1", lines))
+	golden.Assert(t, b.String(), "resumed.golden")
+}
+
 func TestExplainUnknownRequest(t *testing.T) {
 	lines, err := explainer.Read(strings.NewReader("no json\n{\"request\":\"other\"}\n{bad r1}\n"), "r1")
 	assert.NilError(t, err)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -184,6 +184,7 @@
 	case a.notRun:
 	case a.err == nil:
 		f.quarantine.RecordProgress(x.subjects, f.clock.Now())
+		f.wakeForEvidence()
 	case ctx.Err() == nil:
 		a.ended = f.checkService(x, e)
 	}
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -252,6 +252,9 @@
 	if x.customer != nil {
 		e.Str("customer", x.customer.Name)
 	}
+	if x.route != nil && x.route.Resumable && len(x.subjects) > 0 {
+		e.Str("stream_key", formatSubject(x.subjects[len(x.subjects)-1])) // The same of a stream and the one that resumes it.
+	}
 	if x.resumeAfter != noEvent {
 		e.Int64("resumed_after", x.resumeAfter)
 	}
--- a/forwarder/disconnects.go
+++ b/forwarder/disconnects.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"monsoonspar.example/state/timekeeper"
 	"monsoonspar.example/transport/peeker"
 )
 
@@ -13,15 +14,20 @@
 // clients. Work for a client that has disconnected must end within half a second.
 const disconnectPollInterval = 100 * time.Millisecond
 
+// idleDisconnectInterval is the interval while no client waits; a new one ends the wait.
+const idleDisconnectInterval = time.Minute
+
 // disconnectWatcher detects clients that disconnect before they have received the
 // complete response.
 type disconnectWatcher struct {
+	added waker // Wakes run.
+
 	mu    sync.Mutex
 	conns map[net.Conn]context.CancelCauseFunc
 }
 
 func newDisconnectWatcher() *disconnectWatcher {
-	return &disconnectWatcher{conns: map[net.Conn]context.CancelCauseFunc{}}
+	return &disconnectWatcher{added: newWaker(), conns: map[net.Conn]context.CancelCauseFunc{}}
 }
 
 // watch arranges that cancel is called when the client closes c, until unwatch is
@@ -29,6 +35,9 @@
 func (w *disconnectWatcher) watch(c net.Conn, cancel context.CancelCauseFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if len(w.conns) == 0 {
+		w.added.wake()
+	}
 	w.conns[c] = cancel
 }
 
@@ -38,8 +47,9 @@
 	delete(w.conns, c)
 }
 
-// poll cancels the requests of clients that have disconnected.
-func (w *disconnectWatcher) poll() {
+// poll cancels the requests of clients that have disconnected. It returns the time until the next
+// poll.
+func (w *disconnectWatcher) poll() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c, cancel := range w.conns {
@@ -48,11 +58,14 @@
 			delete(w.conns, c)
 		}
 	}
+	if len(w.conns) == 0 {
+		return idleDisconnectInterval
+	}
+	return disconnectPollInterval
 }
 
-// pollDisconnects checks the connections of clients periodically until ctx ends.
-func (f *Forwarder) pollDisconnects(ctx context.Context) {
-	for f.clock.Sleep(ctx, disconnectPollInterval) == nil {
-		f.disconnects.poll()
+// run checks the connections of clients periodically, while there are any, until ctx ends.
+func (w *disconnectWatcher) run(ctx context.Context, clock timekeeper.Waiter) {
+	for w.added.wait(ctx, clock, w.poll()) == nil { //nolint:revive // The condition does the work.
 	}
 }
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -20,7 +20,8 @@
 	daemonListInterval = 10 * time.Second
 	initialDaemonLists = 3                      // Number of lists after the start that are read at shorter intervals, since daemons start at the same time.
 	roleCheckInterval  = 100 * time.Millisecond // Interval for checking whether a call to the store should be given up.
-	batchedWatchPause  = time.Second            // Pause between long polls, which return all changes since the last one.
+	idleCheckInterval  = time.Minute            // The same while no call is pending; a new one ends the wait.
+	batchedWatchPause  = time.Second            // Pause between polls that return all changes since the last one: long ones, and those of a daemon that reaches no peer.
 	listTimeout        = 2 * time.Second
 	removeTimeout      = time.Second // For the deletion of this daemon's entry when it stops.
 )
@@ -83,6 +84,8 @@
 	// poll makes one call. It reports whether the answer has a change.
 	poll func(ctx context.Context, step follower.Step) (changed bool, err error)
 
+	called waker // Wakes supervise.
+
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc // Ends the call that is pending; nil if none is.
 	stale  bool                    // The log says that there is no recent proof.
@@ -96,6 +99,7 @@
 	for ctx.Err() == nil {
 		now := s.f.clock.Now()
 		v := s.view(now)
+		s.logAge(v, now)
 		step := s.Next(v, now)
 		if step.Delay > 0 {
 			if s.f.clock.Sleep(ctx, step.Delay) != nil {
@@ -103,8 +107,9 @@
 			}
 			continue
 		}
-		s.logAge(v, now)
-		if s.call(ctx, step) == nil && step.Wait > follower.ShortPoll && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
+		// A daemon that reaches no peer is usually one of many that have just started.
+		pause := step.Wait > follower.ShortPoll || v.Peers == 0 && v.Known
+		if s.call(ctx, step) == nil && pause && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
 			return
 		}
 	}
@@ -137,22 +142,41 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancel = cancel
+	if cancel != nil {
+		s.called.wake()
+	}
 }
 
 // supervise ends calls that should be given up, until ctx ends.
 func (s *subscription) supervise(ctx context.Context) {
-	for s.f.clock.Sleep(ctx, roleCheckInterval) == nil {
-		now := s.f.clock.Now()
-		v := s.view(now)
-		s.logAge(v, now)
-		if !s.GiveUp(v, now) {
-			continue
-		}
-		s.mu.Lock()
-		if s.cancel != nil {
-			s.cancel(errGivenUp)
+	for s.called.wait(ctx, s.f.clock, idleCheckInterval) == nil {
+		for s.isCalling() {
+			if s.f.clock.Sleep(ctx, roleCheckInterval) != nil {
+				return
+			}
+			now := s.f.clock.Now()
+			v := s.view(now)
+			s.logAge(v, now)
+			if s.GiveUp(v, now) {
+				s.giveUp()
+			}
 		}
-		s.mu.Unlock()
+	}
+}
+
+// isCalling reports whether a call is pending.
+func (s *subscription) isCalling() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancel != nil
+}
+
+// giveUp ends the call that is pending.
+func (s *subscription) giveUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel(errGivenUp)
 	}
 }
 
@@ -189,7 +213,7 @@
 func (f *Forwarder) newSubscriptions() {
 	m := &manifestWatch{f: f}
 	f.manifests = &subscription{
-		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_manifest"}, poll: m.poll,
+		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_manifest"}, poll: m.poll, called: newWaker(),
 		view: func(now time.Time) follower.View {
 			v := f.peers.watcherView(func(o *peer) bool { return o.manifestLost })
 			v.Known, v.Behind = f.table.Load() != nil, f.peers.manifests.Behind(f.manifestVersion(), now)
@@ -198,7 +222,7 @@
 	}
 	w := &endpointWatch{f: f, needsList: true}
 	f.endpointEntries = &subscription{
-		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_endpoints"}, poll: w.poll,
+		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_endpoints"}, poll: w.poll, called: newWaker(),
 		view: func(time.Time) follower.View {
 			v := f.peers.watcherView(func(o *peer) bool { return o.endpointsLost })
 			v.Known = f.registry.Revision() > 0
@@ -398,7 +422,7 @@
 // followDaemons writes the entry of this daemon and then reads the list of daemons
 // periodically until ctx ends.
 func (f *Forwarder) followDaemons(ctx context.Context) {
-	self := Daemon{Name: f.cfg.Daemon.Name, Addr: f.cfg.Daemon.Peers, Domain: f.cfg.Daemon.Domain}
+	self := f.cfg.Daemon.daemon()
 	d := &dependency{f: f, name: "store_daemons"}
 	for ctx.Err() == nil {
 		err := f.putDaemonEntry(ctx, self)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,7 +28,7 @@
 type Forwarder struct {
 	cfg       Settings
 	log       zerolog.Logger
-	clock     timekeeper.Sleeper
+	clock     timekeeper.Waiter
 	store     Store
 	endpoints EndpointClient
 	metrics   *metrics
@@ -59,6 +59,8 @@
 	quarantine      *quarantiner.Quarantine
 	quarantineWatch *quarantineWatch
 
+	pollWake waker // Wakes pollReports.
+
 	streamsMu       sync.Mutex
 	streams         map[*stream]struct{}
 	disconnects     *disconnectWatcher
@@ -75,7 +77,7 @@
 }
 
 // New returns a daemon that does not listen yet. Call SetCodec before Start.
-func New(cfg Settings, store Store, endpoints EndpointClient, clock timekeeper.Sleeper, r *rand.Rand, log zerolog.Logger) *Forwarder {
+func New(cfg Settings, store Store, endpoints EndpointClient, clock timekeeper.Waiter, r *rand.Rand, log zerolog.Logger) *Forwarder {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{
 		cfg: cfg, log: log, clock: clock, store: store, endpoints: endpoints, metrics: newMetrics(),
@@ -88,7 +90,7 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		limits:  limiter.New(r),
+		pollWake: newWaker(), limits: limiter.New(r),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
@@ -123,7 +125,7 @@
 	}
 	f.spawn(func() { f.followDaemons(f.ctx) })
 	f.spawn(func() { f.pollReports(f.ctx) })
-	f.spawn(func() { f.pollDisconnects(f.ctx) })
+	f.spawn(func() { f.disconnects.run(f.ctx, f.clock) })
 	f.spawn(func() { f.peers.publishUpdates(f.ctx) })
 	f.log.Info().Str("callers", f.cfg.Daemon.Clients).Str("failure_domain", f.cfg.Daemon.Domain).Msg("forwarder: started")
 	return nil
@@ -183,7 +185,7 @@
 			Placer: placer.New(placer.Config{
 				Domain: f.cfg.Daemon.Domain, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
 				TokensPerEvent: max(e.TokensPerEvent, 1), StepTime: decodeStepTime, PrefillTokensPerMs: prefillTokensPerMs, ReportLag: reportLag,
-				Deviations: memoryDeviations,
+				Deviations: memoryDeviations, Updated: f.peers.wake,
 			}, f.newRand()),
 			engine:  *e,
 			waiters: map[string]chan placer.Outcome{},
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -314,6 +314,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending.Limits = append(p.pending.Limits, u)
+	p.wake.wake()
 }
 
 // deniedEngines returns the engines to which this daemon should send no request now
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -1,20 +1,18 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonspar.example/coordination/fetcher"
 	"monsoonspar.example/coordination/limiter"
+	"monsoonspar.example/coordination/reporter"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 	"monsoonspar.example/transport/framer"
@@ -24,12 +22,13 @@
 const (
 	updateInterval        = 8 * time.Millisecond   // Interval of urgent updates; at 60 placements per second, peers receive each one before most later ones are made.
 	batchedUpdateInterval = 300 * time.Millisecond // Interval of other updates, such as ended jobs and reports; a tenth of the duration of a job.
+	reportBatchInterval   = 100 * time.Millisecond // The same for updates with reports, which daemons of other failure domains get late.
+	idleUpdateInterval    = 100 * time.Millisecond // Interval of checks that find no update; a new one ends the wait.
 	smallDeployment       = 16                     // With fewer peers, updates that are not urgent are not delayed either.
-	syncInterval          = time.Second            // Interval of version exchanges with a peer, which also detect a peer that does not answer.
+	syncInterval          = time.Second            // Interval of version exchanges with a peer, by either of the two, which also detect a peer that does not answer.
+	syncJitter            = 0.1                    // By which the interval varies either way, so that both of the two take their turns.
 	syncTimeout           = 600 * time.Millisecond // Enough for several round trips between failure domains.
 	peerRetryInterval     = time.Second
-	fullMeshLimit         = 128 // With more daemons than this, each sends updates only within its own failure domain and to remotePeers of each other one.
-	remotePeers           = 2
 	updateQueueLength     = 64 // Batches queued for one peer; a peer with a full queue is too far behind for updates to be useful.
 )
 
@@ -97,6 +96,8 @@
 	f    *Forwarder
 	node *framer.Node
 
+	wake waker // Wakes publishUpdates.
+
 	mu      sync.Mutex
 	known   map[string]*peer // By name.
 	others  map[string]bool  // Names of the daemons in the list that are not peers.
@@ -116,26 +117,32 @@
 	queue  chan []byte // Encoded batches of updates.
 	cancel context.CancelFunc
 	alive  bool // The last call succeeded.
+	// heardAt is when the peer last synced with this daemon.
+	heardAt time.Time
 	// The store does not answer its calls for the manifest and the endpoints.
 	manifestLost, endpointsLost bool
 }
 
 func newPeers(f *Forwarder) *peers {
-	p := &peers{f: f, known: map[string]*peer{}, manifests: fetcher.New(f.newRand())}
+	p := &peers{f: f, wake: newWaker(), known: map[string]*peer{}, manifests: fetcher.New(f.newRand())}
 	p.node = framer.NewNode(framer.Config{Name: f.cfg.Daemon.Name, Key: []byte(f.cfg.Daemon.PeersKey)}, p)
 	return p
 }
 
-// setDaemons sets the list of daemons. Above fullMeshLimit, the daemons of this
-// failure domain and remotePeers of each other one become peers.
+// setDaemons sets the list of daemons, of which those become peers that package reporter chooses.
 func (p *peers) setDaemons(all []Daemon) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wanted := p.choosePeers(all)
 	members := make([]limiter.Daemon, len(all))
-	p.others = map[string]bool{}
 	for i, d := range all {
 		members[i] = limiter.Daemon(d)
+	}
+	wanted := map[string]Daemon{}
+	for _, d := range reporter.Peers(limiter.Daemon(p.f.cfg.Daemon.daemon()), members) {
+		wanted[d.Name] = Daemon(d)
+	}
+	p.others = map[string]bool{}
+	for _, d := range all {
 		if _, ok := wanted[d.Name]; !ok {
 			p.others[d.Name] = true
 		}
@@ -155,31 +162,6 @@
 	}
 }
 
-// choosePeers returns the daemons that become peers. Those of another failure domain
-// are the ones with the highest hashes, which differ between daemons.
-func (p *peers) choosePeers(all []Daemon) map[string]Daemon {
-	self := p.f.cfg.Daemon
-	wanted := map[string]Daemon{}
-	remote := map[string][]Daemon{} // By failure domain.
-	for _, d := range all {
-		switch {
-		case d.Name == self.Name || d.Addr == "":
-		case len(all) <= fullMeshLimit || d.Domain == self.Domain:
-			wanted[d.Name] = d
-		default:
-			remote[d.Domain] = append(remote[d.Domain], d)
-		}
-	}
-	hash := func(d Daemon) uint64 { return xxhash.Sum64String(self.Name + "/" + d.Name) }
-	for _, daemons := range remote {
-		slices.SortFunc(daemons, func(a, b Daemon) int { return cmp.Compare(hash(b), hash(a)) })
-		for _, d := range daemons[:min(len(daemons), remotePeers)] {
-			wanted[d.Name] = d
-		}
-	}
-	return wanted
-}
-
 // add adds a peer and starts its goroutine. The mutex is held.
 func (p *peers) add(d Daemon) {
 	ctx, cancel := context.WithCancel(p.f.ctx)
@@ -241,8 +223,11 @@
 // ctx ends.
 func (p *peers) runPeer(ctx context.Context, o *peer) {
 	for ctx.Err() == nil {
-		err := p.syncWith(ctx, o)
-		p.setAlive(o, err)
+		err := error(nil)
+		if !p.heardLately(o) {
+			err = p.syncWith(ctx, o)
+			p.setAlive(o, err)
+		}
 		if err != nil {
 			if p.f.clock.Sleep(ctx, peerRetryInterval) != nil {
 				return
@@ -255,6 +240,29 @@
 	}
 }
 
+// heardLately reports whether a peer that answers has synced with this daemon within the interval.
+func (p *peers) heardLately(o *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return o.alive && p.f.clock.Now().Sub(o.heardAt) < time.Duration((1-2*syncJitter)*float64(syncInterval))
+}
+
+// recordSync records that a peer has synced with this daemon.
+func (p *peers) recordSync(m *syncMessage) {
+	p.addDiscovered(m.Daemon)
+	p.f.recordDaemonCount(m.Daemons)
+	p.mu.Lock()
+	o := p.known[m.Daemon.Name]
+	if o != nil {
+		o.heardAt = p.f.clock.Now()
+		o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
+	}
+	p.mu.Unlock()
+	if o != nil {
+		p.offerManifest(m.Daemon.Name, m.Manifest)
+	}
+}
+
 // setAlive records whether a peer answers: it does if err is nil.
 func (p *peers) setAlive(o *peer, err error) {
 	p.mu.Lock()
@@ -280,7 +288,8 @@
 
 // sendQueued sends the queued updates to a peer until the next sync is due.
 func (p *peers) sendQueued(ctx context.Context, o *peer) error {
-	c, cancel := context.WithTimeout(ctx, syncInterval)
+	interval := time.Duration((1 - syncJitter + 2*syncJitter*p.f.random()) * float64(syncInterval))
+	c, cancel := context.WithTimeout(ctx, interval)
 	defer cancel()
 	for {
 		select {
@@ -362,6 +371,9 @@
 	n := len(p.known)
 	p.mu.Unlock()
 	p.manifests.Offer(name, version, n, p.f.clock.Now())
+	if version > p.f.manifestVersion() {
+		p.wake.wake()
+	}
 }
 
 // fetchDueManifest fetches the newest manifest from a peer, in the background, if that
@@ -433,7 +445,7 @@
 func (p *peers) syncState() syncMessage {
 	now := p.f.clock.Now()
 	m := syncMessage{
-		Daemon: Daemon{Name: p.f.cfg.Daemon.Name, Addr: p.f.cfg.Daemon.Peers, Domain: p.f.cfg.Daemon.Domain},
+		Daemon: p.f.cfg.Daemon.daemon(),
 		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), Daemons: p.f.members.Count(), Fresh: p.f.endpointEntries.Fresh(now),
 		ManifestAge: proofAgeOf(p.f.manifests, now), EndpointsAge: proofAgeOf(p.f.endpointEntries, now),
 		ManifestLost: p.f.manifests.Lost(), EndpointsLost: p.f.endpointEntries.Lost(),
@@ -471,8 +483,7 @@
 		if err := msgpack.Unmarshal(body, &remote); err != nil {
 			return nil, err
 		}
-		p.addDiscovered(remote.Daemon)
-		p.f.recordDaemonCount(remote.Daemons)
+		p.recordSync(&remote)
 		return msgpack.Marshal(p.syncState())
 	case methodManifest:
 		return p.handleManifest()
@@ -496,7 +507,7 @@
 func (p *peers) addDiscovered(d Daemon) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if d.Name == "" || d.Addr == "" || d.Name == p.f.cfg.Daemon.Name || len(p.known) >= fullMeshLimit {
+	if d.Name == "" || d.Addr == "" || d.Name == p.f.cfg.Daemon.Name || len(p.known) >= reporter.FullMeshLimit {
 		return
 	}
 	if o := p.known[d.Name]; o == nil && !p.others[d.Name] {
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/reporter"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
@@ -136,7 +137,17 @@
 
 // recordProgress records that the request made progress on an engine, which proves it and the
 // parts of its prompt sound.
-func (s *stream) recordProgress(now time.Time) { s.f.quarantine.RecordProgress(s.x.subjects, now) }
+func (s *stream) recordProgress(now time.Time) {
+	s.f.quarantine.RecordProgress(s.x.subjects, now)
+	s.f.wakeForEvidence()
+}
+
+// wakeForEvidence makes the daemon send its evidence to the peers if there is any.
+func (f *Forwarder) wakeForEvidence() {
+	if f.quarantine.HasUpdates() {
+		f.peers.wake.wake()
+	}
+}
 
 // checkEngine finds out whether the engine of a run that has broken off has ended, and records
 // the request and the parts of its prompt as suspects unless the run has made progress. The channel
@@ -167,6 +178,7 @@
 		s.f.addRequestFields(s.f.log.Info(), s.x).Str("endpoint", e.Name).Int("suspects", len(suspects)).Msg("forwarder: engine has ended; run lost")
 		if len(suspects) > 0 {
 			s.f.quarantine.RecordCrash(e.Identity, suspects, now)
+			s.f.wakeForEvidence()
 		}
 	})
 	return result
@@ -210,6 +222,7 @@
 			f.metrics.count("calls_lost_with_endpoint")
 			f.addRequestFields(f.log.Info(), x).Str("endpoint", e.Name).Str("subject", formatSubject(x.subjects[0])).Msg("forwarder: endpoint has ended; call lost")
 			f.quarantine.RecordCrash(e.Identity, suspectsOf(x.subjects), now)
+			f.wakeForEvidence()
 		}
 		result <- ended
 	})
@@ -351,15 +364,16 @@
 	}
 }
 
-// applyEvidence adds the evidence of a peer. Above fullMeshLimit, daemons of other failure
-// domains send theirs to few daemons of this one, which pass it on.
+// applyEvidence adds the evidence of a peer, and passes on that of other failure domains if package
+// reporter says so.
 func (p *peers) applyEvidence(e *quarantiner.Evidence, peer string) {
 	if e == nil || e.Empty() {
 		return
 	}
 	now := p.f.clock.Now()
-	relay := p.f.members.Count() > fullMeshLimit && p.domainOf(peer) != p.f.cfg.Daemon.Domain
+	relay := reporter.Relays(p.f.cfg.Daemon.Domain, p.domainOf(peer), p.f.members.Count())
 	p.f.quarantine.Apply(*e, relay, now)
+	p.wake.wake()
 	p.f.markCrashed(e.Crashes, now)
 }
 
@@ -387,6 +401,6 @@
 // relayEvidence queues evidence of other failure domains for the peers of this one.
 func (p *peers) relayEvidence(e quarantiner.Evidence) {
 	if !e.Empty() {
-		p.enqueueFor(&updateMessage{Evidence: &e}, func(d Daemon) bool { return d.Domain == p.f.cfg.Daemon.Domain })
+		p.enqueueFor(&updateMessage{Evidence: &e}, p.isLocal)
 	}
 }
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -6,6 +6,7 @@
 
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
+	"monsoonspar.example/coordination/reporter"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -14,8 +15,9 @@
 	pollInterval     = 400 * time.Millisecond  // Interval for polling an engine on behalf of all daemons.
 	maxReportAge     = 1500 * time.Millisecond // A daemon polls an engine itself if its newest report is older.
 	pollTimeout      = 400 * time.Millisecond
-	maxFailedPolls   = 2                     // Consecutive failed polls after which an engine counts as unresponsive.
-	pollLoopInterval = 50 * time.Millisecond // Interval for starting the polls that are due and processing the queues of the placers.
+	maxFailedPolls   = 2                      // Consecutive failed polls after which an engine counts as unresponsive.
+	pollLoopInterval = 50 * time.Millisecond  // Interval for processing the queues of the placers.
+	idlePollInterval = 100 * time.Millisecond // The same while no job is queued; a new one ends the wait, and so does a report.
 )
 
 // engines returns the endpoints of engine services.
@@ -35,7 +37,7 @@
 
 // enginePoll is the state of polling one engine.
 type enginePoll struct {
-	nextAt     time.Time
+	nextAt     time.Time // Zero before the first decision.
 	inProgress bool
 	failures   int
 }
@@ -45,56 +47,99 @@
 func (f *Forwarder) pollReports(ctx context.Context) {
 	polls := map[registrar.Identity]*enginePoll{}
 	results := make(chan pollResult, 64)
-	for f.clock.Sleep(ctx, pollLoopInterval) == nil {
+	base := f.clock.Now().Add(-time.Duration(f.random() * float64(pollInterval)))
+	for f.pollWake.wait(ctx, f.clock, f.pollDelay()) == nil {
 		now := f.clock.Now()
 		f.handlePollResults(polls, results, now)
-		present := map[registrar.Identity]bool{}
-		peers := f.peers.reachablePeers()
-		for _, e := range f.engines() {
-			present[e.Identity] = true
-			p := polls[e.Identity]
-			if p == nil {
-				p = &enginePoll{nextAt: now.Add(time.Duration(f.random() * float64(pollInterval) / 4))}
-				polls[e.Identity] = p
-			}
-			if p.inProgress || now.Before(p.nextAt) {
-				continue
-			}
-			if !f.shouldPoll(e, peers, now) {
-				p.nextAt = now.Add(pollInterval / 2)
-				continue
-			}
-			p.inProgress = true
-			p.nextAt = now.Add(time.Duration((0.85 + 0.3*f.random()) * float64(f.pollIntervalOf(e))))
-			f.spawn(func() { f.pollEngine(ctx, e, results) })
-		}
-		for id, p := range polls {
-			if !present[id] && !p.inProgress {
-				delete(polls, id)
-			}
-		}
+		f.startPolls(ctx, polls, results, base, now)
 		f.handleEndpointChanges(f.registry.Expire(now))
 		f.processQueues(now)
 	}
 }
 
+// pollDelay returns the time until the next round of pollReports, unless something ends the wait.
+func (f *Forwarder) pollDelay() time.Duration {
+	for _, p := range f.allPlacers() {
+		if p.QueueLength() > 0 {
+			return pollLoopInterval
+		}
+	}
+	return idlePollInterval
+}
+
+// startPolls starts the polls that are due. Regular polls are due at the same times after base.
+func (f *Forwarder) startPolls(ctx context.Context, polls map[registrar.Identity]*enginePoll, results chan<- pollResult, base, now time.Time) {
+	engines := f.engines()
+	decide := f.pollDecisions(engines)
+	present := make(map[registrar.Identity]bool, len(engines))
+	for _, e := range engines {
+		present[e.Identity] = true
+		p := polls[e.Identity]
+		if p == nil {
+			p = &enginePoll{}
+			polls[e.Identity] = p
+		}
+		if p.inProgress || now.Before(p.nextAt) {
+			continue
+		}
+		if !f.shouldPoll(e, decide(e), now) {
+			p.nextAt = now.Add(pollInterval / 2)
+			continue
+		}
+		p.inProgress = true
+		p.nextAt = nextPoll(base, now, f.pollIntervalOf(e))
+		f.spawn(func() { f.pollEngine(ctx, e, results) })
+	}
+	for id, p := range polls {
+		if !present[id] && !p.inProgress {
+			delete(polls, id)
+		}
+	}
+}
+
+// nextPoll returns the time of the next poll, a multiple of the interval after base. Engines with the
+// same interval are polled at the same times, so that their reports go in one message.
+func nextPoll(base, now time.Time, interval time.Duration) time.Time {
+	next := base.Add(now.Sub(base).Truncate(interval) + interval)
+	if next.Sub(now) < interval/2 {
+		next = next.Add(interval)
+	}
+	return next
+}
+
+// pollDecisions returns a function that decides whether this daemon polls an engine of the given
+// ones.
+func (f *Forwarder) pollDecisions(engines []registrar.Endpoint) func(registrar.Endpoint) reporter.Polls {
+	inDomain := map[string]int{}
+	for i := range engines {
+		inDomain[engines[i].Domain]++
+	}
+	var reachable []reporter.Daemon
+	for _, d := range f.peers.reachablePeers() {
+		reachable = append(reachable, reporter.Daemon(d))
+	}
+	known := map[reporter.Group]reporter.Polls{}
+	return func(e registrar.Endpoint) reporter.Polls {
+		g := reporter.GroupOf(e, inDomain[e.Domain])
+		p, ok := known[g]
+		if !ok {
+			p = reporter.PollsOf(g, reporter.Daemon(f.cfg.Daemon.daemon()), reachable)
+			known[g] = p
+		}
+		return p
+	}
+}
+
 // shouldPoll reports whether this daemon should poll an engine. One daemon does so on
 // behalf of its peers, preferably one in the failure domain of the engine. The others
 // poll the engine only if they have received no report for maxReportAge. An engine that
 // is deferred gets no polls.
-func (f *Forwarder) shouldPoll(e registrar.Endpoint, peers []Daemon, now time.Time) bool {
+func (f *Forwarder) shouldPoll(e registrar.Endpoint, decision reporter.Polls, now time.Time) bool {
 	p := f.knownPlacer(e.Service)
 	if p == nil || f.isDeferred(e, now) {
 		return false
 	}
-	self := Daemon{Name: f.cfg.Daemon.Name, Domain: f.cfg.Daemon.Domain}
-	best, bestScore := self, limiter.Score(limiter.Daemon(self), e)
-	for _, d := range peers {
-		if score := limiter.Score(limiter.Daemon(d), e); score > bestScore {
-			best, bestScore = d, score
-		}
-	}
-	return best.Name == self.Name || p.ReportAge(e.Identity, now) > f.reportAgeLimit(e)
+	return decision.Regular() || decision.Due(p.ReportAge(e.Identity, now), f.reportAgeLimit(e))
 }
 
 // Limits of finding out whether an engine still runs.
@@ -144,6 +189,7 @@
 	}
 	select {
 	case results <- pollResult{endpoint: e, report: r.Report, deferred: r.Notice.RetryAfter > 0, err: err}:
+		f.pollWake.wake()
 	case <-ctx.Done():
 	}
 }
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -35,6 +35,11 @@
 	RequestSeconds float64       `ini:"request_s"` // Time in which a client must have sent a request.
 }
 
+// daemon returns the entry of the daemon in the store.
+func (s *DaemonSettings) daemon() Daemon {
+	return Daemon{Name: s.Name, Addr: s.Peers, Domain: s.Domain}
+}
+
 // StoreSettings hold the address of the store of the platform.
 type StoreSettings struct {
 	Addr string `ini:"addr"`
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -332,6 +332,7 @@
 		s.logPlacement(pl, 0)
 		return pl, nil
 	}
+	s.f.pollWake.wake()
 	return s.awaitOutcome(ch)
 }
 
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -8,6 +8,7 @@
 
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/reporter"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -53,15 +54,21 @@
 			pl.ApplyUpdates(m.Services[i].Updates, now)
 		}
 	}
+	relays := len(m.Reports) > 0 && reporter.Relays(p.f.cfg.Daemon.Domain, p.domainOf(name), p.f.members.Count())
+	var relayed updateMessage
 	for i := range m.Reports {
 		r := &m.Reports[i]
-		if pl := p.f.knownPlacer(r.Service); pl != nil {
-			pl.Observe(r.Engine, r.Report, now.Add(-time.Duration(r.AgeMs)*time.Millisecond))
+		r.takenAt = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+		if pl := p.f.knownPlacer(r.Service); pl != nil && pl.Observe(r.Engine, r.Report, r.takenAt) && relays {
+			relayed.Reports = append(relayed.Reports, *r)
 		}
 		if r.Report.ShuttingDown { // This daemon may have started after the news was sent.
 			p.f.handleShutdown(r.Engine, r.Report.ShutdownIn, "report of a peer")
 		}
 	}
+	if len(relayed.Reports) > 0 {
+		p.enqueueFor(&relayed, p.isLocal)
+	}
 	if len(m.Endpoints) > 0 {
 		p.f.applyEndpoints(m.Endpoints)
 	}
@@ -78,17 +85,21 @@
 // Urgent updates are queued at once, the others in larger batches.
 func (p *peers) publishUpdates(ctx context.Context) {
 	var m updateMessage
-	var sentAt time.Time
-	for p.f.clock.Sleep(ctx, updateInterval) == nil {
+	var sentAt, checkedAt time.Time
+	for p.wake.wait(ctx, p.f.clock, p.updateDelay(&m)) == nil {
+		if early := updateInterval - p.f.clock.Now().Sub(checkedAt); early > 0 && p.f.clock.Sleep(ctx, early) != nil {
+			return
+		}
 		p.fetchDueManifest()
 		now := p.f.clock.Now()
+		checkedAt = now
 		next := p.collectUpdates()
 		own, relayed := p.f.quarantine.TakeUpdates(now)
 		p.relayEvidence(relayed)
 		next.Evidence = &own
 		m.add(&next)
 		p.f.enforceQuarantine(now)
-		if m.empty() || (!next.urgent() && now.Sub(sentAt) < p.batchInterval()) {
+		if m.empty() || (!next.urgent() && now.Sub(sentAt) < p.batchInterval(&m)) {
 			continue
 		}
 		p.enqueue(&m)
@@ -96,14 +107,27 @@
 	}
 }
 
+// updateDelay returns the time until the next check for updates, unless one comes before: m waits to
+// be sent, or something is due at a time that nothing announces.
+func (p *peers) updateDelay(m *updateMessage) time.Duration {
+	if !m.empty() || p.f.quarantine.HasUpdates() || p.manifests.Behind(p.f.manifestVersion(), p.f.clock.Now()) > 0 {
+		return updateInterval
+	}
+	return idleUpdateInterval
+}
+
 // batchInterval returns how long updates that are not urgent may be delayed.
-func (p *peers) batchInterval() time.Duration {
+func (p *peers) batchInterval(m *updateMessage) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.known) < smallDeployment {
+	switch {
+	case len(p.known) < smallDeployment:
 		return 0
+	case len(m.Reports) > 0:
+		return reportBatchInterval
+	default:
+		return batchedUpdateInterval
 	}
-	return batchedUpdateInterval
 }
 
 // collectUpdates returns and clears the updates that are pending.
@@ -163,6 +187,9 @@
 // full misses the batch; later reports and syncs correct its state.
 func (p *peers) enqueue(m *updateMessage) { p.enqueueFor(m, func(Daemon) bool { return true }) }
 
+// isLocal reports whether a daemon is in the failure domain of this one.
+func (p *peers) isLocal(d Daemon) bool { return d.Domain == p.f.cfg.Daemon.Domain }
+
 // enqueueFor is like enqueue for the peers that are selected.
 func (p *peers) enqueueFor(m *updateMessage, selected func(Daemon) bool) {
 	now := p.f.clock.Now()
@@ -196,6 +223,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending.Reports = append(p.pending.Reports, reportUpdate{Service: service, Engine: id, Report: r, takenAt: p.f.clock.Now()})
+	p.wake.wake()
 }
 
 // queueShutdown queues the update that an endpoint is shutting down.
@@ -203,6 +231,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending.ShuttingDown = append(p.pending.ShuttingDown, shutdownUpdate{Endpoint: id, ShutdownMs: notice.Milliseconds()})
+	p.wake.wake()
 }
 
 // queueManifest queues the version of the manifest that is in force now.
@@ -210,6 +239,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending.Manifest = max(p.pending.Manifest, version)
+	p.wake.wake()
 }
 
 // queueEndpointChanges queues changes that were received from the store.
@@ -217,4 +247,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending.Endpoints = append(p.pending.Endpoints, changes...)
+	p.wake.wake()
 }
--- a/state/timekeeper/timekeeper.go
+++ b/state/timekeeper/timekeeper.go
@@ -23,6 +23,13 @@
 	Sleep(ctx context.Context, d time.Duration) error
 }
 
+// Waiter is a Sleeper whose sleep can be ended sooner.
+type Waiter interface {
+	Sleeper
+	// Wait is like Sleep, but returns sooner when wake delivers a value.
+	Wait(ctx context.Context, d time.Duration, wake <-chan struct{}) error
+}
+
 // System is the system clock. The zero value is ready to use.
 type System struct{}
 
@@ -30,12 +37,17 @@
 func (System) Now() time.Time { return time.Now() }
 
 // Sleep waits until d has passed or ctx is done.
-func (System) Sleep(ctx context.Context, d time.Duration) error {
+func (s System) Sleep(ctx context.Context, d time.Duration) error { return s.Wait(ctx, d, nil) }
+
+// Wait waits until d has passed, wake delivers a value, or ctx is done.
+func (System) Wait(ctx context.Context, d time.Duration, wake <-chan struct{}) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return nil
+	case <-wake:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/transport/framer/conn.go
+++ b/transport/framer/conn.go
@@ -57,8 +57,9 @@
 func (c *conn) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.node.addRunning(c)
+	defer c.node.removeRunning(c)
 	var g conc.WaitGroup
-	g.Go(func() { c.heartbeat(ctx) })
 	c.fail(c.readLoop(ctx, &g))
 	cancel()
 	g.Wait()
@@ -113,28 +114,16 @@
 	}
 }
 
-// heartbeat sends pings while calls are pending, and closes the connection if
-// they are not answered or if it has been idle for idleTimeout. It sends nothing
-// on an idle connection.
-func (c *conn) heartbeat(ctx context.Context) {
-	t := time.NewTicker(heartbeatInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if err := c.checkLiveness(time.Now()); err != nil {
-			c.fail(err)
-			return
-		}
+// ping sends a ping.
+func (c *conn) ping() {
+	if err := c.write(envelope{Kind: kindPing}); err != nil {
+		c.fail(err)
 	}
 }
 
-// checkLiveness sends a ping if calls are pending. It returns an error if an
-// earlier ping was not answered in time or the connection is idle.
-func (c *conn) checkLiveness(now time.Time) error {
+// checkLiveness reports whether a ping has to be sent, since calls are pending. It returns an error
+// if an earlier ping was not answered in time or the connection is idle.
+func (c *conn) checkLiveness(now time.Time) (needsPing bool, err error) {
 	c.mu.Lock()
 	hasPending := len(c.pending) > 0
 	timedOut := !c.pingedAt.IsZero() && now.Sub(c.pingedAt) > heartbeatTimeout
@@ -143,16 +132,13 @@
 		c.pingedAt = now
 	}
 	c.mu.Unlock()
-	if timedOut {
-		return errHeartbeatTimeout
-	}
-	if idle {
-		return errIdleTimeout
-	}
-	if !hasPending {
-		return nil
+	switch {
+	case timedOut:
+		return false, errHeartbeatTimeout
+	case idle:
+		return false, errIdleTimeout
 	}
-	return c.write(envelope{Kind: kindPing})
+	return hasPending, nil
 }
 
 // write sends a frame.
--- a/transport/framer/framer_test.go
+++ b/transport/framer/framer_test.go
@@ -102,7 +102,8 @@
 	c := newConn(NewNode(Config{}, echo{}), nil, nil, bufio.NewWriter(&bytes.Buffer{}), "b")
 	c.pending[1] = make(chan reply, 1)
 	c.pingedAt = now
-	assert.ErrorIs(t, c.checkLiveness(now.Add(heartbeatTimeout+1)), errHeartbeatTimeout)
+	_, err := c.checkLiveness(now.Add(heartbeatTimeout + 1))
+	assert.ErrorIs(t, err, errHeartbeatTimeout)
 }
 
 func FuzzDecodeFrame(f *testing.F) {
--- a/transport/framer/node.go
+++ b/transport/framer/node.go
@@ -36,7 +36,10 @@
 	cancel context.CancelFunc
 	group  conc.WaitGroup
 
+	heartbeats sync.Once // Starts the goroutine of heartbeat.
+
 	mu       sync.Mutex
+	running  map[*conn]struct{}     // Connections that are served.
 	dialed   map[string]*dialedConn // By address.
 	accepted map[*conn]struct{}
 	listener net.Listener
@@ -54,6 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
 		cfg: cfg, handler: h, ctx: ctx, cancel: cancel,
+		running:  map[*conn]struct{}{},
 		dialed:   map[string]*dialedConn{},
 		accepted: map[*conn]struct{}{},
 	}
@@ -109,6 +113,49 @@
 	n.mu.Unlock()
 }
 
+// addRunning adds a connection that is served, which the heartbeat checks.
+func (n *Node) addRunning(c *conn) {
+	n.mu.Lock()
+	n.running[c] = struct{}{}
+	n.mu.Unlock()
+	n.heartbeats.Do(func() { n.group.Go(n.heartbeat) })
+}
+
+func (n *Node) removeRunning(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.running, c)
+}
+
+// heartbeat sends pings on all connections with pending calls, and closes those on which they are
+// not answered or that have been idle for idleTimeout, until the node is closed. It sends nothing on
+// an idle connection. One goroutine serves all connections, so that many of them cost few wake-ups.
+func (n *Node) heartbeat() {
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-t.C:
+		}
+		n.mu.Lock()
+		conns := make([]*conn, 0, len(n.running))
+		for c := range n.running {
+			conns = append(conns, c)
+		}
+		n.mu.Unlock()
+		for _, c := range conns {
+			switch needsPing, err := c.checkLiveness(time.Now()); {
+			case err != nil:
+				c.fail(err)
+			case needsPing:
+				n.group.Go(c.ping) // A write may block.
+			}
+		}
+	}
+}
+
 // authenticate runs the handshake on a new connection.
 func (n *Node) authenticate(raw net.Conn, dialed bool) (*conn, error) {
 	r := bufio.NewReaderSize(raw, bufferBytes)
