--- a/forwarder/again.go
+++ b/forwarder/again.go
@@ -56,11 +56,7 @@
 	if !s.x.route.Repeatable() {
 		return run{}, errNoCopy
 	}
-	wait := endDecisionTime
-	if !s.mayRunAgain() {
-		wait = endProbeTimeout // Only the end of the engine permits another run.
-	}
-	if s.f.awaitEnd(s.ctx, s.engineEnded, wait) {
+	if s.sourceEnded(source) {
 		if !s.f.mayCrashAnother(s.x) {
 			return run{}, errQuarantined
 		}
@@ -76,6 +72,19 @@
 	return run{}, errNotRepeatable
 }
 
+// sourceEnded reports whether the engine of a run that has broken off is known to have ended. It asks
+// for longer if only that permits another run.
+func (s *stream) sourceEnded(source run) bool {
+	switch {
+	case s.mayRunAgain():
+		return s.f.awaitEnd(s.ctx, s.engineEnded, endDecisionTime)
+	case s.engineEnded != nil:
+		return s.f.awaitEnd(s.ctx, s.engineEnded, endProbeTimeout)
+	default:
+		return s.f.hasEnded(s.ctx, source.engine)
+	}
+}
+
 // errRefusedByEngine means that an engine did not accept a new run.
 var errRefusedByEngine = errors.New("engine did not accept the run")
 
