No pause between polls of a daemon without peers; lone daemons hear changes at once again

Traced: the daemon of the test is in its pause for the whole stream. A trial that pauses only while other daemons are listed still failed 8 of 8, since the list is read after the first poll.

Change: the pause is taken out; calls at a start are as before. After: 0 of 8 failures, and the tests of resumes pass with -race.

--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -21,7 +21,7 @@
 	initialDaemonLists = 3                      // Number of lists after the start that are read at shorter intervals, since daemons start at the same time.
 	roleCheckInterval  = 100 * time.Millisecond // Interval for checking whether a call to the store should be given up.
 	idleCheckInterval  = time.Minute            // The same while no call is pending; a new one ends the wait.
-	batchedWatchPause  = time.Second            // Pause between polls that return all changes since the last one: long ones, and those of a daemon that reaches no peer.
+	batchedWatchPause  = time.Second            // Pause between long polls, which return all changes since the last one.
 	listTimeout        = 2 * time.Second
 	removeTimeout      = time.Second // For the deletion of this daemon's entry when it stops.
 )
@@ -107,9 +107,7 @@
 			}
 			continue
 		}
-		// A daemon that reaches no peer is usually one of many that have just started.
-		pause := step.Wait > follower.ShortPoll || v.Peers == 0 && v.Known
-		if s.call(ctx, step) == nil && pause && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
+		if s.call(ctx, step) == nil && step.Wait > follower.ShortPoll && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
 			return
 		}
 	}
