experimenter: the same standard deviation on machines that fuse multiplication and addition

Cause: the compiler fuses x*y+z on arm64, which rounds once in place of twice; the golden file was made on amd64. Change: an explicit conversion, which the language defines to forbid the fusion. The golden file and the check are unchanged. After: the test passes.

--- a/experimenter/summary.go
+++ b/experimenter/summary.go
@@ -95,7 +95,7 @@
 		s.Max = max(s.Max, v)
 	}
 	for _, v := range values {
-		s.SD += (v - s.Mean) * (v - s.Mean)
+		s.SD += float64((v - s.Mean) * (v - s.Mean)) // The conversion forbids a fused addition, which rounds otherwise.
 	}
 	s.SD = math.Sqrt(s.SD / max(1, float64(len(values)-1)))
 	return s
