Migrate runs until their engine ends, not until the shortest notice has passed

The first sign of a shutdown rarely states the time left, so 1.5 s were assumed; no migration began later than 1.25 s after it, while engines ended 1.5 to 2.1 s after, and reports that stated the end were ignored once the shutdown was known.

coordination/evacuator keeps what is known of the end of an engine. A run is tried as long as the engine may still run, and a stated end replaces the assumed one.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/budgeter"
+	"monsoonspar.example/coordination/evacuator"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
@@ -54,6 +55,7 @@
 	limits    *limiter.Limiter
 	members   *limiter.Members // The daemons that share the limits.
 	deferrals limiter.Deferrals
+	shutdowns evacuator.Shutdowns // Of engines.
 	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -13,21 +13,17 @@
 
 // Limits of evacuating an engine that is shutting down.
 const (
-	defaultShutdownNotice   = 1500 * time.Millisecond // Time from the first sign of a shutdown to its end; the shortest notice that the platform gives.
-	evacuationCheckInterval = 25 * time.Millisecond   // Interval for checking whether a run can migrate.
-	maxTurnDelayFactor      = 3                       // Limits the wait for the runs ahead to a multiple of their planned time.
-	minSurvivalToMigrate    = 0.2                     // Probability of outlasting the engine above which a run migrates; a migration costs far less than a lost run.
-	minMigrationTime        = 250 * time.Millisecond  // No migration starts with less time left.
+	evacuationCheckInterval = 25 * time.Millisecond  // Interval for checking whether a run can migrate.
+	maxTurnDelayFactor      = 3                      // Limits the wait for the runs ahead to a multiple of their planned time.
+	minSurvivalToMigrate    = 0.2                    // Probability of outlasting the engine above which a run migrates; a migration costs far less than a lost run.
+	minMigrationTime        = 250 * time.Millisecond // Time that the last migration from an engine takes at least.
 )
 
 // evacuate starts the migration of the streams of an engine that is shutting down.
-// The notice is the time left until the engine ends; if it is not known, evacuate
-// assumes defaultShutdownNotice.
+// The notice is the time left until the engine ends; zero if it is not known.
 func (f *Forwarder) evacuate(e registrar.Endpoint, notice time.Duration) {
-	if notice <= 0 {
-		notice = defaultShutdownNotice
-	}
 	now := f.clock.Now()
+	notice = f.shutdowns.Observe(e.Identity, notice, now).Left(now)
 	turns := f.evacuationTurns(e, now)
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
@@ -38,7 +34,7 @@
 		s.mu.Unlock()
 		if due {
 			f.spawn(func() {
-				s.evacuateRun(e, now.Add(latestStart(turns[s.job.ID], notice)), now.Add(notice))
+				s.evacuateRun(e, now.Add(latestStart(turns[s.job.ID], notice)))
 				s.endEvacuation(e.Identity)
 			})
 		}
@@ -68,17 +64,18 @@
 
 // evacuateRun migrates the stream from an engine that is shutting down, unless the
 // run is likely to end there in time. The migration starts when the runs ahead have
-// migrated, or at latestStartAt.
-func (s *stream) evacuateRun(e registrar.Endpoint, latestStartAt, shutdownAt time.Time) {
+// migrated, or at latestStartAt. It is tried as long as the engine may still run.
+func (s *stream) evacuateRun(e registrar.Endpoint, latestStartAt time.Time) {
 	for {
 		now := s.f.clock.Now()
-		if s.ctx.Err() != nil || !s.runsOn(e.Identity) || shutdownAt.Sub(now) < minMigrationTime {
+		shutdown, known := s.f.shutdowns.Get(e.Identity)
+		if s.ctx.Err() != nil || !s.runsOn(e.Identity) || !known || !shutdown.MayMigrate(now) {
 			return
 		}
 		tokens := s.outputTokens()
-		worthMigrating := s.hasEvents() && s.jobPlacer.SurvivalProbability(s.job, tokens, shutdownAt.Sub(now)) > minSurvivalToMigrate
+		worthMigrating := s.hasEvents() && s.jobPlacer.SurvivalProbability(s.job, tokens, shutdown.Left(now)) > minSurvivalToMigrate
 		mayStart := worthMigrating && (!now.Before(latestStartAt) || s.f.evacuationTurns(e, now)[s.job.ID].RunsAhead == 0)
-		if mayStart && s.migrateOnce(e.Identity, shutdownAt) {
+		if mayStart && s.migrateOnce(e.Identity, shutdown.End) {
 			return
 		}
 		if s.f.clock.Sleep(s.ctx, evacuationCheckInterval) != nil {
--- a/forwarder/migration_test.go
+++ b/forwarder/migration_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"monsoonspar.example/coordination/evacuator"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/state/registrar"
 )
@@ -18,10 +19,10 @@
 	start := func(ahead, behind int, notice time.Duration) time.Duration {
 		return latestStart(placer.EvacuationTurn{StartAfter: time.Duration(ahead) * migrationTime, TimeNeeded: time.Duration(1+behind) * migrationTime}, notice)
 	}
-	assert.Equal(t, start(0, 5, defaultShutdownNotice), time.Duration(0))
-	assert.Equal(t, start(1, 1, defaultShutdownNotice), maxTurnDelayFactor*migrationTime)
-	assert.Equal(t, start(2, 1, defaultShutdownNotice), defaultShutdownNotice-minMigrationTime-2*migrationTime)
-	assert.Equal(t, start(4, 2, defaultShutdownNotice), 4*migrationTime)
+	assert.Equal(t, start(0, 5, evacuator.MinNotice), time.Duration(0))
+	assert.Equal(t, start(1, 1, evacuator.MinNotice), maxTurnDelayFactor*migrationTime)
+	assert.Equal(t, start(2, 1, evacuator.MinNotice), evacuator.MinNotice-minMigrationTime-2*migrationTime)
+	assert.Equal(t, start(4, 2, evacuator.MinNotice), 4*migrationTime)
 }
 
 // Guards against a second run that continues a run which another one on the same engine has
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -30,6 +30,9 @@
 // notice is the time until it ends; zero if not known. It reports whether the shutdown was
 // not known before.
 func (f *Forwarder) handleShutdown(id registrar.Identity, notice time.Duration, source string) bool {
+	if notice > 0 { // Later signs may tell what the first one does not.
+		f.shutdowns.Observe(id, notice, f.clock.Now())
+	}
 	e, changed := f.registry.MarkShuttingDown(id)
 	if !changed {
 		return false
