--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -230,7 +230,7 @@
 		cost += refusedCostMs
 	}
 	if e.endpoint.Domain != q.domain {
-		cost += otherDomainCostMs
+		cost += milliseconds(p.cfg.OtherDomainCost)
 	}
 	return cost
 }
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -15,15 +15,14 @@
 // Costs are in milliseconds of delay to the first event, and memory limits in
 // fractions of an engine's memory.
 const (
-	prefillSlowdown   = 2.0  // Factor on the prefill time, since prefill alternates with the decode steps of other sequences.
-	sequenceCostMs    = 30.0 // A sequence slows the steps of the others and is one more to migrate when the engine shuts down.
-	lowPeak           = 0.3  // An engine with a lower forecast peak counts as empty.
-	memoryCostMs      = 3000 // Per unit of forecast peak above lowPeak.
-	coldCostMs        = 300  // An engine is slow just after its start.
-	noReportCostMs    = 60   // The load of an engine is unknown before its first report.
-	refusedCostMs     = 1000 // The engine refused a job within refusalBackoff.
-	otherDomainCostMs = 150  // The engine is in another failure domain.
-	jitterCostMs      = 150  // Spreads jobs over equivalent engines when daemons place them before they receive each other's updates.
+	prefillSlowdown = 2.0  // Factor on the prefill time, since prefill alternates with the decode steps of other sequences.
+	sequenceCostMs  = 30.0 // A sequence slows the steps of the others and is one more to migrate when the engine shuts down.
+	lowPeak         = 0.3  // An engine with a lower forecast peak counts as empty.
+	memoryCostMs    = 3000 // Per unit of forecast peak above lowPeak.
+	coldCostMs      = 300  // An engine is slow just after its start.
+	noReportCostMs  = 60   // The load of an engine is unknown before its first report.
+	refusedCostMs   = 1000 // The engine refused a job within refusalBackoff.
+	jitterCostMs    = 150  // Spreads jobs over equivalent engines when daemons place them before they receive each other's updates.
 
 	// Costs of migration targets, in fractions of an engine's memory.
 	migrationJitter          = 0.05                   // Spreads migrations over equivalent engines.
@@ -38,7 +37,7 @@
 
 	maxPeak            = 0.97                    // No job is placed on an engine that would exceed this forecast peak, unless it has no sequences.
 	minBackupTime      = 1500 * time.Millisecond // Shorter runs end within the shutdown notice of their engine.
-	maxBackupPeak      = 0.3                     // Backups on fuller engines would take memory from jobs.
+	maxBackupPeak      = 0.3                     // Backups on fuller engines would take memory from jobs that need it more.
 	unusableRetention  = 20 * time.Second        // Longer than an engine serves after its shutdown notice.
 	unreachableBackoff = 1500 * time.Millisecond // Before an unreachable engine is tried again.
 	refusalBackoff     = 300 * time.Millisecond  // Time for which refusedCostMs is added.
@@ -48,7 +47,7 @@
 	minOutputSteps     = 16                      // A job is refused if its deadline leaves time for fewer decode steps.
 )
 
-// Config describes the engines of one service. All fields but Updated are required.
+// Config describes the engines of one service. The fields up to OtherDomainCost are required.
 type Config struct {
 	Domain             string        // Failure domain of the daemon.
 	Slots              int           // Largest number of sequences on an engine.
@@ -58,6 +57,13 @@
 	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
 	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
 	ReportLag          time.Duration // Age of the figures in a report when it is received.
+	// OtherDomainCost is the delay to the first event that is accepted to avoid another failure domain.
+	OtherDomainCost time.Duration
+	// ExposedBackupPeak is the forecast peak up to which engines take backups of exposed runs (see
+	// isExposed), as a fraction of their memory. Zero treats these runs like others.
+	ExposedBackupPeak float64
+	// LinkTokensPerSecond is the rate at which an engine copies its KV cache to another one; zero if not known.
+	LinkTokensPerSecond float64
 	// Updated, if not nil, gets a value when there are updates to take. It should have a buffer.
 	Updated    chan<- struct{}
 	Deviations float64 // Standard deviations added to the forecast mean as a safety margin.
@@ -331,12 +337,16 @@
 
 // chooseBackup returns the engine that should keep a copy of the job's memory:
 // the one with the lowest forecast peak, preferably in the failure domain of the
-// primary engine. It returns the zero Endpoint if there is none. The mutex is
-// held.
+// primary engine, or of the daemon if the daemon may lose its connection to the primary engine
+// in a network partition. It returns the zero Endpoint if there is none. The mutex is held.
 func (p *Placer) chooseBackup(job *Job, primary *engine, now time.Time) registrar.Endpoint {
 	if !job.AllowBackup || p.expectedRemaining(job, job.OutputTokens) < minBackupTime {
 		return registrar.Endpoint{}
 	}
+	limit, domain := maxBackupPeak, primary.endpoint.Domain
+	if p.isExposed(job, primary) {
+		limit, domain = max(limit, p.cfg.ExposedBackupPeak), p.cfg.Domain
+	}
 	m := p.moments(job)
 	var best *engine
 	var bestCost float64
@@ -346,11 +356,11 @@
 		}
 		e.refresh(p, now)
 		peak := e.peak(p, &m)
-		if peak > maxBackupPeak || e.endpoint.RemainingWarmUp > 0 {
+		if peak > limit || e.endpoint.RemainingWarmUp > 0 {
 			continue
 		}
 		cost := peak + 0.1*p.rand.Float64()
-		if e.endpoint.Domain != primary.endpoint.Domain {
+		if e.endpoint.Domain != domain {
 			cost += 0.1
 		}
 		if best == nil || cost < bestCost {
@@ -362,3 +372,27 @@
 	}
 	return best.endpoint
 }
+
+// isExposed reports whether a run of the job on the primary engine would probably be lost without a
+// backup if the engine shuts down or failure domains are cut off from each other: the daemon reaches the engine across
+// the border of its domain, or the link of the engine needs more than half of the shortest shutdown notice to copy
+// all runs without a backup, since the links of the targets are shared with other engines that shut
+// down at the same time. The mutex is held.
+func (p *Placer) isExposed(job *Job, primary *engine) bool {
+	if p.cfg.ExposedBackupPeak <= 0 {
+		return false
+	}
+	if primary.endpoint.Domain != p.cfg.Domain {
+		return true
+	}
+	if p.cfg.LinkTokensPerSecond <= 0 {
+		return false
+	}
+	tokens := float64(job.PromptTokens + job.OutputTokens)
+	for _, r := range primary.runs {
+		if b := p.engines[r.backup]; (b == nil || !b.unusableSince.IsZero()) && !r.short {
+			tokens += float64(r.job.PromptTokens + r.job.OutputTokens)
+		}
+	}
+	return time.Duration(linkSharingFactor*tokens/p.cfg.LinkTokensPerSecond*float64(time.Second)) > minBackupTime/2
+}
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -17,7 +17,7 @@
 // cfg describes engines like those of customers, with memory for about ten jobs.
 var cfg = placer.Config{
 	Domain: "a", Slots: 24, MemoryTokens: 34298, BlockTokens: 16, TokensPerEvent: 4, StepTime: 8 * time.Millisecond,
-	PrefillTokensPerMs: 14, ReportLag: 500 * time.Millisecond, Deviations: 0.5,
+	PrefillTokensPerMs: 14, ReportLag: 500 * time.Millisecond, Deviations: 0.5, OtherDomainCost: 150 * time.Millisecond,
 }
 
 func engines(n int, domain string) []registrar.Endpoint {
@@ -545,6 +545,44 @@
 	assert.Equal(t, short.Backup.Name, "")
 }
 
+// Load: engines that are half full when they are reclaimed. Guards against runs without a backup whose engine
+// can't copy all of its runs within the shutdown notice, and runs behind the border of a failure domain that
+// is cut off.
+func TestExposedRunsGetABackup(t *testing.T) {
+	exposed := cfg
+	exposed.ExposedBackupPeak, exposed.LinkTokensPerSecond = 0.55, 18_000
+	fill := func(c placer.Config, all []registrar.Endpoint, jobs int) (placements []placer.Placement) {
+		p := placer.New(c, rand.New(rand.NewPCG(1, 1)))
+		p.SetEngines(all, start)
+		recordLengths(p, 0)
+		for i := range jobs {
+			pl, placed := p.Submit(job(fmt.Sprint("r", i), 3000, 0, start), nil, start)
+			assert.Assert(t, placed)
+			placements = append(placements, pl)
+		}
+		return placements
+	}
+	withBackup := func(placements []placer.Placement) (n int) {
+		for _, pl := range placements {
+			if pl.Backup.Name != "" {
+				n++
+			}
+		}
+		return n
+	}
+	const jobs = 40
+	without, with := withBackup(fill(cfg, engines(10, "a"), jobs)), withBackup(fill(exposed, engines(10, "a"), jobs))
+	t.Logf("%d of %d runs have a backup, %d without the rule", with, jobs, without)
+	assert.Assert(t, with > without)
+
+	remote := fill(exposed, append(engines(1, "a"), engines(9, "b")...), 12)
+	for _, pl := range remote {
+		if pl.Engine.Domain == "b" {
+			assert.Assert(t, pl.Backup.Name != "", "a run in another failure domain has no backup")
+		}
+	}
+}
+
 func BenchmarkSubmit(b *testing.B) {
 	all := append(engines(15, "a"), engines(30, "b")...)
 	p := newPlacer(1, all)
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -31,6 +31,9 @@
 	Seeds    []string `ini:"seeds"`     // Addresses of peers to contact before the list of daemons has been read.
 	MemoryMB int      `ini:"memory_mb"` // Memory available to the process, from which the heap limit is derived; zero for no limit.
 
+	CrossingCostMillis int     `ini:"crossing_cost_ms"`    // Delay of a generation that is accepted to keep it in the failure domain of its daemon.
+	ExposedBackupPeak  float64 `ini:"exposed_backup_peak"` // See placer.Config.
+
 	RequestTime    time.Duration `ini:"-"`
 	RequestSeconds float64       `ini:"request_s"` // Time in which a client must have sent a request.
 }
@@ -64,7 +67,7 @@
 // ParseSettings parses and validates INI text.
 func ParseSettings(text []byte) (Settings, error) {
 	s := Settings{
-		Daemon: DaemonSettings{RequestSeconds: 30},
+		Daemon: DaemonSettings{RequestSeconds: 30, CrossingCostMillis: 150},
 		Bounds: BoundSettings{ReturnGraceMillis: 2000, EntryExpiry: 300},
 		Log:    LogSettings{Level: "info"},
 	}
@@ -99,6 +102,9 @@
 	if s.Daemon.RequestTime <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.request_s must be above 0")
 	}
+	if s.Daemon.CrossingCostMillis < 0 || !(s.Daemon.ExposedBackupPeak >= 0 && s.Daemon.ExposedBackupPeak <= 1) {
+		return errors.Wrap(ErrSettings, "daemon: crossing_cost_ms must be at least 0, exposed_backup_peak from 0 to 1")
+	}
 	if s.Bounds.EntryExpiry <= 0 {
 		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
 	}
