--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -230,7 +230,8 @@
 		cost += refusedCostMs
 	}
 	if e.endpoint.Domain != q.domain {
-		cost += milliseconds(p.cfg.OtherDomainCost)
+		due := milliseconds(q.job.FirstEventDue.Sub(q.enqueuedAt))
+		cost += max(minCrossingCostMs, p.cfg.CrossingShare*due)
 	}
 	return cost
 }
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -15,14 +15,15 @@
 // Costs are in milliseconds of delay to the first event, and memory limits in
 // fractions of an engine's memory.
 const (
-	prefillSlowdown = 2.0  // Factor on the prefill time, since prefill alternates with the decode steps of other sequences.
-	sequenceCostMs  = 30.0 // A sequence slows the steps of the others and is one more to migrate when the engine shuts down.
-	lowPeak         = 0.3  // An engine with a lower forecast peak counts as empty.
-	memoryCostMs    = 3000 // Per unit of forecast peak above lowPeak.
-	coldCostMs      = 300  // An engine is slow just after its start.
-	noReportCostMs  = 60   // The load of an engine is unknown before its first report.
-	refusedCostMs   = 1000 // The engine refused a job within refusalBackoff.
-	jitterCostMs    = 150  // Spreads jobs over equivalent engines when daemons place them before they receive each other's updates.
+	prefillSlowdown   = 2.0  // Factor on the prefill time, since prefill alternates with the decode steps of other sequences.
+	sequenceCostMs    = 30.0 // A sequence slows the steps of the others and is one more to migrate when the engine shuts down.
+	lowPeak           = 0.3  // An engine with a lower forecast peak counts as empty.
+	memoryCostMs      = 3000 // Per unit of forecast peak above lowPeak.
+	coldCostMs        = 300  // An engine is slow just after its start.
+	noReportCostMs    = 60   // The load of an engine is unknown before its first report.
+	refusedCostMs     = 1000 // The engine refused a job within refusalBackoff.
+	minCrossingCostMs = 150  // The engine is in another failure domain; see Config.CrossingShare.
+	jitterCostMs      = 150  // Spreads jobs over equivalent engines when daemons place them before they receive each other's updates.
 
 	// Costs of migration targets, in fractions of an engine's memory.
 	migrationJitter          = 0.05                   // Spreads migrations over equivalent engines.
@@ -47,7 +48,7 @@
 	minOutputSteps     = 16                      // A job is refused if its deadline leaves time for fewer decode steps.
 )
 
-// Config describes the engines of one service. The fields up to OtherDomainCost are required.
+// Config describes the engines of one service. The fields up to Deviations are required.
 type Config struct {
 	Domain             string        // Failure domain of the daemon.
 	Slots              int           // Largest number of sequences on an engine.
@@ -57,16 +58,17 @@
 	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
 	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
 	ReportLag          time.Duration // Age of the figures in a report when it is received.
-	// OtherDomainCost is the delay to the first event that is accepted to avoid another failure domain.
-	OtherDomainCost time.Duration
+	Deviations         float64       // Standard deviations added to the forecast mean as a safety margin.
+	// CrossingShare is the delay to the first event that is accepted to avoid another failure domain, as a
+	// fraction of the time in which the first event is due; minCrossingCostMs at least.
+	CrossingShare float64
 	// ExposedBackupPeak is the forecast peak up to which engines take backups of exposed runs (see
 	// isExposed), as a fraction of their memory. Zero treats these runs like others.
 	ExposedBackupPeak float64
 	// LinkTokensPerSecond is the rate at which an engine copies its KV cache to another one; zero if not known.
 	LinkTokensPerSecond float64
 	// Updated, if not nil, gets a value when there are updates to take. It should have a buffer.
-	Updated    chan<- struct{}
-	Deviations float64 // Standard deviations added to the forecast mean as a safety margin.
+	Updated chan<- struct{}
 }
 
 // Placer places the jobs of one service for one daemon. It is safe for
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -187,7 +187,7 @@
 			Placer: placer.New(placer.Config{
 				Domain: f.cfg.Daemon.Domain, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
 				TokensPerEvent: max(e.TokensPerEvent, 1), StepTime: decodeStepTime, PrefillTokensPerMs: prefillTokensPerMs, ReportLag: reportLag,
-				Deviations: memoryDeviations, OtherDomainCost: time.Duration(f.cfg.Daemon.CrossingCostMillis) * time.Millisecond,
+				Deviations: memoryDeviations, CrossingShare: f.cfg.Daemon.CrossingShare,
 				ExposedBackupPeak: f.cfg.Daemon.ExposedBackupPeak, LinkTokensPerSecond: e.LinkMbps * bytesPerMbit / float64(max(e.TokenBytes, 1)),
 				Updated: f.peers.wake,
 			}, f.newRand()),
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -31,8 +31,8 @@
 	Seeds    []string `ini:"seeds"`     // Addresses of peers to contact before the list of daemons has been read.
 	MemoryMB int      `ini:"memory_mb"` // Memory available to the process, from which the heap limit is derived; zero for no limit.
 
-	CrossingCostMillis int     `ini:"crossing_cost_ms"`    // Delay of a generation that is accepted to keep it in the failure domain of its daemon.
-	ExposedBackupPeak  float64 `ini:"exposed_backup_peak"` // See placer.Config.
+	CrossingShare     float64 `ini:"crossing_share"`      // See placer.Config.
+	ExposedBackupPeak float64 `ini:"exposed_backup_peak"` // See placer.Config.
 
 	RequestTime    time.Duration `ini:"-"`
 	RequestSeconds float64       `ini:"request_s"` // Time in which a client must have sent a request.
@@ -67,7 +67,7 @@
 // ParseSettings parses and validates INI text.
 func ParseSettings(text []byte) (Settings, error) {
 	s := Settings{
-		Daemon: DaemonSettings{RequestSeconds: 30, CrossingCostMillis: 150},
+		Daemon: DaemonSettings{RequestSeconds: 30},
 		Bounds: BoundSettings{ReturnGraceMillis: 2000, EntryExpiry: 300},
 		Log:    LogSettings{Level: "info"},
 	}
@@ -102,8 +102,8 @@
 	if s.Daemon.RequestTime <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.request_s must be above 0")
 	}
-	if s.Daemon.CrossingCostMillis < 0 || !(s.Daemon.ExposedBackupPeak >= 0 && s.Daemon.ExposedBackupPeak <= 1) {
-		return errors.Wrap(ErrSettings, "daemon: crossing_cost_ms must be at least 0, exposed_backup_peak from 0 to 1")
+	if !isFraction(s.Daemon.CrossingShare) || !isFraction(s.Daemon.ExposedBackupPeak) {
+		return errors.Wrap(ErrSettings, "daemon: crossing_share and exposed_backup_peak must be from 0 to 1")
 	}
 	if s.Bounds.EntryExpiry <= 0 {
 		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
@@ -113,3 +113,6 @@
 	}
 	return nil
 }
+
+// isFraction reports whether v is from 0 to 1.
+func isFraction(v float64) bool { return v >= 0 && v <= 1 }
