--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/budgeter"
+	"monsoonspar.example/coordination/evacuator"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
@@ -54,6 +55,7 @@
 	limits    *limiter.Limiter
 	members   *limiter.Members // The daemons that share the limits.
 	deferrals limiter.Deferrals
+	shutdowns evacuator.Shutdowns // Of engines.
 	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
@@ -185,7 +187,9 @@
 			Placer: placer.New(placer.Config{
 				Domain: f.cfg.Daemon.Domain, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
 				TokensPerEvent: max(e.TokensPerEvent, 1), StepTime: decodeStepTime, PrefillTokensPerMs: prefillTokensPerMs, ReportLag: reportLag,
-				Deviations: memoryDeviations, Updated: f.peers.wake,
+				Deviations: memoryDeviations, CrossingShare: f.cfg.Daemon.CrossingShare,
+				ExposedBackupPeak: f.cfg.Daemon.ExposedBackupPeak, LinkTokensPerSecond: e.LinkMbps * bytesPerMbit / float64(max(e.TokenBytes, 1)),
+				Updated: f.peers.wake,
 			}, f.newRand()),
 			engine:  *e,
 			waiters: map[string]chan placer.Outcome{},
