--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,7 +80,7 @@
 func New(cfg Settings, store Store, endpoints EndpointClient, clock timekeeper.Waiter, r *rand.Rand, log zerolog.Logger) *Forwarder {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{
-		cfg: cfg, log: log, clock: clock, store: store, endpoints: endpoints, metrics: newMetrics(),
+		cfg: cfg, log: log, clock: clock, store: store, metrics: newMetrics(),
 		ctx: ctx, cancel: cancel, rand: r,
 		registry: registrar.New(time.Duration(cfg.Bounds.ReturnGraceMillis) * time.Millisecond),
 		budget: budgeter.New(budgeter.Config{
@@ -93,6 +93,7 @@
 		pollWake: newWaker(), limits: limiter.New(r),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
+	f.endpoints = countedClient{EndpointClient: endpoints, f: f}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
 	f.newSubscriptions()
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -26,6 +26,9 @@
 // count adds one to a counter.
 func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
+// add adds n to a counter.
+func (m *metrics) add(name string, n int) { m.counters.Add(name, int64(n)) }
+
 // Bounds of the latency histograms in microseconds.
 const (
 	lowestLatency  = 10
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -114,7 +114,7 @@
 // peer is one other daemon.
 type peer struct {
 	daemon Daemon
-	queue  chan []byte // Encoded batches of updates.
+	queue  chan batch
 	cancel context.CancelFunc
 	alive  bool // The last call succeeded.
 	// heardAt is when the peer last synced with this daemon.
@@ -165,7 +165,7 @@
 // add adds a peer and starts its goroutine. The mutex is held.
 func (p *peers) add(d Daemon) {
 	ctx, cancel := context.WithCancel(p.f.ctx)
-	o := &peer{daemon: d, queue: make(chan []byte, updateQueueLength), cancel: cancel}
+	o := &peer{daemon: d, queue: make(chan batch, updateQueueLength), cancel: cancel}
 	p.known[d.Name] = o
 	p.f.spawn(func() { p.runPeer(ctx, o) })
 }
@@ -293,10 +293,11 @@
 	defer cancel()
 	for {
 		select {
-		case body := <-o.queue:
-			if err := p.node.Send(ctx, o.daemon.Addr, methodUpdate, body); err != nil {
+		case b := <-o.queue:
+			if err := p.node.Send(ctx, o.daemon.Addr, methodUpdate, b.body); err != nil {
 				return err
 			}
+			p.countBatch(o.daemon, b)
 		case <-c.Done():
 			return nil
 		}
@@ -460,6 +461,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode "+method)
 	}
+	p.countMessage(p.domainAt(addr), method, len(body))
 	reply, err := p.node.Call(ctx, addr, method, body)
 	if err != nil {
 		return err
@@ -469,6 +471,15 @@
 
 // HandleCall handles a call of a peer.
 func (p *peers) HandleCall(ctx context.Context, name, method string, body []byte) ([]byte, error) {
+	reply, err := p.handleCall(ctx, name, method, body)
+	if len(reply) > 0 {
+		p.countMessage(p.domainOf(name), method, len(reply))
+	}
+	return reply, err
+}
+
+// handleCall handles a call of a peer and returns the reply.
+func (p *peers) handleCall(ctx context.Context, name, method string, body []byte) ([]byte, error) {
 	switch method {
 	case methodUpdate:
 		var m updateMessage
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -199,7 +199,7 @@
 	for i := range m.Limits {
 		m.Limits[i].AgeMs = now.Sub(m.Limits[i].at).Milliseconds()
 	}
-	body, err := msgpack.Marshal(m)
+	b, err := m.encode()
 	if err != nil {
 		p.f.log.Error().Err(err).Msg("forwarder: could not encode updates; dropped")
 		return
@@ -211,13 +211,29 @@
 			continue
 		}
 		select {
-		case o.queue <- body:
+		case o.queue <- b:
 		default:
 			p.f.metrics.count("news_dropped")
 		}
 	}
 }
 
+// batch is an encoded batch of updates.
+type batch struct {
+	body        []byte
+	reportBytes int // Of the body, approximately.
+}
+
+// encode returns the wire form of the batch.
+func (m *updateMessage) encode() (batch, error) {
+	body, err := msgpack.Marshal(m)
+	if err != nil || len(m.Reports) == 0 {
+		return batch{body: body}, err
+	}
+	reports, err := msgpack.Marshal(m.Reports)
+	return batch{body: body, reportBytes: len(reports)}, err
+}
+
 // queueReport queues a load report of an engine for the peers.
 func (p *peers) queueReport(service string, id registrar.Identity, r placer.Report) {
 	p.mu.Lock()
