placer: updates that arrive in another order than they were published

Cause: Started and Ended updates will be passed on by relays and overtake, or come after, placements of the same job that are sent directly. An Ended of a refused attempt would then remove the run that followed it. Frames of one connection are also handled concurrently today. Change: updates are numbered; a receiver ignores one that a later update of the same daemon has replaced within 2 s, and one of a daemon whose job another has taken over. Earlier versions send no number; their updates are applied as before.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -106,6 +106,7 @@
 	state       QueueState
 	key         queueKey
 	short       bool // Expected to end soon after its prefill.
+	version     version
 }
 
 // run is a job on an engine, placed by this daemon or by a peer.
@@ -117,12 +118,19 @@
 	firstEventAt time.Time // Zero before the first event.
 	moments      forecaster.Moments
 	short        bool // Expected to end soon after its prefill.
+	version      version
 }
 
 // Update is an update that a daemon sends to its peers about one of its own jobs.
+//
+// The compact form of updates between daemons depends on the order of the fields, and those that are
+// not zero in frequent updates come first. New fields go to the end.
 type Update struct {
-	JobID          string
-	Event          Event
+	JobID string
+	Event Event
+	// Number rises with each update of the daemon's placer; zero if its version does not number them.
+	Number         int                `msgpack:",omitempty"`
+	FinalTokens    int                `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
 	Engine         registrar.Identity // For Placed and Migrating.
 	Backup         registrar.Identity // For Placed; zero if there is none.
 	PromptTokens   int                `msgpack:"Prompt"`
@@ -135,7 +143,8 @@
 	Running        bool          // For Placed: the job has had its first event.
 	// OutputTokens is the number of output tokens so far of a job that migrates or is resumed.
 	OutputTokens int `msgpack:"Produced"`
-	FinalTokens  int `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
+	// Owner is the daemon whose job it is. It is not sent, but set by the receiver; empty if it is not known.
+	Owner string `msgpack:"-"`
 }
 
 // Event is a change of a job's state.
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -80,6 +80,10 @@
 	remoteQueue map[string]*queuedJob // Jobs queued at peers, by ID.
 	promptMean  float64               // Moving average of prompt tokens; zero before the first job.
 	lastModel   string
+	updateCount int                // Updates published so far.
+	arrivals    map[string]arrival // Started and Ended updates of peers that came lately, by job ID.
+	// arrivalsPrunedAt is when old arrivals were last deleted.
+	arrivalsPrunedAt time.Time
 	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
@@ -89,7 +93,7 @@
 	return &Placer{
 		cfg: cfg, rand: r, lengths: estimator.New(),
 		engines: map[registrar.Identity]*engine{}, engineOf: map[string]registrar.Identity{},
-		endedAt: map[string]time.Time{}, migratingTo: map[string]registrar.Identity{}, remoteQueue: map[string]*queuedJob{},
+		endedAt: map[string]time.Time{}, migratingTo: map[string]registrar.Identity{}, remoteQueue: map[string]*queuedJob{}, arrivals: map[string]arrival{},
 	}
 }
 
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -14,6 +14,8 @@
 
 // publish queues an update for the peers. The mutex is held.
 func (p *Placer) publish(u Update) {
+	p.updateCount++
+	u.Number = p.updateCount
 	p.updates = append(p.updates, u)
 	select {
 	case p.cfg.Updated <- struct{}{}:
@@ -67,9 +69,18 @@
 
 // applyUpdate applies one update of a peer. The mutex is held.
 func (p *Placer) applyUpdate(u *Update, now time.Time) {
-	if e := p.engines[p.engineOf[u.JobID]]; e != nil && e.runs[u.JobID] != nil && !e.runs[u.JobID].remote {
+	r := p.runOf(u.JobID)
+	if r != nil && !r.remote {
 		return // The state of the daemon's own jobs is newer than any update of a peer.
 	}
+	if u.Event == Started || u.Event == Ended {
+		p.applyDelayed(u, r, now)
+		return
+	}
+	v := u.version(now)
+	if (r != nil && r.version.follows(v, now)) || p.arrivals[u.JobID].ended.follows(v, now) {
+		return
+	}
 	queued := p.remoteQueue[u.JobID]
 	delete(p.remoteQueue, u.JobID)
 	switch u.Event {
@@ -81,21 +92,19 @@
 		}
 		p.addRemoteRun(u, now)
 	case Migrating:
-		p.releaseMigration(u.JobID)
-		if e := p.engines[u.Engine]; e != nil {
-			job := u.job()
-			e.lastMigrationAt = now
-			p.reserveMigration(e, &job, p.moments(&job), now)
-		}
-	case Started:
-		p.markStarted(u.JobID, now)
-	case Ended:
-		if e := p.engines[p.engineOf[u.JobID]]; e != nil && e.runs[u.JobID] != nil && u.FinalTokens > 0 {
-			p.lengths.Record(e.runs[u.JobID].job.Class, u.FinalTokens)
-		}
-		p.removeRun(u.JobID)
-		p.releaseMigration(u.JobID)
-		p.endedAt[u.JobID] = now
+		p.applyMigrating(u, now)
+	case Started, Ended:
+	}
+}
+
+// applyMigrating applies the update that a job migrates. The mutex is held.
+func (p *Placer) applyMigrating(u *Update, now time.Time) {
+	p.releaseMigration(u.JobID)
+	if e := p.engines[u.Engine]; e != nil {
+		job := u.job()
+		e.lastMigrationAt = now
+		p.reserveMigration(e, &job, p.moments(&job), now)
+		e.migratingIn[u.JobID].version = u.version(now)
 	}
 }
 
@@ -106,7 +115,7 @@
 	if u.ClientLeavesIn > 0 {
 		job.FirstEventLimit = now.Add(u.ClientLeavesIn)
 	}
-	p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true, short: p.isShort(&job)}
+	p.remoteQueue[u.JobID] = &queuedJob{job: job, enqueuedAt: now, domain: u.Domain, publishedAt: now, remote: true, short: p.isShort(&job), version: u.version(now)}
 }
 
 // addRemoteRun adds a job that a peer has placed on an engine. The mutex is held.
@@ -119,8 +128,8 @@
 	}
 	job := u.job()
 	r := p.addRun(e, &job, u.Backup, now)
-	r.remote = true
-	if u.Running {
+	r.remote, r.version = true, u.version(now)
+	if u.Running || p.arrivals[u.JobID].started.follows(r.version, now) {
 		r.firstEventAt = now
 	}
 }
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -51,6 +51,9 @@
 func (p *peers) applyMessage(name string, m *updateMessage) {
 	now := p.f.clock.Now()
 	for i := range m.Services {
+		for k := range m.Services[i].Updates {
+			m.Services[i].Updates[k].Owner = name
+		}
 		if pl := p.f.knownPlacer(m.Services[i].Service); pl != nil {
 			pl.ApplyUpdates(m.Services[i].Updates, now)
 		}
