reporter, forwarder: relays for reports and updates that are not urgent

Cause: each report went to all 45 daemons of other failure domains at 60 daemons, and so did the updates that a generation has started or ended. Successive batches go to different daemons, in an order by the hash of the sender, so that a relay that has failed costs one batch of each sender. Placements, queued jobs, migrations, shutdowns, manifests, endpoints and limits stay direct. Relays are only daemons whose syncs name the compact form; where a domain has none, all its daemons get the batch as before.

--- a/coordination/reporter/reporter.go
+++ b/coordination/reporter/reporter.go
@@ -2,9 +2,10 @@
 // a report goes.
 //
 // Engines are polled in groups, so that all reports of a group travel in one message. Up to
-// FullMeshLimit daemons send their news to all others. Above it, each sends to its own failure domain
-// and to RemotePeers daemons of each other one, which pass on the reports of other failure domains
-// within theirs. A daemon whose report of an engine is old polls the engine itself; the ranks of
+// FullMeshLimit daemons are peers of all others. Above it, each has those of its own failure domain
+// and RemotePeers daemons of each other one as peers. A daemon sends its reports to all its peers or,
+// in fleets above a size that is set (Relaying), to those of its own failure domain and to one relay
+// of each other one, which passes them on within its own. A daemon whose report of an engine is old polls the engine itself; the ranks of
 // the daemons spread these polls.
 package reporter
 
@@ -54,18 +55,52 @@
 			remote[d.Domain] = append(remote[d.Domain], d)
 		}
 	}
-	hash := func(d Daemon) uint64 { return xxhash.Sum64String(self.Name + "/" + d.Name) }
 	for _, daemons := range remote {
-		slices.SortFunc(daemons, func(a, b Daemon) int { return cmp.Compare(hash(b), hash(a)) })
+		sortByHash(daemons, self.Name)
 		chosen = append(chosen, daemons[:min(len(daemons), RemotePeers)]...)
 	}
 	return chosen
 }
 
 // Relays reports whether a daemon of one failure domain passes on, within it, the news from a daemon
-// of another one. The fleet has the given number of daemons.
+// of another one that has not asked for it. The fleet has the given number of daemons.
 func Relays(self, from string, daemons int) bool { return daemons > FullMeshLimit && self != from }
 
+// sortByHash sorts daemons in an order that depends on the name of another one.
+func sortByHash(daemons []Daemon, name string) {
+	hash := func(d Daemon) uint64 { return xxhash.Sum64String(name + "/" + d.Name) }
+	slices.SortFunc(daemons, func(a, b Daemon) int { return cmp.Compare(hash(b), hash(a)) })
+}
+
+// Relaying reports whether daemons send news that is not urgent to relays. The fleet has the given
+// number of daemons, and above is the setting; zero or less stands for FullMeshLimit. Above
+// FullMeshLimit the news would not reach all daemons otherwise.
+func Relaying(daemons, above int) bool {
+	if above <= 0 {
+		above = FullMeshLimit
+	}
+	return daemons > min(above, FullMeshLimit)
+}
+
+// RelaysOf returns one of the given daemons for each failure domain but the sender's own, to pass on
+// message number n of the sender. Successive messages go to different daemons, in an order by hash: one
+// that has failed without notice loses few messages, and so do several with similar names, which often
+// fail together. None carries much more than the others.
+func RelaysOf(sender Daemon, reachable []Daemon, n uint64) []Daemon {
+	domains := map[string][]Daemon{}
+	for _, d := range reachable {
+		if d.Domain != sender.Domain {
+			domains[d.Domain] = append(domains[d.Domain], d)
+		}
+	}
+	relays := make([]Daemon, 0, len(domains))
+	for _, daemons := range domains {
+		sortByHash(daemons, sender.Name)
+		relays = append(relays, daemons[n%uint64(len(daemons))])
+	}
+	return relays
+}
+
 // Group identifies the engines that one daemon polls together.
 type Group struct {
 	Domain string // Failure domain of the engines.
--- a/forwarder/compact.go
+++ b/forwarder/compact.go
@@ -37,6 +37,8 @@
 type compactHead struct {
 	Services []serviceUpdates
 	Other    *updateMessage // Without Services and Reports; nil if it is empty.
+	Relay    bool           // As in updateMessage.
+	Origin   string         // As in updateMessage.
 }
 
 // serviceReports are the reports of the engines of one service.
@@ -56,7 +58,7 @@
 func (m *updateMessage) encodeCompact() (batch, error) {
 	other := *m
 	other.Services, other.Reports = nil, nil
-	head := compactHead{Services: m.Services}
+	head := compactHead{Services: m.Services, Relay: m.relay, Origin: m.origin}
 	if !other.empty() {
 		head.Other = &other
 	}
@@ -110,7 +112,7 @@
 	if head.Other != nil {
 		m = head.Other
 	}
-	m.Services = head.Services
+	m.Services, m.relay, m.origin, m.compact = head.Services, head.Relay, head.Origin, true
 	for _, g := range groups {
 		for _, r := range g.Reports {
 			r.Service = g.Service
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -112,6 +112,8 @@
 	exchangingLimits  atomic.Bool
 
 	exchangingEvidence atomic.Bool
+
+	relayedBatches uint64 // Batches sent to relays so far; used by publishUpdates alone.
 }
 
 // peer is one other daemon.
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
+
+	"monsoonspar.example/coordination/reporter"
 )
 
 // ErrSettings is wrapped by all errors about invalid settings.
@@ -28,8 +30,11 @@
 	Peers    string   `ini:"peers_listen"`
 	PeersKey string   `ini:"peers_key"` // Shared by all daemons of the deployment.
 	Metrics  string   `ini:"metrics_listen"`
-	Seeds    []string `ini:"seeds"`     // Addresses of peers to contact before the list of daemons has been read.
-	MemoryMB int      `ini:"memory_mb"` // Memory available to the process, from which the heap limit is derived; zero for no limit.
+	Seeds    []string `ini:"seeds"` // Addresses of peers to contact before the list of daemons has been read.
+	// RelayAbove is the number of daemons above which load reports and updates that are not urgent go to
+	// other failure domains over relays.
+	RelayAbove int `ini:"relay_above"`
+	MemoryMB   int `ini:"memory_mb"` // Memory available to the process, from which the heap limit is derived; zero for no limit.
 
 	RequestTime    time.Duration `ini:"-"`
 	RequestSeconds float64       `ini:"request_s"` // Time in which a client must have sent a request.
@@ -64,7 +69,7 @@
 // ParseSettings parses and validates INI text.
 func ParseSettings(text []byte) (Settings, error) {
 	s := Settings{
-		Daemon: DaemonSettings{RequestSeconds: 30},
+		Daemon: DaemonSettings{RequestSeconds: 30, RelayAbove: reporter.FullMeshLimit},
 		Bounds: BoundSettings{ReturnGraceMillis: 2000, EntryExpiry: 300},
 		Log:    LogSettings{Level: "info"},
 	}
@@ -99,6 +104,9 @@
 	if s.Daemon.RequestTime <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.request_s must be above 0")
 	}
+	if s.Daemon.RelayAbove <= 0 {
+		return errors.Wrap(ErrSettings, "daemon.relay_above must be above 0")
+	}
 	if s.Bounds.EntryExpiry <= 0 {
 		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
 	}
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -24,6 +25,12 @@
 	Limits    []limitUpdate    `msgpack:"limits,omitempty"`
 	// Evidence about crashes, or nil.
 	Evidence *quarantiner.Evidence `msgpack:"evidence,omitempty"`
+
+	// Only the compact form carries these.
+	relay  bool   // The receiver has to pass the batch on within its failure domain.
+	origin string // Daemon whose batch a relay passes on; else empty.
+
+	compact bool // It was received in the compact form.
 }
 
 // serviceUpdates are the updates of the placer of one service.
@@ -50,16 +57,23 @@
 // applyMessage applies a batch of updates from the named peer.
 func (p *peers) applyMessage(name string, m *updateMessage) {
 	now := p.f.clock.Now()
+	origin := cmp.Or(m.origin, name)
+	if !m.compact { // It may have been passed on, which the other form does not tell.
+		origin = ""
+	}
+	relayed := updateMessage{origin: origin}
+	if m.relay {
+		relayed.Services = m.Services
+	}
 	for i := range m.Services {
 		for k := range m.Services[i].Updates {
-			m.Services[i].Updates[k].Owner = name
+			m.Services[i].Updates[k].Owner = origin
 		}
 		if pl := p.f.knownPlacer(m.Services[i].Service); pl != nil {
 			pl.ApplyUpdates(m.Services[i].Updates, now)
 		}
 	}
-	relays := len(m.Reports) > 0 && reporter.Relays(p.f.cfg.Daemon.Domain, p.domainOf(name), p.f.members.Count())
-	var relayed updateMessage
+	relays := m.relay || (len(m.Reports) > 0 && reporter.Relays(p.f.cfg.Daemon.Domain, p.domainOf(name), p.f.members.Count()))
 	for i := range m.Reports {
 		r := &m.Reports[i]
 		r.takenAt = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
@@ -70,9 +84,7 @@
 			p.f.handleShutdown(r.Engine, r.Report.ShutdownIn, "report of a peer")
 		}
 	}
-	if len(relayed.Reports) > 0 {
-		p.enqueueFor(&relayed, p.isLocal)
-	}
+	p.passOn(&relayed)
 	if len(m.Endpoints) > 0 {
 		p.f.applyEndpoints(m.Endpoints)
 	}
@@ -88,9 +100,9 @@
 // that they offer, until ctx ends.
 // Urgent updates are queued at once, the others in larger batches.
 func (p *peers) publishUpdates(ctx context.Context) {
-	var m updateMessage
-	var sentAt, checkedAt time.Time
-	for p.wake.wait(ctx, p.f.clock, p.updateDelay(&m)) == nil {
+	var m, held updateMessage // What is not sent yet: to anybody, and to relays.
+	var sentAt, heldAt, checkedAt time.Time
+	for p.wake.wait(ctx, p.f.clock, p.updateDelay(!m.empty() || !held.empty())) == nil {
 		if early := updateInterval - p.f.clock.Now().Sub(checkedAt); early > 0 && p.f.clock.Sleep(ctx, early) != nil {
 			return
 		}
@@ -103,18 +115,25 @@
 		next.Evidence = &own
 		m.add(&next)
 		p.f.enforceQuarantine(now)
-		if m.empty() || (!next.urgent() && now.Sub(sentAt) < p.batchInterval(&m)) {
-			continue
+		due := now.Sub(sentAt) >= p.batchInterval(&m)
+		if !m.empty() && (next.urgent() || due) {
+			if held.empty() {
+				heldAt = now
+			}
+			held = p.publish(&m, &held)
+			m, sentAt = updateMessage{}, now
+		}
+		if !held.empty() && (due || now.Sub(heldAt) >= relayDelay) {
+			p.enqueueRelayed(&held)
+			held = updateMessage{}
 		}
-		p.enqueue(&m)
-		m, sentAt = updateMessage{}, now
 	}
 }
 
-// updateDelay returns the time until the next check for updates, unless one comes before: m waits to
+// updateDelay returns the time until the next check for updates, unless one comes before: some wait to
 // be sent, or something is due at a time that nothing announces.
-func (p *peers) updateDelay(m *updateMessage) time.Duration {
-	if !m.empty() || p.f.quarantine.HasUpdates() || p.manifests.Behind(p.f.manifestVersion(), p.f.clock.Now()) > 0 {
+func (p *peers) updateDelay(waiting bool) time.Duration {
+	if waiting || p.f.quarantine.HasUpdates() || p.manifests.Behind(p.f.manifestVersion(), p.f.clock.Now()) > 0 {
 		return updateInterval
 	}
 	return idleUpdateInterval
@@ -129,6 +148,8 @@
 		return 0
 	case len(m.Reports) > 0:
 		return reportBatchInterval
+	case p.usesRelays():
+		return relayedUpdateInterval
 	default:
 		return batchedUpdateInterval
 	}
@@ -169,10 +190,8 @@
 	}
 	for _, s := range m.Services {
 		for i := range s.Updates {
-			switch s.Updates[i].Event {
-			case placer.Placed, placer.Migrating, placer.Queued:
+			if isUrgent(&s.Updates[i]) {
 				return true
-			case placer.Started, placer.Ended:
 			}
 		}
 	}
--- a/forwarder/wire_test.go
+++ b/forwarder/wire_test.go
@@ -139,6 +139,7 @@
 	assert.NilError(t, err)
 	decoded, err := decodeCompact(compact.body)
 	assert.NilError(t, err)
+	m.compact = true
 	assert.Assert(t, reflect.DeepEqual(*decoded, m), "%+v\n%+v", *decoded, m)
 	for i := range compact.body { // A body that is cut off is an error, never a panic.
 		if _, err := decodeCompact(compact.body[:i]); err == nil {
