--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -23,6 +25,12 @@
 	Limits    []limitUpdate    `msgpack:"limits,omitempty"`
 	// Evidence about crashes, or nil.
 	Evidence *quarantiner.Evidence `msgpack:"evidence,omitempty"`
+
+	// Only the compact form carries these.
+	relay  bool   // The receiver has to pass the batch on within its failure domain.
+	origin string // Daemon whose batch a relay passes on; else empty.
+
+	compact bool // It was received in the compact form.
 }
 
 // serviceUpdates are the updates of the placer of one service.
@@ -49,13 +57,23 @@
 // applyMessage applies a batch of updates from the named peer.
 func (p *peers) applyMessage(name string, m *updateMessage) {
 	now := p.f.clock.Now()
+	origin := cmp.Or(m.origin, name)
+	if !m.compact { // It may have been passed on, which the other form does not tell.
+		origin = ""
+	}
+	relayed := updateMessage{origin: origin}
+	if m.relay {
+		relayed.Services = m.Services
+	}
 	for i := range m.Services {
+		for k := range m.Services[i].Updates {
+			m.Services[i].Updates[k].Owner = origin
+		}
 		if pl := p.f.knownPlacer(m.Services[i].Service); pl != nil {
 			pl.ApplyUpdates(m.Services[i].Updates, now)
 		}
 	}
-	relays := len(m.Reports) > 0 && reporter.Relays(p.f.cfg.Daemon.Domain, p.domainOf(name), p.f.members.Count())
-	var relayed updateMessage
+	relays := m.relay || (len(m.Reports) > 0 && reporter.Relays(p.f.cfg.Daemon.Domain, p.domainOf(name), p.f.members.Count()))
 	for i := range m.Reports {
 		r := &m.Reports[i]
 		r.takenAt = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
@@ -66,9 +84,7 @@
 			p.f.handleShutdown(r.Engine, r.Report.ShutdownIn, "report of a peer")
 		}
 	}
-	if len(relayed.Reports) > 0 {
-		p.enqueueFor(&relayed, p.isLocal)
-	}
+	p.passOn(&relayed)
 	if len(m.Endpoints) > 0 {
 		p.f.applyEndpoints(m.Endpoints)
 	}
@@ -84,9 +100,9 @@
 // that they offer, until ctx ends.
 // Urgent updates are queued at once, the others in larger batches.
 func (p *peers) publishUpdates(ctx context.Context) {
-	var m updateMessage
-	var sentAt, checkedAt time.Time
-	for p.wake.wait(ctx, p.f.clock, p.updateDelay(&m)) == nil {
+	var m, held updateMessage // What is not sent yet: to anybody, and to relays.
+	var sentAt, heldAt, checkedAt time.Time
+	for p.wake.wait(ctx, p.f.clock, p.updateDelay(!m.empty() || !held.empty())) == nil {
 		if early := updateInterval - p.f.clock.Now().Sub(checkedAt); early > 0 && p.f.clock.Sleep(ctx, early) != nil {
 			return
 		}
@@ -99,18 +115,25 @@
 		next.Evidence = &own
 		m.add(&next)
 		p.f.enforceQuarantine(now)
-		if m.empty() || (!next.urgent() && now.Sub(sentAt) < p.batchInterval(&m)) {
-			continue
+		due := now.Sub(sentAt) >= p.batchInterval(&m)
+		if !m.empty() && (next.urgent() || due) {
+			if held.empty() {
+				heldAt = now
+			}
+			held = p.publish(&m, &held)
+			m, sentAt = updateMessage{}, now
+		}
+		if !held.empty() && (due || now.Sub(heldAt) >= relayDelay) {
+			p.enqueueRelayed(&held)
+			held = updateMessage{}
 		}
-		p.enqueue(&m)
-		m, sentAt = updateMessage{}, now
 	}
 }
 
-// updateDelay returns the time until the next check for updates, unless one comes before: m waits to
+// updateDelay returns the time until the next check for updates, unless one comes before: some wait to
 // be sent, or something is due at a time that nothing announces.
-func (p *peers) updateDelay(m *updateMessage) time.Duration {
-	if !m.empty() || p.f.quarantine.HasUpdates() || p.manifests.Behind(p.f.manifestVersion(), p.f.clock.Now()) > 0 {
+func (p *peers) updateDelay(waiting bool) time.Duration {
+	if waiting || p.f.quarantine.HasUpdates() || p.manifests.Behind(p.f.manifestVersion(), p.f.clock.Now()) > 0 {
 		return updateInterval
 	}
 	return idleUpdateInterval
@@ -125,6 +148,8 @@
 		return 0
 	case len(m.Reports) > 0:
 		return reportBatchInterval
+	case p.usesRelays():
+		return relayedUpdateInterval
 	default:
 		return batchedUpdateInterval
 	}
@@ -165,10 +190,8 @@
 	}
 	for _, s := range m.Services {
 		for i := range s.Updates {
-			switch s.Updates[i].Event {
-			case placer.Placed, placer.Migrating, placer.Queued:
+			if isUrgent(&s.Updates[i]) {
 				return true
-			case placer.Started, placer.Ended:
 			}
 		}
 	}
@@ -199,23 +222,65 @@
 	for i := range m.Limits {
 		m.Limits[i].AgeMs = now.Sub(m.Limits[i].at).Milliseconds()
 	}
-	body, err := msgpack.Marshal(m)
-	if err != nil {
-		p.f.log.Error().Err(err).Msg("forwarder: could not encode updates; dropped")
-		return
+	for _, form := range p.targets(selected) {
+		b, err := m.encode(form.compact)
+		if err != nil {
+			p.f.log.Error().Err(err).Msg("forwarder: could not encode updates; dropped")
+			continue
+		}
+		for _, o := range form.peers {
+			select {
+			case o.queue <- b:
+			default:
+				p.f.metrics.count("news_dropped")
+			}
+		}
 	}
+}
+
+// targetForm holds the peers that get a batch in the same form.
+type targetForm struct {
+	compact bool
+	peers   []*peer
+}
+
+// targets returns the selected peers that are reachable, by the form of updates that they get.
+func (p *peers) targets(selected func(Daemon) bool) []targetForm {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var forms []targetForm
 	for _, o := range p.known {
 		if !o.reachable() || !selected(o.daemon) {
 			continue
 		}
-		select {
-		case o.queue <- body:
-		default:
-			p.f.metrics.count("news_dropped")
+		i := slices.IndexFunc(forms, func(t targetForm) bool { return t.compact == o.compact })
+		if i < 0 {
+			i = len(forms)
+			forms = append(forms, targetForm{compact: o.compact})
 		}
+		forms[i].peers = append(forms[i].peers, o)
+	}
+	return forms
+}
+
+// batch is an encoded batch of updates.
+type batch struct {
+	method      string // That is called with the body.
+	body        []byte
+	reportBytes int // Of the body, approximately.
+}
+
+// encode returns the compact form of the batch, or the one that daemons of all versions decode.
+func (m *updateMessage) encode(compact bool) (batch, error) {
+	if compact {
+		return m.encodeCompact()
+	}
+	body, err := msgpack.Marshal(m)
+	if err != nil || len(m.Reports) == 0 {
+		return batch{method: methodUpdate, body: body}, err
 	}
+	reports, err := msgpack.Marshal(m.Reports)
+	return batch{method: methodUpdate, body: body, reportBytes: len(reports)}, err
 }
 
 // queueReport queues a load report of an engine for the peers.
