Evacuated failure domains get no new work

Cause: the object of kind evacuations, by which operators ask that nothing more is sent to the endpoints of a failure domain, was not read.

Change: a third subscription (follower.Slow: polls of 2 s) reads and watches the kind if bounds.evacuation_ms is set. The set and its revision go to the peers in updates and syncs, so daemons that do not watch, or start while the store is away, get them. The registrar leaves the domain out of Usable and Accepts. The placer keeps the engines and their runs, which are not migrated and for which no memory is kept free. Each send, migration and backup checks the domain once more, also the resume at the source of a stopped run: that is a new request to it. If nothing else is left, requests are refused at once (503, domain_evacuated).

--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -23,9 +23,23 @@
 	ShortWatchers = 2 // Either may be lost with its answer.
 )
 
+// Config holds the times that depend on how soon changes must be known.
+type Config struct {
+	ShortPoll  time.Duration // An answer that is lost is noticed after this time and AnswerTimeout.
+	StaleAfter time.Duration // Age of the latest proof after which a daemon asks the store itself: two syncs with peers, and the poll behind them.
+}
+
+// Usual is for changes that every daemon must know within 2 s.
+var Usual = Config{ShortPoll: ShortPoll, StaleAfter: staleAfter}
+
+// Slow is for changes that every daemon must know within 5 s. It makes less than half as many calls.
+// The bound after the loss of the answers to all pending calls and of one more message: 2.3 s until
+// the poll is given up, 0.35 s for the next call, 1.7 s for the next sync with a peer.
+var Slow = Config{ShortPoll: 2 * time.Second, StaleAfter: 3500 * time.Millisecond}
+
 // Time limits of the calls to the store.
 const (
-	ShortPoll     = 800 * time.Millisecond // An answer that is lost is noticed after this time and AnswerTimeout.
+	ShortPoll     = 800 * time.Millisecond // As in Config, of Usual.
 	LongPoll      = 20 * time.Second       // The store allows up to 30 s.
 	AnswerTimeout = 300 * time.Millisecond // Of a read; of a poll beyond its duration.
 	maxAnswerTime = time.Second            // Of AnswerTimeout, which grows while the store is slow.
@@ -39,7 +53,7 @@
 	maxRetryAfter  = 2 * time.Second         // Of the time that a refusal of the store names.
 	lostAfter      = 2                       // Failed calls in a row after which other daemons take this one's place.
 	roleInterval   = 100 * time.Millisecond  // Between checks of whether to watch.
-	staleAfter     = 2500 * time.Millisecond // Age of the latest proof after which a daemon asks the store itself: two syncs with peers, and the poll behind them.
+	staleAfter     = 2500 * time.Millisecond // As in Config, of Usual.
 	stalePerPeer   = 20 * time.Millisecond   // Added for each peer, to spread the daemons that are stale at the same time.
 	maxBehind      = 500 * time.Millisecond  // A fetch from a peer that is given up, and the next one.
 	overtakenAfter = 300 * time.Millisecond  // By which a poll may report a change later than a peer.
@@ -59,10 +73,12 @@
 	Delay   time.Duration // If positive, the time until Next should be called again; there is nothing else to do then.
 	Wait    time.Duration // Duration of the long poll.
 	Timeout time.Duration // After which the call has failed.
+	Batched bool          // The poll is one of the long ones, whose changes other daemons report at once.
 }
 
 // Follower decides for one object. It is safe for concurrent use. Use New to make one.
 type Follower struct {
+	cfg         Config
 	mu          sync.Mutex
 	rand        *rand.Rand
 	confirmedAt time.Time // Latest time at which the value was known to be the newest; zero for never.
@@ -74,7 +90,10 @@
 }
 
 // New returns a Follower that knows nothing. It takes ownership of r.
-func New(r *rand.Rand) *Follower { return &Follower{rand: r} }
+func New(r *rand.Rand) *Follower { return NewWith(Usual, r) }
+
+// NewWith is like New with other times than the usual ones.
+func NewWith(cfg Config, r *rand.Rand) *Follower { return &Follower{cfg: cfg, rand: r} }
 
 // Next returns what to do now. Unless it returns a delay, a call begins, whose end the caller
 // must report by Answered or Failed.
@@ -87,9 +106,9 @@
 	if d := f.retryAt.Sub(now); d > 0 {
 		return Step{Delay: d}
 	}
-	s := Step{Wait: ShortPoll}
+	s := Step{Wait: f.cfg.ShortPoll}
 	if ahead := v.Preceding - v.Lost; ahead >= ShortWatchers && ahead < Watchers && f.current(v, now) {
-		s.Wait = LongPoll
+		s.Wait, s.Batched = LongPoll, true
 	}
 	s.Timeout = s.Wait + f.answerTimeout()
 	f.startedAt, f.wait, f.overtakenAt = now, s.Wait, time.Time{}
@@ -103,7 +122,7 @@
 
 // current reports whether the daemon may rely on its peers. The mutex is held.
 func (f *Follower) current(v View, now time.Time) bool {
-	limit := staleAfter + time.Duration(v.Peers)*stalePerPeer
+	limit := f.cfg.StaleAfter + time.Duration(v.Peers)*stalePerPeer
 	return v.Known && v.Behind <= maxBehind && !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= limit
 }
 
@@ -124,7 +143,7 @@
 func (f *Follower) GiveUp(v View, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.startedAt.IsZero() || f.wait <= ShortPoll || now.Sub(f.startedAt) < ShortPoll+AnswerTimeout {
+	if f.startedAt.IsZero() || f.wait <= f.cfg.ShortPoll || now.Sub(f.startedAt) < f.cfg.ShortPoll+AnswerTimeout {
 		return false
 	}
 	overtaken := !f.overtakenAt.IsZero() && now.Sub(f.overtakenAt) > overtakenAfter
@@ -227,5 +246,5 @@
 // or by peers, so that others may rely on it.
 func (f *Follower) Fresh(now time.Time) bool {
 	age, ok := f.Age(now)
-	return ok && age <= staleAfter && !f.Lost()
+	return ok && age <= f.cfg.StaleAfter && !f.Lost()
 }
--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -12,6 +12,7 @@
 
 	"monsoonspar.example/coordination/fetcher"
 	"monsoonspar.example/coordination/follower"
+	"monsoonspar.example/state/registrar"
 )
 
 // The simulation has a store, daemons with a Follower and a Fetcher each, and the messages
@@ -24,6 +25,7 @@
 	syncInterval = time.Second
 	syncTimeout  = 600 * time.Millisecond
 	applyTime    = 2 * time.Second // From the change to the last daemon.
+	refusedFor   = 2 * time.Second // That a refusal of the store names.
 )
 
 // fleet is a simulated deployment.
@@ -35,6 +37,10 @@
 	daemons  []*node
 	messages []message
 	calls    int
+	cfg      follower.Config
+	direct   bool                // Messages and syncs contain the value, the evacuated failure domains.
+	domains  []string            // Evacuated ones in the store.
+	apart    func(a, b int) bool // The link between two daemons is cut; nil for none.
 }
 
 // node is a simulated daemon.
@@ -44,8 +50,10 @@
 	follower   *follower.Follower
 	fetcher    *fetcher.Fetcher
 	version    int64
+	evacuated  *registrar.Registrar // Of a fleet with direct messages.
 	frozen     bool
 	cut        bool // From the store.
+	refused    bool // The store refuses its calls.
 	call       *call
 	pauseUntil time.Time
 	fetchFrom  int
@@ -73,26 +81,35 @@
 	from, to int
 	version  int64
 	at       time.Time
+	set      registrar.Evacuations
 }
 
-func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), version: 1}
+func newFleet(n int, seed uint64) *fleet { return newFleetWith(n, seed, follower.Usual) }
+
+func newFleetWith(n int, seed uint64, cfg follower.Config) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), version: 1, cfg: cfg}
 	for i := range n {
-		d := &node{
-			i: i, fleet: f, follower: follower.New(rand.New(rand.NewPCG(seed, uint64(i+10)))), fetcher: fetcher.New(rand.New(rand.NewPCG(seed, uint64(i+1000)))),
-			reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{},
-		}
-		for j := range n {
-			if j != i {
-				d.reachable[j] = true
-				d.nextSync[j] = f.now.Add(time.Duration(f.rand.Float64() * float64(syncInterval)))
-			}
-		}
-		f.daemons = append(f.daemons, d)
+		f.add(i, n, seed)
 	}
 	return f
 }
 
+// add adds a daemon that knows nothing yet to a fleet of n.
+func (f *fleet) add(i, n int, seed uint64) *node {
+	d := &node{
+		i: i, fleet: f, follower: follower.NewWith(f.cfg, rand.New(rand.NewPCG(seed, uint64(i+10)))), fetcher: fetcher.New(rand.New(rand.NewPCG(seed, uint64(i+1000)))),
+		evacuated: registrar.New(0), reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{},
+	}
+	for j := range n {
+		if j != i {
+			d.reachable[j] = true
+			d.nextSync[j] = f.now.Add(time.Duration(f.rand.Float64() * float64(syncInterval)))
+		}
+	}
+	f.daemons = append(f.daemons, d)
+	return d
+}
+
 // view returns the view of a daemon; daemons with lower indexes come first as watchers.
 func (d *node) view() follower.View {
 	v := follower.View{Known: d.version > 0, Behind: d.fetcher.Behind(d.version, d.fleet.now)}
@@ -117,12 +134,15 @@
 		return
 	}
 	d.version = version
+	if d.fleet.direct && fromStore {
+		d.evacuated.SetEvacuations(registrar.Evacuations{Domains: d.fleet.domains, Revision: version})
+	}
 	if !fromStore {
 		d.follower.Overtake(d.fleet.now)
 	}
 	for j, ok := range d.reachable {
 		if ok {
-			d.fleet.messages = append(d.fleet.messages, message{from: d.i, to: j, version: version, at: d.fleet.now.Add(hopTime)})
+			d.fleet.messages = append(d.fleet.messages, message{from: d.i, to: j, version: version, at: d.fleet.now.Add(hopTime), set: d.evacuated.Evacuations()})
 		}
 	}
 }
@@ -134,7 +154,11 @@
 		if m.at.After(f.now) {
 			return false
 		}
-		if to := f.daemons[m.to]; !to.frozen && !to.muted[m.from] {
+		switch to := f.daemons[m.to]; {
+		case to.frozen || to.muted[m.from] || f.isApart(m.from, m.to):
+		case f.direct:
+			to.receive(m.set)
+		default:
 			to.fetcher.Offer(fmt.Sprint(m.from), m.version, len(f.daemons)-1, f.now)
 		}
 		return true
@@ -152,6 +176,15 @@
 	}
 }
 
+// isApart reports whether the link between two daemons is cut.
+func (f *fleet) isApart(a, b int) bool { return f.apart != nil && f.apart(a, b) }
+
+// receive applies the set of a peer.
+func (d *node) receive(set registrar.Evacuations) {
+	d.evacuated.SetEvacuations(set)
+	d.install(set.Revision, false)
+}
+
 // poll advances the call to the store.
 func (d *node) poll() {
 	f := d.fleet
@@ -173,11 +206,13 @@
 		limit = d.follower.ReadTimeout()
 	}
 	switch {
+	case d.refused && age >= storeTime:
+		d.follower.Failed(d.view(), refusedFor, f.now)
 	case !c.lost && !f.silent && age >= storeTime && (c.read || changed || age >= c.step.Wait):
 		d.follower.Answered(c.read || changed)
 		d.seen = f.version
 		d.install(f.version, true)
-		if c.step.Wait > follower.ShortPoll {
+		if c.step.Batched {
 			d.pauseUntil = f.now.Add(time.Second)
 		}
 	case age >= limit:
@@ -198,7 +233,7 @@
 			continue
 		}
 		o := f.daemons[j]
-		if o.frozen || d.muted[j] {
+		if o.frozen || d.muted[j] || f.isApart(d.i, j) {
 			if f.now.Before(at.Add(syncTimeout)) {
 				continue
 			}
@@ -210,7 +245,12 @@
 		}
 		d.reachable[j], d.lost[j] = true, o.follower.Lost()
 		d.nextSync[j] = f.now.Add(syncInterval)
-		d.fetcher.Offer(fmt.Sprint(j), o.version, len(f.daemons)-1, f.now)
+		if f.direct {
+			d.receive(o.evacuated.Evacuations())
+			o.receive(d.evacuated.Evacuations())
+		} else {
+			d.fetcher.Offer(fmt.Sprint(j), o.version, len(f.daemons)-1, f.now)
+		}
 		if age, ok := o.follower.Age(f.now); ok && o.version == d.version {
 			d.follower.Confirm(f.now.Add(-age - hopTime))
 		}
--- a/coordination/placer/confirm.go
+++ b/coordination/placer/confirm.go
@@ -11,7 +11,8 @@
 // when the updates about concurrent placements have been received. If jobs that
 // were placed on the engine concurrently don't fit together, those with the lowest
 // IDs stay, which is the same choice at all daemons. A job that does not stay is
-// removed from its engine and has to be submitted again.
+// removed from its engine and has to be submitted again. Neither does a job stay whose
+// engine has been evacuated since.
 func (p *Placer) Confirm(id string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -19,6 +20,10 @@
 	if e == nil || e.runs[id] == nil {
 		return true // The engine was removed; sending the job will fail.
 	}
+	if e.evacuated { // Since the job was placed.
+		p.removeAndPublish(id)
+		return false
+	}
 	own := e.runs[id]
 	yielding := map[string]*run{}
 	concurrent := false
--- a/coordination/placer/deferral.go
+++ b/coordination/placer/deferral.go
@@ -22,7 +22,7 @@
 	var first time.Time
 	for _, e := range p.engines {
 		switch {
-		case !e.unusableSince.IsZero():
+		case !e.isOpen():
 		case !now.Before(e.deferredUntil):
 			return now
 		case first.IsZero() || e.deferredUntil.Before(first):
--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -28,6 +28,7 @@
 	deferredUntil    time.Time       // Until when it wants no requests of this daemon.
 	limited          bool            // Its limit on requests permits none now.
 	unusableSince    time.Time       // Since when it accepts no new jobs, as it is shutting down or draining; zero while it accepts them.
+	evacuated        bool            // Its failure domain is evacuated: it gets no new work, and its runs go on.
 	lastPrefillAt    time.Time       // When a prefill last ended, seen as the first event of a job.
 
 	// Derived from the report and the runs by refresh.
@@ -41,10 +42,10 @@
 // acceptsJobs reports whether the engine accepts new jobs now.
 func (e *engine) acceptsJobs(now time.Time) bool { return e.acceptsRuns(now) && !e.limited }
 
-// acceptsRuns reports whether the engine is not shutting down, not known to be
-// unreachable, and wants requests of this daemon.
+// acceptsRuns reports whether the engine is not shutting down, not evacuated, not known to
+// be unreachable, and wants requests of this daemon.
 func (e *engine) acceptsRuns(now time.Time) bool {
-	return e.unusableSince.IsZero() && !now.Before(e.unreachableUntil) && !now.Before(e.deferredUntil)
+	return e.isOpen() && !now.Before(e.unreachableUntil) && !now.Before(e.deferredUntil)
 }
 
 // refresh recomputes the derived fields if they are out of date.
@@ -290,7 +291,7 @@
 	var migrating []string
 	for _, id := range ids {
 		r := e.runs[id]
-		if b := p.engines[r.backup]; b != nil && b.unusableSince.IsZero() {
+		if b := p.engines[r.backup]; b != nil && b.isOpen() {
 			turns[id] = EvacuationTurn{Local: !r.remote}
 			continue
 		}
--- a/coordination/placer/key.go
+++ b/coordination/placer/key.go
@@ -73,10 +73,13 @@
 func (p *Placer) isShort(job *Job) bool { return p.expectedRemaining(job, 0) <= maxShortDecode }
 
 // shortFirst reports whether short jobs hold so little memory that they may precede
-// long ones. The mutex is held.
+// long ones. Engines of evacuated failure domains don't count. The mutex is held.
 func (p *Placer) shortFirst() bool {
 	held, total := 0, 0.0
 	for _, e := range p.engines {
+		if e.evacuated {
+			continue
+		}
 		if e.unusableSince.IsZero() {
 			total += e.memoryTotal(p)
 		}
--- a/coordination/placer/migration.go
+++ b/coordination/placer/migration.go
@@ -130,7 +130,9 @@
 	held, available := 0.0, 0
 	for _, e := range p.engines {
 		if e.unusableSince.IsZero() {
-			available++
+			if !e.evacuated { // The runs of the others go on there.
+				available++
+			}
 			continue
 		}
 		if now.Sub(e.unusableSince) > evacuationTime {
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -80,6 +80,8 @@
 	remoteQueue map[string]*queuedJob // Jobs queued at peers, by ID.
 	promptMean  float64               // Moving average of prompt tokens; zero before the first job.
 	lastModel   string
+	// evacuated holds the failure domains whose engines must get no new work.
+	evacuated map[string]bool
 	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
@@ -102,10 +104,10 @@
 	for _, ep := range endpoints {
 		present[ep.Identity] = true
 		if e := p.engines[ep.Identity]; e != nil {
-			e.endpoint, e.unusableSince = ep, time.Time{}
+			e.endpoint, e.unusableSince, e.evacuated = ep, time.Time{}, p.evacuated[ep.Domain]
 			continue
 		}
-		p.engines[ep.Identity] = &engine{registeredAt: now, nameHash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*run{}, migratingIn: map[string]*run{}, backups: map[string]*run{}, listed: map[string]bool{}}
+		p.engines[ep.Identity] = &engine{registeredAt: now, evacuated: p.evacuated[ep.Domain], nameHash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*run{}, migratingIn: map[string]*run{}, backups: map[string]*run{}, listed: map[string]bool{}}
 	}
 	for id, e := range p.engines {
 		switch {
--- a/coordination/placer/refusal.go
+++ b/coordination/placer/refusal.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	p.dropOldLatePlacements(now)
-	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(len(p.engines))
+	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(p.openEngines())
 	left := q.job.FirstEventLimit.Sub(now).Seconds()
 	return float64(q.state.LateAhead+1) <= perSecond*left
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -119,6 +119,9 @@
 
 // noEndpointReason returns the reason why no endpoint is left to try.
 func (f *Forwarder) noEndpointReason(x *exchange, lastAttempt callAttempt) Reason {
+	if r := f.noEndpointRefusal(x); r != nil && r.Reason != ReasonNoEndpoint {
+		return r.Reason
+	}
 	usable := f.registry.Usable(x.service)
 	if lastAttempt.err == nil && (x.limitDenied || len(f.permittedEndpoints(usable, f.clock.Now())) < len(usable)) {
 		return ReasonLimited
@@ -149,9 +152,12 @@
 	c, cancel := context.WithDeadline(ctx, attemptDeadline)
 	defer cancel()
 	_, limited := f.limits.Limit(e.Identity)
-	res, err := f.endpoints.Send(c, x.req, Dispatch{
-		Endpoint: e, Customer: x.customer.Name, Remaining: attemptDeadline.Sub(start), Safe: x.route.Kind == matcher.Safe,
-	})
+	res, err := Response{}, f.mayStartWork(e)
+	if err == nil {
+		res, err = f.endpoints.Send(c, x.req, Dispatch{
+			Endpoint: e, Customer: x.customer.Name, Remaining: attemptDeadline.Sub(start), Safe: x.route.Kind == matcher.Safe,
+		})
+	}
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
 		f.observeResponse(e, &res, limited)
@@ -262,6 +268,9 @@
 	}
 	r := Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: unavailableRetryAfter}
 	now := f.clock.Now()
+	if reason == ReasonDomainEvacuated {
+		r.RetryAfter = evacuatedRetryAfter
+	}
 	if _, all := f.allDeferred(f.registry.Usable(x.service), now); all || reason == ReasonLimited {
 		r = f.limitRefusal(x.service, now)
 	}
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -56,6 +56,7 @@
 	ReasonStopping            Reason = "daemon_stopping"
 	ReasonLimited             Reason = "endpoints_limited"
 	ReasonDeferred            Reason = "endpoints_deferred"
+	ReasonDomainEvacuated     Reason = "domain_evacuated"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 	ReasonRequestQuarantined  Reason = "request_quarantined"
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -107,7 +107,7 @@
 			}
 			continue
 		}
-		if s.call(ctx, step) == nil && step.Wait > follower.ShortPoll && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
+		if s.call(ctx, step) == nil && step.Batched && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
 			return
 		}
 	}
@@ -409,14 +409,20 @@
 	f.servicesMu.Lock()
 	defer f.servicesMu.Unlock()
 	for name, p := range f.placers {
-		p.SetEngines(f.registry.Usable(name), f.clock.Now())
+		f.setEngines(name, p)
 	}
 	for name, b := range f.balancers {
-		b.Retain(f.registry.Usable(name))
+		b.Retain(f.registry.Serving(name))
 	}
 	f.limits.Retain(f.registry.Known)
 }
 
+// setEngines passes the engines of a service to its placer.
+func (f *Forwarder) setEngines(service string, p *servicePlacer) {
+	p.SetEvacuated(f.registry.Evacuations().Domains)
+	p.SetEngines(f.registry.Serving(service), f.clock.Now())
+}
+
 // followDaemons writes the entry of this daemon and then reads the list of daemons
 // periodically until ctx ends.
 func (f *Forwarder) followDaemons(ctx context.Context) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,6 +68,9 @@
 	peers           *peers
 	manifests       *subscription // Keeps table current.
 	endpointEntries *subscription // Keeps registry current.
+	evacuations     *subscription // Keeps the evacuations of registry current; does nothing unless evacuations may occur.
+	evacuationWatch evacuationWatch
+	startedAt       time.Time
 	codec           Codec
 	server          *fasthttp.Server
 
@@ -96,6 +99,7 @@
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.peers = newPeers(f)
 	f.newSubscriptions()
+	f.newEvacuationSubscription()
 	f.budget.SetDaemons(f.members.Count())
 	return f
 }
@@ -119,7 +123,12 @@
 	f.spawn(f.serveClients)
 	f.spawn(f.serveReady)
 	f.spawn(f.serveMetrics)
-	for _, s := range []*subscription{f.manifests, f.endpointEntries} {
+	f.startedAt = f.clock.Now()
+	subscriptions := []*subscription{f.manifests, f.endpointEntries}
+	if f.followsEvacuations() {
+		subscriptions = append(subscriptions, f.evacuations)
+	}
+	for _, s := range subscriptions {
 		f.spawn(func() { s.run(f.ctx) })
 		f.spawn(func() { s.supervise(f.ctx) })
 	}
@@ -137,7 +146,7 @@
 
 // isReady reports whether the daemon can serve new connections.
 func (f *Forwarder) isReady() bool {
-	return f.table.Load() != nil && f.registry.Revision() > 0 && !f.stopping.Load()
+	return f.table.Load() != nil && f.registry.Revision() > 0 && f.knowsEvacuations() && !f.stopping.Load()
 }
 
 // newRand returns an independent random source.
@@ -191,7 +200,7 @@
 			waiters: map[string]chan placer.Outcome{},
 		}
 		f.placers[service] = p
-		p.SetEngines(f.registry.Usable(service), f.clock.Now())
+		f.setEngines(service, p)
 	}
 	return p
 }
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -69,6 +69,9 @@
 			f.metrics.write(ctx)
 			now := f.clock.Now()
 			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now))
+			if f.followsEvacuations() {
+				fmt.Fprintf(ctx, "evacuations_age_ms %d\nevacuated_domains %d\n", f.evacuations.ageMillis(now), len(f.registry.Evacuations().Domains))
+			}
 		},
 	}
 	if err := s.Serve(f.metricsListener); err != nil && f.ctx.Err() == nil {
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -154,6 +154,9 @@
 	defer cancel()
 	err = errEndpointLimited
 	if s.f.acquireGrant(c, source.engine, limiter.Urgent) {
+		err = s.f.mayStartWork(target)
+	}
+	if err == nil {
 		_, err = s.f.migrate(c, source.engine, s.x.req.ID, target.Addr, false)
 	}
 	if err == nil {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -63,6 +63,10 @@
 	// The store does not answer the calls of the daemon for them.
 	ManifestLost  bool `msgpack:"manifest_lost,omitempty"`
 	EndpointsLost bool `msgpack:"endpoints_lost,omitempty"`
+	// Evacuations is the set that the daemon knows; nil if it follows none.
+	Evacuations     *evacuationsUpdate `msgpack:"evacuations,omitempty"`
+	EvacuationsAge  proofAge           `msgpack:"evacuations_age,omitempty"`
+	EvacuationsLost bool               `msgpack:"evacuations_lost,omitempty"`
 }
 
 // proofAge is the age of a proof in milliseconds plus one; zero if there is no proof, or if the
@@ -121,6 +125,8 @@
 	heardAt time.Time
 	// The store does not answer its calls for the manifest and the endpoints.
 	manifestLost, endpointsLost bool
+	// evacuationsLost is the same for the evacuations; true also if the peer does not follow them.
+	evacuationsLost bool
 }
 
 func newPeers(f *Forwarder) *peers {
@@ -255,9 +261,10 @@
 	o := p.known[m.Daemon.Name]
 	if o != nil {
 		o.heardAt = p.f.clock.Now()
-		o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
+		o.setLost(m)
 	}
 	p.mu.Unlock()
+	p.f.applyPeerEvacuations(m.Evacuations, m.Daemon.Name)
 	if o != nil {
 		p.offerManifest(m.Daemon.Name, m.Manifest)
 	}
@@ -316,6 +323,8 @@
 	p.recordLost(o, &remote)
 	p.addDiscovered(remote.Daemon)
 	p.f.recordDaemonCount(remote.Daemons)
+	p.f.applyPeerEvacuations(remote.Evacuations, o.daemon.Name)
+	p.f.confirmEvacuations(&remote, asOf)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
 	if remote.Manifest == local.Manifest {
@@ -438,7 +447,13 @@
 func (p *peers) recordLost(o *peer, m *syncMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	o.setLost(m)
+}
+
+// setLost records whether the store answers the calls of the peer. The mutex of the peers is held.
+func (o *peer) setLost(m *syncMessage) {
 	o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
+	o.evacuationsLost = m.EvacuationsLost || m.Evacuations == nil
 }
 
 // syncState returns the state of this daemon for a sync.
@@ -450,6 +465,9 @@
 		ManifestAge: proofAgeOf(p.f.manifests, now), EndpointsAge: proofAgeOf(p.f.endpointEntries, now),
 		ManifestLost: p.f.manifests.Lost(), EndpointsLost: p.f.endpointEntries.Lost(),
 	}
+	if m.Evacuations = p.f.evacuationsState(); m.Evacuations != nil {
+		m.EvacuationsAge, m.EvacuationsLost = proofAgeOf(p.f.evacuations, now), p.f.evacuations.Lost()
+	}
 	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
 }
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -285,20 +285,28 @@
 	blocked   map[quarantiner.Subject]bool
 
 	mu      sync.Mutex
-	changed chan struct{} // Closed when another part is blocked.
+	changed chan struct{} // Closed when another part is blocked, or when evacuations begin or end.
 }
 
 func newQuarantineWatch() *quarantineWatch {
 	return &quarantineWatch{blocked: map[quarantiner.Subject]bool{}, changed: make(chan struct{})}
 }
 
-// next returns a channel that is closed when another part is blocked.
+// next returns a channel that is closed when another part is blocked, or when evacuations begin or end.
 func (w *quarantineWatch) next() <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.changed
 }
 
+// notify closes the channel of next, so that requests that wait check whether they must be refused.
+func (w *quarantineWatch) notify() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
 // enforceQuarantine acts on verdicts that are new: requests that wait are refused, and runs that
 // have not begun are canceled. It is called by one goroutine.
 func (f *Forwarder) enforceQuarantine(now time.Time) {
@@ -328,10 +336,7 @@
 	if !added {
 		return
 	}
-	w.mu.Lock()
-	close(w.changed)
-	w.changed = make(chan struct{})
-	w.mu.Unlock()
+	w.notify()
 	for _, s := range f.runningStreams() {
 		if _, is := s.f.quarantined(s.x); is {
 			s.cancelRun(errQuarantined)
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -156,7 +156,7 @@
 // of the KV cache there.
 func (s *stream) continueFromBackup(source run, cause error) (run, error) {
 	backup := source.backup
-	if backup.Name == "" || s.f.registry.ShuttingDown(backup.Identity) {
+	if backup.Name == "" || !s.f.registry.Accepts(backup.Identity) {
 		return run{}, errNoCopy
 	}
 	if err := s.backupOf(source).CheckRun(); err != nil {
@@ -170,7 +170,8 @@
 
 // continueByMigration stops the run on its engine, copies the rest of its KV cache
 // to the target and continues there. If the copy can't be completed, it continues
-// on the source from the KV cache that is kept there.
+// on the source from the KV cache that is kept there, unless the source may get no new
+// work: that is a new request to it.
 func (s *stream) continueByMigration(ctx context.Context, source run, target registrar.Endpoint, cause error) (run, error) {
 	if source.state.resumeLost.Load() {
 		return run{}, resumer.ErrUsed
@@ -185,6 +186,9 @@
 	}
 	if err != nil {
 		target = source.engine
+		if denied := s.f.mayStartWork(target); denied != nil {
+			return run{}, denied
+		}
 		s.f.acquireGrant(ctx, target, limiter.Sent) // The run is stopped, and would be lost.
 	}
 	return s.continueOn(target, s.f.endpoints.CopyName(source.engine, copied.Handle), source, wayMigration, cause)
@@ -192,6 +196,9 @@
 
 // stopAndCopy makes the engine stop the run and copy its KV cache to the target.
 func (s *stream) stopAndCopy(ctx context.Context, source run, target registrar.Endpoint) (MigrationResult, error) {
+	if err := s.f.mayStartWork(target); err != nil {
+		return MigrationResult{}, err
+	}
 	before := source.state.loadStop()
 	if before == verifier.NotStopped {
 		source.state.storeStop(verifier.MaybeStopped)
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -53,6 +53,7 @@
 	RetryWindow       float64       `ini:"retry_window_s"`  // Length of the budget window in seconds.
 	RetrySlack        float64       `ini:"retry_slack"`     // Retries per window regardless of requests, for all daemons together.
 	ReturnGraceMillis int           `ini:"return_grace_ms"` // How long an endpoint that is missing after an outage of the store is kept.
+	EvacuationMillis  int           `ini:"evacuation_ms"`   // Time in which an evacuated failure domain must get no more requests; zero if there are no evacuations.
 	EntryExpiry       float64       `ini:"entry_expiry_s"`  // Time in seconds after which the entry of a daemon that peers don't reach is deleted.
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -317,8 +317,8 @@
 	if s.outlastsDaemon(now) {
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonStopping, RetryAfter: stoppingRetryAfter}
 	}
-	if len(s.f.registry.Usable(s.x.service)) == 0 {
-		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: defaultRetryAfter}
+	if refusal := s.f.noEndpointRefusal(s.x); refusal != nil {
+		return placer.Placement{}, refusal
 	}
 	if s.allEnginesLimited(exclude, now) {
 		r := s.f.limitRefusal(s.x.service, now)
@@ -336,7 +336,8 @@
 	return s.awaitOutcome(ch)
 }
 
-// awaitOutcome waits until the job is placed or refused, or a part of its prompt is quarantined.
+// awaitOutcome waits until the job is placed or refused, a part of its prompt is quarantined, or all
+// engines are evacuated.
 func (s *stream) awaitOutcome(ch <-chan placer.Outcome) (placer.Placement, *Refusal) {
 	for {
 		verdicts := s.f.quarantineWatch.next()
@@ -344,6 +345,10 @@
 			s.withdraw()
 			return placer.Placement{}, refusal
 		}
+		if refusal := s.f.noEndpointRefusal(s.x); refusal != nil && refusal.Reason != ReasonNoEndpoint {
+			s.withdraw()
+			return placer.Placement{}, refusal
+		}
 		select {
 		case o := <-ch:
 			s.f.metrics.observe("queue_wait", o.Waited)
@@ -411,20 +416,26 @@
 }
 
 // send sends the request to an engine and waits for the response header. If
-// register is not nil, it is called with the run before the request is sent.
+// register is not nil, it is called with the run before the request is sent. The run
+// has no backup where none may be kept any more.
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
+	if backup.Name != "" && s.f.mayStartWork(backup) != nil {
+		backup = registrar.Endpoint{}
+	}
 	c, cancel := context.WithCancelCause(s.ctx)
 	r := run{engine: to, backup: backup, interrupt: cancel, sentAt: now, state: &runState{}}
 	if register != nil {
 		register(r)
 	}
 	_, limited := s.f.limits.Limit(to.Identity)
-	var err error
-	r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
-		Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
-		Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
-	})
+	err := s.f.mayStartWork(to)
+	if err == nil {
+		r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
+			Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
+			Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
+		})
+	}
 	if err == nil {
 		s.f.observeResponse(to, &r.response, limited)
 		return r, nil
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -186,7 +186,13 @@
 	Revision int64 // Revision of the deletion, if Deleted is set.
 }
 
-// Store gives access to the manifest and to the entries of endpoints and daemons.
+// EvacuationChange is the begin or the end of the evacuation of a failure domain.
+type EvacuationChange struct {
+	Domain string
+	Ended  bool
+}
+
+// Store gives access to the manifest and to the entries of endpoints, evacuations and daemons.
 type Store interface {
 	// Manifest returns the newest manifest and the revision of the store.
 	Manifest(ctx context.Context) (*matcher.Manifest, int64, error)
@@ -200,6 +206,12 @@
 	// none if there are none within the wait. It also returns the revision for
 	// the next call.
 	WatchEndpoints(ctx context.Context, revision int64, wait time.Duration) ([]EndpointChange, int64, error)
+	// Evacuations returns the failure domains that are evacuated. The error matches
+	// ErrNotFound if the store has no such kind of object, which means that none is.
+	Evacuations(ctx context.Context) (registrar.Evacuations, error)
+	// WatchEvacuations waits for changes after the revision and returns them in order, or
+	// none if there are none within the wait. It also returns the revision for the next call.
+	WatchEvacuations(ctx context.Context, revision int64, wait time.Duration) ([]EvacuationChange, int64, error)
 	// PutDaemon writes the entry of a daemon.
 	PutDaemon(ctx context.Context, d Daemon) error
 	// Daemons returns the entries of all daemons, possibly a few seconds old.
--- a/forwarder/updates.go
+++ b/forwarder/updates.go
@@ -21,6 +21,8 @@
 	Manifest  int64            `msgpack:"manifest,omitempty"`
 	Endpoints []EndpointChange `msgpack:"endpoints,omitempty"`
 	Limits    []limitUpdate    `msgpack:"limits,omitempty"`
+	// Evacuations is the newest set of evacuated failure domains, or nil if it has not changed.
+	Evacuations *evacuationsUpdate `msgpack:"evacuations,omitempty"`
 	// Evidence about crashes, or nil.
 	Evidence *quarantiner.Evidence `msgpack:"evidence,omitempty"`
 }
@@ -73,6 +75,7 @@
 		p.f.applyEndpoints(m.Endpoints)
 	}
 	p.f.applyLimits(m.Limits, p.domainOf(name))
+	p.f.applyPeerEvacuations(m.Evacuations, name)
 	p.applyEvidence(m.Evidence, name)
 	p.offerManifest(name, m.Manifest)
 	for _, u := range m.ShuttingDown {
@@ -154,13 +157,16 @@
 	if later.hasEvidence() {
 		m.Evidence = later.Evidence // It is urgent, so that no other waits in m.
 	}
+	if later.Evacuations != nil {
+		m.Evacuations = later.Evacuations
+	}
 	m.Manifest = max(m.Manifest, later.Manifest)
 }
 
 // urgent reports whether the updates affect the placements of other daemons or the
 // manifest and endpoints that they use.
 func (m *updateMessage) urgent() bool {
-	if len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) > 0 || m.Manifest > 0 || m.hasEvidence() {
+	if len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) > 0 || m.Manifest > 0 || m.Evacuations != nil || m.hasEvidence() {
 		return true
 	}
 	for _, s := range m.Services {
@@ -177,7 +183,7 @@
 
 // empty reports whether the message contains no updates.
 func (m *updateMessage) empty() bool {
-	return len(m.Services)+len(m.Reports)+len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) == 0 && m.Manifest == 0 && !m.hasEvidence()
+	return len(m.Services)+len(m.Reports)+len(m.ShuttingDown)+len(m.Endpoints)+len(m.Limits) == 0 && m.Manifest == 0 && m.Evacuations == nil && !m.hasEvidence()
 }
 
 // hasEvidence reports whether the message contains evidence.
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -68,11 +68,14 @@
 	removed  map[string]removal    // Last removal of each name.
 	held     map[string]heldEntry  // Entries that may be those of endpoints that have left, by name.
 	shutdown map[Identity]bool     // Endpoints marked by MarkShuttingDown, whether they have an entry or not.
-	usable   map[string][]Endpoint // Endpoints that accept new work, by service; rebuilt after each change.
+	usable   map[string][]Endpoint // Endpoints that may get new work, by service; rebuilt after each change.
+	serving  map[string][]Endpoint // The same with those of evacuated failure domains.
 	revision int64
 	grace    time.Duration
 
 	listRevision int64 // Of the last complete list; changes of a new era may be known before.
+
+	evacuations Evacuations
 }
 
 // New returns an empty Registrar. Entries that are missing after an outage of
@@ -80,7 +83,7 @@
 func New(grace time.Duration) *Registrar {
 	return &Registrar{
 		records: map[string]*record{}, removed: map[string]removal{}, held: map[string]heldEntry{}, shutdown: map[Identity]bool{},
-		usable: map[string][]Endpoint{}, grace: grace,
+		usable: map[string][]Endpoint{}, serving: map[string][]Endpoint{}, grace: grace,
 	}
 }
 
@@ -91,8 +94,8 @@
 	return g.revision
 }
 
-// Usable returns the endpoints of a service that accept new work. The caller
-// must not modify the slice.
+// Usable returns the endpoints of a service that may get new work: they are not shutting
+// down, and their failure domains are not evacuated. The caller must not modify the slice.
 func (g *Registrar) Usable(service string) []Endpoint {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
@@ -361,13 +364,18 @@
 	}
 }
 
-// rebuild groups the usable endpoints by service. The mutex must be held.
+// rebuild groups the endpoints that are not shutting down by service. The mutex must be held.
 func (g *Registrar) rebuild() {
-	usable := make(map[string][]Endpoint, len(g.usable))
+	usable, serving := make(map[string][]Endpoint, len(g.usable)), make(map[string][]Endpoint, len(g.serving))
 	for _, r := range g.records {
-		if !g.isShuttingDown(&r.endpoint) {
-			usable[r.endpoint.Service] = append(usable[r.endpoint.Service], r.endpoint)
+		e := &r.endpoint
+		if g.isShuttingDown(e) {
+			continue
+		}
+		serving[e.Service] = append(serving[e.Service], *e)
+		if !g.evacuations.includes(e.Domain) {
+			usable[e.Service] = append(usable[e.Service], *e)
 		}
 	}
-	g.usable = usable
+	g.usable, g.serving = usable, serving
 }
