Requests stay in the allowed regions of their route and customer

Cause: allowed_regions of routes and customers were not read, so endpoints of any region served their requests.

Change: the manifest holds the allowed regions, the settings the region of each failure domain (section [regions]). matcher.Regions.Allows decides for calls and engines: the candidates of a call, the placer's queue, backups and migration targets, and each send once more. Updates of queued jobs name the allowed regions, so that all daemons place them alike. A domain whose region is not known is not allowed. Without an allowed endpoint the request is refused at once (503, no_allowed_region). A manifest that a daemon of an earlier version passes on lacks the field; where regions are set, it is not used, and the daemon asks the store.

--- a/coordination/placer/deferral.go
+++ b/coordination/placer/deferral.go
@@ -16,13 +16,13 @@
 	}
 }
 
-// firstOpening returns the time from which any engine wants requests of this daemon; now if
-// one does already, or if there is none. The mutex is held.
-func (p *Placer) firstOpening(now time.Time) time.Time {
+// firstOpening returns the time from which any engine of the allowed regions wants requests of
+// this daemon; now if one does already, or if there is none. The mutex is held.
+func (p *Placer) firstOpening(allowed []string, now time.Time) time.Time {
 	var first time.Time
 	for _, e := range p.engines {
 		switch {
-		case !e.isOpen():
+		case !e.isOpen() || !p.cfg.Regions.Allows(allowed, e.endpoint.Domain):
 		case !now.Before(e.deferredUntil):
 			return now
 		case first.IsZero() || e.deferredUntil.Before(first):
--- a/coordination/placer/evacuated.go
+++ b/coordination/placer/evacuated.go
@@ -19,6 +19,11 @@
 // isOpen reports whether the engine is neither shutting down nor evacuated.
 func (e *engine) isOpen() bool { return e.unusableSince.IsZero() && !e.evacuated }
 
+// allows reports whether the allowed regions of a job permit the engine.
+func (p *Placer) allows(job *Job, e *engine) bool {
+	return p.cfg.Regions.Allows(job.AllowedRegions, e.endpoint.Domain)
+}
+
 // openEngines returns the number of engines that are known and not evacuated. The mutex is held.
 func (p *Placer) openEngines() int {
 	n := 0
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -41,6 +41,7 @@
 	FirstEventDue   time.Time // When the first event is due.
 	FirstEventLimit time.Time // When the client leaves if it has received no event; zero if unknown.
 	Deadline        time.Time // When the answer becomes useless.
+	AllowedRegions  []string  // As returned by matcher.AllowedRegions; other engines must not get the job or a copy of its memory.
 	AllowBackup     bool      // The engine may replicate the memory to a backup engine.
 }
 
@@ -133,6 +134,8 @@
 	FirstEventIn   time.Duration `msgpack:"FirstIn"`            // For Queued: time until the first event is due.
 	ClientLeavesIn time.Duration `msgpack:"LeavesIn,omitempty"` // For Queued: time until the client leaves without an event; zero if unknown.
 	Running        bool          // For Placed: the job has had its first event.
+	// AllowedRegions is that of the Job, for Queued. Peers of an earlier version do not know it.
+	AllowedRegions []string `msgpack:"Regions,omitempty"`
 	// OutputTokens is the number of output tokens so far of a job that migrates or is resumed.
 	OutputTokens int `msgpack:"Produced"`
 	FinalTokens  int `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
--- a/coordination/placer/migration.go
+++ b/coordination/placer/migration.go
@@ -28,7 +28,7 @@
 	m := p.moments(&job)
 	var candidates []migrationCandidate
 	for id, e := range p.engines {
-		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) {
+		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) || !p.allows(&job, e) {
 			continue
 		}
 		if cost, ok := e.migrationCost(p, &m, source.Domain, now); ok {
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -46,9 +46,13 @@
 		return nil
 	}
 	var outcomes []Outcome
-	opening := p.firstOpening(now)
+	opening := p.firstOpening(nil, now)
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedJob) bool {
-		missed := p.missesDeadline(&q.job, opening)
+		at := opening
+		if q.job.AllowedRegions != nil {
+			at = p.firstOpening(q.job.AllowedRegions, now)
+		}
+		missed := p.missesDeadline(&q.job, at)
 		if missed {
 			outcomes = append(outcomes, p.refuse(q, now))
 		}
@@ -75,6 +79,7 @@
 func (p *Placer) publishQueued(q *queuedJob, now time.Time) {
 	q.publishedAt = now
 	u := newUpdate(&q.job, Queued)
+	u.AllowedRegions = q.job.AllowedRegions
 	u.Domain, u.FirstEventIn = p.cfg.Domain, q.job.FirstEventDue.Sub(now)
 	if !q.job.FirstEventLimit.IsZero() {
 		u.ClientLeavesIn = q.job.FirstEventLimit.Sub(now)
@@ -170,7 +175,7 @@
 	hash := xxhash.Sum64String(q.job.ID)
 	q.state.Late = !p.onTime(&q.job, now)
 	for id, e := range p.engines {
-		if q.excluded[id] || !e.acceptsJobs(now) {
+		if q.excluded[id] || !e.acceptsJobs(now) || !p.allows(&q.job, e) {
 			continue
 		}
 		e.refresh(p, now)
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -48,16 +49,17 @@
 	minOutputSteps     = 16                      // A job is refused if its deadline leaves time for fewer decode steps.
 )
 
-// Config describes the engines of one service. All fields but Updated are required.
+// Config describes the engines of one service. All fields but Regions and Updated are required.
 type Config struct {
-	Domain             string        // Failure domain of the daemon.
-	Slots              int           // Largest number of sequences on an engine.
-	MemoryTokens       int           // Size of an engine's KV cache, in tokens.
-	BlockTokens        int           // Tokens per block of memory.
-	TokensPerEvent     int           // Output tokens in each event of an answer.
-	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
-	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
-	ReportLag          time.Duration // Age of the figures in a report when it is received.
+	Domain             string          // Failure domain of the daemon.
+	Regions            matcher.Regions // Of the engines; may be nil if no job has allowed regions.
+	Slots              int             // Largest number of sequences on an engine.
+	MemoryTokens       int             // Size of an engine's KV cache, in tokens.
+	BlockTokens        int             // Tokens per block of memory.
+	TokensPerEvent     int             // Output tokens in each event of an answer.
+	StepTime           time.Duration   // Duration of a decode step, which adds one token to each sequence.
+	PrefillTokensPerMs float64         // Prefill rate of an engine that runs no other sequences.
+	ReportLag          time.Duration   // Age of the figures in a report when it is received.
 	// Updated, if not nil, gets a value when there are updates to take. It should have a buffer.
 	Updated    chan<- struct{}
 	Deviations float64 // Standard deviations added to the forecast mean as a safety margin.
@@ -343,7 +345,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range p.engines {
-		if e == primary || !e.acceptsJobs(now) {
+		if e == primary || !e.acceptsJobs(now) || !p.allows(job, e) {
 			continue
 		}
 		e.refresh(p, now)
--- a/coordination/placer/refusal.go
+++ b/coordination/placer/refusal.go
@@ -73,5 +73,5 @@
 // The mutex is held.
 func (p *Placer) retryAfter(job *Job, now time.Time) time.Duration {
 	share := minReturnShare + (maxReturnShare-minReturnShare)*p.rand.Float64()
-	return max(time.Duration(share*float64(job.Deadline.Sub(now))), minRetryAfter, p.firstOpening(now).Sub(now))
+	return max(time.Duration(share*float64(job.Deadline.Sub(now))), minRetryAfter, p.firstOpening(job.AllowedRegions, now).Sub(now))
 }
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -103,6 +103,9 @@
 func (p *Placer) addRemoteQueued(u *Update, now time.Time) {
 	job := u.job()
 	job.FirstEventDue = now.Add(u.FirstEventIn)
+	if len(u.AllowedRegions) > 0 {
+		job.AllowedRegions = u.AllowedRegions
+	}
 	if u.ClientLeavesIn > 0 {
 		job.FirstEventLimit = now.Add(u.ClientLeavesIn)
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -108,7 +108,7 @@
 func (f *Forwarder) pickEndpoint(ctx context.Context, x *exchange, exclude map[registrar.Identity]bool) (registrar.Endpoint, bool) {
 	for {
 		now := f.clock.Now()
-		e, ok := f.balancer(x.service).Pick(f.permittedEndpoints(f.registry.Usable(x.service), now), exclude, now)
+		e, ok := f.balancer(x.service).Pick(f.permittedEndpoints(f.allowedEndpoints(x, f.registry.Usable(x.service)), now), exclude, now)
 		if !ok || f.acquireGrant(ctx, e, limiter.Normal) {
 			return e, ok
 		}
@@ -122,7 +122,7 @@
 	if r := f.noEndpointRefusal(x); r != nil && r.Reason != ReasonNoEndpoint {
 		return r.Reason
 	}
-	usable := f.registry.Usable(x.service)
+	usable := f.allowedEndpoints(x, f.registry.Usable(x.service))
 	if lastAttempt.err == nil && (x.limitDenied || len(f.permittedEndpoints(usable, f.clock.Now())) < len(usable)) {
 		return ReasonLimited
 	}
@@ -152,7 +152,7 @@
 	c, cancel := context.WithDeadline(ctx, attemptDeadline)
 	defer cancel()
 	_, limited := f.limits.Limit(e.Identity)
-	res, err := Response{}, f.mayStartWork(e)
+	res, err := Response{}, f.mayStartWork(x, e)
 	if err == nil {
 		res, err = f.endpoints.Send(c, x.req, Dispatch{
 			Endpoint: e, Customer: x.customer.Name, Remaining: attemptDeadline.Sub(start), Safe: x.route.Kind == matcher.Safe,
@@ -268,11 +268,11 @@
 	}
 	r := Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: unavailableRetryAfter}
 	now := f.clock.Now()
-	if reason == ReasonDomainEvacuated {
-		r.RetryAfter = evacuatedRetryAfter
+	if reason == ReasonDomainEvacuated || reason == ReasonNoAllowedRegion {
+		r.RetryAfter = excludedRetryAfter
 	}
-	if _, all := f.allDeferred(f.registry.Usable(x.service), now); all || reason == ReasonLimited {
-		r = f.limitRefusal(x.service, now)
+	if _, all := f.allDeferred(f.allowedEndpoints(x, f.registry.Usable(x.service)), now); all || reason == ReasonLimited {
+		r = f.limitRefusal(x, now)
 	}
 	f.refuse(out, x, r, lastAttempt.err)
 }
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -57,6 +57,7 @@
 	ReasonLimited             Reason = "endpoints_limited"
 	ReasonDeferred            Reason = "endpoints_deferred"
 	ReasonDomainEvacuated     Reason = "domain_evacuated"
+	ReasonNoAllowedRegion     Reason = "no_allowed_region"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 	ReasonRequestQuarantined  Reason = "request_quarantined"
@@ -84,6 +85,7 @@
 	route           *matcher.Route
 	customer        *matcher.Customer
 	service         string
+	allowedRegions  []string // As returned by matcher.AllowedRegions.
 	manifestVersion int64
 	arrived         time.Time
 	deadline        time.Time
@@ -217,7 +219,7 @@
 	if x.resumeAfter != noEvent {
 		f.metrics.count("streams_resumed_by_client")
 	}
-	x.service = x.route.Service(req.ID)
+	x.service, x.allowedRegions = x.route.Service(req.ID), matcher.AllowedRegions(x.route, x.customer)
 	timeout := x.route.Timeout
 	if req.ClientTimeout > 0 && (timeout <= 0 || req.ClientTimeout < timeout) {
 		timeout = req.ClientTimeout
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -23,7 +23,7 @@
 // goes on in another domain.
 
 const (
-	evacuatedRetryAfter   = time.Second     // Retry-After while no endpoint is left; the end of an evacuation is not known before.
+	excludedRetryAfter    = time.Second     // Retry-After while evacuations or allowed regions exclude all endpoints; the end is not known before.
 	evacuationsKnownLimit = 3 * time.Second // After the start; a daemon that does not know the evacuations then is ready without.
 )
 
@@ -165,26 +165,34 @@
 	f.log.Info().Str("failure_domain", domain).Msg("forwarder: evacuation ends")
 }
 
-// mayStartWork returns an error that matches requester.ErrNotSent if nothing that starts work may be
-// sent to the endpoint. It is checked right before each such request, since the endpoint may have been
+// mayStartWork returns an error that matches requester.ErrNotSent if nothing that starts work on a
+// request may be sent to the endpoint: its failure domain is evacuated, or the allowed regions of the
+// request exclude it. It is checked right before each such request, since the endpoint may have been
 // chosen before an evacuation.
-func (f *Forwarder) mayStartWork(e registrar.Endpoint) error {
-	if !f.registry.Evacuated(e.Domain) {
-		return nil
+func (f *Forwarder) mayStartWork(x *exchange, e registrar.Endpoint) error {
+	switch {
+	case f.registry.Evacuated(e.Domain):
+		f.metrics.count("evacuation_denials")
+		return requester.FailureError{Kind: requester.ErrNotSent, Cause: errDomainEvacuated}
+	case !f.isAllowed(x, &e):
+		f.metrics.count("region_denials")
+		return requester.FailureError{Kind: requester.ErrNotSent, Cause: errRegionNotAllowed}
 	}
-	f.metrics.count("evacuation_denials")
-	return requester.FailureError{Kind: requester.ErrNotSent, Cause: errDomainEvacuated}
+	return nil
 }
 
 // noEndpointRefusal returns the refusal of a request for which no endpoint may be used now, or nil
 // if there is one.
 func (f *Forwarder) noEndpointRefusal(x *exchange) *Refusal {
 	r := &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: defaultRetryAfter}
+	serving := f.registry.Serving(x.service)
 	switch {
-	case len(f.registry.Usable(x.service)) > 0:
+	case f.anyAllowed(x, f.registry.Usable(x.service)):
 		return nil
-	case len(f.registry.Serving(x.service)) > 0:
-		r.Reason, r.RetryAfter = ReasonDomainEvacuated, evacuatedRetryAfter
+	case f.anyAllowed(x, serving):
+		r.Reason, r.RetryAfter = ReasonDomainEvacuated, excludedRetryAfter
+	case len(serving) > 0:
+		r.Reason, r.RetryAfter = ReasonNoAllowedRegion, excludedRetryAfter
 	}
 	return r
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -192,7 +192,7 @@
 	if p == nil {
 		p = &servicePlacer{
 			Placer: placer.New(placer.Config{
-				Domain: f.cfg.Daemon.Domain, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
+				Domain: f.cfg.Daemon.Domain, Regions: f.cfg.Regions, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
 				TokensPerEvent: max(e.TokensPerEvent, 1), StepTime: decodeStepTime, PrefillTokensPerMs: prefillTokensPerMs, ReportLag: reportLag,
 				Deviations: memoryDeviations, Updated: f.peers.wake,
 			}, f.newRand()),
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -149,8 +149,8 @@
 // limitRefusal returns the refusal of a request that the limits and deferrals of the
 // endpoints of its service exclude, as far as they have not refused it themselves. The
 // client may return when the first of them may permit it.
-func (f *Forwarder) limitRefusal(service string, now time.Time) Refusal {
-	usable := f.registry.Usable(service)
+func (f *Forwarder) limitRefusal(x *exchange, now time.Time) Refusal {
+	usable := f.allowedEndpoints(x, f.registry.Usable(x.service))
 	if first, all := f.allDeferred(usable, now); all {
 		return Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonDeferred, RetryAfter: first}
 	}
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -154,7 +154,7 @@
 	defer cancel()
 	err = errEndpointLimited
 	if s.f.acquireGrant(c, source.engine, limiter.Urgent) {
-		err = s.f.mayStartWork(target)
+		err = s.f.mayStartWork(s.x, target)
 	}
 	if err == nil {
 		_, err = s.f.migrate(c, source.engine, s.x.req.ID, target.Addr, false)
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -416,6 +416,9 @@
 	if err := p.call(c, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
 		return err
 	}
+	if m.Format < matcher.ManifestFormat && len(p.f.cfg.Regions) > 0 {
+		return errManifestFormat // This daemon asks the store itself soon.
+	}
 	p.f.installManifest(&m, "peer "+name)
 	return nil
 }
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -186,7 +186,7 @@
 	}
 	if err != nil {
 		target = source.engine
-		if denied := s.f.mayStartWork(target); denied != nil {
+		if denied := s.f.mayStartWork(s.x, target); denied != nil {
 			return run{}, denied
 		}
 		s.f.acquireGrant(ctx, target, limiter.Sent) // The run is stopped, and would be lost.
@@ -196,7 +196,7 @@
 
 // stopAndCopy makes the engine stop the run and copy its KV cache to the target.
 func (s *stream) stopAndCopy(ctx context.Context, source run, target registrar.Endpoint) (MigrationResult, error) {
-	if err := s.f.mayStartWork(target); err != nil {
+	if err := s.f.mayStartWork(s.x, target); err != nil {
 		return MigrationResult{}, err
 	}
 	before := source.state.loadStop()
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
+
+	"monsoonspar.example/state/matcher"
 )
 
 // ErrSettings is wrapped by all errors about invalid settings.
@@ -17,12 +19,15 @@
 	Store  StoreSettings  `ini:"store"`
 	Bounds BoundSettings  `ini:"bounds"`
 	Log    LogSettings    `ini:"log"`
+
+	Regions matcher.Regions `ini:"-"` // The section [regions]: the region of each failure domain.
 }
 
 // DaemonSettings hold the name of the daemon and its listen addresses.
 type DaemonSettings struct {
 	Name     string   `ini:"name"`
 	Domain   string   `ini:"failure_domain"`
+	Region   string   `ini:"region"` // Of the daemon.
 	Clients  string   `ini:"callers_listen"`
 	Ready    string   `ini:"ready_listen"`
 	Peers    string   `ini:"peers_listen"`
@@ -76,6 +81,12 @@
 	if err := f.StrictMapTo(&s); err != nil {
 		return s, errors.Wrap(ErrSettings, err.Error())
 	}
+	s.Regions = matcher.Regions{}
+	for domain, region := range f.Section("regions").KeysHash() {
+		if region != "" {
+			s.Regions[domain] = region
+		}
+	}
 	s.Bounds.StopTime = time.Duration(s.Bounds.StopSeconds * float64(time.Second))
 	s.Daemon.RequestTime = time.Duration(s.Daemon.RequestSeconds * float64(time.Second))
 	return s, s.check()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -184,6 +184,7 @@
 	job := placer.Job{
 		ID: s.x.req.ID, Class: placer.ClassOf(g.Model, priority), PromptTokens: g.PromptTokens, MaxTokens: g.MaxTokens, EstimatedTokens: g.EstimatedTokens,
 		OutputTokens: s.x.resumedTokens(max(e.TokensPerEvent, 1)), Priority: priority, FirstEventDue: s.x.arrived.Add(s.x.route.LatencyTarget), Deadline: s.x.deadline, AllowBackup: e.Backups,
+		AllowedRegions: s.x.allowedRegions,
 	}
 	if s.x.route.Patience > 0 {
 		job.FirstEventLimit = s.x.arrived.Add(s.x.route.Patience)
@@ -321,7 +322,7 @@
 		return placer.Placement{}, refusal
 	}
 	if s.allEnginesLimited(exclude, now) {
-		r := s.f.limitRefusal(s.x.service, now)
+		r := s.f.limitRefusal(s.x, now)
 		return placer.Placement{}, &r
 	}
 	ch := make(chan placer.Outcome, 1)
@@ -337,7 +338,7 @@
 }
 
 // awaitOutcome waits until the job is placed or refused, a part of its prompt is quarantined, or all
-// engines are evacuated.
+// engines that are allowed are evacuated.
 func (s *stream) awaitOutcome(ch <-chan placer.Outcome) (placer.Placement, *Refusal) {
 	for {
 		verdicts := s.f.quarantineWatch.next()
@@ -378,7 +379,7 @@
 // permit no request now.
 func (s *stream) allEnginesLimited(exclude map[registrar.Identity]bool, now time.Time) bool {
 	limited := s.x.limitDenied
-	for _, e := range s.f.registry.Usable(s.x.service) {
+	for _, e := range s.f.allowedEndpoints(s.x, s.f.registry.Usable(s.x.service)) {
 		switch {
 		case !s.f.mayAsk(e, now):
 			limited = true
@@ -420,7 +421,7 @@
 // has no backup where none may be kept any more.
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
-	if backup.Name != "" && s.f.mayStartWork(backup) != nil {
+	if backup.Name != "" && s.f.mayStartWork(s.x, backup) != nil {
 		backup = registrar.Endpoint{}
 	}
 	c, cancel := context.WithCancelCause(s.ctx)
@@ -429,7 +430,7 @@
 		register(r)
 	}
 	_, limited := s.f.limits.Limit(to.Identity)
-	err := s.f.mayStartWork(to)
+	err := s.f.mayStartWork(s.x, to)
 	if err == nil {
 		r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
 			Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
--- a/state/matcher/manifest.go
+++ b/state/matcher/manifest.go
@@ -38,6 +38,7 @@
 	Services  map[string]Service
 	Customers []Customer
 	Limits    Limits
+	Format    int `msgpack:",omitempty"` // ManifestFormat of the daemon that decoded the manifest first; zero for earlier versions.
 }
 
 // Route routes the requests for a host and a path prefix to services.
@@ -55,6 +56,7 @@
 	Attempts       int           // Largest number of endpoints that one request is sent to.
 	Public         bool          // Whether requests need no API key.
 	Shares         []Share       // Weighted services; never empty.
+	AllowedRegions []string      `msgpack:",omitempty"` // Whose endpoints may get the requests; empty for all.
 }
 
 // Repeatable reports whether a request of the route may run more than once, as far as Attempts
@@ -92,6 +94,8 @@
 	Name     string
 	Keys     []string
 	Priority int // Takes precedence over the priority of the route.
+
+	AllowedRegions []string `msgpack:",omitempty"` // As of a Route; both apply.
 }
 
 // Limits bound the size of a client's request and the time to send it.
