--- a/coordination/placer/migration.go
+++ b/coordination/placer/migration.go
@@ -28,7 +28,7 @@
 	m := p.moments(&job)
 	var candidates []migrationCandidate
 	for id, e := range p.engines {
-		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) {
+		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) || !p.allows(&job, e) {
 			continue
 		}
 		if cost, ok := e.migrationCost(p, &m, source.Domain, now); ok {
@@ -130,7 +130,9 @@
 	held, available := 0.0, 0
 	for _, e := range p.engines {
 		if e.unusableSince.IsZero() {
-			available++
+			if !e.evacuated { // The runs of the others go on there.
+				available++
+			}
 			continue
 		}
 		if now.Sub(e.unusableSince) > evacuationTime {
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -48,17 +49,18 @@
 	minOutputSteps     = 16                      // A job is refused if its deadline leaves time for fewer decode steps.
 )
 
-// Config describes the engines of one service. The fields up to Deviations are required.
+// Config describes the engines of one service. The fields up to Deviations but Regions are required.
 type Config struct {
-	Domain             string        // Failure domain of the daemon.
-	Slots              int           // Largest number of sequences on an engine.
-	MemoryTokens       int           // Size of an engine's KV cache, in tokens.
-	BlockTokens        int           // Tokens per block of memory.
-	TokensPerEvent     int           // Output tokens in each event of an answer.
-	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
-	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
-	ReportLag          time.Duration // Age of the figures in a report when it is received.
-	Deviations         float64       // Standard deviations added to the forecast mean as a safety margin.
+	Domain             string          // Failure domain of the daemon.
+	Regions            matcher.Regions // Of the engines; may be nil if no job has allowed regions.
+	Slots              int             // Largest number of sequences on an engine.
+	MemoryTokens       int             // Size of an engine's KV cache, in tokens.
+	BlockTokens        int             // Tokens per block of memory.
+	TokensPerEvent     int             // Output tokens in each event of an answer.
+	StepTime           time.Duration   // Duration of a decode step, which adds one token to each sequence.
+	PrefillTokensPerMs float64         // Prefill rate of an engine that runs no other sequences.
+	ReportLag          time.Duration   // Age of the figures in a report when it is received.
+	Deviations         float64         // Standard deviations added to the forecast mean as a safety margin.
 	// CrossingShare is the delay to the first event that is accepted to avoid another failure domain, as a
 	// fraction of the time in which the first event is due; minCrossingCostMs at least.
 	CrossingShare float64
@@ -92,6 +94,8 @@
 	arrivals    map[string]arrival // Started and Ended updates of peers that came lately, by job ID.
 	// arrivalsPrunedAt is when old arrivals were last deleted.
 	arrivalsPrunedAt time.Time
+	// evacuated holds the failure domains whose engines must get no new work.
+	evacuated map[string]bool
 	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
@@ -114,10 +118,10 @@
 	for _, ep := range endpoints {
 		present[ep.Identity] = true
 		if e := p.engines[ep.Identity]; e != nil {
-			e.endpoint, e.unusableSince = ep, time.Time{}
+			e.endpoint, e.unusableSince, e.evacuated = ep, time.Time{}, p.evacuated[ep.Domain]
 			continue
 		}
-		p.engines[ep.Identity] = &engine{registeredAt: now, nameHash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*run{}, migratingIn: map[string]*run{}, backups: map[string]*run{}, listed: map[string]bool{}}
+		p.engines[ep.Identity] = &engine{registeredAt: now, evacuated: p.evacuated[ep.Domain], nameHash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*run{}, migratingIn: map[string]*run{}, backups: map[string]*run{}, listed: map[string]bool{}}
 	}
 	for id, e := range p.engines {
 		switch {
@@ -357,7 +361,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range p.engines {
-		if e == primary || !e.acceptsJobs(now) {
+		if e == primary || !e.acceptsJobs(now) || !p.allows(job, e) {
 			continue
 		}
 		e.refresh(p, now)
--- a/coordination/placer/refusal.go
+++ b/coordination/placer/refusal.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	p.dropOldLatePlacements(now)
-	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(len(p.engines))
+	perSecond := float64(len(p.latePlacements))/prospectWindow.Seconds() + lateRatePerEngine*float64(p.openEngines())
 	left := q.job.FirstEventLimit.Sub(now).Seconds()
 	return float64(q.state.LateAhead+1) <= perSecond*left
 }
@@ -73,5 +73,5 @@
 // The mutex is held.
 func (p *Placer) retryAfter(job *Job, now time.Time) time.Duration {
 	share := minReturnShare + (maxReturnShare-minReturnShare)*p.rand.Float64()
-	return max(time.Duration(share*float64(job.Deadline.Sub(now))), minRetryAfter, p.firstOpening(now).Sub(now))
+	return max(time.Duration(share*float64(job.Deadline.Sub(now))), minRetryAfter, p.firstOpening(job.AllowedRegions, now).Sub(now))
 }
--- a/coordination/placer/updates.go
+++ b/coordination/placer/updates.go
@@ -112,6 +112,9 @@
 func (p *Placer) addRemoteQueued(u *Update, now time.Time) {
 	job := u.job()
 	job.FirstEventDue = now.Add(u.FirstEventIn)
+	if len(u.AllowedRegions) > 0 {
+		job.AllowedRegions = u.AllowedRegions
+	}
 	if u.ClientLeavesIn > 0 {
 		job.FirstEventLimit = now.Add(u.ClientLeavesIn)
 	}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -66,6 +66,10 @@
 	EndpointsLost bool `msgpack:"endpoints_lost,omitempty"`
 	// Wire is the newest form of updates that the daemon decodes: compactWire, or zero in earlier versions.
 	Wire int `msgpack:"wire,omitempty"`
+	// Evacuations is the set that the daemon knows; nil if it follows none.
+	Evacuations     *evacuationsUpdate `msgpack:"evacuations,omitempty"`
+	EvacuationsAge  proofAge           `msgpack:"evacuations_age,omitempty"`
+	EvacuationsLost bool               `msgpack:"evacuations_lost,omitempty"`
 }
 
 // proofAge is the age of a proof in milliseconds plus one; zero if there is no proof, or if the
@@ -127,6 +131,8 @@
 	// The store does not answer its calls for the manifest and the endpoints.
 	manifestLost, endpointsLost bool
 	compact                     bool // It decodes the compact form of updates.
+	// evacuationsLost is the same for the evacuations; true also if the peer does not follow them.
+	evacuationsLost bool
 }
 
 func newPeers(f *Forwarder) *peers {
@@ -264,6 +270,7 @@
 		o.record(m)
 	}
 	p.mu.Unlock()
+	p.f.applyPeerEvacuations(m.Evacuations, m.Daemon.Name)
 	if o != nil {
 		p.offerManifest(m.Daemon.Name, m.Manifest)
 	}
@@ -323,6 +330,8 @@
 	p.recordReply(o, &remote)
 	p.addDiscovered(remote.Daemon)
 	p.f.recordDaemonCount(remote.Daemons)
+	p.f.applyPeerEvacuations(remote.Evacuations, o.daemon.Name)
+	p.f.confirmEvacuations(&remote, asOf)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
 	if remote.Manifest == local.Manifest {
@@ -414,6 +423,9 @@
 	if err := p.call(c, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
 		return err
 	}
+	if m.Format < matcher.ManifestFormat && len(p.f.cfg.Regions) > 0 {
+		return errManifestFormat // This daemon asks the store itself soon.
+	}
 	p.f.installManifest(&m, "peer "+name)
 	return nil
 }
@@ -453,6 +465,7 @@
 func (o *peer) record(m *syncMessage) {
 	o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
 	o.compact = m.Wire >= compactWire
+	o.evacuationsLost = m.EvacuationsLost || m.Evacuations == nil
 }
 
 // syncState returns the state of this daemon for a sync.
@@ -464,6 +477,9 @@
 		ManifestAge: proofAgeOf(p.f.manifests, now), EndpointsAge: proofAgeOf(p.f.endpointEntries, now),
 		ManifestLost: p.f.manifests.Lost(), EndpointsLost: p.f.endpointEntries.Lost(), Wire: compactWire,
 	}
+	if m.Evacuations = p.f.evacuationsState(); m.Evacuations != nil {
+		m.EvacuationsAge, m.EvacuationsLost = proofAgeOf(p.f.evacuations, now), p.f.evacuations.Lost()
+	}
 	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
 }
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -8,6 +8,7 @@
 	"gopkg.in/ini.v1"
 
 	"monsoonspar.example/coordination/reporter"
+	"monsoonspar.example/state/matcher"
 )
 
 // ErrSettings is wrapped by all errors about invalid settings.
@@ -19,12 +20,15 @@
 	Store  StoreSettings  `ini:"store"`
 	Bounds BoundSettings  `ini:"bounds"`
 	Log    LogSettings    `ini:"log"`
+
+	Regions matcher.Regions `ini:"-"` // The section [regions]: the region of each failure domain.
 }
 
 // DaemonSettings hold the name of the daemon and its listen addresses.
 type DaemonSettings struct {
 	Name     string   `ini:"name"`
 	Domain   string   `ini:"failure_domain"`
+	Region   string   `ini:"region"` // Of the daemon.
 	Clients  string   `ini:"callers_listen"`
 	Ready    string   `ini:"ready_listen"`
 	Peers    string   `ini:"peers_listen"`
@@ -61,6 +65,7 @@
 	RetryWindow       float64       `ini:"retry_window_s"`  // Length of the budget window in seconds.
 	RetrySlack        float64       `ini:"retry_slack"`     // Retries per window regardless of requests, for all daemons together.
 	ReturnGraceMillis int           `ini:"return_grace_ms"` // How long an endpoint that is missing after an outage of the store is kept.
+	EvacuationMillis  int           `ini:"evacuation_ms"`   // Time in which an evacuated failure domain must get no more requests; zero if there are no evacuations.
 	EntryExpiry       float64       `ini:"entry_expiry_s"`  // Time in seconds after which the entry of a daemon that peers don't reach is deleted.
 }
 
@@ -83,6 +88,12 @@
 	if err := f.StrictMapTo(&s); err != nil {
 		return s, errors.Wrap(ErrSettings, err.Error())
 	}
+	s.Regions = matcher.Regions{}
+	for domain, region := range f.Section("regions").KeysHash() {
+		if region != "" {
+			s.Regions[domain] = region
+		}
+	}
 	s.Bounds.StopTime = time.Duration(s.Bounds.StopSeconds * float64(time.Second))
 	s.Daemon.RequestTime = time.Duration(s.Daemon.RequestSeconds * float64(time.Second))
 	return s, s.check()
