forwarder, coordination/warmer, coordination/limiter: requests to cold endpoints are bounded

A cold endpoint can handle few requests per second, but got what its load permitted: the warm-up of its entry only added to its cost.

Package warmer determines from entries, as of their receipt, which endpoints are cold until when. Requests to them are granted before they are sent, in acquireGrant, as those to endpoints that name a limit.

The shares of the limiter do not keep a bound within one second: parts of a cut network have saved up a request each, sixty with 60 daemons. Cold endpoints have up to four quotas instead, each of one daemon, chosen by hash among all daemons of the list and spread over the failure domains. Nobody else grants from a quota, so the bound does not depend on who reaches whom. Rate, burst and overdraft of a quota are computed from the bound, with room for one daemon more whose list differs. A daemon grants nothing before it has had the list for 3 s.

--- a/coordination/limiter/budget.go
+++ b/coordination/limiter/budget.go
@@ -68,7 +68,7 @@
 		delete(b.askers, a.Daemon)
 		return Decision{Granted: true}
 	}
-	return Decision{RetryAfter: b.deny(a, rate, (lowest-b.tokens)/rate, r, now)}
+	return Decision{RetryAfter: b.deny(a, rate, (lowest-b.tokens)/rate, asksPerGrant, r, now)}
 }
 
 // refill adds the tokens since the last call. A budget of all daemons begins empty,
@@ -88,8 +88,8 @@
 
 // deny returns the time after which a daemon should ask again, in seconds wait at
 // least. It grows with the number of daemons that ask, so that they ask about
-// asksPerGrant times for each request that is granted.
-func (b *budget) deny(a Ask, rate, wait float64, r *rand.Rand, now time.Time) time.Duration {
+// perGrant times for each request that is granted.
+func (b *budget) deny(a Ask, rate, wait, perGrant float64, r *rand.Rand, now time.Time) time.Duration {
 	if b.askers == nil {
 		b.askers = map[string]time.Time{}
 	}
@@ -99,7 +99,7 @@
 			delete(b.askers, name)
 		}
 	}
-	spread := 2 * float64(len(b.askers)) / (asksPerGrant * rate)
+	spread := 2 * float64(len(b.askers)) / (perGrant * rate)
 	seconds := min(wait+spread*r.Float64(), maxDenial.Seconds())
 	return max(time.Duration(seconds*float64(time.Second)), minDenial)
 }
--- a/coordination/limiter/fleet_test.go
+++ b/coordination/limiter/fleet_test.go
@@ -50,6 +50,7 @@
 	asks     int                   // Messages that ask for a grant, relayed ones included.
 	cut      func(a, b *node) bool // Whether a message between two daemons is lost.
 	perNode  func(n *node) float64 // Requests per second of a daemon.
+	serve    func(n *node)         // Serves a request; nil for request.
 }
 
 // node is one daemon.
@@ -58,6 +59,7 @@
 	index  int
 	peers  []*node // That it probes.
 	lim    *Limiter
+	quotas *Quotas
 	mem    *Members
 	down   bool
 	frozen bool
@@ -117,7 +119,7 @@
 // boot gives a daemon the state of a process that has just started and has read the
 // list of daemons.
 func (f *fleet) boot(n *node) {
-	n.lim, n.mem, n.down = New(f.rand), NewMembers(n.Daemon), false
+	n.lim, n.quotas, n.mem, n.down = New(f.rand), NewQuotas(f.rand), NewMembers(n.Daemon), false
 	var all []Daemon
 	for _, o := range f.daemons {
 		all = append(all, o.Daemon)
@@ -140,7 +142,7 @@
 func (f *fleet) bootWithoutList() {
 	f.unlisted = true
 	for _, n := range f.daemons {
-		n.lim, n.mem, n.peers = New(f.rand), NewMembers(n.Daemon), nil
+		n.lim, n.quotas, n.mem, n.peers = New(f.rand), NewQuotas(f.rand), NewMembers(n.Daemon), nil
 		for _, o := range f.daemons {
 			if o != n && (n.index < seedCount || o.index < seedCount) {
 				n.peers = append(n.peers, o)
@@ -183,7 +185,11 @@
 // scheduleRequests makes the requests of a daemon, as a Poisson process.
 func (f *fleet) scheduleRequests(n *node) {
 	f.after(time.Duration(f.rand.ExpFloat64()/f.perNode(n)*float64(time.Second)), func() {
-		if !n.down && !n.frozen {
+		switch {
+		case n.down || n.frozen:
+		case f.serve != nil:
+			f.serve(n)
+		default:
 			f.request(n)
 		}
 		f.scheduleRequests(n)
--- a/coordination/limiter/members.go
+++ b/coordination/limiter/members.go
@@ -29,7 +29,8 @@
 // member is another daemon.
 type member struct {
 	Daemon
-	monitored        bool // This daemon probes it; of the others, only the failure domain is probed.
+	hash             uint64 // Of the name.
+	monitored        bool   // This daemon probes it; of the others, only the failure domain is probed.
 	reachable        bool
 	unreachableSince time.Time
 	failedUntil      time.Time
@@ -44,11 +45,22 @@
 	others  map[string]*member
 	listed  bool // The list of all daemons has been read.
 	atLeast int  // Number of daemons that another one knows; used until the list has been read.
+
+	listedSince time.Time                // When the list was first read.
+	removed     map[string]removedMember // Daemons that have left the list lately, by name.
+	version     uint64                   // Rises with each change of the known daemons.
+	holders     holderCache
+}
+
+// removedMember is a daemon that has left the list.
+type removedMember struct {
+	Daemon
+	at time.Time
 }
 
 // NewMembers returns the view of a daemon that knows no other.
 func NewMembers(self Daemon) *Members {
-	return &Members{self: self, others: map[string]*member{}}
+	return &Members{self: self, others: map[string]*member{}, removed: map[string]removedMember{}}
 }
 
 // SetAll sets the list of all daemons. The monitored ones are those whose
@@ -56,7 +68,16 @@
 func (m *Members) SetAll(all []Daemon, monitored func(name string) bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.listed {
+		m.listedSince = now
+	}
 	m.listed, m.atLeast = true, 0
+	m.version++
+	for name, r := range m.removed {
+		if now.Sub(r.at) >= removalTime {
+			delete(m.removed, name)
+		}
+	}
 	present := make(map[string]bool, len(all))
 	for _, d := range all {
 		present[d.Name] = true
@@ -65,8 +86,9 @@
 			o.monitored = false
 		}
 	}
-	for name := range m.others {
+	for name, o := range m.others {
 		if !present[name] {
+			m.removed[name] = removedMember{Daemon: o.Daemon, at: now}
 			delete(m.others, name)
 		}
 	}
@@ -109,9 +131,12 @@
 	}
 	o := m.others[d.Name]
 	if o == nil {
-		o = &member{unreachableSince: now}
+		o = &member{unreachableSince: now, hash: xxhash.Sum64String(d.Name)}
 		m.others[d.Name] = o
 	}
+	if o.Daemon != d {
+		m.version++
+	}
 	o.Daemon = d
 	return o
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -108,7 +108,7 @@
 func (f *Forwarder) pickEndpoint(ctx context.Context, x *exchange, exclude map[registrar.Identity]bool) (registrar.Endpoint, bool) {
 	for {
 		now := f.clock.Now()
-		e, ok := f.balancer(x.service).Pick(f.permittedEndpoints(f.registry.Usable(x.service), now), exclude, now)
+		e, ok := f.balancer(x.service).Pick(f.withWarmUps(f.permittedEndpoints(f.registry.Usable(x.service), now), now), exclude, now)
 		if !ok || f.acquireGrant(ctx, e, limiter.Normal) {
 			return e, ok
 		}
@@ -148,13 +148,13 @@
 	}
 	c, cancel := context.WithDeadline(ctx, attemptDeadline)
 	defer cancel()
-	_, limited := f.limits.Limit(e.Identity)
+	granted := f.isGranted(e)
 	res, err := f.endpoints.Send(c, x.req, Dispatch{
 		Endpoint: e, Customer: x.customer.Name, Remaining: attemptDeadline.Sub(start), Safe: x.route.Kind == matcher.Safe,
 	})
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
 	if err == nil {
-		f.observeResponse(e, &res, limited)
+		f.observeResponse(e, &res, granted)
 		a = f.readResponse(c, e, res, cancel)
 	}
 	if a.err == nil && !a.notRun && x.route.Kind != matcher.Safe && promisesNotRun(res.Status) {
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -56,6 +56,7 @@
 	ReasonStopping            Reason = "daemon_stopping"
 	ReasonLimited             Reason = "endpoints_limited"
 	ReasonDeferred            Reason = "endpoints_deferred"
+	ReasonCold                Reason = "endpoints_cold"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 	ReasonRequestQuarantined  Reason = "request_quarantined"
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -366,7 +366,9 @@
 		return err
 	}
 	hadOutage := w.health.recordSuccess()
-	w.f.handleEndpointChanges(w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now()))
+	changes := w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now())
+	w.f.observeEntries(l.Endpoints)
+	w.f.handleEndpointChanges(changes)
 	w.revision, w.needsList = l.Revision, false
 	return nil
 }
@@ -380,6 +382,7 @@
 			continue
 		}
 		all = append(all, f.registry.Set(c.Endpoint)...)
+		f.observeEntries([]registrar.Endpoint{c.Endpoint})
 	}
 	f.handleEndpointChanges(all)
 }
@@ -391,6 +394,7 @@
 		return
 	}
 	for _, c := range changes {
+		f.observeEntries([]registrar.Endpoint{c.Endpoint})
 		if c.New || c.ShuttingDown {
 			f.log.Info().Str("endpoint", c.Endpoint.Name).Str("service", c.Endpoint.Service).Str("addr", c.Endpoint.Addr).Str("failure_domain", c.Endpoint.Domain).
 				Bool("leaving", c.ShuttingDown).Bool("new", c.New).Msg("forwarder: endpoint changed")
@@ -409,12 +413,14 @@
 	f.servicesMu.Lock()
 	defer f.servicesMu.Unlock()
 	for name, p := range f.placers {
-		p.SetEngines(f.registry.Usable(name), f.clock.Now())
+		p.SetEngines(f.withWarmUps(f.registry.Usable(name), f.clock.Now()), f.clock.Now())
 	}
 	for name, b := range f.balancers {
 		b.Retain(f.registry.Usable(name))
 	}
 	f.limits.Retain(f.registry.Known)
+	f.quotas.Retain(f.registry.Known)
+	f.warmer.Retain(f.registry.Known)
 }
 
 // followDaemons writes the entry of this daemon and then reads the list of daemons
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/warmer"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 	"monsoonspar.example/state/spawner"
@@ -53,6 +54,8 @@
 
 	limits    *limiter.Limiter
 	members   *limiter.Members // The daemons that share the limits.
+	quotas    *limiter.Quotas
+	warmer    *warmer.Warmer
 	deferrals limiter.Deferrals
 	endProbes endProbeLog
 
@@ -90,10 +93,11 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		pollWake: newWaker(), limits: limiter.New(r),
+		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
+	f.quotas = limiter.NewQuotas(f.newRand())
 	f.peers = newPeers(f)
 	f.newSubscriptions()
 	f.budget.SetDaemons(f.members.Count())
@@ -191,7 +195,7 @@
 			waiters: map[string]chan placer.Outcome{},
 		}
 		f.placers[service] = p
-		p.SetEngines(f.registry.Usable(service), f.clock.Now())
+		p.SetEngines(f.withWarmUps(f.registry.Usable(service), f.clock.Now()), f.clock.Now())
 	}
 	return p
 }
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -103,9 +103,9 @@
 // migrate sends a request to copy the KV cache of a run, which must have been granted if the
 // engine limits its requests.
 func (f *Forwarder) migrate(ctx context.Context, from registrar.Endpoint, id, to string, stopRun bool) (MigrationResult, error) {
-	_, limited := f.limits.Limit(from.Identity)
+	granted := f.isGranted(from)
 	result, err := f.endpoints.Migrate(ctx, from, id, to, stopRun)
-	f.observeNamedLimit(from, result.RequestLimit, limited)
+	f.observeNamedLimit(from, result.RequestLimit, granted)
 	f.observeNotice(from, result.Notice)
 	return result, err
 }
@@ -125,7 +125,7 @@
 // mayAsk reports whether a request to the endpoint could be granted now, as far as
 // this daemon knows, and the endpoint has not asked for none.
 func (f *Forwarder) mayAsk(e registrar.Endpoint, now time.Time) bool {
-	return f.limits.DeniedFor(e.Identity, limiter.Normal, now) == 0 && !f.isDeferred(e, now)
+	return f.limits.DeniedFor(e.Identity, limiter.Normal, now) == 0 && f.quotas.DeniedFor(e.Identity, limiter.Normal, now) == 0 && !f.isDeferred(e, now)
 }
 
 // permittedEndpoints returns the endpoints without those that accept no request now
@@ -154,14 +154,23 @@
 	if first, all := f.allDeferred(usable, now); all {
 		return Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonDeferred, RetryAfter: first}
 	}
+	if r, all := f.coldRefusal(usable, now); all {
+		return r
+	}
 	first, deferred := time.Duration(0), false
+	reason := ReasonLimited
 	for _, e := range usable {
 		deferred = deferred || f.isDeferred(e, now)
-		if d := f.limits.DeniedFor(e.Identity, limiter.Normal, now); d > 0 && (first == 0 || d < first) {
+		d := f.limits.DeniedFor(e.Identity, limiter.Normal, now)
+		if d == 0 {
+			if d = f.quotas.DeniedFor(e.Identity, limiter.Normal, now); d > 0 {
+				reason = ReasonCold
+			}
+		}
+		if d > 0 && (first == 0 || d < first) {
 			first = d
 		}
 	}
-	reason := ReasonLimited
 	if deferred && first == 0 {
 		reason = ReasonRefused // By those that are not deferred.
 	}
@@ -175,6 +184,9 @@
 		return false
 	}
 	rate, limited := f.limits.Limit(e.Identity)
+	if coldRate, cold := f.coldRate(e, f.clock.Now()); cold {
+		return f.acquireQuota(ctx, e, coldRate, u)
+	}
 	if !limited {
 		return true
 	}
@@ -320,10 +332,14 @@
 // deniedEngines returns the engines to which this daemon should send no request now
 // because of their limits.
 func (f *Forwarder) deniedEngines(now time.Time) map[registrar.Identity]bool {
-	if f.limits.Digest() == 0 {
+	cold := f.quotas.Denied(limiter.Normal, now)
+	if f.limits.Digest() == 0 && len(cold) == 0 {
 		return nil
 	}
 	denied := map[registrar.Identity]bool{}
+	for _, id := range cold {
+		denied[id] = true
+	}
 	for _, o := range f.limits.All() {
 		if f.limits.DeniedFor(o.Endpoint, limiter.Normal, now) > 0 {
 			denied[o.Endpoint] = true
@@ -341,6 +357,9 @@
 // pollIntervalOf returns the interval for polling an engine, which is longer than
 // pollInterval if polls would use too much of its limit.
 func (f *Forwarder) pollIntervalOf(e registrar.Endpoint) time.Duration {
+	if rate, cold := f.coldRate(e, f.clock.Now()); cold {
+		return max(pollInterval, min(time.Duration(float64(time.Second)/(rate*coldPollShare)), maxPollInterval))
+	}
 	rate, limited := f.limits.Limit(e.Identity)
 	if !limited || rate*pollShare*pollInterval.Seconds() >= 1 {
 		return pollInterval
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -40,6 +40,7 @@
 	methodEndpoints = "endpoints"
 	methodBorrow    = "lend"
 	methodGrant     = "grant"
+	methodQuota     = "quota"
 	methodLimits    = "limits"
 	methodEvidence  = "evidence"
 )
@@ -358,7 +359,9 @@
 		return err
 	}
 	p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints replaced by those of a peer")
-	p.f.handleEndpointChanges(p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now()))
+	changes := p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now())
+	p.f.observeEntries(l.Endpoints)
+	p.f.handleEndpointChanges(changes)
 	return nil
 }
 
@@ -491,6 +494,8 @@
 		return p.grantRetry(name, body)
 	case methodGrant:
 		return p.f.handleGrantRequest(ctx, body)
+	case methodQuota:
+		return p.f.handleQuotaRequest(ctx, body)
 	case methodLimits:
 		return p.handleLimits(name, body)
 	case methodEvidence:
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -53,6 +53,7 @@
 		f.handlePollResults(polls, results, now)
 		f.startPolls(ctx, polls, results, base, now)
 		f.handleEndpointChanges(f.registry.Expire(now))
+		f.expireWarmUps(now)
 		f.processQueues(now)
 	}
 }
@@ -157,7 +158,7 @@
 	c, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	for range aliveAttempts {
-		f.acquireGrant(c, e, limiter.Sent)
+		f.countPoll(c, e)
 		r, err := f.endpoints.Report(c, e)
 		f.observeNotice(e, r.Notice)
 		if err == nil {
@@ -181,7 +182,7 @@
 	c, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	_, limited := f.limits.Limit(e.Identity)
-	f.acquireGrant(c, e, limiter.Sent)
+	f.countPoll(c, e)
 	r, err := f.endpoints.Report(c, e)
 	f.observeNamedLimit(e, r.RequestLimit, limited)
 	if err != nil { // Otherwise the report has the notice, and the time until the engine ends.
@@ -194,6 +195,14 @@
 	}
 }
 
+// countPoll counts a poll of an engine that limits its requests. Polls of cold engines are not
+// counted.
+func (f *Forwarder) countPoll(ctx context.Context, e registrar.Endpoint) {
+	if _, cold := f.coldRate(e, f.clock.Now()); !cold {
+		f.acquireGrant(ctx, e, limiter.Sent)
+	}
+}
+
 // handlePollResults handles the results that are available.
 func (f *Forwarder) handlePollResults(polls map[registrar.Identity]*enginePoll, results <-chan pollResult, now time.Time) {
 	for {
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -54,6 +54,10 @@
 	RetrySlack        float64       `ini:"retry_slack"`     // Retries per window regardless of requests, for all daemons together.
 	ReturnGraceMillis int           `ini:"return_grace_ms"` // How long an endpoint that is missing after an outage of the store is kept.
 	EntryExpiry       float64       `ini:"entry_expiry_s"`  // Time in seconds after which the entry of a daemon that peers don't reach is deleted.
+	// A cold endpoint gets at most ColdRatio times the requests per second that it can handle, and ColdSlack requests, in
+	// any second. Without ColdRatio, cold endpoints get what warm ones get.
+	ColdRatio float64 `ini:"cold_ratio"`
+	ColdSlack float64 `ini:"cold_slack"`
 }
 
 // LogSettings configure the log.
@@ -102,6 +106,9 @@
 	if s.Bounds.EntryExpiry <= 0 {
 		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
 	}
+	if s.Bounds.ColdRatio < 0 || s.Bounds.ColdSlack < 0 {
+		return errors.Wrap(ErrSettings, "bounds: cold_ratio and cold_slack must be at least 0")
+	}
 	if s.Bounds.StopTime <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		return errors.Wrap(ErrSettings, "bounds: stop_s and retry_window_s must be above 0, retry_ratio and retry_slack at least 0")
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -419,14 +419,14 @@
 	if register != nil {
 		register(r)
 	}
-	_, limited := s.f.limits.Limit(to.Identity)
+	granted := s.f.isGranted(to)
 	var err error
 	r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
 		Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
 		Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
 	})
 	if err == nil {
-		s.f.observeResponse(to, &r.response, limited)
+		s.f.observeResponse(to, &r.response, granted)
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
--- a/state/matcher/manifest.go
+++ b/state/matcher/manifest.go
@@ -73,6 +73,10 @@
 	HealthPath     string
 	MaxConnections int     // Connection limit per endpoint, over all daemons.
 	Engine         *Engine // Nil for a plain service.
+	// WarmUp is the time for which an endpoint is cold after its start; zero if the manifest names none.
+	WarmUp time.Duration
+	// ColdRate is the number of requests per second that a cold endpoint can handle, from all daemons; zero for no bound.
+	ColdRate float64
 }
 
 // Engine describes the engines of a service that generates tokens.
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -37,7 +37,7 @@
 	Domain          string // Failure domain.
 	Slots           int
 	Draining        bool
-	RemainingWarmUp time.Duration `msgpack:"ColdFor"` // Remaining warm-up time after its start.
+	RemainingWarmUp time.Duration `msgpack:"ColdFor"` // Remaining warm-up time when the entry was written.
 	Revision        int64         // Revision of the entry in its source.
 }
 
