--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -58,6 +58,7 @@
 	ReasonDeferred            Reason = "endpoints_deferred"
 	ReasonDomainEvacuated     Reason = "domain_evacuated"
 	ReasonNoAllowedRegion     Reason = "no_allowed_region"
+	ReasonCold                Reason = "endpoints_cold"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 	ReasonRequestQuarantined  Reason = "request_quarantined"
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -161,7 +161,8 @@
 
 // beforeEvacuationEnds is called before the endpoints of a failure domain that was evacuated may get
 // requests again. They may have become cold, and their entries may say so late.
-func (f *Forwarder) beforeEvacuationEnds(domain string, _ time.Time) {
+func (f *Forwarder) beforeEvacuationEnds(domain string, now time.Time) {
+	f.assumeCold(domain, now)
 	f.log.Info().Str("failure_domain", domain).Msg("forwarder: evacuation ends")
 }
 
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -366,7 +366,9 @@
 		return err
 	}
 	hadOutage := w.health.recordSuccess()
-	w.f.handleEndpointChanges(w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now()))
+	changes := w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now())
+	w.f.observeEntries(l.Endpoints)
+	w.f.handleEndpointChanges(changes)
 	w.revision, w.needsList = l.Revision, false
 	return nil
 }
@@ -380,6 +382,7 @@
 			continue
 		}
 		all = append(all, f.registry.Set(c.Endpoint)...)
+		f.observeEntries([]registrar.Endpoint{c.Endpoint})
 	}
 	f.handleEndpointChanges(all)
 }
@@ -391,6 +394,7 @@
 		return
 	}
 	for _, c := range changes {
+		f.observeEntries([]registrar.Endpoint{c.Endpoint})
 		if c.New || c.ShuttingDown {
 			f.log.Info().Str("endpoint", c.Endpoint.Name).Str("service", c.Endpoint.Service).Str("addr", c.Endpoint.Addr).Str("failure_domain", c.Endpoint.Domain).
 				Bool("leaving", c.ShuttingDown).Bool("new", c.New).Msg("forwarder: endpoint changed")
@@ -415,12 +419,15 @@
 		b.Retain(f.registry.Serving(name))
 	}
 	f.limits.Retain(f.registry.Known)
+	f.quotas.Retain(f.registry.Known)
+	f.warmer.Retain(f.registry.Known)
 }
 
 // setEngines passes the engines of a service to its placer.
 func (f *Forwarder) setEngines(service string, p *servicePlacer) {
 	p.SetEvacuated(f.registry.Evacuations().Domains)
-	p.SetEngines(f.registry.Serving(service), f.clock.Now())
+	now := f.clock.Now()
+	p.SetEngines(f.withWarmUps(f.registry.Serving(service), now), now)
 }
 
 // followDaemons writes the entry of this daemon and then reads the list of daemons
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/warmer"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 	"monsoonspar.example/state/spawner"
@@ -54,6 +55,8 @@
 
 	limits    *limiter.Limiter
 	members   *limiter.Members // The daemons that share the limits.
+	quotas    *limiter.Quotas
+	warmer    *warmer.Warmer
 	deferrals limiter.Deferrals
 	shutdowns evacuator.Shutdowns // Of engines.
 	endProbes endProbeLog
@@ -95,11 +98,12 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		pollWake: newWaker(), limits: limiter.New(r),
+		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
 	f.endpoints = countedClient{EndpointClient: endpoints, f: f}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
+	f.quotas = limiter.NewQuotas(f.newRand())
 	f.peers = newPeers(f)
 	f.newSubscriptions()
 	f.newEvacuationSubscription()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -429,7 +429,7 @@
 	if register != nil {
 		register(r)
 	}
-	_, limited := s.f.limits.Limit(to.Identity)
+	granted := s.f.isGranted(to)
 	err := s.f.mayStartWork(s.x, to)
 	if err == nil {
 		r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
@@ -438,7 +438,7 @@
 		})
 	}
 	if err == nil {
-		s.f.observeResponse(to, &r.response, limited)
+		s.f.observeResponse(to, &r.response, granted)
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
