forwarder: endpoints whose entries may be old are asked whether they are cold

An entry states the warm-up that remains when it is written. A daemon that starts later reads it in a list and counts the time from then, so it would throttle every endpoint whose entry was not written again since.

The daemons that hold quotas of such an endpoint ask it on its health path; the request counts in the quota. The others learn from the holder's answer to their first ask that the endpoint is warm.

--- a/coordination/warmer/warmer.go
+++ b/coordination/warmer/warmer.go
@@ -24,8 +24,14 @@
 	until    time.Time // When the endpoint is warm.
 	assumed  bool      // Not said by the entry.
 	cold     bool      // Its warm-up has not been reported as ended.
+	listed   bool      // The entry is of a complete list, and may have been written long ago.
+	checkAt  time.Time // When the endpoint may be asked next, if listed.
 }
 
+// checkInterval is the interval in which an endpoint whose entry may be old is asked whether it is
+// still cold, until it answers.
+const checkInterval = 2 * time.Second
+
 // Warmer holds the remaining warm-up of endpoints. It is safe for concurrent use. Use New
 // to make one.
 type Warmer struct {
@@ -43,10 +49,10 @@
 	return w
 }
 
-// Observe records an entry that was received now. An entry that is not newer than the known
-// one of the same run of the endpoint changes nothing. It reports whether the endpoint has
-// become cold or warm.
-func (w *Warmer) Observe(e registrar.Endpoint, now time.Time) bool {
+// Observe records an entry that was received now, in a complete list or as a change. An entry that
+// is not newer than the known one of the same run of the endpoint changes nothing. It reports
+// whether the endpoint has become cold or warm.
+func (w *Warmer) Observe(e registrar.Endpoint, listed bool, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.states[e.Identity]
@@ -58,7 +64,7 @@
 		w.states[e.Identity] = s
 	}
 	wasCold := s.cold
-	*s = state{endpoint: e, until: now.Add(e.RemainingWarmUp), cold: e.RemainingWarmUp > 0}
+	*s = state{endpoint: e, until: now.Add(e.RemainingWarmUp), cold: e.RemainingWarmUp > 0, listed: listed}
 	w.updateEnds()
 	return s.cold != wasCold
 }
@@ -94,6 +100,53 @@
 	}
 }
 
+// DueChecks returns the cold endpoints whose entries may have been written long ago and which are
+// due to be asked, among those for which the daemon asks.
+func (w *Warmer) DueChecks(asks func(registrar.Endpoint) bool, now time.Time) []registrar.Endpoint {
+	if !w.AnyCold(now) {
+		return nil
+	}
+	var due []registrar.Endpoint
+	for _, e := range w.unchecked(now) {
+		if asks(e) {
+			due = append(due, e)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range due {
+		if s := w.states[e.Identity]; s != nil {
+			s.checkAt = now.Add(checkInterval)
+		}
+	}
+	return due
+}
+
+// unchecked returns the cold endpoints whose entries may have been written long ago and which have
+// not been asked lately.
+func (w *Warmer) unchecked(now time.Time) []registrar.Endpoint {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	var all []registrar.Endpoint
+	for _, s := range w.states {
+		if s.listed && s.cold && !s.assumed && !now.Before(s.checkAt) {
+			all = append(all, s.endpoint)
+		}
+	}
+	return all
+}
+
+// SetRemaining records what the endpoint itself has said about its warm-up at now, unless a later
+// entry is known or an assumption was made.
+func (w *Warmer) SetRemaining(e registrar.Endpoint, remaining time.Duration, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.states[e.Identity]; s != nil && !s.assumed && s.endpoint.Revision == e.Revision {
+		s.until, s.listed = now.Add(remaining), false
+		w.updateEnds()
+	}
+}
+
 // IsWarm reports whether the endpoint is known to be warm according to its entry of the given
 // revision or a later one.
 func (w *Warmer) IsWarm(id registrar.Identity, revision int64, now time.Time) bool {
--- a/coordination/warmer/warmer_test.go
+++ b/coordination/warmer/warmer_test.go
@@ -31,9 +31,9 @@
 func TestWarmUpCountsFromReceiptOfEntry(t *testing.T) {
 	w := warmer.New()
 	e := entry(1, 1, 8*time.Second)
-	assert.Assert(t, w.Observe(e, at(0)))
-	assert.Assert(t, !w.Observe(e, at(5)), "a copy of the entry")
-	assert.Assert(t, !w.Observe(entry(1, 0, time.Hour), at(5)), "an older entry")
+	assert.Assert(t, w.Observe(e, false, at(0)))
+	assert.Assert(t, !w.Observe(e, false, at(5)), "a copy of the entry")
+	assert.Assert(t, !w.Observe(entry(1, 0, time.Hour), false, at(5)), "an older entry")
 	assert.Equal(t, remaining(w, e, at(5)), 3)
 	rate, cold := w.Rate(e, matcher.Service{ColdRate: 4}, at(5))
 	assert.Assert(t, cold && rate == 4)
@@ -43,12 +43,12 @@
 	assert.Equal(t, len(w.Expire(at(8))), 1)
 	assert.Equal(t, len(w.Expire(at(9))), 0)
 	assert.Assert(t, !w.AnyCold(at(8)))
-	assert.Assert(t, w.Observe(entry(1, 2, 8*time.Second), at(20)), "cold again")
+	assert.Assert(t, w.Observe(entry(1, 2, 8*time.Second), false, at(20)), "cold again")
 	assert.Equal(t, remaining(w, e, at(21)), 7)
-	assert.Assert(t, w.Observe(entry(1, 3, 0), at(22)))
+	assert.Assert(t, w.Observe(entry(1, 3, 0), false, at(22)))
 	assert.Equal(t, remaining(w, e, at(22)), 0)
 	later := entry(2, 4, 8*time.Second)
-	assert.Assert(t, w.Observe(later, at(30)))
+	assert.Assert(t, w.Observe(later, false, at(30)))
 	assert.Equal(t, remaining(w, e, at(30)), 0)
 	assert.Equal(t, remaining(w, later, at(30)), 8)
 	w.Retain(func(registrar.Identity) bool { return false })
@@ -60,7 +60,7 @@
 func TestAssumedWarmUp(t *testing.T) {
 	w := warmer.New()
 	e := entry(1, 1, 8*time.Second)
-	w.Observe(e, at(0))
+	w.Observe(e, false, at(0))
 	assert.Assert(t, !w.Assume(e, 5*time.Second, at(0)))
 	assert.Equal(t, remaining(w, e, at(0)), 8)
 	w.Expire(at(10))
@@ -69,10 +69,30 @@
 	assert.Assert(t, w.Assume(e, 8*time.Second, at(10)))
 	w.MarkWarm(e.Identity, 1, at(11))
 	assert.Equal(t, remaining(w, e, at(11)), 7)
-	assert.Assert(t, w.Observe(entry(1, 2, 0), at(12)))
+	assert.Assert(t, w.Observe(entry(1, 2, 0), false, at(12)))
 	assert.Equal(t, remaining(w, e, at(12)), 0)
 	assert.Assert(t, !w.Assume(e, 8*time.Second, at(12)), "a later entry is known")
-	w.Observe(entry(1, 3, 8*time.Second), at(20))
+	w.Observe(entry(1, 3, 8*time.Second), false, at(20))
 	w.MarkWarm(e.Identity, 3, at(21)) // The entry was old when it was received.
 	assert.Equal(t, remaining(w, e, at(21)), 0)
 }
+
+// Guards against an endpoint that counts as cold although its entry was written long ago, and against
+// an answer that is taken for one about a later entry.
+func TestEndpointWithOldEntryIsAsked(t *testing.T) {
+	w := warmer.New()
+	e := entry(1, 1, 8*time.Second)
+	w.Observe(e, true, at(0))
+	all := func(registrar.Endpoint) bool { return true }
+	assert.Equal(t, len(w.DueChecks(func(registrar.Endpoint) bool { return false }, at(0))), 0)
+	assert.Equal(t, len(w.DueChecks(all, at(0))), 1)
+	assert.Equal(t, len(w.DueChecks(all, at(1))), 0)
+	assert.Equal(t, len(w.DueChecks(all, at(2))), 1)
+	w.SetRemaining(entry(1, 2, 0), 0, at(2))
+	assert.Equal(t, remaining(w, e, at(2)), 6)
+	w.SetRemaining(e, 3*time.Second, at(2))
+	assert.Equal(t, remaining(w, e, at(2)), 3)
+	assert.Equal(t, len(w.DueChecks(all, at(4))), 0)
+	w.Observe(entry(1, 2, 8*time.Second), false, at(4))
+	assert.Equal(t, len(w.DueChecks(all, at(4))), 0)
+}
--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -67,11 +67,12 @@
 	return cold
 }
 
-// observeEntries records the warm-up that entries state which were received now.
-func (f *Forwarder) observeEntries(entries []registrar.Endpoint) {
+// observeEntries records the warm-up that entries state which were received now, in a complete
+// list or as changes.
+func (f *Forwarder) observeEntries(entries []registrar.Endpoint, listed bool) {
 	now := f.clock.Now()
 	for _, e := range entries {
-		if f.registry.Known(e.Identity) && f.warmer.Observe(e, now) {
+		if f.registry.Known(e.Identity) && f.warmer.Observe(e, listed, now) {
 			f.logWarmUp(e, "entry", now)
 		}
 	}
@@ -88,6 +89,43 @@
 	l.Msg("forwarder: endpoint is no longer cold")
 }
 
+// checkWarmUps asks endpoints whether they are still cold whose entries were read from a list, and
+// may have been written long ago. Only daemons that hold a quota ask; the others learn it from them.
+func (f *Forwarder) checkWarmUps(now time.Time) {
+	t := f.table.Load()
+	if t == nil {
+		return
+	}
+	due := f.warmer.DueChecks(func(e registrar.Endpoint) bool {
+		rate, cold := f.coldRate(e, now)
+		return cold && slices.ContainsFunc(f.members.Holders(e, f.coldBound(rate).QuotaCount(), now), f.members.IsSelf)
+	}, now)
+	for _, e := range due {
+		f.spawn(func() { f.checkWarmUp(e, t.Manifest.Services[e.Service].HealthPath) })
+	}
+}
+
+// checkWarmUp asks one endpoint. The request counts as one that this daemon grants, if it grants
+// any yet.
+func (f *Forwarder) checkWarmUp(e registrar.Endpoint, healthPath string) {
+	rate, cold := f.coldRate(e, f.clock.Now())
+	if !cold || f.isDeferred(e, f.clock.Now()) {
+		return
+	}
+	if d := f.decideQuota(quotaRequest{Endpoint: e.Identity, Revision: e.Revision, Rate: rate, Daemon: f.cfg.Daemon.Name}); !d.Granted && !d.Unknown {
+		return
+	}
+	c, cancel := context.WithTimeout(f.ctx, pollTimeout)
+	defer cancel()
+	remaining, err := f.endpoints.WarmUp(c, e, healthPath)
+	if err != nil {
+		f.log.Debug().Err(err).Str("endpoint", e.Name).Msg("forwarder: endpoint does not say how long it stays cold")
+		return
+	}
+	f.warmer.SetRemaining(e, remaining, f.clock.Now())
+	f.logWarmUp(e, "health", f.clock.Now())
+}
+
 // expireWarmUps notes the endpoints that have become warm.
 func (f *Forwarder) expireWarmUps(now time.Time) {
 	warm := f.warmer.Expire(now)
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -367,7 +367,7 @@
 	}
 	hadOutage := w.health.recordSuccess()
 	changes := w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now())
-	w.f.observeEntries(l.Endpoints)
+	w.f.observeEntries(l.Endpoints, true)
 	w.f.handleEndpointChanges(changes)
 	w.revision, w.needsList = l.Revision, false
 	return nil
@@ -382,7 +382,7 @@
 			continue
 		}
 		all = append(all, f.registry.Set(c.Endpoint)...)
-		f.observeEntries([]registrar.Endpoint{c.Endpoint})
+		f.observeEntries([]registrar.Endpoint{c.Endpoint}, false)
 	}
 	f.handleEndpointChanges(all)
 }
@@ -394,7 +394,7 @@
 		return
 	}
 	for _, c := range changes {
-		f.observeEntries([]registrar.Endpoint{c.Endpoint})
+		f.observeEntries([]registrar.Endpoint{c.Endpoint}, true) // Of entries that were held; no other is new here.
 		if c.New || c.ShuttingDown {
 			f.log.Info().Str("endpoint", c.Endpoint.Name).Str("service", c.Endpoint.Service).Str("addr", c.Endpoint.Addr).Str("failure_domain", c.Endpoint.Domain).
 				Bool("leaving", c.ShuttingDown).Bool("new", c.New).Msg("forwarder: endpoint changed")
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -360,7 +360,7 @@
 	}
 	p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints replaced by those of a peer")
 	changes := p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now())
-	p.f.observeEntries(l.Endpoints)
+	p.f.observeEntries(l.Endpoints, true)
 	p.f.handleEndpointChanges(changes)
 	return nil
 }
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -53,6 +53,7 @@
 		f.handlePollResults(polls, results, now)
 		f.startPolls(ctx, polls, results, base, now)
 		f.handleEndpointChanges(f.registry.Expire(now))
+		f.checkWarmUps(now)
 		f.expireWarmUps(now)
 		f.processQueues(now)
 	}
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -165,6 +165,8 @@
 	Send(ctx context.Context, r *Request, d Dispatch) (Response, error)
 	// Report requests the load report of an engine.
 	Report(ctx context.Context, e registrar.Endpoint) (EngineReport, error)
+	// WarmUp asks an endpoint how long it stays cold.
+	WarmUp(ctx context.Context, e registrar.Endpoint, healthPath string) (time.Duration, error)
 	// Migrate copies the KV cache of a run to the engine at address to. If
 	// stopRun is set, the engine stops the run first.
 	Migrate(ctx context.Context, from registrar.Endpoint, id, to string, stopRun bool) (MigrationResult, error)
