--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -31,6 +31,7 @@
 	ejectionTime    = 1500 * time.Millisecond // Duration of an ejection, and time for which an endpoint counts as unreachable.
 	probeInterval   = 250 * time.Millisecond  // Minimum time between requests to an unreachable endpoint; the requests in between don't wait for it.
 	otherDomainLoad = 0.02                    // Added for another failure domain; decides between equal endpoints.
+	coldLoad        = 0.5                     // Added for a cold endpoint, so that it gets requests when the warm ones are half full.
 	jitterLoad      = 0.05                    // Spreads the choices of daemons that see the same loads.
 )
 
@@ -143,6 +144,9 @@
 	if fastest > 0 && s.meanLatency > 0 {
 		cost += slowPenalty * (min(s.meanLatency/fastest, maxSlowRatio) - 1) / slots * s.weightAt(now, latencyHalfLife)
 	}
+	if e.RemainingWarmUp > 0 {
+		cost += coldLoad
+	}
 	if e.Domain != b.domain {
 		cost += otherDomainLoad
 	}
--- a/coordination/balancer/balancer_test.go
+++ b/coordination/balancer/balancer_test.go
@@ -152,3 +152,18 @@
 		assert.Assert(t, ok)
 	}
 }
+
+// Guards against cold endpoints that get requests which warm ones can take, and against cold ones that
+// get none while the warm ones are full.
+func TestWarmEndpointsArePreferred(t *testing.T) {
+	all := endpoints(3)
+	all[0].RemainingWarmUp = time.Second // Of the daemon's own failure domain.
+	got := sendRequests(newBalancer(), all, 100, func(string) balancer.Result { return balancer.Result{Latency: 15 * time.Millisecond} })
+	assert.Equal(t, got["0"], 0, "%v", got)
+	b := newBalancer()
+	for range 2*6 + 2 {
+		e, _ := b.Pick(all, nil, start)
+		got[e.Name]++
+	}
+	assert.Assert(t, got["0"] > 0, "%v", got)
+}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -167,6 +167,7 @@
 	"client_gone":           "the client closed its connection before the response was complete",
 	"stream_cut":            "the engine was lost, or its response ended early, and the generation could not be continued from any copy of its KV cache; see the lines before",
 	"endpoints_limited":     "the endpoints of the service limit their requests, and the limits permitted no further one; see the log lines \"limit of an endpoint changed\"",
+	"endpoints_cold":        "the endpoints of the service that could take the request are cold, and had got what they can handle; see the log lines \"endpoint is cold\"",
 	"endpoints_deferred":    "every endpoint of the service has refused a request of this daemon and asked for none until later; see the log lines \"endpoint wants no requests for a time\"",
 	"prompt_quarantined":    "a part of the prompt has crashed several engines; see subject, part_id, crashes and engines in the line before, and the log lines \"quarantined; endpoints crash on it\"",
 	"request_quarantined":   "requests that are the same have crashed several endpoints; see subject, crashes and engines in the line before, and the log lines \"quarantined; endpoints crash on it\"",
