quarantiner: an unrelated crash defers the blame of a part to the fifth

Change: with less than five crashes a part is not blamed while such an unrelated crash lies between them. Crashes that share another part don't count, so that two bad parts at once are found as before. The crashes that such a verdict depends on are held as long as the blame, or it would end and begin again while they expire.

--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -263,14 +263,15 @@
 			q.replace(c, nil)
 		}
 	}
+	needed := in.needed()
 	for _, c := range slices.Clone(q.order) {
-		if now.Sub(c.latest()) > q.cfg.Window && len(in.causes[c]) == 0 {
+		if now.Sub(c.latest()) > q.cfg.Window && needed[c] == 0 {
 			q.replace(c, nil)
 		}
 	}
 	if excess := len(q.order) - maxCrashes; excess > 0 {
 		all := slices.Clone(q.order)
-		slices.SortStableFunc(all, func(a, b *crash) int { return min(len(in.causes[a]), 1) - min(len(in.causes[b]), 1) })
+		slices.SortStableFunc(all, func(a, b *crash) int { return needed[a] - needed[b] })
 		for _, c := range all[:excess] {
 			q.replace(c, nil)
 		}
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -15,6 +15,7 @@
 	depth    int
 	crashes  []*crash             // With the part, sorted by time.
 	founding int                  // Number of crashes for which the part was blamed first.
+	context  []*crash             // Unexplained ones since the first, if the verdict depends on them; held as long as the blame.
 	engines  []registrar.Identity // Of crashes.
 	round    int                  // Trials since the part was blamed.
 	until    time.Time            // End of the block, when a trial is due.
@@ -129,6 +130,9 @@
 // blame blames a part for the open crashes that it may have caused.
 func (f *inference) blame(p Subject) {
 	b := &blame{subject: p, depth: f.depth[p]}
+	if list := f.occurs[p]; len(list) < f.cfg.ManyCrashes {
+		b.context = slices.DeleteFunc(slices.Clone(f.open), func(c *crash) bool { return c.at.Before(list[0].at) })
+	}
 	found := slices.Concat(f.supersede(p), f.occurs[p])
 	slices.SortStableFunc(found, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, c := range slices.Compact(found) {
@@ -225,7 +229,20 @@
 	if p.IsRequest() {
 		return n, n >= f.cfg.MinIncidents && share >= f.cfg.ManyShare
 	}
-	return n, f.suffices(n, incidents, share)
+	return n, f.suffices(n, incidents, share) && (n >= f.cfg.ManyCrashes || !f.unrelated(p, f.open[since:]))
+}
+
+// unrelated reports whether one of the crashes can't be due to a part and has no unproven part in
+// common with another such crash. Engines then end for other causes as well, and a part of which
+// the first few runs were all on such engines looks like a bad one.
+func (f *inference) unrelated(p Subject, crashes []*crash) bool {
+	return slices.ContainsFunc(crashes, func(c *crash) bool {
+		return !c.names(p) && !slices.ContainsFunc(c.suspects, func(s Suspect) bool {
+			return f.mayCause(s.Subject, c) && slices.ContainsFunc(f.occurs[s.Subject], func(o *crash) bool {
+				return o != c && !o.names(p) && !o.at.Before(crashes[0].at)
+			})
+		})
+	})
 }
 
 // suffices reports whether a part of prompts can be blamed for a number of crashes, which make up a
@@ -293,6 +310,22 @@
 	return dropped
 }
 
+// needed returns 1 for each crash on which a verdict depends.
+func (f *inference) needed() map[*crash]int {
+	needed := map[*crash]int{}
+	for c, list := range f.causes {
+		if len(list) > 0 {
+			needed[c] = 1
+		}
+	}
+	for _, b := range f.blamed {
+		for _, c := range b.context {
+			needed[c] = 1
+		}
+	}
+	return needed
+}
+
 // names reports whether a part is a suspect of the crash.
 func (c *crash) names(p Subject) bool {
 	_, ok := slices.BinarySearchFunc(c.suspects, p, func(s Suspect, p Subject) int { return cmp.Compare(s.Subject, p) })
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -254,6 +254,30 @@
 	assert.DeepEqual(t, blamed(q, at(6*time.Second)), []Subject{2, 3})
 }
 
+// Guards against sound parts whose first runs were all on engines that were killed: a crash with
+// which they have nothing in common shows that engines are killed.
+func TestUnrelatedCrashDefersBlame(t *testing.T) {
+	q := New(Config{})
+	crashAll(q, 0, 2, 0, 1)
+	q.RecordCrash(engine(9), prompt(7), at(1500*time.Millisecond))
+	crashAll(q, 2, 2, 2*time.Second, 1)
+	assert.DeepEqual(t, blamed(q, at(4*time.Second)), []Subject(nil))
+	crashAll(q, 4, 1, 4*time.Second, 1)
+	assert.DeepEqual(t, blamed(q, at(4*time.Second)), []Subject{1})
+}
+
+// Guards against a block that ends when crashes expire on which the verdict depends.
+func TestBlameOutlivesCrashesOfItsContext(t *testing.T) {
+	q := New(Config{})
+	for i, p := range []Subject{1, 7, 1, 7, 1} {
+		q.RecordCrash(engine(i), prompt(p), at(time.Duration(i)*time.Second))
+	}
+	assert.DeepEqual(t, blamed(q, at(6*time.Second)), []Subject{1})
+	for d := 5 * time.Minute; d < 5*time.Minute+5*time.Second; d += 500 * time.Millisecond {
+		assert.DeepEqual(t, blamed(q, at(d)), []Subject{1})
+	}
+}
+
 func TestPrefersDeeperPart(t *testing.T) {
 	q := New(Config{})
 	crashAll(q, 0, 3, 0, 9, 5, 7)
