quarantiner: progress of a request that ties with another is told at once

The bad request and a sound one were suspects of all three crashes, so neither was blamed. When the endpoints were back, the sound one completed, but its daemon waited up to 300 ms for others to say so. Of the copies of the bad one, 4 were sent in that time.

Change: what decides between two requests with the same crashes is told at once, as is progress of a blamed subject.

--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -183,8 +183,8 @@
 	return in
 }
 
-// refute looks for suspected parts that made progress at this daemon. It reports whether one
-// of them was blamed, whose progress then is part of the evidence. The mutex is held.
+// refute looks for suspected parts that made progress at this daemon. It reports whether the
+// verdict depends on one of them, whose progress then is part of the evidence. The mutex is held.
 func (q *Quarantine) refute(in *inference, now time.Time) bool {
 	urgent := false
 	for p, l := range in.live {
@@ -192,7 +192,7 @@
 		if !ok || at.Add(q.cfg.ProgressRetention).Before(l.first) || !at.After(q.published[p]) {
 			continue
 		}
-		if in.blamed[p] == nil {
+		if in.blamed[p] == nil && !in.tied[p] {
 			q.prepareAnswer(p, at, now)
 			continue
 		}
@@ -221,7 +221,7 @@
 		}
 	}
 	q.prune(in, now)
-	f := &findings{blamed: in.blamed, live: in.live, next: now.Add(q.cfg.Window)}
+	f := &findings{blamed: in.blamed, live: in.live, tied: in.tied, next: now.Add(q.cfg.Window)}
 	for _, c := range q.crashes {
 		f.next = earlier(f.next, c.latest().Add(q.cfg.Window), now)
 	}
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -46,12 +46,13 @@
 	depth  map[Subject]int       // Greatest one seen.
 	live   map[Subject]suspicion // Parts that may have caused several crashes.
 	causes map[*crash][]*blame   // Explanations of a crash.
+	tied   map[Subject]bool      // Requests that explain the same crashes as another one, so that none was blamed.
 }
 
 // run explains crashes, which are sorted by time.
 func (f *inference) run(crashes []*crash) {
 	f.blamed, f.occurs, f.depth = map[Subject]*blame{}, map[Subject][]*crash{}, map[Subject]int{}
-	f.live, f.causes = map[Subject]suspicion{}, map[*crash][]*blame{}
+	f.live, f.causes, f.tied = map[Subject]suspicion{}, map[*crash][]*blame{}, map[Subject]bool{}
 	for _, c := range crashes {
 		for _, s := range c.suspects {
 			if f.named[s.Subject] < 2 || f.sound(s.Subject, c.at) {
@@ -193,6 +194,11 @@
 	// While all endpoints of a service are down, a request that ran beside the bad one everywhere
 	// can't prove itself. Another crash tells them apart.
 	if tied && best.IsRequest() && most < f.cfg.ManyCrashes {
+		for _, p := range parts {
+			if n, ok := f.coverage(p, now); ok && n == most && p.IsRequest() {
+				f.tied[p] = true
+			}
+		}
 		return 0, false
 	}
 	return best, most > 0
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -156,6 +156,7 @@
 type findings struct {
 	blamed map[Subject]*blame
 	live   map[Subject]suspicion
+	tied   map[Subject]bool
 	next   time.Time // When evidence or a blame expires.
 }
 
@@ -180,7 +181,7 @@
 	}
 	for _, p := range parts {
 		if _, ok := f.live[p]; ok {
-			q.publishProgress(p, f.blamed[p] != nil, now)
+			q.publishProgress(p, f.blamed[p] != nil || f.tied[p], now)
 		}
 	}
 }
--- a/coordination/quarantiner/request_test.go
+++ b/coordination/quarantiner/request_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// Guards against a bad request that stays without blame while the daemon that knows that another one
+// with the same crashes is sound waits for others to say so.
+func TestProgressOfOneOfTwoEqualRequestsIsToldAtOnce(t *testing.T) {
+	bad, hot := request("/bad"), request("/hot")
+	q, other := New(Config{Self: "a"}), New(Config{Self: "b"})
+	for i := range 3 {
+		q.RecordCrash(engine(i), requests(bad, hot), at(time.Duration(i)*time.Second))
+	}
+	now := at(4 * time.Second)
+	deliver(q, now, other)
+	assert.DeepEqual(t, blamed(other, now), []Subject(nil))
+	other.RecordProgress([]Subject{hot}, now)
+	deliver(other, now, q)
+	assert.DeepEqual(t, blamed(q, now), []Subject{bad})
+	assert.DeepEqual(t, blamed(other, now), []Subject{bad})
+}
+
 // Guards against the blame of a request of which copies ran at endpoints that were killed at the
 // same moment.
 func TestEndpointsKilledAtOnceBlameNoRequest(t *testing.T) {
