quarantiner: a contested part is blocked a second later, in case a report is late

Three daemons knew it first from the sound runs: the first part, common to all prompts, had nine crashes, the bad part eight, all in one incident. The first part was blamed and blocked at once, for 11 ms at d-2 and 14 ms at d-1, and 200 ms at d-0, which had just been started and got the rest later: 9 sound requests refused.

Change: a block for five crashes or more begins at once, as before, except if a deeper part explains all of them but one. Then it begins after Settle (1 s), in which the missing report or progress arrives.

Measured: TestLateReportOfBadPartBlocksNoOther fails without the change.

--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -11,15 +11,16 @@
 
 // blame is the finding that a part crashes engines. It doesn't change once it is published.
 type blame struct {
-	subject  Subject
-	depth    int
-	crashes  []*crash             // With the part, sorted by time.
-	founding int                  // Number of crashes for which the part was blamed first.
-	context  []*crash             // Unexplained ones since the first, if the verdict depends on them; held as long as the blame.
-	engines  []registrar.Identity // Of crashes.
-	round    int                  // Trials since the part was blamed.
-	until    time.Time            // End of the block, when a trial is due.
-	expires  time.Time
+	subject   Subject
+	depth     int
+	crashes   []*crash             // With the part, sorted by time.
+	founding  int                  // Number of crashes for which the part was blamed first.
+	contested bool                 // A deeper part explains all founding crashes but one.
+	context   []*crash             // Unexplained ones since the first, if the verdict depends on them; held as long as the blame.
+	engines   []registrar.Identity // Of crashes.
+	round     int                  // Trials since the part was blamed.
+	until     time.Time            // End of the block, when a trial is due.
+	expires   time.Time
 	// effective is when the block begins.
 	effective time.Time
 }
@@ -140,6 +141,7 @@
 		f.assign(b, c)
 	}
 	b.founding = len(b.crashes)
+	b.contested = f.contested(p)
 	f.blamed[p] = b
 	explained := func(c *crash) bool { return len(f.causes[c]) > 0 }
 	f.open = slices.DeleteFunc(f.open, explained)
@@ -238,6 +240,20 @@
 	return n, f.suffices(n, incidents, share) && (n >= f.cfg.ManyCrashes || !f.unrelated(p, f.open[since:]))
 }
 
+// contested reports whether a deeper part explains all open crashes that a part may have caused, but
+// one. The daemon whose run had the deeper part may not have reported that one yet.
+func (f *inference) contested(p Subject) bool {
+	list := f.occurs[p]
+	if len(list) < f.cfg.ManyCrashes { // The block begins later anyway.
+		return false
+	}
+	return slices.ContainsFunc(slices.Concat(list[0].suspects, list[1].suspects), func(s Suspect) bool {
+		o := s.Subject
+		return !o.IsRequest() && f.depth[o] > f.depth[p] && len(f.occurs[o]) == len(list)-1 &&
+			!slices.ContainsFunc(f.occurs[o], func(c *crash) bool { return !c.names(p) })
+	})
+}
+
 // unrelated reports whether one of the crashes can't be due to a part and has no unproven part in
 // common with another such crash. Engines then end for other causes as well, and a part of which
 // the first few runs were all on such engines looks like a bad one.
@@ -268,7 +284,7 @@
 	if b.subject.IsRequest() { // Daemons could answer since the second crash, which made it a suspect.
 		b.effective = later(b.crashes[b.founding-1].at, b.crashes[1].at.Add(f.cfg.RequestSettle))
 	}
-	if n := max(f.cfg.ManyCrashes, b.founding); n <= len(b.crashes) && b.crashes[n-1].at.Before(b.effective) {
+	if n := max(f.cfg.ManyCrashes, b.founding); n <= len(b.crashes) && !b.contested && b.crashes[n-1].at.Before(b.effective) {
 		b.effective = b.crashes[n-1].at
 	}
 	b.round = 0
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -278,6 +278,19 @@
 	}
 }
 
+// Guards against a sound part that is blocked because the daemon whose run ended the last engine
+// reports it later than those whose other runs ended with it, as in soak seed 136.
+func TestLateReportOfBadPartBlocksNoOther(t *testing.T) {
+	q := New(Config{})
+	for i := range 8 {
+		q.RecordCrash(engine(i), prompt(1, 2), at(time.Duration(i)*20*time.Millisecond))
+	}
+	q.RecordCrash(engine(8), prompt(1), at(time.Second))
+	assert.DeepEqual(t, blamed(q, at(1200*time.Millisecond)), []Subject(nil))
+	q.RecordCrash(engine(8), prompt(1, 2), at(1200*time.Millisecond))
+	assert.DeepEqual(t, blamed(q, at(1200*time.Millisecond)), []Subject{2})
+}
+
 func TestPrefersDeeperPart(t *testing.T) {
 	q := New(Config{})
 	crashAll(q, 0, 3, 0, 9, 5, 7)
