--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -11,14 +11,16 @@
 
 // blame is the finding that a part crashes engines. It doesn't change once it is published.
 type blame struct {
-	subject  Subject
-	depth    int
-	crashes  []*crash             // With the part, sorted by time.
-	founding int                  // Number of crashes for which the part was blamed first.
-	engines  []registrar.Identity // Of crashes.
-	round    int                  // Trials since the part was blamed.
-	until    time.Time            // End of the block, when a trial is due.
-	expires  time.Time
+	subject   Subject
+	depth     int
+	crashes   []*crash             // With the part, sorted by time.
+	founding  int                  // Number of crashes for which the part was blamed first.
+	contested bool                 // A deeper part explains all founding crashes but one.
+	context   []*crash             // Unexplained ones since the first, if the verdict depends on them; held as long as the blame.
+	engines   []registrar.Identity // Of crashes.
+	round     int                  // Trials since the part was blamed.
+	until     time.Time            // End of the block, when a trial is due.
+	expires   time.Time
 	// effective is when the block begins.
 	effective time.Time
 }
@@ -45,12 +47,13 @@
 	depth  map[Subject]int       // Greatest one seen.
 	live   map[Subject]suspicion // Parts that may have caused several crashes.
 	causes map[*crash][]*blame   // Explanations of a crash.
+	tied   map[Subject]bool      // Requests that explain the same crashes as another one, so that none was blamed.
 }
 
 // run explains crashes, which are sorted by time.
 func (f *inference) run(crashes []*crash) {
 	f.blamed, f.occurs, f.depth = map[Subject]*blame{}, map[Subject][]*crash{}, map[Subject]int{}
-	f.live, f.causes = map[Subject]suspicion{}, map[*crash][]*blame{}
+	f.live, f.causes, f.tied = map[Subject]suspicion{}, map[*crash][]*blame{}, map[Subject]bool{}
 	for _, c := range crashes {
 		for _, s := range c.suspects {
 			if f.named[s.Subject] < 2 || f.sound(s.Subject, c.at) {
@@ -129,12 +132,16 @@
 // blame blames a part for the open crashes that it may have caused.
 func (f *inference) blame(p Subject) {
 	b := &blame{subject: p, depth: f.depth[p]}
+	if list := f.occurs[p]; len(list) < f.cfg.ManyCrashes {
+		b.context = slices.DeleteFunc(slices.Clone(f.open), func(c *crash) bool { return c.at.Before(list[0].at) })
+	}
 	found := slices.Concat(f.supersede(p), f.occurs[p])
 	slices.SortStableFunc(found, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, c := range slices.Compact(found) {
 		f.assign(b, c)
 	}
 	b.founding = len(b.crashes)
+	b.contested = f.contested(p)
 	f.blamed[p] = b
 	explained := func(c *crash) bool { return len(f.causes[c]) > 0 }
 	f.open = slices.DeleteFunc(f.open, explained)
@@ -189,6 +196,11 @@
 	// While all endpoints of a service are down, a request that ran beside the bad one everywhere
 	// can't prove itself. Another crash tells them apart.
 	if tied && best.IsRequest() && most < f.cfg.ManyCrashes {
+		for _, p := range parts {
+			if n, ok := f.coverage(p, now); ok && n == most && p.IsRequest() {
+				f.tied[p] = true
+			}
+		}
 		return 0, false
 	}
 	return best, most > 0
@@ -225,7 +237,34 @@
 	if p.IsRequest() {
 		return n, n >= f.cfg.MinIncidents && share >= f.cfg.ManyShare
 	}
-	return n, f.suffices(n, incidents, share)
+	return n, f.suffices(n, incidents, share) && (n >= f.cfg.ManyCrashes || !f.unrelated(p, f.open[since:]))
+}
+
+// contested reports whether a deeper part explains all open crashes that a part may have caused, but
+// one. The daemon whose run had the deeper part may not have reported that one yet.
+func (f *inference) contested(p Subject) bool {
+	list := f.occurs[p]
+	if len(list) < f.cfg.ManyCrashes { // The block begins later anyway.
+		return false
+	}
+	return slices.ContainsFunc(slices.Concat(list[0].suspects, list[1].suspects), func(s Suspect) bool {
+		o := s.Subject
+		return !o.IsRequest() && f.depth[o] > f.depth[p] && len(f.occurs[o]) == len(list)-1 &&
+			!slices.ContainsFunc(f.occurs[o], func(c *crash) bool { return !c.names(p) })
+	})
+}
+
+// unrelated reports whether one of the crashes can't be due to a part and has no unproven part in
+// common with another such crash. Engines then end for other causes as well, and a part of which
+// the first few runs were all on such engines looks like a bad one.
+func (f *inference) unrelated(p Subject, crashes []*crash) bool {
+	return slices.ContainsFunc(crashes, func(c *crash) bool {
+		return !c.names(p) && !slices.ContainsFunc(c.suspects, func(s Suspect) bool {
+			return f.mayCause(s.Subject, c) && slices.ContainsFunc(f.occurs[s.Subject], func(o *crash) bool {
+				return o != c && !o.names(p) && !o.at.Before(crashes[0].at)
+			})
+		})
+	})
 }
 
 // suffices reports whether a part of prompts can be blamed for a number of crashes, which make up a
@@ -245,7 +284,7 @@
 	if b.subject.IsRequest() { // Daemons could answer since the second crash, which made it a suspect.
 		b.effective = later(b.crashes[b.founding-1].at, b.crashes[1].at.Add(f.cfg.RequestSettle))
 	}
-	if n := max(f.cfg.ManyCrashes, b.founding); n <= len(b.crashes) && b.crashes[n-1].at.Before(b.effective) {
+	if n := max(f.cfg.ManyCrashes, b.founding); n <= len(b.crashes) && !b.contested && b.crashes[n-1].at.Before(b.effective) {
 		b.effective = b.crashes[n-1].at
 	}
 	b.round = 0
@@ -293,6 +332,22 @@
 	return dropped
 }
 
+// needed returns 1 for each crash on which a verdict depends.
+func (f *inference) needed() map[*crash]int {
+	needed := map[*crash]int{}
+	for c, list := range f.causes {
+		if len(list) > 0 {
+			needed[c] = 1
+		}
+	}
+	for _, b := range f.blamed {
+		for _, c := range b.context {
+			needed[c] = 1
+		}
+	}
+	return needed
+}
+
 // names reports whether a part is a suspect of the crash.
 func (c *crash) names(p Subject) bool {
 	_, ok := slices.BinarySearchFunc(c.suspects, p, func(s Suspect, p Subject) int { return cmp.Compare(s.Subject, p) })
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -38,6 +38,6 @@
 	var remote syncMessage
 	assert.NilError(t, msgpack.Unmarshal(body, &remote))
 	o := &peer{}
-	o.setLost(&remote)
+	o.record(&remote)
 	assert.Assert(t, o.evacuationsLost)
 }
