--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -88,6 +88,7 @@
 	manifestVersion int64
 	memory          *reservation
 	stalled         bool // The client has stopped reading the response.
+	http10          bool // The client can't read chunks.
 	arrived         time.Time
 	deadline        time.Time
 	attempts        atomic.Int64          // Attempts, refused ones included.
@@ -169,7 +170,7 @@
 		return
 	}
 	x, refusal := f.admit(req, now)
-	x.memory, conn.current = &conn.memory, x
+	x.memory, conn.current, x.http10 = &conn.memory, x, !ctx.Request.Header.IsHTTP11()
 	if refusal == nil {
 		refusal = f.reserveMemory(x)
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -18,11 +18,12 @@
 	relayChunkBytes   = 32 << 10
 	relayBaseChunks   = callReserveBytes / relayChunkBytes // Covered by the reservation of the call.
 	relayRoomInterval = 250 * time.Millisecond             // Memory that others release is looked for after this time.
-	minPrefixBytes    = 512                                // First buffer of a response of unknown length.
+	prefixGrowth      = smallResponseBytes / callReserveBytes
+	minPrefixBytes    = 512 // First buffer of a response of unknown length.
 )
 
-// errNotPassedOn means that a response is too large to be buffered, and is not passed on in pieces
-// since it is a failure whose request may be repeated.
+// errNotPassedOn means that a response is too large to be buffered, and is not passed on in pieces:
+// it is a failure whose request may be repeated, or its client can't tell that it breaks off.
 var errNotPassedOn = errors.New("the response is too large to be buffered")
 
 // relayChunk is a piece of a response. Chunks are reused to spare the garbage collector.
@@ -50,12 +51,13 @@
 	readable waker         // Wakes Read.
 	room     waker         // Wakes the goroutine that reads from the endpoint.
 
-	mu     sync.Mutex
-	prefix []byte        // Read before the relay was started; it takes the place of the base chunks.
-	chunks []*relayChunk // Not yet returned by Read; only the last one may still be filled.
-	taken  int           // Number of bytes of the first chunk that Read has returned.
-	grown  int           // Number of chunks with a reservation of their own.
-	err    error         // Set when the response has ended; io.EOF if it is complete.
+	mu          sync.Mutex
+	prefixGrown int64         // Bytes reserved for prefix beyond the reservation of the call.
+	prefix      []byte        // Read before the relay was started; it takes the place of the base chunks.
+	chunks      []*relayChunk // Not yet returned by Read; only the last one may still be filled.
+	taken       int           // Number of bytes of the first chunk that Read has returned.
+	grown       int           // Number of chunks with a reservation of their own.
+	err         error         // Set when the response has ended; io.EOF if it is complete.
 
 	passedOn int  // Number of bytes that Read has returned.
 	ended    bool // Read has returned io.EOF.
@@ -68,6 +70,8 @@
 		return errUnverifiedResponse
 	case x.route.Kind != matcher.Safe && promisesNotRun(res.Status):
 		return errUnprovenRefusal
+	case x.http10 && res.ContentLength < 0:
+		return errNotPassedOn // Without chunks, a response that breaks off would look complete.
 	case x.route.Kind == matcher.Safe && mayRetry && res.Status >= fasthttp.StatusInternalServerError:
 		return errNotPassedOn
 	}
@@ -77,17 +81,21 @@
 // readPrefix reads a body that is small to its end and closes it. Otherwise it returns what it has
 // read, as far as there is memory for it, and false.
 func (f *Forwarder) readPrefix(x *exchange, res *Response) (text []byte, whole bool, err error) {
-	limit := callReserveBytes
+	limit, maxLimit := callReserveBytes, smallResponseBytes
+	if x.http10 && res.ContentLength < 0 {
+		maxLimit = maxReadAheadBytes // It can't be passed on.
+	}
 	if x.req.Method != fasthttp.MethodHead && res.ContentLength > smallResponseBytes {
 		return nil, false, nil
 	}
 	text = make([]byte, 0, min(max(res.ContentLength+1, minPrefixBytes), limit))
 	for {
 		if len(text) == limit {
-			if limit == smallResponseBytes || !x.memory.grow(smallResponseBytes-callReserveBytes) {
+			next := min(prefixGrowth*limit, maxLimit)
+			if next == limit || !x.memory.grow(int64(next-limit)) {
 				return text, false, nil
 			}
-			limit = smallResponseBytes
+			limit = next
 		}
 		if len(text) == cap(text) {
 			text = append(make([]byte, 0, min(2*cap(text), limit)), text...)
@@ -106,7 +114,7 @@
 
 // newRelay returns a relay for a response of which prefix has been read. Call start to start it.
 func newRelay(ctx context.Context, cancel context.CancelCauseFunc, f *Forwarder, x *exchange, e registrar.Endpoint, res Response, prefix []byte) *relay {
-	return &relay{f: f, x: x, endpoint: e, response: res, ctx: ctx, cancel: cancel, readable: newWaker(), room: newWaker(), prefix: prefix}
+	return &relay{f: f, x: x, endpoint: e, response: res, ctx: ctx, cancel: cancel, readable: newWaker(), room: newWaker(), prefix: prefix, prefixGrown: int64(max(len(prefix)-callReserveBytes, 0))}
 }
 
 // start starts to read from the endpoint. It gets the time that the attempt took until now.
@@ -219,6 +227,7 @@
 		n := copy(p, r.prefix)
 		if r.prefix = r.prefix[n:]; len(r.prefix) == 0 {
 			r.prefix = nil
+			r.x.memory.shrink(r.prefixGrown)
 		}
 		return n, nil
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -55,6 +55,7 @@
 	ended            bool          // The body of the current run was read to the end that its framing marks.
 	pending          []byte        // Bytes for the next calls of Read.
 	pendingRead      int           // Number of bytes of pending that Read has returned.
+	reserved         int64         // Bytes reserved for events beyond the reservation of the request.
 	complete         bool
 
 	mu             sync.Mutex
@@ -510,8 +511,27 @@
 	}
 }
 
+// reserveEvents waits until there is memory for the bytes of incomplete events and the next ones
+// of the engine. The run has started, so it is not refused; the engine waits.
+func (s *stream) reserveEvents() error {
+	need := int64(len(s.sequencer.partial)+len(s.pending)+2*readChunkBytes) - streamReserveBytes
+	for need > s.reserved {
+		if s.x.memory.grow(requestReserveBytes) {
+			s.reserved += requestReserveBytes
+			continue
+		}
+		if s.f.clock.Sleep(s.ctx, relayRoomInterval) != nil {
+			return context.Cause(s.ctx)
+		}
+	}
+	return nil
+}
+
 // fill reads from the engine. If the run breaks off, it resumes the generation.
 func (s *stream) fill() error {
+	if err := s.reserveEvents(); err != nil {
+		return err
+	}
 	n, err := s.run.response.Body.Read(s.chunk)
 	if n > 0 {
 		if failure := s.processChunk(s.chunk[:n]); failure != nil {
@@ -553,6 +573,9 @@
 // returns an error otherwise.
 func (s *stream) checkEnd() error {
 	err := s.body.CheckEnd(s.stopOfRun())
+	if err == nil && !s.events {
+		err = s.f.confirmEnd(s.ctx, s.run.engine, s.run.response)
+	}
 	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.runsAfterEnd(s.ctx, s.run.engine) {
 		// The connections of a process that has ended are closed in the same way.
 		s.f.metrics.count("ends_doubted")
