--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"monsoonspar.example/coordination/warmer"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
+	"monsoonspar.example/state/reserver"
 	"monsoonspar.example/state/spawner"
 	"monsoonspar.example/state/timekeeper"
 )
@@ -59,6 +60,7 @@
 	warmer    *warmer.Warmer
 	deferrals limiter.Deferrals
 	shutdowns evacuator.Shutdowns // Of engines.
+	memory    *reserver.Reserver // Memory for requests and responses.
 	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
@@ -98,7 +100,7 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(),
+		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), memory: newReserver(cfg.Daemon.MemoryMB),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
 	f.endpoints = countedClient{EndpointClient: endpoints, f: f}
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -71,7 +71,7 @@
 			ctx.SetContentType("text/plain; charset=utf-8")
 			f.metrics.write(ctx)
 			now := f.clock.Now()
-			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now))
+			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held())
 			if f.followsEvacuations() {
 				fmt.Fprintf(ctx, "evacuations_age_ms %d\nevacuated_domains %d\n", f.evacuations.ageMillis(now), len(f.registry.Evacuations().Domains))
 			}
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -38,7 +38,10 @@
 	// RelayAbove is the number of daemons above which load reports and updates that are not urgent go to
 	// other failure domains over relays.
 	RelayAbove int `ini:"relay_above"`
-	MemoryMB   int `ini:"memory_mb"` // Memory available to the process, from which the heap limit is derived; zero for no limit.
+	MemoryMB   int `ini:"memory_mb"` // Memory available to the process, from which the heap limit and the memory for requests and responses are derived; zero for no limit.
+
+	StallTime    time.Duration `ini:"-"`
+	StallSeconds float64       `ini:"stall_s"` // Time after which a client that takes no bytes of its response is disconnected.
 
 	CrossingShare     float64 `ini:"crossing_share"`      // See placer.Config.
 	ExposedBackupPeak float64 `ini:"exposed_backup_peak"` // See placer.Config.
@@ -81,7 +84,7 @@
 // ParseSettings parses and validates INI text.
 func ParseSettings(text []byte) (Settings, error) {
 	s := Settings{
-		Daemon: DaemonSettings{RequestSeconds: 30, RelayAbove: reporter.FullMeshLimit},
+		Daemon: DaemonSettings{RequestSeconds: 30, StallSeconds: 8, RelayAbove: reporter.FullMeshLimit},
 		Bounds: BoundSettings{ReturnGraceMillis: 2000, EntryExpiry: 300},
 		Log:    LogSettings{Level: "info"},
 	}
@@ -100,6 +103,7 @@
 	}
 	s.Bounds.StopTime = time.Duration(s.Bounds.StopSeconds * float64(time.Second))
 	s.Daemon.RequestTime = time.Duration(s.Daemon.RequestSeconds * float64(time.Second))
+	s.Daemon.StallTime = time.Duration(s.Daemon.StallSeconds * float64(time.Second))
 	return s, s.check()
 }
 
@@ -128,6 +132,9 @@
 	if s.Daemon.RelayAbove <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.relay_above must be above 0")
 	}
+	if s.Daemon.StallTime <= 0 || s.Daemon.MemoryMB < 0 {
+		return errors.Wrap(ErrSettings, "daemon.stall_s must be above 0, daemon.memory_mb at least 0")
+	}
 	if s.Bounds.EntryExpiry <= 0 {
 		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
 	}
