--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -36,9 +36,10 @@
 
 // Load is the load that an endpoint reports.
 type Load struct {
-	Running int
-	Queued  int
-	Slots   int
+	Running  int
+	Queued   int
+	Slots    int
+	Slowdown float64 // Time that a unit of work takes at the endpoint now, as a ratio to the usual time; zero if not reported.
 }
 
 // Result is the result of a request to an endpoint.
