state/gauger, balancer: learned capacity of the endpoints of plain services

The balancer judged an endpoint by a moving average of its latencies, whatever load they met. With many daemons the endpoint with the oldest report looked idle, so all endpoints got the same rate of requests whatever they can carry, and the slow one was overloaded.

gauger.Endpoint learns the time of a unit of work and the knee from results with the load that they met, and the share of it that a reported slowdown explains, unless results contradict the reports. The balancer relates load to the knee, prefers fast endpoints while the service is idle, uses each by its capacity near full load, and keeps requests off an endpoint whose unit exceeds the route's goal; it is tried again by repeatable requests only. An estimate within its uncertainty of the median counts as equal; then costs are as before, without the latency term. PickFor takes goal and kind of the route. Changes are logged (at most one per endpoint in 10 s) and are metrics.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -108,7 +108,8 @@
 func (f *Forwarder) pickEndpoint(ctx context.Context, x *exchange, exclude map[registrar.Identity]bool) (registrar.Endpoint, bool) {
 	for {
 		now := f.clock.Now()
-		e, ok := f.balancer(x.service).Pick(f.permittedEndpoints(f.registry.Usable(x.service), now), exclude, now)
+		q := balancer.Request{Goal: x.route.LatencyTarget, Unsafe: x.route.Kind != matcher.Safe}
+		e, ok := f.balancer(x.service).PickFor(q, f.permittedEndpoints(f.registry.Usable(x.service), now), exclude, now)
 		if !ok || f.acquireGrant(ctx, e, limiter.Normal) {
 			return e, ok
 		}
@@ -169,6 +170,7 @@
 		result.Failed, result.Unreachable = false, false // The failure was caused by the client.
 	}
 	f.balancer(x.service).Done(e.Identity, result, f.clock.Now())
+	f.logCapacity(x.service, e)
 	f.handleMisdirected(e, res)
 	if a.err != nil || a.notRun {
 		f.addRequestFields(f.log.Info(), x).Err(a.err).Str("endpoint", e.Name).Int("status", res.Status).Bool("not_run", a.notRun).
--- /dev/null
+++ b/forwarder/capacity.go
@@ -0,0 +1,41 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"maps"
+
+	"monsoonspar.example/coordination/balancer"
+	"monsoonspar.example/state/registrar"
+)
+
+// logCapacity logs a large change of the capacity that an endpoint of a plain service is
+// believed to have.
+func (f *Forwarder) logCapacity(service string, e registrar.Endpoint) {
+	before, after, changed := f.balancer(service).TakeChange(e.Identity, f.clock.Now())
+	if !changed {
+		return
+	}
+	f.metrics.count("capacity_changes")
+	f.log.Info().Str("service", service).Str("endpoint", e.Name).Dur("unit_ms", after.Unit).
+		Float64("slowness", after.Slowness).Float64("slowness_before", before.Slowness).
+		Float64("knee", after.Knee).Float64("knee_before", before.Knee).Int("slots", e.Slots).
+		Msg("forwarder: capacity of an endpoint is believed to have changed")
+}
+
+// writeCapacities prints what is believed of each endpoint as metrics.
+func (f *Forwarder) writeCapacities(w io.Writer) {
+	f.servicesMu.Lock()
+	balancers := maps.Clone(f.balancers)
+	f.servicesMu.Unlock()
+	for service, b := range balancers {
+		for id, c := range b.Capacities() {
+			writeCapacity(w, service, id.Name, c)
+		}
+	}
+}
+
+func writeCapacity(w io.Writer, service, endpoint string, c balancer.Capacity) {
+	labels := fmt.Sprintf("{service=%q,endpoint=%q}", service, endpoint)
+	fmt.Fprintf(w, "endpoint_unit_us%s %d\nendpoint_slowness%s %.3g\nendpoint_knee%s %.3g\n", labels, c.Unit.Microseconds(), labels, c.Slowness, labels, c.Knee)
+}
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -67,6 +67,7 @@
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
 			f.metrics.write(ctx)
+			f.writeCapacities(ctx)
 			now := f.clock.Now()
 			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now))
 		},
