placer: learned speed of each engine

The placer assumed one prefill rate and one step time for all engines of a service, so it expected prompts on slow engines to be read in time and kept work off fast ones.

Each engine now has a speed, learned from the growth of its listed sequences between two reports and from the times to first events against the prefill backlog (gauger.Rate), in relation to the mean engine, which has the configured speed; so has every engine that equals it within the uncertainty. Prefill wait, placement cost, the deadline check, expected remaining time and output, survival, the need of a backup and migration targets use it. The order of the queue keeps the configured speed, since all daemons must compute the same. Large changes are logged and speeds are metrics.

overload_test.go: playFleet is now a case of playSpeeds; no check changed.

--- a/coordination/placer/engine.go
+++ b/coordination/placer/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonspar.example/coordination/forecaster"
+	"monsoonspar.example/state/gauger"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -30,6 +31,12 @@
 	unusableSince    time.Time       // Since when it accepts no new jobs, as it is shutting down or draining; zero while it accepts them.
 	lastPrefillAt    time.Time       // When a prefill last ended, seen as the first event of a job.
 
+	growth    gauger.Rate // Tokens that a sequence grows by per millisecond.
+	prefill   gauger.Rate // Prompt tokens per millisecond until a first event.
+	speed     float64     // Set by updateSpeeds; 1 is the configured speed, and zero is not known yet.
+	toldSpeed float64     // As TakeSpeedChanges last returned it.
+	toldAt    time.Time
+
 	// Derived from the report and the runs by refresh.
 	forecast       forecaster.Forecast
 	unattributed   float64 // Reported memory, in tokens, that no known sequence or copy accounts for.
@@ -71,7 +78,7 @@
 func (e *engine) countReported(p *Placer, now time.Time) float64 {
 	held := 0.0
 	age := now.Sub(e.reportedAt) + p.cfg.ReportLag
-	elapsedSteps := max(int(age/p.cfg.StepTime), 0)
+	elapsedSteps := max(int(age/e.stepTime(p)), 0)
 	for i := range e.report.Sequences {
 		s := &e.report.Sequences[i]
 		held += float64(s.Tokens)
@@ -207,7 +214,7 @@
 
 // prefillWait returns the time until the engine has processed its prefill backlog.
 func (e *engine) prefillWait(p *Placer, now time.Time) time.Duration {
-	return p.prefillTimeOf(e.pendingPrefill.remaining(now, p.prefillRate()))
+	return e.slowed(p.prefillTimeOf(e.pendingPrefill.remaining(now, e.prefillRate(p))))
 }
 
 // milliseconds returns d in milliseconds.
@@ -216,7 +223,7 @@
 // cost returns the cost of placing a queued job on the engine, in milliseconds of
 // delay to its first event.
 func (e *engine) cost(p *Placer, q *queuedJob, peak float64, now time.Time) float64 {
-	cost := milliseconds(e.prefillWait(p, now)) + float64(e.sequences)*sequenceCostMs
+	cost := milliseconds(e.prefillWait(p, now)) + float64(e.sequences)*sequenceCostMs + e.slownessCost(p, &q.job)
 	if peak > lowPeak {
 		cost += (peak - lowPeak) * memoryCostMs
 	}
@@ -295,7 +302,7 @@
 			continue
 		}
 		turns[id] = EvacuationTurn{StartAfter: offset, RunsAhead: ahead, Local: !r.remote}
-		if produced := e.expectedOutput(p, r, now); p.expectedRemaining(&r.job, produced) > minMigrationTime {
+		if produced := e.expectedOutput(p, r, now); e.slowed(p.expectedRemaining(&r.job, produced)) > minMigrationTime {
 			ahead++
 			migrating = append(migrating, id)
 			held := float64(r.job.PromptTokens + produced)
@@ -316,5 +323,5 @@
 	if r.firstEventAt.IsZero() {
 		return r.job.OutputTokens
 	}
-	return r.job.OutputTokens + int(now.Sub(r.firstEventAt)/p.cfg.StepTime)
+	return r.job.OutputTokens + int(now.Sub(r.firstEventAt)/e.stepTime(p))
 }
--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -115,6 +115,7 @@
 	backup       registrar.Identity // Engine that keeps a copy of the memory; zero if there is none.
 	addedAt      time.Time
 	firstEventAt time.Time // Zero before the first event.
+	prefillAhead float64   // Prompt tokens that the engine reads before the first event, those of the job included.
 	moments      forecaster.Moments
 	short        bool // Expected to end soon after its prefill.
 }
--- a/coordination/placer/migration.go
+++ b/coordination/placer/migration.go
@@ -26,6 +26,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.moments(&job)
+	p.updateSpeeds(now)
 	var candidates []migrationCandidate
 	for id, e := range p.engines {
 		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) {
@@ -96,6 +97,7 @@
 	if e.limited {
 		cost += limitedCost
 	}
+	cost += slowTargetCost * (1/e.knownSpeed() - 1)
 	if now.Sub(e.lastMigrationAt) < linkBusyTime {
 		cost += busyLinkCost
 	}
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -169,6 +169,7 @@
 	var bestCost, bestPeak float64
 	hash := xxhash.Sum64String(q.job.ID)
 	q.state.Late = !p.onTime(&q.job, now)
+	p.updateSpeeds(now)
 	for id, e := range p.engines {
 		if q.excluded[id] || !e.acceptsJobs(now) {
 			continue
@@ -179,7 +180,7 @@
 			q.state.EnginesFull++
 			continue
 		}
-		if p.startsTooLate(&q.job, now.Add(e.prefillWait(p, now)), now) {
+		if p.startsTooLate(&q.job, e, now.Add(e.prefillWait(p, now)), now) {
 			q.state.EnginesBusy++
 			continue
 		}
--- a/coordination/placer/overload_test.go
+++ b/coordination/placer/overload_test.go
@@ -90,12 +90,19 @@
 // have the same arrivals until the first refusal, but may differ in placements,
 // since a Placer iterates over maps.
 func playFleet(seed uint64, engineCount int, kinds []kind) []*client {
+	return playSpeeds(seed, make([]float64, engineCount), kinds).clients
+}
+
+// playSpeeds is playFleet with the given speeds of the engines, in relation to the usual one; zero
+// is the usual one.
+func playSpeeds(seed uint64, speeds []float64, kinds []kind) *fleet {
+	engineCount := len(speeds)
 	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), engines: map[registrar.Identity]*emulator.Engine{}, queued: map[string]*client{}}
 	endpoints := engines(engineCount, "a")
 	for i, ep := range endpoints {
 		f.engines[ep.Identity] = emulator.New(emulator.Config{
 			Name: ep.Name, MemoryTokens: engineMemory, BlockTokens: 16, MaxBatch: 24, MaxPrefillTokens: 112,
-			Step: emulator.StepModel{Base: 7 * time.Millisecond, PerSequence: 120 * time.Microsecond, PerPrefillToken: time.Millisecond / 14},
+			Step: stepModel(speeds[i]),
 		}, &f.loop)
 		f.every(reportInterval, time.Duration(i)*reportInterval/time.Duration(engineCount), func() { f.report(ep.Identity) })
 	}
@@ -119,7 +126,16 @@
 		f.arrive(&kinds[i])
 	}
 	f.loop.Run(arrivalTime + 39*time.Second)
-	return f.clients
+	return f
+}
+
+// stepModel returns the steps of an engine with the given speed.
+func stepModel(speed float64) emulator.StepModel {
+	if speed == 0 {
+		speed = 1
+	}
+	slowed := func(d time.Duration) time.Duration { return time.Duration(float64(d) / speed) }
+	return emulator.StepModel{Base: slowed(7 * time.Millisecond), PerSequence: slowed(120 * time.Microsecond), PerPrefillToken: slowed(time.Millisecond / 14)}
 }
 
 func (f *fleet) now() time.Time { return start.Add(f.loop.Now()) }
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -55,8 +55,8 @@
 	MemoryTokens       int           // Size of an engine's KV cache, in tokens.
 	BlockTokens        int           // Tokens per block of memory.
 	TokensPerEvent     int           // Output tokens in each event of an answer.
-	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
-	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
+	StepTime           time.Duration // Duration of a decode step on the mean engine, which adds one token to each sequence.
+	PrefillTokensPerMs float64       // Prefill rate of the mean engine while it runs no other sequences.
 	ReportLag          time.Duration // Age of the figures in a report when it is received.
 	// Updated, if not nil, gets a value when there are updates to take. It should have a buffer.
 	Updated    chan<- struct{}
@@ -80,6 +80,7 @@
 	remoteQueue map[string]*queuedJob // Jobs queued at peers, by ID.
 	promptMean  float64               // Moving average of prompt tokens; zero before the first job.
 	lastModel   string
+	speedsAt    time.Time // When the speeds of the engines were last compared.
 	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
@@ -128,6 +129,9 @@
 		return false
 	}
 	isNew := now.Sub(e.reportedAt) > copyDelay
+	if isNew {
+		e.recordGrowth(&r, now)
+	}
 	e.report, e.reportedAt, e.dirty = r, now, true
 	clear(e.listed)
 	for i := range r.Sequences {
@@ -190,6 +194,7 @@
 // markStarted records the first event of a job. The mutex is held.
 func (p *Placer) markStarted(id string, now time.Time) {
 	if e := p.engines[p.engineOf[id]]; e != nil && e.runs[id] != nil {
+		e.recordPrefill(e.runs[id], now)
 		e.runs[id].firstEventAt = now
 		e.lastPrefillAt = now
 		e.dirty = true
@@ -220,11 +225,11 @@
 func (p *Placer) SurvivalProbability(job Job, produced int, d time.Duration) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.outputLength(&job).Survival(produced, int(max(d, 0)/p.cfg.StepTime))
+	return p.outputLength(&job).Survival(produced, int(max(d, 0)/p.engines[p.engineOf[job.ID]].stepTime(p)))
 }
 
-// expectedRemaining returns the expected time until the end of a job. The mutex
-// is held.
+// expectedRemaining returns the expected time until the end of a job at the configured
+// speed. The mutex is held.
 func (p *Placer) expectedRemaining(job *Job, produced int) time.Duration {
 	mean, _ := p.outputLength(job).Residual(produced)
 	return time.Duration(mean * float64(p.cfg.StepTime))
@@ -299,6 +304,8 @@
 // addRun adds a job to an engine. The mutex is held.
 func (p *Placer) addRun(e *engine, job *Job, backup registrar.Identity, now time.Time) *run {
 	r := &run{job: *job, addedAt: now, backup: backup, moments: p.moments(job), short: p.isShort(job)}
+	e.refresh(p, now)
+	r.prefillAhead = e.pendingPrefill.remaining(now, e.prefillRate(p)) + job.tokensToRead()
 	e.runs[job.ID] = r
 	p.engineOf[job.ID] = e.endpoint.Identity
 	e.dirty = true
@@ -334,7 +341,7 @@
 // primary engine. It returns the zero Endpoint if there is none. The mutex is
 // held.
 func (p *Placer) chooseBackup(job *Job, primary *engine, now time.Time) registrar.Endpoint {
-	if !job.AllowBackup || p.expectedRemaining(job, job.OutputTokens) < minBackupTime {
+	if !job.AllowBackup || primary.slowed(p.expectedRemaining(job, job.OutputTokens)) < minBackupTime {
 		return registrar.Endpoint{}
 	}
 	m := p.moments(job)
--- a/coordination/placer/refusal.go
+++ b/coordination/placer/refusal.go
@@ -17,9 +17,13 @@
 // missesDeadline reports whether a job could not be answered before its deadline
 // even if it started now.
 func (p *Placer) missesDeadline(job *Job, now time.Time) bool {
-	steps := max(minOutputSteps, job.outputEstimate()/2)
-	needed := p.prefillTime(job) + time.Duration(steps)*p.cfg.StepTime
-	return now.Add(needed).After(job.Deadline) || p.clientLeaves(job, now)
+	return now.Add(p.prefillTime(job)+p.decodeTime(job)).After(job.Deadline) || p.clientLeaves(job, now)
+}
+
+// decodeTime returns the shortest time in which the rest of a job's answer is worth
+// producing, at the configured speed.
+func (p *Placer) decodeTime(job *Job) time.Duration {
+	return time.Duration(max(minOutputSteps, job.outputEstimate()/2)) * p.cfg.StepTime
 }
 
 // clientLeaves reports whether the client of a job leaves before its first event if
@@ -28,13 +32,28 @@
 	return !job.FirstEventLimit.IsZero() && start.Add(p.prefillTime(job)).After(job.FirstEventLimit)
 }
 
-// startsTooLate reports whether a job should not be placed where its prefill would
-// begin at start: it could be on time elsewhere, or its client would leave.
-func (p *Placer) startsTooLate(job *Job, start, now time.Time) bool {
+// startsTooLate reports whether a job should not be placed on an engine where its prefill
+// would begin at start: it could be on time elsewhere, its client would leave, or the
+// engine is too slow for its deadline.
+func (p *Placer) startsTooLate(job *Job, e *engine, start, now time.Time) bool {
+	if e.knownSpeed() != 1 {
+		usual := p.prefillTime(job)
+		start = start.Add(e.slowed(usual) - usual)
+	}
 	if p.onTime(job, now) {
-		return !p.onTime(job, start)
+		return !p.onTime(job, start) || e.missesDeadline(p, job, start)
+	}
+	return p.clientLeaves(job, start) || e.missesDeadline(p, job, start)
+}
+
+// missesDeadline reports whether an engine of less than the configured speed could not
+// answer a job before its deadline if the prefill began at start.
+func (e *engine) missesDeadline(p *Placer, job *Job, start time.Time) bool {
+	if e.knownSpeed() >= 1 {
+		return false
 	}
-	return p.clientLeaves(job, start)
+	decode := e.slowed(p.decodeTime(job))
+	return start.Add(p.prefillTime(job) + decode).After(job.Deadline)
 }
 
 // hasProspect reports whether a job that stayed in the queue may be placed before
--- a/forwarder/capacity.go
+++ b/forwarder/capacity.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"time"
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/state/registrar"
@@ -33,6 +34,21 @@
 			writeCapacity(w, service, id.Name, c)
 		}
 	}
+	for service, p := range f.allPlacers() {
+		for id, speed := range p.Speeds() {
+			fmt.Fprintf(w, "engine_speed{service=%q,endpoint=%q} %.3g\n", service, id.Name, speed)
+		}
+	}
+}
+
+// logSpeeds logs large changes of the speeds that the engines of a service are believed to
+// have.
+func (f *Forwarder) logSpeeds(service string, p *servicePlacer, now time.Time) {
+	for _, c := range p.TakeSpeedChanges(now) {
+		f.metrics.count("capacity_changes")
+		f.log.Info().Str("service", service).Str("endpoint", c.Engine.Name).Float64("speed", c.After).Float64("speed_before", c.Before).
+			Msg("forwarder: speed of an engine is believed to have changed")
+	}
 }
 
 func writeCapacity(w io.Writer, service, endpoint string, c balancer.Capacity) {
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -246,8 +246,9 @@
 // processQueues delivers the outcomes of queued jobs of all services.
 func (f *Forwarder) processQueues(now time.Time) {
 	denied := f.deniedEngines(now)
-	for _, p := range f.allPlacers() {
+	for service, p := range f.allPlacers() {
 		p.SetLimited(denied)
 		p.deliverOutcomes(now)
+		f.logSpeeds(service, p, now)
 	}
 }
--- a/state/gauger/gauger.go
+++ b/state/gauger/gauger.go
@@ -81,32 +81,6 @@
 	return a.spread * math.Sqrt(w/(2-w)) * (2 - a.remembered(now))
 }
 
-// Rate is the estimate of a positive quantity. The zero value knows nothing.
-type Rate struct{ average }
-
-// Record records a value. Values that are not positive and finite are ignored.
-func (r *Rate) Record(value float64, now time.Time) {
-	if !(value > 0) || math.IsInf(value, 0) {
-		return
-	}
-	x := math.Log(value)
-	if r.count == 0 {
-		r.mean = x
-	}
-	residual := min(max(x-r.mean, -maxResidual), maxResidual)
-	r.mean += r.weight(residual, now) * residual
-	r.learn(residual, now)
-}
-
-// Value returns the estimate and its relative standard deviation, or zero if there
-// are fewer than minValues values.
-func (r *Rate) Value(now time.Time) (value, deviation float64) {
-	if r.count < minValues {
-		return 0, 0
-	}
-	return math.Exp(r.mean), r.uncertainty(now)
-}
-
 // Parameters of comparisons.
 const (
 	minValues        = 1    // An estimate from fewer values counts as equal to the others.
--- /dev/null
+++ b/state/gauger/rate.go
@@ -0,0 +1,70 @@
+package gauger
+
+import (
+	"math"
+	"time"
+)
+
+// Rate is the estimate of a positive quantity. The zero value knows nothing.
+type Rate struct{ average }
+
+// Record records a value. Values that are not positive and finite are ignored.
+func (r *Rate) Record(value float64, now time.Time) {
+	if !(value > 0) || math.IsInf(value, 0) {
+		return
+	}
+	x := math.Log(value)
+	if r.count == 0 {
+		r.mean = x
+	}
+	residual := min(max(x-r.mean, -maxResidual), maxResidual)
+	r.mean += r.weight(residual, now) * residual
+	r.learn(residual, now)
+}
+
+// Measured returns the estimate at now.
+func (r *Rate) Measured(now time.Time) Measured {
+	if r.count < minValues {
+		return Measured{Deviation: math.Inf(1)}
+	}
+	return Measured{Value: math.Exp(r.mean), Deviation: r.uncertainty(now)}
+}
+
+// Measured is an estimated quantity.
+type Measured struct {
+	Value     float64 // Zero if unknown.
+	Deviation float64 // Relative standard deviation.
+}
+
+// Normalize divides quantities of several endpoints by the mean of the known ones.
+func Normalize(all []Measured) {
+	sum, n := 0.0, 0
+	for _, m := range all {
+		if m.Value > 0 {
+			sum += m.Value
+			n++
+		}
+	}
+	for i := range all {
+		if all[i].Value > 0 {
+			all[i].Value *= float64(n) / sum
+		}
+	}
+}
+
+// Combine returns the mean of two normalized quantities, weighted by their precision,
+// or 1 if it equals 1 within its uncertainty.
+func Combine(a, b Measured) float64 {
+	x, weight := 0.0, 0.0
+	for _, m := range [...]Measured{a, b} {
+		if m.Value > 0 {
+			w := 1 / (m.Deviation * m.Deviation)
+			x += w * math.Log(m.Value)
+			weight += w
+		}
+	}
+	if weight == 0 {
+		return 1
+	}
+	return math.Exp(significant(x/weight, 1/math.Sqrt(weight)))
+}
