--- a/coordination/balancer/capacity.go
+++ b/coordination/balancer/capacity.go
@@ -38,6 +38,18 @@
 	return all
 }
 
+// Differs returns what was believed of an endpoint at the last Pick, and whether it is not
+// believed to be like the others.
+func (b *Balancer) Differs(id registrar.Identity) (Capacity, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[id]
+	if s == nil || s.relation.Slowness == 0 {
+		return Capacity{}, false
+	}
+	return capacityOf(s.relation), s.relation.Slowness != 1 || s.relation.Knee != float64(s.slots)
+}
+
 // TakeChange reports whether the capacity of an endpoint has changed by a factor of at
 // least toldRatio since it last did so, at most once in toldInterval, and returns the
 // capacities before and now.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -173,7 +173,7 @@
 	f.logCapacity(x.service, e)
 	f.handleMisdirected(e, res)
 	if a.err != nil || a.notRun {
-		f.addRequestFields(f.log.Info(), x).Err(a.err).Str("endpoint", e.Name).Int("status", res.Status).Bool("not_run", a.notRun).
+		f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Err(a.err).Str("endpoint", e.Name).Int("status", res.Status).Bool("not_run", a.notRun).
 			Msg("forwarder: attempt failed")
 	}
 	return a
@@ -241,7 +241,7 @@
 	took := f.clock.Now().Sub(x.arrived)
 	f.metrics.count("calls_answered")
 	f.metrics.observe("call_latency", took)
-	f.addRequestFields(f.log.Info(), x).Str("endpoint", e.Name).Int("status", a.response.Status).Stringer("framing", a.response.Framing).Int("bytes", len(a.body)).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
+	f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Str("endpoint", e.Name).Int("status", a.response.Status).Stringer("framing", a.response.Framing).Int("bytes", len(a.body)).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
 }
 
 // failCall ends a call for which there is no successful response. A genuine server
--- a/forwarder/capacity.go
+++ b/forwarder/capacity.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/state/registrar"
 )
@@ -24,6 +26,16 @@
 		Msg("forwarder: capacity of an endpoint is believed to have changed")
 }
 
+// addCapacity adds what is believed of an endpoint of a plain service to a log line about a
+// request, unless it is believed to be like the others.
+func (f *Forwarder) addCapacity(line *zerolog.Event, service string, e registrar.Endpoint) *zerolog.Event {
+	c, differs := f.balancer(service).Differs(e.Identity)
+	if !differs {
+		return line
+	}
+	return line.Float64("slowness", c.Slowness).Float64("knee", c.Knee)
+}
+
 // writeCapacities prints what is believed of each endpoint as metrics.
 func (f *Forwarder) writeCapacities(w io.Writer) {
 	f.servicesMu.Lock()
