--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -57,8 +57,8 @@
 	MemoryTokens       int             // Size of an engine's KV cache, in tokens.
 	BlockTokens        int             // Tokens per block of memory.
 	TokensPerEvent     int             // Output tokens in each event of an answer.
-	StepTime           time.Duration   // Duration of a decode step, which adds one token to each sequence.
-	PrefillTokensPerMs float64         // Prefill rate of an engine that runs no other sequences.
+	StepTime           time.Duration   // Duration of a decode step on the mean engine, which adds one token to each sequence.
+	PrefillTokensPerMs float64         // Prefill rate of the mean engine while it runs no other sequences.
 	ReportLag          time.Duration   // Age of the figures in a report when it is received.
 	Deviations         float64         // Standard deviations added to the forecast mean as a safety margin.
 	// CrossingShare is the delay to the first event that is accepted to avoid another failure domain, as a
@@ -96,6 +96,7 @@
 	arrivalsPrunedAt time.Time
 	// evacuated holds the failure domains whose engines must get no new work.
 	evacuated map[string]bool
+	speedsAt  time.Time // When the speeds of the engines were last compared.
 	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
@@ -144,6 +145,9 @@
 		return false
 	}
 	isNew := now.Sub(e.reportedAt) > copyDelay
+	if isNew {
+		e.recordGrowth(&r, now)
+	}
 	e.report, e.reportedAt, e.dirty = r, now, true
 	clear(e.listed)
 	for i := range r.Sequences {
@@ -206,6 +210,7 @@
 // markStarted records the first event of a job. The mutex is held.
 func (p *Placer) markStarted(id string, now time.Time) {
 	if e := p.engines[p.engineOf[id]]; e != nil && e.runs[id] != nil {
+		e.recordPrefill(e.runs[id], now)
 		e.runs[id].firstEventAt = now
 		e.lastPrefillAt = now
 		e.dirty = true
@@ -236,11 +241,11 @@
 func (p *Placer) SurvivalProbability(job Job, produced int, d time.Duration) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.outputLength(&job).Survival(produced, int(max(d, 0)/p.cfg.StepTime))
+	return p.outputLength(&job).Survival(produced, int(max(d, 0)/p.engines[p.engineOf[job.ID]].stepTime(p)))
 }
 
-// expectedRemaining returns the expected time until the end of a job. The mutex
-// is held.
+// expectedRemaining returns the expected time until the end of a job at the configured
+// speed. The mutex is held.
 func (p *Placer) expectedRemaining(job *Job, produced int) time.Duration {
 	mean, _ := p.outputLength(job).Residual(produced)
 	return time.Duration(mean * float64(p.cfg.StepTime))
@@ -315,6 +320,8 @@
 // addRun adds a job to an engine. The mutex is held.
 func (p *Placer) addRun(e *engine, job *Job, backup registrar.Identity, now time.Time) *run {
 	r := &run{job: *job, addedAt: now, backup: backup, moments: p.moments(job), short: p.isShort(job)}
+	e.refresh(p, now)
+	r.prefillAhead = e.pendingPrefill.remaining(now, e.prefillRate(p)) + job.tokensToRead()
 	e.runs[job.ID] = r
 	p.engineOf[job.ID] = e.endpoint.Identity
 	e.dirty = true
@@ -350,7 +357,7 @@
 // primary engine, or of the daemon if the daemon may lose its connection to the primary engine
 // in a network partition. It returns the zero Endpoint if there is none. The mutex is held.
 func (p *Placer) chooseBackup(job *Job, primary *engine, now time.Time) registrar.Endpoint {
-	if !job.AllowBackup || p.expectedRemaining(job, job.OutputTokens) < minBackupTime {
+	if !job.AllowBackup || primary.slowed(p.expectedRemaining(job, job.OutputTokens)) < minBackupTime {
 		return registrar.Endpoint{}
 	}
 	limit, domain := maxBackupPeak, primary.endpoint.Domain
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -117,7 +117,8 @@
 func (f *Forwarder) pickEndpoint(ctx context.Context, x *exchange, exclude map[registrar.Identity]bool) (registrar.Endpoint, bool) {
 	for {
 		now := f.clock.Now()
-		e, ok := f.balancer(x.service).Pick(f.withWarmUps(f.permittedEndpoints(f.allowedEndpoints(x, f.registry.Usable(x.service)), now), now), exclude, now)
+		q := balancer.Request{Goal: x.route.LatencyTarget, Unsafe: x.route.Kind != matcher.Safe}
+		e, ok := f.balancer(x.service).PickFor(q, f.withWarmUps(f.permittedEndpoints(f.allowedEndpoints(x, f.registry.Usable(x.service)), now), now), exclude, now)
 		if !ok || f.acquireGrant(ctx, e, limiter.Normal) {
 			return e, ok
 		}
@@ -215,9 +216,10 @@
 		result.Failed, result.Unreachable = false, false // The failure was caused by the client.
 	}
 	f.balancer(x.service).Done(e.Identity, result, f.clock.Now())
+	f.logCapacity(x.service, e)
 	f.handleMisdirected(e, a.response)
 	if a.err != nil || a.notRun {
-		f.addRequestFields(f.log.Info(), x).Err(a.err).Str("endpoint", e.Name).Int("status", a.response.Status).Bool("not_run", a.notRun).
+		f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Err(a.err).Str("endpoint", e.Name).Int("status", a.response.Status).Bool("not_run", a.notRun).
 			Msg("forwarder: attempt failed")
 	}
 }
@@ -296,7 +298,7 @@
 func (f *Forwarder) recordAnswered(x *exchange, e registrar.Endpoint, res *Response, n int) {
 	f.metrics.count("calls_answered")
 	f.metrics.observe("call_latency", f.clock.Now().Sub(x.arrived))
-	f.addRequestFields(f.log.Info(), x).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
+	f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
 }
 
 // failCall ends a call for which there is no successful response. A genuine server
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -60,7 +60,7 @@
 	warmer    *warmer.Warmer
 	deferrals limiter.Deferrals
 	shutdowns evacuator.Shutdowns // Of engines.
-	memory    *reserver.Reserver // Memory for requests and responses.
+	memory    *reserver.Reserver  // Memory for requests and responses.
 	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
