--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -123,25 +123,38 @@
 			return errors.Wrapf(ErrSettings, "%s: %q is not a host and port", a.key, a.value)
 		}
 	}
-	if s.Daemon.RequestTime <= 0 {
+	if err := s.Daemon.check(); err != nil {
+		return err
+	}
+	return s.Bounds.check()
+}
+
+// check returns an error for the first setting that is out of its range.
+func (s *DaemonSettings) check() error {
+	if s.RequestTime <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.request_s must be above 0")
 	}
-	if !isFraction(s.Daemon.CrossingShare) || !isFraction(s.Daemon.ExposedBackupPeak) {
+	if !isFraction(s.CrossingShare) || !isFraction(s.ExposedBackupPeak) {
 		return errors.Wrap(ErrSettings, "daemon: crossing_share and exposed_backup_peak must be from 0 to 1")
 	}
-	if s.Daemon.RelayAbove <= 0 {
+	if s.RelayAbove <= 0 {
 		return errors.Wrap(ErrSettings, "daemon.relay_above must be above 0")
 	}
-	if s.Daemon.StallTime <= 0 || s.Daemon.MemoryMB < 0 {
+	if s.StallTime <= 0 || s.MemoryMB < 0 {
 		return errors.Wrap(ErrSettings, "daemon.stall_s must be above 0, daemon.memory_mb at least 0")
 	}
-	if s.Bounds.EntryExpiry <= 0 {
+	return nil
+}
+
+// check returns an error for the first bound that is out of its range.
+func (s *BoundSettings) check() error {
+	if s.EntryExpiry <= 0 {
 		return errors.Wrap(ErrSettings, "bounds.entry_expiry_s must be above 0")
 	}
-	if s.Bounds.ColdRatio < 0 || s.Bounds.ColdSlack < 0 {
+	if s.ColdRatio < 0 || s.ColdSlack < 0 {
 		return errors.Wrap(ErrSettings, "bounds: cold_ratio and cold_slack must be at least 0")
 	}
-	if s.Bounds.StopTime <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
+	if s.StopTime <= 0 || s.RetryWindow <= 0 || s.RetryRatio < 0 || s.RetrySlack < 0 {
 		return errors.Wrap(ErrSettings, "bounds: stop_s and retry_window_s must be above 0, retry_ratio and retry_slack at least 0")
 	}
 	return nil
