Findings of the reviews: cold entries, evacuations, migrations, learned speed, large responses

Mended, each read and not seen in a run: an endpoint could be chosen before its warm-up was known; the end of an evacuation was not ordered with entries by revision, and one that begins and ends between two answers marked nothing cold; queued generations were not refused when the last permitted endpoint left; migrations of an engine without a stated end were tried each 25 ms without end; slow engines got no reservations for jobs of peers, whose deadline is not known; a job that only slow engines could get waited in vain; one first result, a disconnected client's time and a false load were learned; a failed relay was counted as the client's fault; an attempt that had ended could start a relay.

Tests of the touched packages pass; TestAssumedWarmUp and TestRunsMayMigrateUntilTheStatedEnd hold the new cases.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -38,6 +38,7 @@
 	latePenalty     = 6.0                     // Added for an endpoint that would miss the goal; more than the load of full slots.
 	goalMargin      = 0.9                     // Share of the goal that the expected time may take, since results scatter.
 	lateMargin      = 1.0                     // Multiple of the goal that the time of a unit of work must exceed for the penalty; results include some waiting.
+	minLateResults  = 3                       // Results before an endpoint counts as one that would miss the goal; a first one may have met a pause.
 	lateTryShare    = 0.005                   // Share of the requests that try an endpoint that would miss the goal while the others are loaded.
 	loadedShare     = 0.4                     // Share of the capacity in use from which a service counts as loaded.
 	steadyChange    = 0.4                     // Logarithm of a ratio of capacities from which a change takes effect at once.
@@ -162,7 +163,7 @@
 	s.goal = q.Goal
 	s.lastRequestAt = now
 	if now.Sub(s.loadReportedAt) < loadHalfLife || s.loadReportedAt.IsZero() { // An older load says nothing.
-		s.gauge.RecordLoad(s.loadAt(now), now)
+		s.gauge.RecordLoad(s.plausibleLoad(now), now)
 	}
 	return endpoints[best], true
 }
@@ -236,6 +237,15 @@
 	return load
 }
 
+// maxLoadPerSlot limits the load that is learned, in requests per slot: queues of endpoints are a few times
+// as long as their slots, and a false report would keep requests away long after it.
+const maxLoadPerSlot = 8
+
+// plausibleLoad returns the load at now, limited to what the endpoint may hold.
+func (s *endpointState) plausibleLoad(now time.Time) float64 {
+	return min(s.loadAt(now), float64(max(s.inFlight, maxLoadPerSlot*max(s.slots, 1))))
+}
+
 // staleness returns 0 for a load that was reported at now, and up to 1 for an older one.
 func (s *endpointState) staleness(now time.Time) float64 {
 	return 1 - math.Exp2(-now.Sub(s.loadReportedAt).Seconds()/loadHalfLife.Seconds())
@@ -298,7 +308,7 @@
 	if goal > 0 && r.Unit <= goal && r.Unit*(1+waiting) > goal {
 		cost += latePenalty * waiting
 	}
-	if goal > 0 && r.Unit > lateMargin*q.Goal.Seconds() && f.fastestUnit <= goal {
+	if goal > 0 && r.Unit > lateMargin*q.Goal.Seconds() && f.fastestUnit <= goal && s.gauge.Results() >= minLateResults {
 		if !q.Unsafe && f.utilization > loadedShare && b.rand.Float64() < lateTryShare {
 			return 0
 		}
@@ -317,7 +327,7 @@
 		s.load, s.loadReportedAt = *r.Load, now
 		s.gauge.RecordSlowdown(r.Load.Slowdown, r.Load.total(), max(s.slots, 1), now)
 	}
-	s.gauge.RecordLoad(s.loadAt(now), now)
+	s.gauge.RecordLoad(s.plausibleLoad(now), now)
 	if r.Refused {
 		s.load, s.loadReportedAt = Load{Running: s.load.Slots, Queued: s.load.Slots, Slots: s.load.Slots}, now
 		return
@@ -347,7 +357,7 @@
 		s.lateRate += lateWeight * (late - s.lateRate)
 	}
 	// A request that failed took at least its time, if it took longer than expected.
-	if r.Latency > 0 && (failed == 0 || r.Latency.Seconds() > s.gauge.Estimate(now).Unit) {
+	if unit := s.gauge.Estimate(now).Unit; r.Latency > 0 && (failed == 0 || (unit > 0 && r.Latency.Seconds() > unit)) {
 		s.gauge.RecordResult(r.Latency, max(s.slots, 1), now)
 	}
 	s.lastResultAt = now
--- a/coordination/evacuator/evacuator.go
+++ b/coordination/evacuator/evacuator.go
@@ -19,7 +19,8 @@
 	// endTolerance is added to the end that a report states. The report may be older than the daemon
 	// assumes, and the engine may serve for a little longer.
 	endTolerance = time.Second
-	retention    = time.Minute // Of the state of an engine after its first sign; longer than an engine serves afterwards.
+	maxDuration  = 20 * time.Second // From the first sign, for which runs are tried if no end is stated.
+	retention    = time.Minute      // Of the state of an engine after its first sign; longer than an engine serves afterwards.
 )
 
 // Shutdown is what is known of the end of one engine.
@@ -34,7 +35,10 @@
 
 // MayMigrate reports whether a run that is still on the engine may begin to migrate.
 func (s Shutdown) MayMigrate(now time.Time) bool {
-	return !s.Stated || now.Before(s.End.Add(endTolerance))
+	if !s.Stated {
+		return now.Before(s.FirstSign.Add(maxDuration))
+	}
+	return now.Before(s.End.Add(endTolerance))
 }
 
 // Shutdowns holds the engines that are shutting down. It is safe for concurrent use. The zero value
--- a/coordination/evacuator/evacuator_test.go
+++ b/coordination/evacuator/evacuator_test.go
@@ -24,6 +24,7 @@
 	assert.Equal(t, d.End, at(1500))
 	assert.Assert(t, d.MayMigrate(at(1400)) && d.MayMigrate(at(5000)), "no end is stated")
 	assert.Equal(t, d.Left(at(5000)), time.Duration(0))
+	assert.Assert(t, !d.MayMigrate(at(20_000)), "migrations would be tried without end")
 
 	s.Observe(id, 1600*time.Millisecond, at(400))
 	s.Observe(id, 0, at(500)) // A sign that states nothing changes nothing.
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -52,7 +52,7 @@
 		if q.job.AllowedRegions != nil {
 			at = p.firstOpening(q.job.AllowedRegions, now)
 		}
-		missed := p.missesDeadline(&q.job, at)
+		missed := p.missesDeadline(q, at)
 		if missed {
 			outcomes = append(outcomes, p.refuse(q, now))
 		}
@@ -173,8 +173,8 @@
 	var best *engine
 	var bestCost, bestPeak float64
 	hash := xxhash.Sum64String(q.job.ID)
-	q.state.Late = !p.onTime(&q.job, now)
 	p.updateSpeeds(now)
+	q.state.Late = !p.canBeOnTime(q, now)
 	for id, e := range p.engines {
 		if q.excluded[id] || !e.acceptsJobs(now) || !p.allows(&q.job, e) {
 			continue
@@ -185,7 +185,7 @@
 			q.state.EnginesFull++
 			continue
 		}
-		if p.startsTooLate(&q.job, e, now.Add(e.prefillWait(p, now)), now) {
+		if p.startsTooLate(q, e, now.Add(e.prefillWait(p, now))) {
 			q.state.EnginesBusy++
 			continue
 		}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -407,7 +407,7 @@
 	}
 	tokens := float64(job.PromptTokens + job.OutputTokens)
 	for _, r := range primary.runs {
-		if b := p.engines[r.backup]; (b == nil || !b.unusableSince.IsZero()) && !r.short {
+		if b := p.engines[r.backup]; (b == nil || !b.isOpen()) && !r.short {
 			tokens += float64(r.job.PromptTokens + r.job.OutputTokens)
 		}
 	}
--- a/coordination/placer/refusal.go
+++ b/coordination/placer/refusal.go
@@ -14,10 +14,40 @@
 	minRetryAfter     = 500 * time.Millisecond // Interval at which an engine frees memory for a job when all are full.
 )
 
-// missesDeadline reports whether a job could not be answered before its deadline
-// even if it started now.
-func (p *Placer) missesDeadline(job *Job, now time.Time) bool {
-	return now.Add(p.prefillTime(job)+p.decodeTime(job)).After(job.Deadline) || p.clientLeaves(job, now)
+// missesDeadline reports whether a queued job could not be answered before its deadline
+// even if it started now on the fastest engine that may get it.
+func (p *Placer) missesDeadline(q *queuedJob, now time.Time) bool {
+	job := &q.job
+	slowdown := p.leastSlowdown(q, now)
+	start := now.Add(p.extraPrefill(job, slowdown))
+	decode := time.Duration(float64(p.decodeTime(job)) * slowdown)
+	return start.Add(p.prefillTime(job)+decode).After(job.Deadline) || p.clientLeaves(job, start)
+}
+
+// leastSlowdown returns the factor by which the fastest engine that may get a job takes longer than
+// the configured speed says; 1 if it is not slower, or if no engine is open.
+func (p *Placer) leastSlowdown(q *queuedJob, now time.Time) float64 {
+	fastest := 0.0
+	for id, e := range p.engines {
+		if !q.excluded[id] && e.acceptsJobs(now) && p.allows(&q.job, e) {
+			fastest = max(fastest, e.knownSpeed())
+		}
+	}
+	if fastest <= 0 || fastest >= 1 {
+		return 1
+	}
+	return 1 / fastest
+}
+
+// extraPrefill returns the time by which a slowdown extends the prefill of a job.
+func (p *Placer) extraPrefill(job *Job, slowdown float64) time.Duration {
+	return time.Duration(float64(p.prefillTime(job)) * (slowdown - 1))
+}
+
+// canBeOnTime reports whether the first event of a job could be on time if its prefill began now on
+// the fastest engine that may get it.
+func (p *Placer) canBeOnTime(q *queuedJob, now time.Time) bool {
+	return p.onTime(&q.job, now.Add(p.extraPrefill(&q.job, p.leastSlowdown(q, now))))
 }
 
 // decodeTime returns the shortest time in which the rest of a job's answer is worth
@@ -35,12 +65,13 @@
 // startsTooLate reports whether a job should not be placed on an engine where its prefill
 // would begin at start: it could be on time elsewhere, its client would leave, or the
 // engine is too slow for its deadline.
-func (p *Placer) startsTooLate(job *Job, e *engine, start, now time.Time) bool {
+func (p *Placer) startsTooLate(q *queuedJob, e *engine, start time.Time) bool {
+	job := &q.job
 	if e.knownSpeed() != 1 {
 		usual := p.prefillTime(job)
 		start = start.Add(e.slowed(usual) - usual)
 	}
-	if p.onTime(job, now) {
+	if !q.state.Late {
 		return !p.onTime(job, start) || e.missesDeadline(p, job, start)
 	}
 	return p.clientLeaves(job, start) || e.missesDeadline(p, job, start)
@@ -49,7 +80,7 @@
 // missesDeadline reports whether an engine of less than the configured speed could not
 // answer a job before its deadline if the prefill began at start.
 func (e *engine) missesDeadline(p *Placer, job *Job, start time.Time) bool {
-	if e.knownSpeed() >= 1 {
+	if e.knownSpeed() >= 1 || job.Deadline.IsZero() { // Updates about the jobs of peers don't name their deadline.
 		return false
 	}
 	decode := e.slowed(p.decodeTime(job))
--- a/coordination/placer/speed.go
+++ b/coordination/placer/speed.go
@@ -1,7 +1,10 @@
 package placer
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"monsoonspar.example/state/gauger"
@@ -60,9 +63,10 @@
 	}
 	p.speedsAt = now
 	growths, prefills := make([]gauger.Measured, 0, len(p.engines)), make([]gauger.Measured, 0, len(p.engines))
-	all := make([]*engine, 0, len(p.engines))
-	for _, e := range p.engines {
-		all = append(all, e)
+	all := slices.Collect(maps.Values(p.engines))
+	// Sums of floating-point numbers depend on their order.
+	slices.SortFunc(all, func(a, b *engine) int { return cmp.Compare(a.endpoint.Name, b.endpoint.Name) })
+	for _, e := range all {
 		growths = append(growths, e.growth.Measured(now))
 		prefills = append(prefills, e.prefill.Measured(now))
 	}
--- a/coordination/warmer/warmer.go
+++ b/coordination/warmer/warmer.go
@@ -23,9 +23,11 @@
 	endpoint registrar.Endpoint
 	until    time.Time // When the endpoint is warm.
 	assumed  bool      // Not said by the entry.
-	cold     bool      // Its warm-up has not been reported as ended.
-	listed   bool      // The entry is of a complete list, and may have been written long ago.
-	checkAt  time.Time // When the endpoint may be asked next, if listed.
+	// assumedAt is the revision of the store as of which the endpoint may be cold, if assumed.
+	assumedAt int64
+	cold      bool      // Its warm-up has not been reported as ended.
+	listed    bool      // The entry is of a complete list, and may have been written long ago.
+	checkAt   time.Time // When the endpoint may be asked next, if listed.
 }
 
 // checkInterval is the interval in which an endpoint whose entry may be old is asked whether it is
@@ -63,6 +65,10 @@
 		s = &state{}
 		w.states[e.Identity] = s
 	}
+	if s.assumed && e.Revision <= s.assumedAt { // Written before the endpoint may have become cold.
+		s.endpoint = e
+		return false
+	}
 	wasCold := s.cold
 	*s = state{endpoint: e, until: now.Add(e.RemainingWarmUp), cold: e.RemainingWarmUp > 0, listed: listed}
 	w.updateEnds()
@@ -70,9 +76,9 @@
 }
 
 // Assume records that the endpoint, whose entry is known, may be cold from now for
-// warmUp, until an entry written later says otherwise. It reports whether the endpoint has
+// warmUp, until an entry written after the given revision says otherwise. It reports whether the endpoint has
 // become cold.
-func (w *Warmer) Assume(e registrar.Endpoint, warmUp time.Duration, now time.Time) bool {
+func (w *Warmer) Assume(e registrar.Endpoint, warmUp time.Duration, revision int64, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.states[e.Identity]
@@ -80,11 +86,11 @@
 		s = &state{endpoint: e}
 		w.states[e.Identity] = s
 	}
-	if s.endpoint.Revision > e.Revision || warmUp <= 0 || !s.until.Before(now.Add(warmUp)) {
+	if s.endpoint.Revision > e.Revision || e.Revision > revision || warmUp <= 0 || !s.until.Before(now.Add(warmUp)) {
 		return false
 	}
 	wasCold := s.cold
-	s.until, s.assumed, s.cold = now.Add(warmUp), true, true
+	s.until, s.assumed, s.assumedAt, s.cold = now.Add(warmUp), true, revision, true
 	w.updateEnds()
 	return !wasCold
 }
@@ -142,7 +148,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if s := w.states[e.Identity]; s != nil && !s.assumed && s.endpoint.Revision == e.Revision {
-		s.until, s.listed = now.Add(remaining), false
+		s.until, s.listed, s.cold = now.Add(remaining), false, remaining > 0
 		w.updateEnds()
 	}
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -155,13 +155,14 @@
 var errAttemptTime = errors.New("the time of the attempt has passed")
 
 // limitAttempt ends an attempt at its deadline, which may be earlier than that of the request. It
-// returns a function that lifts the limit.
-func limitAttempt(ctx context.Context, deadline time.Time, cancel context.CancelCauseFunc) (lift func()) {
+// returns a function that lifts the limit, and reports whether the attempt had not been ended by then.
+func limitAttempt(ctx context.Context, deadline time.Time, cancel context.CancelCauseFunc) (lift func() bool) {
 	limit, stop := context.WithDeadline(ctx, deadline)
 	stopCall := context.AfterFunc(limit, func() { cancel(errAttemptTime) })
-	return func() {
-		stopCall()
+	return func() bool {
+		lifted := stopCall()
 		stop()
+		return lifted
 	}
 }
 
@@ -188,7 +189,10 @@
 		f.observeResponse(e, &res, granted)
 		a = f.readResponse(c, x, e, res, mayRetry, cancel)
 	}
-	lift()
+	if lifted := lift(); !lifted && a.relay != nil {
+		_ = res.Body.Close() // The attempt has ended, and nothing was passed on.
+		a.relay, a.err = nil, errAttemptTime
+	}
 	if a.relay != nil {
 		x.deliveries++
 		a.relay.start(f.clock.Now().Sub(start))
@@ -213,7 +217,8 @@
 	f.recordEvidence(ctx, x, e, a)
 	result := a.balancerResult(took)
 	if errors.Is(context.Cause(ctx), errClientDisconnected) {
-		result.Failed, result.Unreachable = false, false // The failure was caused by the client.
+		result.Failed, result.Unreachable = false, false // The failure was caused by the client,
+		result.Latency = 0                               // and the time says nothing of the endpoint.
 	}
 	f.balancer(x.service).Done(e.Identity, result, f.clock.Now())
 	f.logCapacity(x.service, e)
--- a/forwarder/cold.go
+++ b/forwarder/cold.go
@@ -72,7 +72,8 @@
 func (f *Forwarder) observeEntries(entries []registrar.Endpoint, listed bool) {
 	now := f.clock.Now()
 	for _, e := range entries {
-		if f.registry.Known(e.Identity) && f.warmer.Observe(e, listed, now) {
+		removed := !f.registry.Known(e.Identity) && f.registry.HasRevision(e.Name, e.Revision)
+		if !removed && f.warmer.Observe(e, listed, now) {
 			f.logWarmUp(e, "entry", now)
 		}
 	}
@@ -141,13 +142,13 @@
 
 // assumeCold marks all endpoints of a failure domain as possibly cold from now for the time
 // that their services name. Entries that are written later say otherwise.
-func (f *Forwarder) assumeCold(domain string, now time.Time) {
+func (f *Forwarder) assumeCold(domain string, revision int64, now time.Time) {
 	t := f.table.Load()
 	if t == nil {
 		return
 	}
 	for _, e := range f.registry.All() {
-		if e.Domain == domain && f.warmer.Assume(e, t.Manifest.Services[e.Service].WarmUp, now) {
+		if e.Domain == domain && f.warmer.Assume(e, t.Manifest.Services[e.Service].WarmUp, revision, now) {
 			f.logWarmUp(e, "evacuation", now)
 		}
 	}
--- a/forwarder/cold_test.go
+++ b/forwarder/cold_test.go
@@ -39,10 +39,10 @@
 	e0, e1 := all[0], all[1]
 	_, cold := f.coldRate(e0, now)
 	assert.Assert(t, !cold)
-	f.assumeCold("other", now)
+	f.assumeCold("other", 5, now)
 	_, cold = f.coldRate(e0, now)
 	assert.Assert(t, !cold)
-	f.assumeCold("z", now)
+	f.assumeCold("z", 5, now)
 	rate, cold := f.coldRate(e0, now)
 	assert.Assert(t, cold && rate == 4)
 	e1.Revision = 10 // Written since, and warm.
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -85,6 +85,9 @@
 	}
 	for _, c := range changes {
 		if c.Ended {
+			if !w.domains[c.Domain] { // It has begun and ended since the last answer.
+				w.f.beforeEvacuationEnds(c.Domain, next, w.f.clock.Now())
+			}
 			delete(w.domains, c.Domain)
 		} else {
 			w.domains[c.Domain] = true
@@ -143,7 +146,7 @@
 	now := f.clock.Now()
 	for _, d := range known.Domains {
 		if !slices.Contains(s.Domains, d) {
-			f.beforeEvacuationEnds(d, now)
+			f.beforeEvacuationEnds(d, s.Revision, now)
 		}
 	}
 	begun, ended := f.registry.SetEvacuations(s)
@@ -160,9 +163,9 @@
 }
 
 // beforeEvacuationEnds is called before the endpoints of a failure domain that was evacuated may get
-// requests again. They may have become cold, and their entries may say so late.
-func (f *Forwarder) beforeEvacuationEnds(domain string, now time.Time) {
-	f.assumeCold(domain, now)
+// requests again, as of a revision of the store. They may have become cold, and their entries may say so late.
+func (f *Forwarder) beforeEvacuationEnds(domain string, revision int64, now time.Time) {
+	f.assumeCold(domain, revision, now)
 	f.log.Info().Str("failure_domain", domain).Msg("forwarder: evacuation ends")
 }
 
@@ -182,6 +185,11 @@
 	return nil
 }
 
+// excludesEndpoints reports whether evacuations or regions may exclude endpoints from requests.
+func (f *Forwarder) excludesEndpoints() bool {
+	return len(f.registry.Evacuations().Domains) > 0 || len(f.cfg.Regions) > 0
+}
+
 // noEndpointRefusal returns the refusal of a request for which no endpoint may be used now, or nil
 // if there is one.
 func (f *Forwarder) noEndpointRefusal(x *exchange) *Refusal {
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -366,13 +366,22 @@
 		return err
 	}
 	hadOutage := w.health.recordSuccess()
-	changes := w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now())
-	w.f.observeEntries(l.Endpoints, true)
+	changes := w.f.replaceEndpoints(l.Endpoints, l.Revision, hadOutage)
 	w.f.handleEndpointChanges(changes)
 	w.revision, w.needsList = l.Revision, false
 	return nil
 }
 
+// replaceEndpoints applies a complete list of endpoints and returns the changes. Warm-ups are observed before
+// the endpoints can be chosen, and again afterwards, since another change may have discarded those of
+// endpoints that were not known yet.
+func (f *Forwarder) replaceEndpoints(list []registrar.Endpoint, revision int64, afterOutage bool) []registrar.Change {
+	f.observeEntries(list, true)
+	changes := f.registry.Replace(list, revision, afterOutage, f.clock.Now())
+	f.observeEntries(list, true)
+	return changes
+}
+
 // applyEndpoints applies changes from a watch, of this daemon or of a peer.
 func (f *Forwarder) applyEndpoints(changes []EndpointChange) {
 	var all []registrar.Change
@@ -381,8 +390,9 @@
 			all = append(all, f.registry.Remove(c.Name, c.Revision)...)
 			continue
 		}
-		all = append(all, f.registry.Set(c.Endpoint)...)
 		f.observeEntries([]registrar.Endpoint{c.Endpoint}, false)
+		all = append(all, f.registry.Set(c.Endpoint)...)
+		f.observeEntries([]registrar.Endpoint{c.Endpoint}, false) // See replaceEndpoints.
 	}
 	f.handleEndpointChanges(all)
 }
@@ -401,6 +411,9 @@
 		}
 	}
 	f.updateServices()
+	if f.excludesEndpoints() {
+		f.quarantineWatch.notify() // The last endpoint that queued generations may use may have left.
+	}
 	for _, c := range changes {
 		if c.ShuttingDown {
 			f.evacuate(c.Endpoint, 0)
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -358,7 +358,7 @@
 // pollInterval if polls would use too much of its limit.
 func (f *Forwarder) pollIntervalOf(e registrar.Endpoint) time.Duration {
 	if rate, cold := f.coldRate(e, f.clock.Now()); cold {
-		return max(pollInterval, min(time.Duration(float64(time.Second)/(rate*coldPollShare)), maxPollInterval))
+		return max(pollInterval, min(time.Duration(float64(time.Second)/(max(rate, minColdRate)*coldPollShare)), maxPollInterval))
 	}
 	rate, limited := f.limits.Limit(e.Identity)
 	if !limited || rate*pollShare*pollInterval.Seconds() >= 1 {
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -14,6 +14,7 @@
 // Limits of evacuating an engine that is shutting down.
 const (
 	evacuationCheckInterval = 25 * time.Millisecond  // Interval for checking whether a run can migrate.
+	lateCheckInterval       = 250 * time.Millisecond // The same after the time at which the engine was expected to end.
 	maxTurnDelayFactor      = 3                      // Limits the wait for the runs ahead to a multiple of their planned time.
 	minSurvivalToMigrate    = 0.2                    // Probability of outlasting the engine above which a run migrates; a migration costs far less than a lost run.
 	minMigrationTime        = 250 * time.Millisecond // Time that the last migration from an engine takes at least.
@@ -78,7 +79,11 @@
 		if mayStart && s.migrateOnce(e.Identity, shutdown.End) {
 			return
 		}
-		if s.f.clock.Sleep(s.ctx, evacuationCheckInterval) != nil {
+		interval := evacuationCheckInterval
+		if shutdown.Left(now) == 0 {
+			interval = lateCheckInterval
+		}
+		if s.f.clock.Sleep(s.ctx, interval) != nil {
 			return
 		}
 	}
--- a/forwarder/passthrough.go
+++ b/forwarder/passthrough.go
@@ -85,7 +85,8 @@
 	if x.http10 && res.ContentLength < 0 {
 		maxLimit = maxReadAheadBytes // It can't be passed on.
 	}
-	if x.req.Method != fasthttp.MethodHead && res.ContentLength > smallResponseBytes {
+	hasBody := x.req.Method != fasthttp.MethodHead && res.Status != fasthttp.StatusNoContent && res.Status != fasthttp.StatusNotModified
+	if hasBody && res.ContentLength > smallResponseBytes {
 		return nil, false, nil
 	}
 	text = make([]byte, 0, min(max(res.ContentLength+1, minPrefixBytes), limit))
@@ -134,6 +135,13 @@
 		err = r.f.confirmEnd(r.ctx, r.endpoint, r.response)
 	}
 	_ = r.response.Body.Close() // Nothing more is read.
+	a := callAttempt{response: r.response, err: err}
+	if err != nil && r.ctx.Err() != nil {
+		a.err = context.Cause(r.ctx)
+	}
+	// Before the client learns of the end: it closes the response, which cancels the context, and a
+	// failure of the endpoint would count as the client's.
+	r.f.finishAttempt(r.ctx, r.x, r.endpoint, &a, r.took)
 	r.mu.Lock()
 	r.err = err
 	if err == nil {
@@ -141,11 +149,6 @@
 	}
 	r.mu.Unlock()
 	r.readable.wake()
-	a := callAttempt{response: r.response, err: err}
-	if err != nil && r.ctx.Err() != nil {
-		a.err = context.Cause(r.ctx)
-	}
-	r.f.finishAttempt(r.ctx, r.x, r.endpoint, &a, r.took)
 }
 
 // readAll reads the body until its end.
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -375,9 +375,7 @@
 		return err
 	}
 	p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints replaced by those of a peer")
-	changes := p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now())
-	p.f.observeEntries(l.Endpoints, true)
-	p.f.handleEndpointChanges(changes)
+	p.f.handleEndpointChanges(p.f.replaceEndpoints(l.Endpoints, l.Revision, false))
 	return nil
 }
 
--- a/state/gauger/endpoint.go
+++ b/state/gauger/endpoint.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// Results returns the number of results that were recorded.
+func (e *Endpoint) Results() int { return e.times.unit.count }
+
 // Relation is an estimate in relation to those of the other endpoints of a service.
 type Relation struct {
 	Slowness float64 // Ratio of the time of a unit of work to that of the typical endpoint.
--- a/state/gauger/rate.go
+++ b/state/gauger/rate.go
@@ -22,18 +22,23 @@
 	r.learn(residual, now)
 }
 
+// rateHalfLife is the half-life of a difference without new values: an engine that gets no work since
+// it was slow is tried again.
+const rateHalfLife = 30 * time.Second
+
 // Measured returns the estimate at now.
 func (r *Rate) Measured(now time.Time) Measured {
 	if r.count < minValues {
 		return Measured{Deviation: math.Inf(1)}
 	}
-	return Measured{Value: math.Exp(r.mean), Deviation: r.uncertainty(now)}
+	return Measured{Value: math.Exp(r.mean), Deviation: r.uncertainty(now), Memory: math.Exp2(-max(now.Sub(r.at), 0).Seconds() / rateHalfLife.Seconds())}
 }
 
 // Measured is an estimated quantity.
 type Measured struct {
 	Value     float64 // Zero if unknown.
 	Deviation float64 // Relative standard deviation.
+	Memory    float64 // Weight of the difference to other endpoints, which falls with the age of the newest value; 1 for a new one.
 }
 
 // Normalize divides quantities of several endpoints by the mean of the known ones.
@@ -59,7 +64,7 @@
 	for _, m := range [...]Measured{a, b} {
 		if m.Value > 0 {
 			w := 1 / (m.Deviation * m.Deviation)
-			x += w * math.Log(m.Value)
+			x += w * m.Memory * math.Log(m.Value)
 			weight += w
 		}
 	}
