--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -189,10 +189,7 @@
 		f.observeResponse(e, &res, granted)
 		a = f.readResponse(c, x, e, res, mayRetry, cancel)
 	}
-	if lifted := lift(); !lifted && a.relay != nil {
-		_ = res.Body.Close() // The attempt has ended, and nothing was passed on.
-		a.relay, a.err = nil, errAttemptTime
-	}
+	a.endUnless(lift())
 	if a.relay != nil {
 		x.deliveries++
 		a.relay.start(f.clock.Now().Sub(start))
@@ -212,6 +209,15 @@
 	return a
 }
 
+// endUnless ends an attempt whose time had passed before its limit was lifted, and of whose response
+// nothing was passed on.
+func (a *callAttempt) endUnless(lifted bool) {
+	if !lifted && a.relay != nil {
+		_ = a.response.Body.Close() // Nothing more is read.
+		a.relay, a.err = nil, errAttemptTime
+	}
+}
+
 // finishAttempt records and logs how an attempt ended.
 func (f *Forwarder) finishAttempt(ctx context.Context, x *exchange, e registrar.Endpoint, a *callAttempt, took time.Duration) {
 	f.recordEvidence(ctx, x, e, a)
