placer: a full engine is not a slow one

Growth of sequences was compared without the size of the batch, by which a step of a full engine takes a third longer, and the updates of peers, which come in batches, were taken for times to the first event. Growth is scaled by the batch, only runs of the daemon itself tell prefills, and the smallest difference that counts for engines is 0.18.

--- a/coordination/placer/speed.go
+++ b/coordination/placer/speed.go
@@ -15,6 +15,7 @@
 const (
 	minGrowthInterval = 150 * time.Millisecond // Reports closer together don't tell the growth of their sequences.
 	maxGrowthInterval = 2 * time.Second        // Likewise of reports further apart, between which the load has changed.
+	stepPerSequence   = 0.017                  // Relative increase of a decode step for each sequence in the batch, from published engine data; a full engine is not a slow one.
 	minSpeed          = 0.2                    // Limits on the learned speed.
 	maxSpeed          = 5.0
 	speedAge          = 100 * time.Millisecond // Speeds are compared at most this often.
@@ -44,12 +45,17 @@
 		}
 	}
 	if n > 0 {
-		e.growth.Record(float64(grown)/float64(n)/milliseconds(elapsed), now)
+		batch := 1 + stepPerSequence*float64(len(r.Sequences))
+		e.growth.Record(batch*float64(grown)/float64(n)/milliseconds(elapsed), now)
 	}
 }
 
-// recordPrefill records the time that the engine took until the first event of a run.
+// recordPrefill records the time that the engine took until the first event of a run of this daemon. The
+// updates of peers come in batches, so that the time between two of them says little.
 func (e *engine) recordPrefill(r *run, now time.Time) {
+	if r.remote {
+		return
+	}
 	if waited := milliseconds(now.Sub(r.addedAt)); r.firstEventAt.IsZero() && r.prefillAhead > 0 && waited > 0 {
 		e.prefill.Record(r.prefillAhead/waited, now)
 	}
--- a/state/gauger/gauger.go
+++ b/state/gauger/gauger.go
@@ -85,13 +85,17 @@
 const (
 	minValues        = 1    // An estimate from fewer values counts as equal to the others.
 	minMargin        = 0.15 // Smaller differences, as logarithms, count as none.
+	engineMargin     = 0.18 // Likewise of the speeds of engines: prompts that alike engines read meanwhile slow their sequences.
 	marginDeviations = 4.0  // Differences below this many standard deviations count as none. Loads are known roughly, so errors are correlated.
 )
 
 // significant returns the logarithm of a ratio with differences within the margin taken
 // for none. Larger ones are reduced by the less the larger they are, without a step.
-func significant(x, deviation float64) float64 {
-	margin := max(minMargin, marginDeviations*deviation)
+func significant(x, deviation float64) float64 { return significantBeyond(minMargin, x, deviation) }
+
+// significantBeyond is like significant with another smallest margin.
+func significantBeyond(least, x, deviation float64) float64 {
+	margin := max(least, marginDeviations*deviation)
 	if math.Abs(x) <= margin {
 		return 0
 	}
--- a/state/gauger/rate.go
+++ b/state/gauger/rate.go
@@ -71,5 +71,5 @@
 	if weight == 0 {
 		return 1
 	}
-	return math.Exp(significant(x/weight, 1/math.Sqrt(weight)))
+	return math.Exp(significantBeyond(engineMargin, x/weight, 1/math.Sqrt(weight)))
 }
