Merge the parts of hard load

Cold endpoints, evacuated failure domains, allowed regions, load reports, learned capacity, bounded memory, compact updates and relays, and migrations until an engine ends; each branch holds its commits with cause and result.

--- a/coordination/placer/job.go
+++ b/coordination/placer/job.go
@@ -41,6 +41,7 @@
 	FirstEventDue   time.Time // When the first event is due.
 	FirstEventLimit time.Time // When the client leaves if it has received no event; zero if unknown.
 	Deadline        time.Time // When the answer becomes useless.
+	AllowedRegions  []string  // As returned by matcher.AllowedRegions; other engines must not get the job or a copy of its memory.
 	AllowBackup     bool      // The engine may replicate the memory to a backup engine.
 }
 
@@ -106,6 +107,7 @@
 	state       QueueState
 	key         queueKey
 	short       bool // Expected to end soon after its prefill.
+	version     version
 }
 
 // run is a job on an engine, placed by this daemon or by a peer.
@@ -115,14 +117,22 @@
 	backup       registrar.Identity // Engine that keeps a copy of the memory; zero if there is none.
 	addedAt      time.Time
 	firstEventAt time.Time // Zero before the first event.
+	prefillAhead float64   // Prompt tokens that the engine reads before the first event, those of the job included.
 	moments      forecaster.Moments
 	short        bool // Expected to end soon after its prefill.
+	version      version
 }
 
 // Update is an update that a daemon sends to its peers about one of its own jobs.
+//
+// The compact form of updates between daemons depends on the order of the fields, and those that are
+// not zero in frequent updates come first. New fields go to the end.
 type Update struct {
-	JobID          string
-	Event          Event
+	JobID string
+	Event Event
+	// Number rises with each update of the daemon's placer; zero if its version does not number them.
+	Number         int                `msgpack:",omitempty"`
+	FinalTokens    int                `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
 	Engine         registrar.Identity // For Placed and Migrating.
 	Backup         registrar.Identity // For Placed; zero if there is none.
 	PromptTokens   int                `msgpack:"Prompt"`
@@ -133,9 +143,12 @@
 	FirstEventIn   time.Duration `msgpack:"FirstIn"`            // For Queued: time until the first event is due.
 	ClientLeavesIn time.Duration `msgpack:"LeavesIn,omitempty"` // For Queued: time until the client leaves without an event; zero if unknown.
 	Running        bool          // For Placed: the job has had its first event.
+	// AllowedRegions is that of the Job, for Queued. Peers of an earlier version do not know it.
+	AllowedRegions []string `msgpack:"Regions,omitempty"`
 	// OutputTokens is the number of output tokens so far of a job that migrates or is resumed.
 	OutputTokens int `msgpack:"Produced"`
-	FinalTokens  int `msgpack:"Tokens"` // For Ended: the number of output tokens of a complete answer; else zero.
+	// Owner is the daemon whose job it is. It is not sent, but set by the receiver; empty if it is not known.
+	Owner string `msgpack:"-"`
 }
 
 // Event is a change of a job's state.
--- a/coordination/placer/migration.go
+++ b/coordination/placer/migration.go
@@ -26,9 +26,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.moments(&job)
+	p.updateSpeeds(now)
 	var candidates []migrationCandidate
 	for id, e := range p.engines {
-		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) {
+		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) || !p.allows(&job, e) {
 			continue
 		}
 		if cost, ok := e.migrationCost(p, &m, source.Domain, now); ok {
@@ -96,6 +97,7 @@
 	if e.limited {
 		cost += limitedCost
 	}
+	cost += slowTargetCost * (1/e.knownSpeed() - 1)
 	if now.Sub(e.lastMigrationAt) < linkBusyTime {
 		cost += busyLinkCost
 	}
@@ -130,7 +132,9 @@
 	held, available := 0.0, 0
 	for _, e := range p.engines {
 		if e.unusableSince.IsZero() {
-			available++
+			if !e.evacuated { // The runs of the others go on there.
+				available++
+			}
 			continue
 		}
 		if now.Sub(e.unusableSince) > evacuationTime {
--- a/coordination/placer/order.go
+++ b/coordination/placer/order.go
@@ -46,9 +46,13 @@
 		return nil
 	}
 	var outcomes []Outcome
-	opening := p.firstOpening(now)
+	opening := p.firstOpening(nil, now)
 	p.queue = slices.DeleteFunc(p.queue, func(q *queuedJob) bool {
-		missed := p.missesDeadline(&q.job, opening)
+		at := opening
+		if q.job.AllowedRegions != nil {
+			at = p.firstOpening(q.job.AllowedRegions, now)
+		}
+		missed := p.missesDeadline(q, at)
 		if missed {
 			outcomes = append(outcomes, p.refuse(q, now))
 		}
@@ -75,6 +79,7 @@
 func (p *Placer) publishQueued(q *queuedJob, now time.Time) {
 	q.publishedAt = now
 	u := newUpdate(&q.job, Queued)
+	u.AllowedRegions = q.job.AllowedRegions
 	u.Domain, u.FirstEventIn = p.cfg.Domain, q.job.FirstEventDue.Sub(now)
 	if !q.job.FirstEventLimit.IsZero() {
 		u.ClientLeavesIn = q.job.FirstEventLimit.Sub(now)
@@ -168,9 +173,10 @@
 	var best *engine
 	var bestCost, bestPeak float64
 	hash := xxhash.Sum64String(q.job.ID)
-	q.state.Late = !p.onTime(&q.job, now)
+	p.updateSpeeds(now)
+	q.state.Late = !p.canBeOnTime(q, now)
 	for id, e := range p.engines {
-		if q.excluded[id] || !e.acceptsJobs(now) {
+		if q.excluded[id] || !e.acceptsJobs(now) || !p.allows(&q.job, e) {
 			continue
 		}
 		e.refresh(p, now)
@@ -179,7 +185,7 @@
 			q.state.EnginesFull++
 			continue
 		}
-		if p.startsTooLate(&q.job, now.Add(e.prefillWait(p, now)), now) {
+		if p.startsTooLate(q, e, now.Add(e.prefillWait(p, now))) {
 			q.state.EnginesBusy++
 			continue
 		}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonspar.example/state/estimator"
+	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -22,7 +23,7 @@
 	coldCostMs        = 300  // An engine is slow just after its start.
 	noReportCostMs    = 60   // The load of an engine is unknown before its first report.
 	refusedCostMs     = 1000 // The engine refused a job within refusalBackoff.
-	otherDomainCostMs = 150  // The engine is in another failure domain.
+	minCrossingCostMs = 150  // The engine is in another failure domain; see Config.CrossingShare.
 	jitterCostMs      = 150  // Spreads jobs over equivalent engines when daemons place them before they receive each other's updates.
 
 	// Costs of migration targets, in fractions of an engine's memory.
@@ -38,7 +39,7 @@
 
 	maxPeak            = 0.97                    // No job is placed on an engine that would exceed this forecast peak, unless it has no sequences.
 	minBackupTime      = 1500 * time.Millisecond // Shorter runs end within the shutdown notice of their engine.
-	maxBackupPeak      = 0.3                     // Backups on fuller engines would take memory from jobs.
+	maxBackupPeak      = 0.3                     // Backups on fuller engines would take memory from jobs that need it more.
 	unusableRetention  = 20 * time.Second        // Longer than an engine serves after its shutdown notice.
 	unreachableBackoff = 1500 * time.Millisecond // Before an unreachable engine is tried again.
 	refusalBackoff     = 300 * time.Millisecond  // Time for which refusedCostMs is added.
@@ -48,19 +49,28 @@
 	minOutputSteps     = 16                      // A job is refused if its deadline leaves time for fewer decode steps.
 )
 
-// Config describes the engines of one service. All fields but Updated are required.
+// Config describes the engines of one service. The fields up to Deviations but Regions are required.
 type Config struct {
-	Domain             string        // Failure domain of the daemon.
-	Slots              int           // Largest number of sequences on an engine.
-	MemoryTokens       int           // Size of an engine's KV cache, in tokens.
-	BlockTokens        int           // Tokens per block of memory.
-	TokensPerEvent     int           // Output tokens in each event of an answer.
-	StepTime           time.Duration // Duration of a decode step, which adds one token to each sequence.
-	PrefillTokensPerMs float64       // Prefill rate of an engine that runs no other sequences.
-	ReportLag          time.Duration // Age of the figures in a report when it is received.
+	Domain             string          // Failure domain of the daemon.
+	Regions            matcher.Regions // Of the engines; may be nil if no job has allowed regions.
+	Slots              int             // Largest number of sequences on an engine.
+	MemoryTokens       int             // Size of an engine's KV cache, in tokens.
+	BlockTokens        int             // Tokens per block of memory.
+	TokensPerEvent     int             // Output tokens in each event of an answer.
+	StepTime           time.Duration   // Duration of a decode step on the mean engine, which adds one token to each sequence.
+	PrefillTokensPerMs float64         // Prefill rate of the mean engine while it runs no other sequences.
+	ReportLag          time.Duration   // Age of the figures in a report when it is received.
+	Deviations         float64         // Standard deviations added to the forecast mean as a safety margin.
+	// CrossingShare is the delay to the first event that is accepted to avoid another failure domain, as a
+	// fraction of the time in which the first event is due; minCrossingCostMs at least.
+	CrossingShare float64
+	// ExposedBackupPeak is the forecast peak up to which engines take backups of exposed runs (see
+	// isExposed), as a fraction of their memory. Zero treats these runs like others.
+	ExposedBackupPeak float64
+	// LinkTokensPerSecond is the rate at which an engine copies its KV cache to another one; zero if not known.
+	LinkTokensPerSecond float64
 	// Updated, if not nil, gets a value when there are updates to take. It should have a buffer.
-	Updated    chan<- struct{}
-	Deviations float64 // Standard deviations added to the forecast mean as a safety margin.
+	Updated chan<- struct{}
 }
 
 // Placer places the jobs of one service for one daemon. It is safe for
@@ -80,6 +90,13 @@
 	remoteQueue map[string]*queuedJob // Jobs queued at peers, by ID.
 	promptMean  float64               // Moving average of prompt tokens; zero before the first job.
 	lastModel   string
+	updateCount int                // Updates published so far.
+	arrivals    map[string]arrival // Started and Ended updates of peers that came lately, by job ID.
+	// arrivalsPrunedAt is when old arrivals were last deleted.
+	arrivalsPrunedAt time.Time
+	// evacuated holds the failure domains whose engines must get no new work.
+	evacuated map[string]bool
+	speedsAt  time.Time // When the speeds of the engines were last compared.
 	// latePlacements holds the times at which daemons placed late jobs lately.
 	latePlacements []time.Time
 }
@@ -89,7 +106,7 @@
 	return &Placer{
 		cfg: cfg, rand: r, lengths: estimator.New(),
 		engines: map[registrar.Identity]*engine{}, engineOf: map[string]registrar.Identity{},
-		endedAt: map[string]time.Time{}, migratingTo: map[string]registrar.Identity{}, remoteQueue: map[string]*queuedJob{},
+		endedAt: map[string]time.Time{}, migratingTo: map[string]registrar.Identity{}, remoteQueue: map[string]*queuedJob{}, arrivals: map[string]arrival{},
 	}
 }
 
@@ -102,10 +119,10 @@
 	for _, ep := range endpoints {
 		present[ep.Identity] = true
 		if e := p.engines[ep.Identity]; e != nil {
-			e.endpoint, e.unusableSince = ep, time.Time{}
+			e.endpoint, e.unusableSince, e.evacuated = ep, time.Time{}, p.evacuated[ep.Domain]
 			continue
 		}
-		p.engines[ep.Identity] = &engine{registeredAt: now, nameHash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*run{}, migratingIn: map[string]*run{}, backups: map[string]*run{}, listed: map[string]bool{}}
+		p.engines[ep.Identity] = &engine{registeredAt: now, evacuated: p.evacuated[ep.Domain], nameHash: xxhash.Sum64String(ep.Name), endpoint: ep, runs: map[string]*run{}, migratingIn: map[string]*run{}, backups: map[string]*run{}, listed: map[string]bool{}}
 	}
 	for id, e := range p.engines {
 		switch {
@@ -128,6 +145,9 @@
 		return false
 	}
 	isNew := now.Sub(e.reportedAt) > copyDelay
+	if isNew {
+		e.recordGrowth(&r, now)
+	}
 	e.report, e.reportedAt, e.dirty = r, now, true
 	clear(e.listed)
 	for i := range r.Sequences {
@@ -190,6 +210,7 @@
 // markStarted records the first event of a job. The mutex is held.
 func (p *Placer) markStarted(id string, now time.Time) {
 	if e := p.engines[p.engineOf[id]]; e != nil && e.runs[id] != nil {
+		e.recordPrefill(e.runs[id], now)
 		e.runs[id].firstEventAt = now
 		e.lastPrefillAt = now
 		e.dirty = true
@@ -220,11 +241,11 @@
 func (p *Placer) SurvivalProbability(job Job, produced int, d time.Duration) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.outputLength(&job).Survival(produced, int(max(d, 0)/p.cfg.StepTime))
+	return p.outputLength(&job).Survival(produced, int(max(d, 0)/p.engines[p.engineOf[job.ID]].stepTime(p)))
 }
 
-// expectedRemaining returns the expected time until the end of a job. The mutex
-// is held.
+// expectedRemaining returns the expected time until the end of a job at the configured
+// speed. The mutex is held.
 func (p *Placer) expectedRemaining(job *Job, produced int) time.Duration {
 	mean, _ := p.outputLength(job).Residual(produced)
 	return time.Duration(mean * float64(p.cfg.StepTime))
@@ -299,6 +320,8 @@
 // addRun adds a job to an engine. The mutex is held.
 func (p *Placer) addRun(e *engine, job *Job, backup registrar.Identity, now time.Time) *run {
 	r := &run{job: *job, addedAt: now, backup: backup, moments: p.moments(job), short: p.isShort(job)}
+	e.refresh(p, now)
+	r.prefillAhead = e.pendingPrefill.remaining(now, e.prefillRate(p)) + job.tokensToRead()
 	e.runs[job.ID] = r
 	p.engineOf[job.ID] = e.endpoint.Identity
 	e.dirty = true
@@ -331,26 +354,30 @@
 
 // chooseBackup returns the engine that should keep a copy of the job's memory:
 // the one with the lowest forecast peak, preferably in the failure domain of the
-// primary engine. It returns the zero Endpoint if there is none. The mutex is
-// held.
+// primary engine, or of the daemon if the daemon may lose its connection to the primary engine
+// in a network partition. It returns the zero Endpoint if there is none. The mutex is held.
 func (p *Placer) chooseBackup(job *Job, primary *engine, now time.Time) registrar.Endpoint {
-	if !job.AllowBackup || p.expectedRemaining(job, job.OutputTokens) < minBackupTime {
+	if !job.AllowBackup || primary.slowed(p.expectedRemaining(job, job.OutputTokens)) < minBackupTime {
 		return registrar.Endpoint{}
 	}
+	limit, domain := maxBackupPeak, primary.endpoint.Domain
+	if p.isExposed(job, primary) {
+		limit, domain = max(limit, p.cfg.ExposedBackupPeak), p.cfg.Domain
+	}
 	m := p.moments(job)
 	var best *engine
 	var bestCost float64
 	for _, e := range p.engines {
-		if e == primary || !e.acceptsJobs(now) {
+		if e == primary || !e.acceptsJobs(now) || !p.allows(job, e) {
 			continue
 		}
 		e.refresh(p, now)
 		peak := e.peak(p, &m)
-		if peak > maxBackupPeak || e.endpoint.RemainingWarmUp > 0 {
+		if peak > limit || e.endpoint.RemainingWarmUp > 0 {
 			continue
 		}
 		cost := peak + 0.1*p.rand.Float64()
-		if e.endpoint.Domain != primary.endpoint.Domain {
+		if e.endpoint.Domain != domain {
 			cost += 0.1
 		}
 		if best == nil || cost < bestCost {
@@ -362,3 +389,27 @@
 	}
 	return best.endpoint
 }
+
+// isExposed reports whether a run of the job on the primary engine would probably be lost without a
+// backup if the engine shuts down or failure domains are cut off from each other: the daemon reaches the engine across
+// the border of its domain, or the link of the engine needs more than half of the shortest shutdown notice to copy
+// all runs without a backup, since the links of the targets are shared with other engines that shut
+// down at the same time. The mutex is held.
+func (p *Placer) isExposed(job *Job, primary *engine) bool {
+	if p.cfg.ExposedBackupPeak <= 0 {
+		return false
+	}
+	if primary.endpoint.Domain != p.cfg.Domain {
+		return true
+	}
+	if p.cfg.LinkTokensPerSecond <= 0 {
+		return false
+	}
+	tokens := float64(job.PromptTokens + job.OutputTokens)
+	for _, r := range primary.runs {
+		if b := p.engines[r.backup]; (b == nil || !b.isOpen()) && !r.short {
+			tokens += float64(r.job.PromptTokens + r.job.OutputTokens)
+		}
+	}
+	return time.Duration(linkSharingFactor*tokens/p.cfg.LinkTokensPerSecond*float64(time.Second)) > minBackupTime/2
+}
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -545,6 +545,72 @@
 	assert.Equal(t, short.Backup.Name, "")
 }
 
+// Load: engines that are half full when they are reclaimed. Guards against runs without a backup whose engine
+// can't copy all of its runs within the shutdown notice, and runs behind the border of a failure domain that
+// is cut off.
+func TestExposedRunsGetABackup(t *testing.T) {
+	exposed := cfg
+	exposed.ExposedBackupPeak, exposed.LinkTokensPerSecond = 0.6, 9_000
+	fill := func(c placer.Config, all []registrar.Endpoint, jobs int) (placements []placer.Placement) {
+		p := placer.New(c, rand.New(rand.NewPCG(1, 1)))
+		p.SetEngines(all, start)
+		recordLengths(p, 0)
+		for i := range jobs {
+			pl, placed := p.Submit(job(fmt.Sprint("r", i), 3000, 0, start), nil, start)
+			assert.Assert(t, placed)
+			placements = append(placements, pl)
+		}
+		return placements
+	}
+	withBackup := func(placements []placer.Placement) (n int) {
+		for _, pl := range placements {
+			if pl.Backup.Name != "" {
+				n++
+			}
+		}
+		return n
+	}
+	const jobs = 30
+	without, with := withBackup(fill(cfg, engines(10, "a"), jobs)), withBackup(fill(exposed, engines(10, "a"), jobs))
+	t.Logf("%d of %d runs have a backup, %d without the rule", with, jobs, without)
+	assert.Assert(t, with > without)
+
+	remote := fill(exposed, append(engines(1, "a"), engines(9, "b")...), 12)
+	for _, pl := range remote {
+		if pl.Engine.Domain == "b" {
+			assert.Assert(t, pl.Backup.Name != "", "a run in another failure domain has no backup")
+		}
+	}
+}
+
+// Load: a failure domain with a third of the engines and half of the callers. Guards against generations that cross
+// the border of their failure domain for a gain that their callers don't notice; a partition cuts them.
+func TestGenerationsStayInTheirFailureDomain(t *testing.T) {
+	crossings := func(share float64) (n int) {
+		c := cfg
+		c.CrossingShare = share
+		p := placer.New(c, rand.New(rand.NewPCG(1, 1)))
+		p.SetEngines(append(engines(4, "a"), engines(8, "b")...), start)
+		recordLengths(p, 0)
+		for i := range 20 {
+			now := start.Add(time.Duration(i) * 300 * time.Millisecond)
+			j := job(fmt.Sprint("r", i), 3000, 0, now)
+			j.AllowBackup = false
+			pl, placed := p.Submit(j, nil, now)
+			assert.Assert(t, placed)
+			p.RecordFirstEvent(j.ID, now.Add(250*time.Millisecond))
+			if pl.Engine.Domain != "a" {
+				n++
+			}
+		}
+		return n
+	}
+	without, with := crossings(0), crossings(0.4)
+	t.Logf("%d of 20 generations cross the border, %d without the rule", with, without)
+	assert.Assert(t, with < without)
+	assert.Assert(t, with > 0, "the engines of the domain are full")
+}
+
 func BenchmarkSubmit(b *testing.B) {
 	all := append(engines(15, "a"), engines(30, "b")...)
 	p := newPlacer(1, all)
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -27,7 +27,6 @@
 	maxHeaderBytes    = 64 << 10
 	maxBodyBytes      = 8 << 20
 	idleTimeout       = 2 * time.Minute // Higher than the limits that manifests set for idle connections.
-	writeGrace        = 2 * time.Second // Added to the deadline of the request, for clients that read slowly.
 	defaultRetryAfter = time.Second     // Retry-After without a better estimate; a daemon without a manifest usually has one within this time.
 )
 
@@ -56,9 +55,15 @@
 	ReasonStopping            Reason = "daemon_stopping"
 	ReasonLimited             Reason = "endpoints_limited"
 	ReasonDeferred            Reason = "endpoints_deferred"
+	ReasonDomainEvacuated     Reason = "domain_evacuated"
+	ReasonNoAllowedRegion     Reason = "no_allowed_region"
+	ReasonCold                Reason = "endpoints_cold"
 	ReasonExceedsEngineMemory Reason = "exceeds_engine_memory"
 	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 	ReasonRequestQuarantined  Reason = "request_quarantined"
+	ReasonMemory              Reason = "daemon_memory"
+	ReasonCallerStalled       Reason = "caller_stalled"
+	ReasonResponseCut         Reason = "response_cut"
 )
 
 // Refusal is an error response that the daemon itself generates.
@@ -83,7 +88,11 @@
 	route           *matcher.Route
 	customer        *matcher.Customer
 	service         string
+	allowedRegions  []string // As returned by matcher.AllowedRegions.
 	manifestVersion int64
+	memory          *reservation
+	stalled         bool // The client has stopped reading the response.
+	http10          bool // The client can't read chunks.
 	arrived         time.Time
 	deadline        time.Time
 	attempts        atomic.Int64          // Attempts, refused ones included.
@@ -115,7 +124,7 @@
 		ReduceMemoryUsage:     true,
 		Logger:                discardLogger{},
 	}
-	if err := f.server.Serve(f.clientListener); err != nil && f.ctx.Err() == nil && !f.stopping.Load() {
+	if err := f.server.Serve(clientListener{Listener: f.clientListener, f: f}); err != nil && f.ctx.Err() == nil && !f.stopping.Load() {
 		f.log.Error().Err(err).Msg("forwarder: client listener failed")
 	}
 }
@@ -132,7 +141,11 @@
 	var headerErr *fasthttp.ErrSmallBuffer
 	r := Refusal{Status: fasthttp.StatusBadRequest, Reason: ReasonMalformed}
 	var netErr net.Error
+	c := clientConnOf(ctx)
 	switch {
+	case c != nil && c.memoryDenied:
+		r = memoryRefusal
+		f.metrics.count("requests_refused_" + string(r.Reason))
 	case errors.As(err, &headerErr):
 		r = Refusal{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: ReasonTooLarge}
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -151,7 +164,8 @@
 		ctx.SetConnectionClose()
 	}
 	now := f.clock.Now()
-	f.setWriteDeadline(ctx, now.Add(writeGrace))
+	conn := clientConnOf(ctx)
+	conn.begin()
 	req, err := f.codec.Decode(ctx)
 	if err != nil {
 		f.log.Warn().Err(err).Msg("forwarder: malformed request refused")
@@ -160,11 +174,14 @@
 		return
 	}
 	x, refusal := f.admit(req, now)
+	x.memory, conn.current, x.http10 = &conn.memory, x, !ctx.Request.Header.IsHTTP11()
+	if refusal == nil {
+		refusal = f.reserveMemory(x)
+	}
 	if refusal != nil {
 		f.refuse(ctx, x, *refusal, nil)
 		return
 	}
-	f.setWriteDeadline(ctx, x.deadline.Add(writeGrace))
 	f.budget.RecordRequest(x.service, now)
 	f.inFlight.Add(1)
 	c, cancel := context.WithCancelCause(f.ctx)
@@ -180,15 +197,8 @@
 		f.serveStream(c, ctx, x, release)
 		return
 	}
-	defer release()
-	f.serveCall(c, ctx, x)
-}
-
-// setWriteDeadline sets the write deadline of the connection, so that a client
-// that does not read can't block the response forever.
-func (f *Forwarder) setWriteDeadline(ctx *fasthttp.RequestCtx, deadline time.Time) {
-	if err := ctx.Conn().SetWriteDeadline(deadline); err != nil {
-		f.log.Debug().Err(err).Msg("forwarder: write deadline not set; connection is already closed")
+	if !f.serveCall(c, ctx, x, release) {
+		release()
 	}
 }
 
@@ -216,7 +226,7 @@
 	if x.resumeAfter != noEvent {
 		f.metrics.count("streams_resumed_by_client")
 	}
-	x.service = x.route.Service(req.ID)
+	x.service, x.allowedRegions = x.route.Service(req.ID), matcher.AllowedRegions(x.route, x.customer)
 	timeout := x.route.Timeout
 	if req.ClientTimeout > 0 && (timeout <= 0 || req.ClientTimeout < timeout) {
 		timeout = req.ClientTimeout
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -107,7 +107,7 @@
 			}
 			continue
 		}
-		if s.call(ctx, step) == nil && step.Wait > follower.ShortPoll && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
+		if s.call(ctx, step) == nil && step.Batched && s.f.clock.Sleep(ctx, batchedWatchPause) != nil {
 			return
 		}
 	}
@@ -366,11 +366,22 @@
 		return err
 	}
 	hadOutage := w.health.recordSuccess()
-	w.f.handleEndpointChanges(w.f.registry.Replace(l.Endpoints, l.Revision, hadOutage, w.f.clock.Now()))
+	changes := w.f.replaceEndpoints(l.Endpoints, l.Revision, hadOutage)
+	w.f.handleEndpointChanges(changes)
 	w.revision, w.needsList = l.Revision, false
 	return nil
 }
 
+// replaceEndpoints applies a complete list of endpoints and returns the changes. Warm-ups are observed before
+// the endpoints can be chosen, and again afterwards, since another change may have discarded those of
+// endpoints that were not known yet.
+func (f *Forwarder) replaceEndpoints(list []registrar.Endpoint, revision int64, afterOutage bool) []registrar.Change {
+	f.observeEntries(list, true)
+	changes := f.registry.Replace(list, revision, afterOutage, f.clock.Now())
+	f.observeEntries(list, true)
+	return changes
+}
+
 // applyEndpoints applies changes from a watch, of this daemon or of a peer.
 func (f *Forwarder) applyEndpoints(changes []EndpointChange) {
 	var all []registrar.Change
@@ -379,7 +390,9 @@
 			all = append(all, f.registry.Remove(c.Name, c.Revision)...)
 			continue
 		}
+		f.observeEntries([]registrar.Endpoint{c.Endpoint}, false)
 		all = append(all, f.registry.Set(c.Endpoint)...)
+		f.observeEntries([]registrar.Endpoint{c.Endpoint}, false) // See replaceEndpoints.
 	}
 	f.handleEndpointChanges(all)
 }
@@ -391,12 +404,16 @@
 		return
 	}
 	for _, c := range changes {
+		f.observeEntries([]registrar.Endpoint{c.Endpoint}, true) // Of entries that were held; no other is new here.
 		if c.New || c.ShuttingDown {
 			f.log.Info().Str("endpoint", c.Endpoint.Name).Str("service", c.Endpoint.Service).Str("addr", c.Endpoint.Addr).Str("failure_domain", c.Endpoint.Domain).
 				Bool("leaving", c.ShuttingDown).Bool("new", c.New).Msg("forwarder: endpoint changed")
 		}
 	}
 	f.updateServices()
+	if f.excludesEndpoints() {
+		f.quarantineWatch.notify() // The last endpoint that queued generations may use may have left.
+	}
 	for _, c := range changes {
 		if c.ShuttingDown {
 			f.evacuate(c.Endpoint, 0)
@@ -409,12 +426,21 @@
 	f.servicesMu.Lock()
 	defer f.servicesMu.Unlock()
 	for name, p := range f.placers {
-		p.SetEngines(f.registry.Usable(name), f.clock.Now())
+		f.setEngines(name, p)
 	}
 	for name, b := range f.balancers {
-		b.Retain(f.registry.Usable(name))
+		b.Retain(f.registry.Serving(name))
 	}
 	f.limits.Retain(f.registry.Known)
+	f.quotas.Retain(f.registry.Known)
+	f.warmer.Retain(f.registry.Known)
+}
+
+// setEngines passes the engines of a service to its placer.
+func (f *Forwarder) setEngines(service string, p *servicePlacer) {
+	p.SetEvacuated(f.registry.Evacuations().Domains)
+	now := f.clock.Now()
+	p.SetEngines(f.withWarmUps(f.registry.Serving(service), now), now)
 }
 
 // followDaemons writes the entry of this daemon and then reads the list of daemons
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,11 +15,14 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/budgeter"
+	"monsoonspar.example/coordination/evacuator"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/warmer"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
+	"monsoonspar.example/state/reserver"
 	"monsoonspar.example/state/spawner"
 	"monsoonspar.example/state/timekeeper"
 )
@@ -53,7 +56,11 @@
 
 	limits    *limiter.Limiter
 	members   *limiter.Members // The daemons that share the limits.
+	quotas    *limiter.Quotas
+	warmer    *warmer.Warmer
 	deferrals limiter.Deferrals
+	shutdowns evacuator.Shutdowns // Of engines.
+	memory    *reserver.Reserver  // Memory for requests and responses.
 	endProbes endProbeLog
 
 	quarantine      *quarantiner.Quarantine
@@ -68,6 +75,9 @@
 	peers           *peers
 	manifests       *subscription // Keeps table current.
 	endpointEntries *subscription // Keeps registry current.
+	evacuations     *subscription // Keeps the evacuations of registry current; does nothing unless evacuations may occur.
+	evacuationWatch evacuationWatch
+	startedAt       time.Time
 	codec           Codec
 	server          *fasthttp.Server
 
@@ -80,7 +90,7 @@
 func New(cfg Settings, store Store, endpoints EndpointClient, clock timekeeper.Waiter, r *rand.Rand, log zerolog.Logger) *Forwarder {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{
-		cfg: cfg, log: log, clock: clock, store: store, endpoints: endpoints, metrics: newMetrics(),
+		cfg: cfg, log: log, clock: clock, store: store, metrics: newMetrics(),
 		ctx: ctx, cancel: cancel, rand: r,
 		registry: registrar.New(time.Duration(cfg.Bounds.ReturnGraceMillis) * time.Millisecond),
 		budget: budgeter.New(budgeter.Config{
@@ -90,12 +100,15 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		pollWake: newWaker(), limits: limiter.New(r),
+		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), memory: newReserver(cfg.Daemon.MemoryMB),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
+	f.endpoints = countedClient{EndpointClient: endpoints, f: f}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
+	f.quotas = limiter.NewQuotas(f.newRand())
 	f.peers = newPeers(f)
 	f.newSubscriptions()
+	f.newEvacuationSubscription()
 	f.budget.SetDaemons(f.members.Count())
 	return f
 }
@@ -119,7 +132,12 @@
 	f.spawn(f.serveClients)
 	f.spawn(f.serveReady)
 	f.spawn(f.serveMetrics)
-	for _, s := range []*subscription{f.manifests, f.endpointEntries} {
+	f.startedAt = f.clock.Now()
+	subscriptions := []*subscription{f.manifests, f.endpointEntries}
+	if f.followsEvacuations() {
+		subscriptions = append(subscriptions, f.evacuations)
+	}
+	for _, s := range subscriptions {
 		f.spawn(func() { s.run(f.ctx) })
 		f.spawn(func() { s.supervise(f.ctx) })
 	}
@@ -137,7 +155,7 @@
 
 // isReady reports whether the daemon can serve new connections.
 func (f *Forwarder) isReady() bool {
-	return f.table.Load() != nil && f.registry.Revision() > 0 && !f.stopping.Load()
+	return f.table.Load() != nil && f.registry.Revision() > 0 && f.knowsEvacuations() && !f.stopping.Load()
 }
 
 // newRand returns an independent random source.
@@ -183,15 +201,17 @@
 	if p == nil {
 		p = &servicePlacer{
 			Placer: placer.New(placer.Config{
-				Domain: f.cfg.Daemon.Domain, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
+				Domain: f.cfg.Daemon.Domain, Regions: f.cfg.Regions, Slots: e.Slots, MemoryTokens: e.MemoryTokens, BlockTokens: memoryBlockTokens,
 				TokensPerEvent: max(e.TokensPerEvent, 1), StepTime: decodeStepTime, PrefillTokensPerMs: prefillTokensPerMs, ReportLag: reportLag,
-				Deviations: memoryDeviations, Updated: f.peers.wake,
+				Deviations: memoryDeviations, CrossingShare: f.cfg.Daemon.CrossingShare,
+				ExposedBackupPeak: f.cfg.Daemon.ExposedBackupPeak, LinkTokensPerSecond: e.LinkMbps * bytesPerMbit / float64(max(e.TokenBytes, 1)),
+				Updated: f.peers.wake,
 			}, f.newRand()),
 			engine:  *e,
 			waiters: map[string]chan placer.Outcome{},
 		}
 		f.placers[service] = p
-		p.SetEngines(f.registry.Usable(service), f.clock.Now())
+		f.setEngines(service, p)
 	}
 	return p
 }
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -26,6 +26,9 @@
 // count adds one to a counter.
 func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
+// add adds n to a counter.
+func (m *metrics) add(name string, n int) { m.counters.Add(name, int64(n)) }
+
 // Bounds of the latency histograms in microseconds.
 const (
 	lowestLatency  = 10
@@ -67,8 +70,12 @@
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
 			f.metrics.write(ctx)
+			f.writeCapacities(ctx)
 			now := f.clock.Now()
-			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now))
+			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held())
+			if f.followsEvacuations() {
+				fmt.Fprintf(ctx, "evacuations_age_ms %d\nevacuated_domains %d\n", f.evacuations.ageMillis(now), len(f.registry.Evacuations().Domains))
+			}
 		},
 	}
 	if err := s.Serve(f.metricsListener); err != nil && f.ctx.Err() == nil {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -35,11 +35,13 @@
 // Methods that daemons call on each other.
 const (
 	methodUpdate    = "news"
+	methodCompact   = "u" // Updates in the compact form.
 	methodSync      = "greet"
 	methodManifest  = "manifest"
 	methodEndpoints = "endpoints"
 	methodBorrow    = "lend"
 	methodGrant     = "grant"
+	methodQuota     = "quota"
 	methodLimits    = "limits"
 	methodEvidence  = "evidence"
 )
@@ -63,6 +65,12 @@
 	// The store does not answer the calls of the daemon for them.
 	ManifestLost  bool `msgpack:"manifest_lost,omitempty"`
 	EndpointsLost bool `msgpack:"endpoints_lost,omitempty"`
+	// Wire is the newest form of updates that the daemon decodes: compactWire, or zero in earlier versions.
+	Wire int `msgpack:"wire,omitempty"`
+	// Evacuations is the set that the daemon knows; nil if it follows none.
+	Evacuations     *evacuationsUpdate `msgpack:"evacuations,omitempty"`
+	EvacuationsAge  proofAge           `msgpack:"evacuations_age,omitempty"`
+	EvacuationsLost bool               `msgpack:"evacuations_lost,omitempty"`
 }
 
 // proofAge is the age of a proof in milliseconds plus one; zero if there is no proof, or if the
@@ -109,18 +117,23 @@
 	exchangingLimits  atomic.Bool
 
 	exchangingEvidence atomic.Bool
+
+	relayedBatches uint64 // Batches sent to relays so far; used by publishUpdates alone.
 }
 
 // peer is one other daemon.
 type peer struct {
 	daemon Daemon
-	queue  chan []byte // Encoded batches of updates.
+	queue  chan batch
 	cancel context.CancelFunc
 	alive  bool // The last call succeeded.
 	// heardAt is when the peer last synced with this daemon.
 	heardAt time.Time
 	// The store does not answer its calls for the manifest and the endpoints.
 	manifestLost, endpointsLost bool
+	compact                     bool // It decodes the compact form of updates.
+	// evacuationsLost is the same for the evacuations; true also if the peer does not follow them.
+	evacuationsLost bool
 }
 
 func newPeers(f *Forwarder) *peers {
@@ -165,7 +178,7 @@
 // add adds a peer and starts its goroutine. The mutex is held.
 func (p *peers) add(d Daemon) {
 	ctx, cancel := context.WithCancel(p.f.ctx)
-	o := &peer{daemon: d, queue: make(chan []byte, updateQueueLength), cancel: cancel}
+	o := &peer{daemon: d, queue: make(chan batch, updateQueueLength), cancel: cancel}
 	p.known[d.Name] = o
 	p.f.spawn(func() { p.runPeer(ctx, o) })
 }
@@ -255,9 +268,10 @@
 	o := p.known[m.Daemon.Name]
 	if o != nil {
 		o.heardAt = p.f.clock.Now()
-		o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
+		o.record(m)
 	}
 	p.mu.Unlock()
+	p.f.applyPeerEvacuations(m.Evacuations, m.Daemon.Name)
 	if o != nil {
 		p.offerManifest(m.Daemon.Name, m.Manifest)
 	}
@@ -293,10 +307,11 @@
 	defer cancel()
 	for {
 		select {
-		case body := <-o.queue:
-			if err := p.node.Send(ctx, o.daemon.Addr, methodUpdate, body); err != nil {
+		case b := <-o.queue:
+			if err := p.node.Send(ctx, o.daemon.Addr, b.method, b.body); err != nil {
 				return err
 			}
+			p.countBatch(o.daemon, b)
 		case <-c.Done():
 			return nil
 		}
@@ -313,9 +328,11 @@
 	if err := p.call(c, o.daemon.Addr, methodSync, p.syncState(), &remote); err != nil {
 		return err
 	}
-	p.recordLost(o, &remote)
+	p.recordReply(o, &remote)
 	p.addDiscovered(remote.Daemon)
 	p.f.recordDaemonCount(remote.Daemons)
+	p.f.applyPeerEvacuations(remote.Evacuations, o.daemon.Name)
+	p.f.confirmEvacuations(&remote, asOf)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
 	if remote.Manifest == local.Manifest {
@@ -358,7 +375,7 @@
 		return err
 	}
 	p.f.log.Info().Str("peer", o.daemon.Name).Int64("revision", l.Revision).Msg("forwarder: endpoints replaced by those of a peer")
-	p.f.handleEndpointChanges(p.f.registry.Replace(l.Endpoints, l.Revision, false, p.f.clock.Now()))
+	p.f.handleEndpointChanges(p.f.replaceEndpoints(l.Endpoints, l.Revision, false))
 	return nil
 }
 
@@ -407,6 +424,9 @@
 	if err := p.call(c, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
 		return err
 	}
+	if m.Format < matcher.ManifestFormat && len(p.f.cfg.Regions) > 0 {
+		return errManifestFormat // This daemon asks the store itself soon.
+	}
 	p.f.installManifest(&m, "peer "+name)
 	return nil
 }
@@ -434,11 +454,19 @@
 	return body, err
 }
 
-// recordLost records whether the store answers the calls of a peer.
-func (p *peers) recordLost(o *peer, m *syncMessage) {
+// recordReply records what a peer says of itself in its reply to a sync.
+func (p *peers) recordReply(o *peer, m *syncMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	o.record(m)
+}
+
+// record records whether the store answers the calls of the peer, and which form of updates it
+// decodes. The mutex of the peers is held.
+func (o *peer) record(m *syncMessage) {
 	o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
+	o.compact = m.Wire >= compactWire
+	o.evacuationsLost = m.EvacuationsLost || m.Evacuations == nil
 }
 
 // syncState returns the state of this daemon for a sync.
@@ -448,7 +476,10 @@
 		Daemon: p.f.cfg.Daemon.daemon(),
 		Digest: p.f.registry.Digest(), Limits: p.f.limits.Digest(), Daemons: p.f.members.Count(), Fresh: p.f.endpointEntries.Fresh(now),
 		ManifestAge: proofAgeOf(p.f.manifests, now), EndpointsAge: proofAgeOf(p.f.endpointEntries, now),
-		ManifestLost: p.f.manifests.Lost(), EndpointsLost: p.f.endpointEntries.Lost(),
+		ManifestLost: p.f.manifests.Lost(), EndpointsLost: p.f.endpointEntries.Lost(), Wire: compactWire,
+	}
+	if m.Evacuations = p.f.evacuationsState(); m.Evacuations != nil {
+		m.EvacuationsAge, m.EvacuationsLost = proofAgeOf(p.f.evacuations, now), p.f.evacuations.Lost()
 	}
 	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
@@ -460,6 +491,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode "+method)
 	}
+	p.countMessage(p.domainAt(addr), method, len(body))
 	reply, err := p.node.Call(ctx, addr, method, body)
 	if err != nil {
 		return err
@@ -469,6 +501,15 @@
 
 // HandleCall handles a call of a peer.
 func (p *peers) HandleCall(ctx context.Context, name, method string, body []byte) ([]byte, error) {
+	reply, err := p.handleCall(ctx, name, method, body)
+	if len(reply) > 0 {
+		p.countMessage(p.domainOf(name), method, len(reply))
+	}
+	return reply, err
+}
+
+// handleCall handles a call of a peer and returns the reply.
+func (p *peers) handleCall(ctx context.Context, name, method string, body []byte) ([]byte, error) {
 	switch method {
 	case methodUpdate:
 		var m updateMessage
@@ -478,6 +519,14 @@
 		}
 		p.applyMessage(name, &m)
 		return nil, nil
+	case methodCompact:
+		m, err := decodeCompact(body)
+		if err != nil {
+			p.f.log.Warn().Err(err).Str("peer", name).Msg("forwarder: could not decode updates of a peer; dropped")
+			return nil, err
+		}
+		p.applyMessage(name, m)
+		return nil, nil
 	case methodSync:
 		var remote syncMessage
 		if err := msgpack.Unmarshal(body, &remote); err != nil {
@@ -491,6 +540,8 @@
 		return p.grantRetry(name, body)
 	case methodGrant:
 		return p.f.handleGrantRequest(ctx, body)
+	case methodQuota:
+		return p.f.handleQuotaRequest(ctx, body)
 	case methodLimits:
 		return p.handleLimits(name, body)
 	case methodEvidence:
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -55,6 +55,7 @@
 	ended            bool          // The body of the current run was read to the end that its framing marks.
 	pending          []byte        // Bytes for the next calls of Read.
 	pendingRead      int           // Number of bytes of pending that Read has returned.
+	reserved         int64         // Bytes reserved for events beyond the reservation of the request.
 	complete         bool
 
 	mu             sync.Mutex
@@ -156,7 +157,7 @@
 // Limits of the size of the response of one run, in bytes.
 const (
 	maxStreamBytes = 64 << 20 // Several times a series of tens of thousands of events.
-	maxOtherBytes  = maxResponseBytes
+	maxOtherBytes  = maxStreamBytes
 )
 
 // isEventStream reports whether the body of a response is a series of events, which it is
@@ -184,6 +185,7 @@
 	job := placer.Job{
 		ID: s.x.req.ID, Class: placer.ClassOf(g.Model, priority), PromptTokens: g.PromptTokens, MaxTokens: g.MaxTokens, EstimatedTokens: g.EstimatedTokens,
 		OutputTokens: s.x.resumedTokens(max(e.TokensPerEvent, 1)), Priority: priority, FirstEventDue: s.x.arrived.Add(s.x.route.LatencyTarget), Deadline: s.x.deadline, AllowBackup: e.Backups,
+		AllowedRegions: s.x.allowedRegions,
 	}
 	if s.x.route.Patience > 0 {
 		job.FirstEventLimit = s.x.arrived.Add(s.x.route.Patience)
@@ -317,11 +319,11 @@
 	if s.outlastsDaemon(now) {
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonStopping, RetryAfter: stoppingRetryAfter}
 	}
-	if len(s.f.registry.Usable(s.x.service)) == 0 {
-		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonNoEndpoint, RetryAfter: defaultRetryAfter}
+	if refusal := s.f.noEndpointRefusal(s.x); refusal != nil {
+		return placer.Placement{}, refusal
 	}
 	if s.allEnginesLimited(exclude, now) {
-		r := s.f.limitRefusal(s.x.service, now)
+		r := s.f.limitRefusal(s.x, now)
 		return placer.Placement{}, &r
 	}
 	ch := make(chan placer.Outcome, 1)
@@ -336,7 +338,8 @@
 	return s.awaitOutcome(ch)
 }
 
-// awaitOutcome waits until the job is placed or refused, or a part of its prompt is quarantined.
+// awaitOutcome waits until the job is placed or refused, a part of its prompt is quarantined, or all
+// engines that are allowed are evacuated.
 func (s *stream) awaitOutcome(ch <-chan placer.Outcome) (placer.Placement, *Refusal) {
 	for {
 		verdicts := s.f.quarantineWatch.next()
@@ -344,6 +347,10 @@
 			s.withdraw()
 			return placer.Placement{}, refusal
 		}
+		if refusal := s.f.noEndpointRefusal(s.x); refusal != nil && refusal.Reason != ReasonNoEndpoint {
+			s.withdraw()
+			return placer.Placement{}, refusal
+		}
 		select {
 		case o := <-ch:
 			s.f.metrics.observe("queue_wait", o.Waited)
@@ -373,7 +380,7 @@
 // permit no request now.
 func (s *stream) allEnginesLimited(exclude map[registrar.Identity]bool, now time.Time) bool {
 	limited := s.x.limitDenied
-	for _, e := range s.f.registry.Usable(s.x.service) {
+	for _, e := range s.f.allowedEndpoints(s.x, s.f.registry.Usable(s.x.service)) {
 		switch {
 		case !s.f.mayAsk(e, now):
 			limited = true
@@ -411,22 +418,28 @@
 }
 
 // send sends the request to an engine and waits for the response header. If
-// register is not nil, it is called with the run before the request is sent.
+// register is not nil, it is called with the run before the request is sent. The run
+// has no backup where none may be kept any more.
 func (s *stream) send(to, backup registrar.Endpoint, from Resume, register func(run)) (run, error) {
 	now := s.f.clock.Now()
+	if backup.Name != "" && s.f.mayStartWork(s.x, backup) != nil {
+		backup = registrar.Endpoint{}
+	}
 	c, cancel := context.WithCancelCause(s.ctx)
 	r := run{engine: to, backup: backup, interrupt: cancel, sentAt: now, state: &runState{}}
 	if register != nil {
 		register(r)
 	}
-	_, limited := s.f.limits.Limit(to.Identity)
-	var err error
-	r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
-		Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
-		Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
-	})
+	granted := s.f.isGranted(to)
+	err := s.f.mayStartWork(s.x, to)
 	if err == nil {
-		s.f.observeResponse(to, &r.response, limited)
+		r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
+			Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
+			Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
+		})
+	}
+	if err == nil {
+		s.f.observeResponse(to, &r.response, granted)
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
@@ -510,8 +523,27 @@
 	}
 }
 
+// reserveEvents waits until there is memory for the bytes of incomplete events and the next ones
+// of the engine. The run has started, so it is not refused; the engine waits.
+func (s *stream) reserveEvents() error {
+	need := int64(len(s.sequencer.partial)+len(s.pending)+2*readChunkBytes) - streamReserveBytes
+	for need > s.reserved {
+		if s.x.memory.grow(requestReserveBytes) {
+			s.reserved += requestReserveBytes
+			continue
+		}
+		if s.f.clock.Sleep(s.ctx, relayRoomInterval) != nil {
+			return context.Cause(s.ctx)
+		}
+	}
+	return nil
+}
+
 // fill reads from the engine. If the run breaks off, it resumes the generation.
 func (s *stream) fill() error {
+	if err := s.reserveEvents(); err != nil {
+		return err
+	}
 	n, err := s.run.response.Body.Read(s.chunk)
 	if n > 0 {
 		if failure := s.processChunk(s.chunk[:n]); failure != nil {
@@ -553,6 +585,9 @@
 // returns an error otherwise.
 func (s *stream) checkEnd() error {
 	err := s.body.CheckEnd(s.stopOfRun())
+	if err == nil && !s.events {
+		err = s.f.confirmEnd(s.ctx, s.run.engine, s.run.response)
+	}
 	if err == nil && s.events && s.body.Framing == verifier.ByConnection && !s.f.runsAfterEnd(s.ctx, s.run.engine) {
 		// The connections of a process that has ended are closed in the same way.
 		s.f.metrics.count("ends_doubted")
--- a/state/matcher/manifest.go
+++ b/state/matcher/manifest.go
@@ -38,6 +38,7 @@
 	Services  map[string]Service
 	Customers []Customer
 	Limits    Limits
+	Format    int `msgpack:",omitempty"` // ManifestFormat of the daemon that decoded the manifest first; zero for earlier versions.
 }
 
 // Route routes the requests for a host and a path prefix to services.
@@ -55,6 +56,7 @@
 	Attempts       int           // Largest number of endpoints that one request is sent to.
 	Public         bool          // Whether requests need no API key.
 	Shares         []Share       // Weighted services; never empty.
+	AllowedRegions []string      `msgpack:",omitempty"` // Whose endpoints may get the requests; empty for all.
 }
 
 // Repeatable reports whether a request of the route may run more than once, as far as Attempts
@@ -73,6 +75,10 @@
 	HealthPath     string
 	MaxConnections int     // Connection limit per endpoint, over all daemons.
 	Engine         *Engine // Nil for a plain service.
+	// WarmUp is the time for which an endpoint is cold after its start; zero if the manifest names none.
+	WarmUp time.Duration
+	// ColdRate is the number of requests per second that a cold endpoint can handle, from all daemons; zero for no bound.
+	ColdRate float64
 }
 
 // Engine describes the engines of a service that generates tokens.
@@ -92,6 +98,8 @@
 	Name     string
 	Keys     []string
 	Priority int // Takes precedence over the priority of the route.
+
+	AllowedRegions []string `msgpack:",omitempty"` // As of a Route; both apply.
 }
 
 // Limits bound the size of a client's request and the time to send it.
