--- a/coordination/placer/speed_test.go
+++ b/coordination/placer/speed_test.go
@@ -57,6 +57,7 @@
 			for _, speed := range p.Speeds() {
 				if speed != 1 {
 					different++
+					t.Logf("seed %d: speed %v", seed, speed)
 				}
 			}
 		}
--- a/state/gauger/gauger.go
+++ b/state/gauger/gauger.go
@@ -23,6 +23,7 @@
 const (
 	steadyWeight   = 0.05             // Weight of a value while the values scatter around the mean; a share then moves by about 1% at each result.
 	changedWeight  = 0.25             // The same after a change: 90% of it are learned within eight results.
+	changedRate    = 0.4              // Likewise of reports of an engine, which come every 400 ms and average many steps.
 	shiftWeight    = 0.25             // Weight of a value in the average by which a change is recognized.
 	changeFactor   = 5.0              // A change shows in an average that is off by this multiple of its standard deviation.
 	outlier        = 3.0              // Residuals count as at most this many standard deviations, so that a change shows in four results at least.
@@ -45,12 +46,17 @@
 
 // weight returns the weight that a value with the given residual gets at now.
 func (a *average) weight(residual float64, now time.Time) float64 {
+	return a.weightWith(changedWeight, residual, now)
+}
+
+// weightWith is like weight with another weight after a change.
+func (a *average) weightWith(changed, residual float64, now time.Time) float64 {
 	w := max(steadyWeight, 1/float64(a.count+1))
 	limit := outlier * max(a.spread, minSpread)
 	a.shift += shiftWeight * (min(max(residual, -limit), limit) - a.shift)
 	deviation := a.spread * math.Sqrt(shiftWeight/(2-shiftWeight))
 	if math.Abs(a.shift) > max(changeFactor*deviation, minChange) {
-		w = max(w, changedWeight)
+		w = max(w, changed)
 	}
 	return 1 - (1-w)*a.remembered(now)
 }
@@ -85,7 +91,8 @@
 const (
 	minValues        = 1    // An estimate from fewer values counts as equal to the others.
 	minMargin        = 0.15 // Smaller differences, as logarithms, count as none.
-	engineMargin     = 0.18 // Likewise of the speeds of engines: prompts that alike engines read meanwhile slow their sequences.
+	slowerMargin     = 0.22 // Likewise of engines that seem slower: prompts that alike engines read meanwhile slow their sequences.
+	fasterMargin     = 0.3  // Likewise of engines that seem faster, which those with few prompts do; deadlines would be too optimistic there.
 	marginDeviations = 4.0  // Differences below this many standard deviations count as none. Loads are known roughly, so errors are correlated.
 )
 
--- a/state/gauger/rate.go
+++ b/state/gauger/rate.go
@@ -18,7 +18,7 @@
 		r.mean = x
 	}
 	residual := min(max(x-r.mean, -maxResidual), maxResidual)
-	r.mean += r.weight(residual, now) * residual
+	r.mean += r.weightWith(changedRate, residual, now) * residual
 	r.learn(residual, now)
 }
 
@@ -58,18 +58,25 @@
 }
 
 // Combine returns the mean of two normalized quantities, weighted by their precision,
-// or 1 if it equals 1 within its uncertainty.
+// or 1 if it equals 1 within its uncertainty. The errors of the two are correlated, since both contain the load
+// of the engine, so that the mean is not more certain than the better one.
 func Combine(a, b Measured) float64 {
 	x, weight := 0.0, 0.0
+	deviation := math.Inf(1)
 	for _, m := range [...]Measured{a, b} {
 		if m.Value > 0 {
 			w := 1 / (m.Deviation * m.Deviation)
 			x += w * m.Memory * math.Log(m.Value)
 			weight += w
+			deviation = min(deviation, m.Deviation)
 		}
 	}
 	if weight == 0 {
 		return 1
 	}
-	return math.Exp(significantBeyond(engineMargin, x/weight, 1/math.Sqrt(weight)))
+	margin := slowerMargin
+	if x > 0 {
+		margin = fasterMargin
+	}
+	return math.Exp(significantBeyond(margin, x/weight, deviation))
 }
