--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -72,7 +72,8 @@
 			f.metrics.write(ctx)
 			f.writeCapacities(ctx)
 			now := f.clock.Now()
-			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\n", f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held())
+			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\nmalformed_entries %d\n",
+				f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held(), f.store.MalformedEntries())
 			if f.followsEvacuations() {
 				fmt.Fprintf(ctx, "evacuations_age_ms %d\nevacuated_domains %d\n", f.evacuations.ageMillis(now), len(f.registry.Evacuations().Domains))
 			}
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -220,6 +220,8 @@
 	Daemons(ctx context.Context) ([]Daemon, error)
 	// DeleteDaemon deletes the entry of a daemon.
 	DeleteDaemon(ctx context.Context, name string) error
+	// MalformedEntries returns the number of entries that could not be used so far.
+	MalformedEntries() int64
 }
 
 // Daemon is the entry of a daemon in the store.
