--- a/protocol/storer/codec.go
+++ b/protocol/storer/codec.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"monsoonspar.example/state/dissector"
 )
 
 // The wire types follow the platform's conventions, hence the camel case.
@@ -89,8 +91,8 @@
 // decodeList decodes one page of a list and returns the token of the next page,
 // or an empty token on the last page.
 func decodeList(resource string, body []byte) (List, string, error) {
-	var w wireList
-	if err := json.Unmarshal(body, &w); err != nil {
+	w, err := decodeWireList(body)
+	if err != nil {
 		return List{}, "", CallError{Kind: ErrUnavailable, Detail: "malformed list: " + err.Error()}
 	}
 	version, err := strconv.ParseUint(w.Metadata.ResourceVersion, 10, 64)
@@ -108,6 +110,39 @@
 	return list, w.Metadata.Continue, nil
 }
 
+// decodeWireList decodes a list. If an element can't be decoded, the others are decoded by themselves.
+func decodeWireList(body []byte) (wireList, error) {
+	var w wireList
+	err := json.Unmarshal(body, &w)
+	if err == nil {
+		return w, nil
+	}
+	rest, elements, splitErr := dissector.Split(body, "items")
+	if splitErr != nil {
+		return wireList{}, err
+	}
+	w = wireList{}
+	if err := json.Unmarshal(rest, &w); err != nil {
+		return wireList{}, err
+	}
+	for _, text := range elements {
+		w.Items = append(w.Items, decodeWireObject(text))
+	}
+	return w, nil
+}
+
+// decodeWireObject decodes an object as far as possible. A spec that can't be decoded is left to those
+// who need it.
+func decodeWireObject(text json.RawMessage) wireObject {
+	var w wireObject
+	if json.Unmarshal(text, &w) == nil {
+		return w
+	}
+	w = wireObject{Spec: dissector.Field(text, "spec")}
+	dissector.Decode(text, "metadata", &w.Metadata)
+	return w
+}
+
 // decodeStatus decodes the status in the body of an error. It returns the zero
 // status if the body is malformed.
 func decodeStatus(body []byte) wireStatus {
--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -209,6 +209,27 @@
 	}
 }
 
+// Guards against one deeply nested object that fails the list or the watch of all others.
+func TestNestedObjectCostsOnlyItself(t *testing.T) {
+	nested := `{"metadata":{"name":"n","resourceVersion":"8"},"spec":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}"
+	c, _ := newClient(reply{status: 200, body: `{"metadata":{"resourceVersion":"9"},"items":[` + ours + "," + nested + "," + other + `]}`})
+	list, err := c.List(t.Context(), "things", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Items), 3)
+	assert.Equal(t, list.Items[2].Name, "b")
+	assert.Assert(t, !json.Valid(list.Items[1].Spec))
+
+	lines := `{"type":"ADDED","object":` + nested + "}\n" + `{"type":"MODIFIED","object":` + other + "}\n"
+	c, _ = newClient(reply{status: 200, body: lines})
+	var names []string
+	err = c.Watch(t.Context(), "things", 1, func(e storer.Event) error {
+		names = append(names, e.Object.Name)
+		return nil
+	})
+	assert.ErrorIs(t, err, storer.ErrUnavailable) // The end of the script.
+	assert.DeepEqual(t, names, []string{"n", "b"})
+}
+
 func TestRateLimitDelaysOrRefusesCalls(t *testing.T) {
 	replies := make([]reply, 10)
 	for i := range replies {
--- a/protocol/storer/watch.go
+++ b/protocol/storer/watch.go
@@ -11,6 +11,7 @@
 
 	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/protocol/requester"
+	"monsoonspar.example/state/dissector"
 )
 
 // maxEventBytes limits the size of one event. It is larger than an object, whose
@@ -105,11 +106,15 @@
 func decodeEvent(resource string, line []byte) (Event, error) {
 	var w wireEvent
 	if err := json.Unmarshal(line, &w); err != nil {
-		return Event{}, CallError{Kind: ErrUnavailable, Detail: "malformed event: " + err.Error()}
+		dissector.Decode(line, "type", &w.Type)
+		w.Object = dissector.Field(line, "object")
+		if w.Type == "" || w.Object == nil {
+			return Event{}, CallError{Kind: ErrUnavailable, Detail: "malformed event: " + err.Error()}
+		}
 	}
 	switch kind := EventType(w.Type); kind {
 	case Added, Modified, Deleted, Bookmark:
-		o, err := decodeObject(resource, w.Object, ErrUnavailable)
+		o, err := decodeWireObject(w.Object).object(resource, ErrUnavailable)
 		return Event{Type: kind, Object: o}, err
 	}
 	status := decodeStatus(w.Object)
