--- a/coordination/fetcher/fetcher.go
+++ b/coordination/fetcher/fetcher.go
@@ -70,6 +70,24 @@
 	return max(now.Sub(f.newestAt), 1)
 }
 
+// Status is what is known of a version newer than the one that a daemon has.
+type Status struct {
+	Newest   int64         // Version that a peer has offered; zero if none is newer.
+	Behind   time.Duration // Since it was offered.
+	Fetching bool
+	Failures int // Fetches that failed in a row.
+}
+
+// Status returns what is known of a version newer than the given one.
+func (f *Fetcher) Status(have int64, now time.Time) Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newest <= have {
+		return Status{}
+	}
+	return Status{Newest: f.newest, Behind: max(now.Sub(f.newestAt), 1), Fetching: f.fetching, Failures: f.failures}
+}
+
 // Next returns the peer from which to fetch now, and false if there is none. The
 // caller, which has the given version, must call End when the fetch has ended. Peers from
 // which a fetch has failed, or that did not answer otherwise, come last.
--- a/coordination/fetcher/fetcher_test.go
+++ b/coordination/fetcher/fetcher_test.go
@@ -145,3 +145,16 @@
 		assert.Equal(t, total, n-herdSources) // Each daemon fetches it once.
 	}
 }
+
+func TestStatusTellsWhyNewerVersionIsMissing(t *testing.T) {
+	f := newFetcher(1)
+	now := time.Unix(1000, 0)
+	f.Offer("a", 8, 1, now)
+	now = now.Add(time.Second)
+	peer, ok := f.Next(7, now)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, f.Status(7, now), Status{Newest: 8, Behind: time.Second, Fetching: true})
+	f.End(peer, errors.New("lost"))
+	assert.DeepEqual(t, f.Status(7, now), Status{Newest: 8, Behind: time.Second, Failures: 1})
+	assert.DeepEqual(t, f.Status(8, now), Status{})
+}
--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -41,6 +41,46 @@
 	direct   bool                // Messages and syncs contain the value, the evacuated failure domains.
 	domains  []string            // Evacuated ones in the store.
 	apart    func(a, b int) bool // The link between two daemons is cut; nil for none.
+	vm       vm
+}
+
+// vm is the size of the VMs of a fleet. The zero value costs no time.
+type vm struct {
+	cores       float64 // Share of a core that is left beside the requests.
+	bytesPerSec float64 // Of the link that is left beside the requests.
+	valueBytes  float64
+}
+
+// Processor times of a full core.
+const (
+	messageCPU = 200 * time.Microsecond // To read, handle and answer a message.
+	valueCPU   = 2 * time.Millisecond   // To decode a value and put it in force.
+)
+
+// work queues processor time behind that which waits, and returns when it is done.
+func (d *node) work(cpu time.Duration) time.Time {
+	v := d.fleet.vm
+	if v.cores == 0 {
+		return d.fleet.now
+	}
+	if d.busyUntil.Before(d.fleet.now) {
+		d.busyUntil = d.fleet.now
+	}
+	d.busyUntil = d.busyUntil.Add(time.Duration(float64(cpu) / v.cores))
+	return d.busyUntil
+}
+
+// transfer queues a value behind those that the link carries, and returns when it has arrived.
+func (d *node) transfer() time.Time {
+	v := d.fleet.vm
+	if v.bytesPerSec == 0 {
+		return d.fleet.now
+	}
+	if d.linkUntil.Before(d.fleet.now) {
+		d.linkUntil = d.fleet.now
+	}
+	d.linkUntil = d.linkUntil.Add(time.Duration(v.valueBytes / v.bytesPerSec * float64(time.Second)))
+	return d.linkUntil
 }
 
 // node is a simulated daemon.
@@ -66,6 +106,11 @@
 	nextSync   map[int]time.Time // With each other daemon.
 	seen       int64             // Version known from the last answer of the store.
 	longest    time.Duration     // Greatest age of its knowledge.
+	busyUntil  time.Time         // When the processor time that waits is done.
+	linkUntil  time.Time         // When the link has carried the values that wait.
+	syncEnds   map[int]time.Time // When the other daemon has answered the sync that is under way.
+	late       int               // Syncs that a peer answered too late.
+	answerAt   time.Time         // When the answer to its call has been handled; zero if none has arrived.
 }
 
 // call is a call to the store that is pending.
@@ -82,6 +127,7 @@
 	version  int64
 	at       time.Time
 	set      registrar.Evacuations
+	queued   bool // It waits for the processor of its receiver until at.
 }
 
 func newFleet(n int, seed uint64) *fleet { return newFleetWith(n, seed, follower.Usual) }
@@ -98,7 +144,7 @@
 func (f *fleet) add(i, n int, seed uint64) *node {
 	d := &node{
 		i: i, fleet: f, follower: follower.NewWith(f.cfg, rand.New(rand.NewPCG(seed, uint64(i+10)))), fetcher: fetcher.New(rand.New(rand.NewPCG(seed, uint64(i+1000)))),
-		evacuated: registrar.New(0), reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{},
+		evacuated: registrar.New(0), reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{}, syncEnds: map[int]time.Time{},
 	}
 	for j := range n {
 		if j != i {
@@ -150,10 +196,16 @@
 // step lets one tick pass.
 func (f *fleet) step() {
 	f.now = f.now.Add(tick)
+	var requeued []message
 	f.messages = slices.DeleteFunc(f.messages, func(m message) bool {
 		if m.at.After(f.now) {
 			return false
 		}
+		if to := f.daemons[m.to]; !m.queued && f.vm.cores > 0 && !to.frozen {
+			m.at, m.queued = to.work(messageCPU), true
+			requeued = append(requeued, m)
+			return true
+		}
 		switch to := f.daemons[m.to]; {
 		case to.frozen || to.muted[m.from] || f.isApart(m.from, m.to):
 		case f.direct:
@@ -163,6 +215,7 @@
 		}
 		return true
 	})
+	f.messages = append(f.messages, requeued...)
 	for _, d := range f.daemons {
 		if d.frozen {
 			continue
@@ -209,6 +262,12 @@
 	case d.refused && age >= storeTime:
 		d.follower.Failed(d.view(), refusedFor, f.now)
 	case !c.lost && !f.silent && age >= storeTime && (c.read || changed || age >= c.step.Wait):
+		if d.answerAt.IsZero() {
+			d.answerAt = d.work(valueCPU)
+		}
+		if f.now.Before(d.answerAt) && age < limit {
+			return
+		}
 		d.follower.Answered(c.read || changed)
 		d.seen = f.version
 		d.install(f.version, true)
@@ -222,7 +281,7 @@
 	default:
 		return
 	}
-	d.call = nil
+	d.call, d.answerAt = nil, time.Time{}
 }
 
 // sync exchanges versions with the peers whose turn it is.
@@ -233,16 +292,28 @@
 			continue
 		}
 		o := f.daemons[j]
-		if o.frozen || d.muted[j] || f.isApart(d.i, j) {
+		if _, ok := d.syncEnds[j]; !ok && !o.frozen {
+			d.syncEnds[j] = o.work(messageCPU)
+		}
+		if !o.frozen && f.now.Before(d.syncEnds[j]) && f.now.Before(at.Add(syncTimeout)) {
+			continue
+		}
+		late := f.now.Before(d.syncEnds[j])
+		if late || o.frozen || d.muted[j] || f.isApart(d.i, j) {
 			if f.now.Before(at.Add(syncTimeout)) {
 				continue
 			}
+			if late {
+				d.late++
+			}
+			delete(d.syncEnds, j)
 			d.reachable[j] = false
 			d.fetcher.Defer(fmt.Sprint(j))
 			d.muted[j] = false // A new connection.
 			d.nextSync[j] = f.now.Add(syncInterval)
 			continue
 		}
+		delete(d.syncEnds, j)
 		d.reachable[j], d.lost[j] = true, o.follower.Lost()
 		d.nextSync[j] = f.now.Add(syncInterval)
 		if f.direct {
@@ -271,6 +342,11 @@
 		}
 		d.fetchOK = d.failFetch == 0 && !f.daemons[d.fetchFrom].frozen && !d.muted[d.fetchFrom]
 		d.fetchEnds = f.now.Add(fetchTime)
+		if o := f.daemons[d.fetchFrom]; d.fetchOK && f.vm.cores > 0 {
+			o.work(messageCPU)
+			d.fetchEnds = later(o.busyUntil, o.transfer(), d.work(valueCPU)).Add(fetchTime)
+			d.fetchOK = d.fetchEnds.Sub(f.now) <= d.fetcher.Timeout()
+		}
 		if !d.fetchOK {
 			d.failFetch = max(d.failFetch-1, 0)
 			d.fetchEnds = f.now.Add(d.fetcher.Timeout())
@@ -289,6 +365,9 @@
 	d.install(f.daemons[d.fetchFrom].version, false)
 }
 
+// later returns the latest of some times.
+func later(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
 // run lets time pass.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -256,6 +256,9 @@
 func (f *Forwarder) addRequestFields(e *zerolog.Event, x *exchange) *zerolog.Event {
 	now := f.clock.Now()
 	e.Str("request", x.req.ID[:min(len(x.req.ID), maxLoggedIDBytes)]).Int64("manifest", x.manifestVersion).Int64("manifest_age_ms", f.manifests.ageMillis(now)).Dur("held_ms", now.Sub(x.arrived)).Int64("attempts", x.attempts.Load())
+	if st := f.peers.manifests.Status(x.manifestVersion, now); st.Newest > 0 && x.manifestVersion == f.manifestVersion() {
+		e.Int64("manifest_offered", st.Newest).Dur("manifest_behind_ms", st.Behind).Bool("manifest_fetching", st.Fetching).Int("manifest_fetches_failed", st.Failures)
+	}
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("service", x.service).Dur("left_ms", x.deadline.Sub(now))
 	}
