--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -45,9 +45,30 @@
 // errNoResponseFollows means that a response to an earlier request ends with its connection.
 var errNoResponseFollows = errors.New("a response to an earlier request ends with the connection")
 
+// Network opens the connections of a Dialer.
+type Network interface {
+	// Dial opens a connection to addr.
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	// Usable reports whether an idle connection to addr may be used for another request.
+	Usable(addr string, c net.Conn) bool
+}
+
+// tcp is the Network that connects directly.
+type tcp struct{ net.Dialer }
+
+// Dial implements Network.
+func (t *tcp) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return t.DialContext(ctx, "tcp", addr)
+}
+
+// Usable implements Network.
+func (*tcp) Usable(string, net.Conn) bool { return true }
+
 // Config configures a Dialer. Zero fields take the defaults.
 type Config struct {
-	DialTimeout             time.Duration // 1 s by default.
+	Network Network // Connects directly by default.
+
+	DialTimeout             time.Duration // Of the default Network; 1 s by default.
 	WriteTimeout            time.Duration // Of a complete request; 5 s by default.
 	ReadTimeout             time.Duration // Between bytes of a response, for requests that set none; 10 s by default.
 	MaxIdleAge              time.Duration // Connections that are idle for longer are closed; 30 s by default.
@@ -63,6 +84,9 @@
 	defaulter.Set(&c.MaxIdleAge, 30*time.Second)
 	defaulter.Set(&c.NonIdempotentMaxIdleAge, 300*time.Millisecond)
 	defaulter.Set(&c.MaxIdlePerAddr, 64)
+	if c.Network == nil {
+		c.Network = &tcp{net.Dialer{Timeout: c.DialTimeout}}
+	}
 }
 
 // Dialer is a requester.Client. It is safe for concurrent use.
@@ -70,7 +94,6 @@
 	cfg   Config
 	clock timekeeper.Clock
 	pool  pool
-	net   net.Dialer
 
 	staleResponses atomic.Int64
 }
@@ -85,11 +108,14 @@
 	return &Dialer{
 		cfg:   cfg,
 		clock: clock,
-		pool:  pool{maxIdlePerAddr: cfg.MaxIdlePerAddr, maxAge: cfg.MaxIdleAge},
-		net:   net.Dialer{Timeout: cfg.DialTimeout},
+		pool:  pool{maxIdlePerAddr: cfg.MaxIdlePerAddr, maxAge: cfg.MaxIdleAge, usable: cfg.Network.Usable},
 	}
 }
 
+// DiscardUnusable closes the idle connections that may not be used any more according to the
+// Network.
+func (d *Dialer) DiscardUnusable() { d.pool.discardUnusable() }
+
 // Close closes the idle connections. Connections in use are closed when the
 // bodies of their responses are closed.
 func (d *Dialer) Close() { d.pool.close() }
@@ -140,12 +166,12 @@
 
 // open opens a connection.
 func (d *Dialer) open(ctx context.Context, addr string) (*conn, error) {
-	raw, err := d.net.DialContext(ctx, "tcp", addr)
+	raw, err := d.cfg.Network.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok && d.cfg.ReceiveBufferBytes > 0 {
-		if err := tcp.SetReadBuffer(d.cfg.ReceiveBufferBytes); err != nil {
+	if c, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok && d.cfg.ReceiveBufferBytes > 0 {
+		if err := c.SetReadBuffer(d.cfg.ReceiveBufferBytes); err != nil {
 			_ = raw.Close() // It was not used.
 			return nil, err
 		}
@@ -163,7 +189,7 @@
 const settleTime = 20 * time.Millisecond
 
 // Connect opens a connection to addr and adds it to the idle ones. It fails if the server
-// does not accept it before ctx or Config.DialTimeout ends, or ends it within settleTime.
+// does not accept it before ctx ends or the Network gives up, or ends it within settleTime.
 func (d *Dialer) Connect(ctx context.Context, addr string) error {
 	c, err := d.open(ctx, addr)
 	if err != nil {
--- a/transport/dialer/pool.go
+++ b/transport/dialer/pool.go
@@ -1,6 +1,8 @@
 package dialer
 
 import (
+	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,7 @@
 type pool struct {
 	maxIdlePerAddr int
 	maxAge         time.Duration
+	usable         func(addr string, c net.Conn) bool
 	shards         [shardCount]shard
 }
 
@@ -43,13 +46,31 @@
 			s.push(c, p.maxIdlePerAddr)
 			return nil
 		}
-		if c.usable() {
+		if p.usable(addr, c.raw) && c.usable() {
 			return c
 		}
 		_ = c.raw.Close()
 	}
 }
 
+// discardUnusable closes the connections that may not be used any more.
+func (p *pool) discardUnusable() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		for addr, conns := range s.idle {
+			s.idle[addr] = slices.DeleteFunc(conns, func(c *conn) bool {
+				if p.usable(addr, c.raw) {
+					return false
+				}
+				_ = c.raw.Close()
+				return true
+			})
+		}
+		s.mu.Unlock()
+	}
+}
+
 // put adds an idle connection for reuse by later requests.
 func (p *pool) put(c *conn, now time.Time) {
 	c.idleSince = now
