--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -70,10 +71,13 @@
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", cfg.Daemon.Name).Logger()
 	asserter.SetHandler(violationHandler(log, false))
 	clock := timekeeper.System{}
-	d := dialer.New(dialer.Config{DialTimeout: dialTimeout, ReceiveBufferBytes: receiveBufferBytes}, clock)
+	storeDialer := dialer.New(dialer.Config{DialTimeout: dialTimeout, ReceiveBufferBytes: receiveBufferBytes}, clock)
+	paths := forwarder.NewPaths(dialEndpoint)
+	d := dialer.New(dialer.Config{Network: paths, ReceiveBufferBytes: receiveBufferBytes}, clock)
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	f := forwarder.New(cfg, platform.NewStore(d, cfg.Store.Addr, log), platform.NewWorkers(d), clock, rnd, log)
+	f := forwarder.New(cfg, platform.NewStore(storeDialer, cfg.Store.Addr, log), platform.NewWorkers(d), clock, rnd, log)
 	f.SetCodec(platform.Codec{})
+	f.SetPaths(paths, d.DiscardUnusable)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := f.Start(); err != nil {
@@ -86,6 +90,12 @@
 	return f.Run(ctx)
 }
 
+// dialEndpoint opens a connection to a worker.
+func dialEndpoint(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // readForwarderSettings reads and checks a settings file.
 func readForwarderSettings(file string) (forwarder.Settings, error) {
 	text, err := os.ReadFile(file)
--- /dev/null
+++ b/coordination/pathfinder/pathfinder.go
@@ -0,0 +1,349 @@
+// Package pathfinder decides how a daemon opens its connections to endpoints: directly, or
+// through a peer while its own path to the endpoint is cut.
+//
+// A path counts as cut only on proof: the daemon could not open a connection, and a peer could
+// at about the same time. An endpoint that nobody reaches is down, and peers are asked for it
+// again only after a pause. A daemon none of whose connections is accepted, while peers open
+// theirs, is cut off: it does not wait for each further path to prove cut.
+//
+// A peer opens connections to endpoints directly and never through another peer, so that a
+// connection takes one hop at most.
+//
+// A Finder does no I/O, so that the same code runs in the daemon and in tests on virtual time.
+package pathfinder
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Times of the decisions.
+const (
+	headStart     = 50 * time.Millisecond  // After which a peer is asked beside a direct attempt; several round trips between failure domains.
+	proofTime     = time.Second            // Between a direct failure and a peer's success that together prove a cut.
+	downTime      = time.Second            // After peers failed too, until they are asked again.
+	cutDownTime   = 250 * time.Millisecond // The same while the own path is cut.
+	confirmTime   = 250 * time.Millisecond // After the first cut paths, in which a success elsewhere shows that the daemon is not cut off.
+	probeInterval = time.Second            // Between direct attempts on a path that is cut.
+	probeJitter   = 0.2                    // Of probeInterval, either way.
+)
+
+// Limits of the decisions.
+const (
+	cutOffPaths    = 2  // Cut paths without any success from which a daemon may be cut off.
+	maxPeers       = 3  // Asked for one connection.
+	probesPerRound = 4  // While some path works; one otherwise. See Round.
+	crossingCost   = 16 // Tunnels that a peer in another failure domain must have fewer to be asked before those in the own one or the endpoint's.
+)
+
+// Round is the time between calls of Probes. A daemon that is cut off thus probes ten times a second, and
+// all paths together up to forty times as they heal.
+const Round = 100 * time.Millisecond
+
+// Endpoint is what matters of an endpoint.
+type Endpoint struct {
+	Addr   string
+	Domain string
+}
+
+// Peer is what matters of another daemon.
+type Peer struct {
+	Name    string
+	Addr    string
+	Domain  string
+	Tunnels int  // Connections that it carries for other daemons.
+	CutOff  bool // It is cut off itself.
+}
+
+// Plan says how to open a connection. The zero Plan means that nobody reaches the endpoint.
+type Plan struct {
+	Direct    bool          // Open it directly.
+	HeadStart time.Duration // Of the direct attempt before peers are asked.
+	Peers     []Peer        // Peers to ask, in order.
+}
+
+// Outcome is how an attempt to open a connection ended.
+type Outcome int
+
+// Outcomes of attempts.
+const (
+	Opened  Outcome = iota
+	Refused         // The connection was refused or reset.
+	Silent          // Nothing came back.
+	Lost            // The peer could not be asked, or has no room; nothing is known of the endpoint.
+)
+
+// Config configures a Finder.
+type Config struct {
+	Domain  string            // Failure domain of the daemon.
+	Regions map[string]string // Region of each failure domain; empty where there are none.
+}
+
+// Finder holds what a daemon knows of its paths. It is safe for concurrent use. Use New to make one.
+type Finder struct {
+	cfg Config
+
+	mu         sync.Mutex
+	rand       *rand.Rand
+	paths      map[string]*path // By address; only those with failures.
+	openedAt   time.Time        // Of the last direct connection to any endpoint.
+	firstCutAt time.Time        // Of the paths that are cut; zero if none is.
+	probedAt   time.Time
+}
+
+// path is the state of the path to one endpoint.
+type path struct {
+	failedAt  time.Time // Last direct failure.
+	outcome   Outcome   // Of that attempt.
+	relayedAt time.Time // Last connection through a peer.
+	cut       bool
+	downUntil time.Time            // Peers failed as well.
+	avoided   map[string]time.Time // Peers not to ask until a time.
+	probeAt   time.Time
+}
+
+// New returns a Finder for which all paths work. It takes ownership of r.
+func New(cfg Config, r *rand.Rand) *Finder {
+	return &Finder{cfg: cfg, rand: r, paths: map[string]*path{}}
+}
+
+// Plan returns how to open a connection to e. The peers are those that are reachable and open
+// connections for others.
+func (f *Finder) Plan(e Endpoint, peers []Peer, now time.Time) Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.paths[e.Addr]
+	cut := f.isCut(p, now)
+	down := p != nil && now.Before(p.downUntil)
+	if down {
+		return Plan{Direct: !cut}
+	}
+	asked := f.choose(e, p, peers, now)
+	if !cut {
+		return Plan{Direct: true, HeadStart: headStart, Peers: asked}
+	}
+	return Plan{Direct: len(asked) == 0, Peers: asked}
+}
+
+// isCut reports whether a path counts as cut; p is nil if it has not failed. The mutex is held.
+func (f *Finder) isCut(p *path, now time.Time) bool {
+	return p != nil && p.cut || f.cutOff(now)
+}
+
+// cutOff reports whether the daemon is cut off from all endpoints. The mutex is held.
+func (f *Finder) cutOff(now time.Time) bool {
+	if f.firstCutAt.IsZero() || now.Sub(f.firstCutAt) < confirmTime {
+		return false
+	}
+	n := 0
+	for _, p := range f.paths {
+		if p.cut && p.failedAt.After(f.openedAt) {
+			n++
+		}
+	}
+	return n >= cutOffPaths && f.openedAt.Before(f.firstCutAt)
+}
+
+// CutOff reports whether the daemon is cut off from all endpoints, and from how many it is known to be.
+func (f *Finder) CutOff(now time.Time) (cutOff bool, paths int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.paths {
+		if p.cut {
+			paths++
+		}
+	}
+	return f.cutOff(now), paths
+}
+
+// choose returns the peers to ask, best first. The mutex is held.
+func (f *Finder) choose(e Endpoint, p *path, peers []Peer, now time.Time) []Peer {
+	type candidate struct {
+		Peer
+		cost float64
+	}
+	var all []candidate
+	for _, o := range peers {
+		if o.CutOff || !f.mayCarry(o.Domain, e.Domain) || p != nil && now.Before(p.avoided[o.Name]) {
+			continue
+		}
+		cost := float64(o.Tunnels) + f.rand.Float64()
+		if o.Domain != f.cfg.Domain && o.Domain != e.Domain {
+			cost += crossingCost
+		}
+		all = append(all, candidate{o, cost})
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.Name, b.Name)) })
+	asked := make([]Peer, 0, maxPeers)
+	for _, c := range all[:min(len(all), maxPeers)] {
+		asked = append(asked, c.Peer)
+	}
+	return asked
+}
+
+// mayCarry reports whether requests to an endpoint may pass through a peer. The daemon's own region
+// has them already, and the endpoint's gets them.
+func (f *Finder) mayCarry(peer, endpoint string) bool {
+	if len(f.cfg.Regions) == 0 {
+		return true
+	}
+	r := f.cfg.Regions[peer]
+	return r != "" && (r == f.cfg.Regions[f.cfg.Domain] || r == f.cfg.Regions[endpoint])
+}
+
+// get returns the state of a path. The mutex is held.
+func (f *Finder) get(addr string, now time.Time) *path {
+	p := f.paths[addr]
+	if p == nil {
+		p = &path{avoided: map[string]time.Time{}}
+		f.paths[addr] = p
+	}
+	p.probeAt = f.nextProbe(now)
+	return p
+}
+
+func (f *Finder) nextProbe(now time.Time) time.Time {
+	return now.Add(time.Duration((1 + probeJitter*(2*f.rand.Float64()-1)) * float64(probeInterval)))
+}
+
+// RecordDirect records how a direct attempt ended. It reports whether the path is cut now and was not
+// before, or the other way round.
+func (f *Finder) RecordDirect(addr string, o Outcome, now time.Time) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o == Opened {
+		f.openedAt = now
+		p := f.paths[addr]
+		delete(f.paths, addr)
+		f.updateFirstCut()
+		return p != nil && p.cut
+	}
+	p := f.get(addr, now)
+	p.failedAt, p.outcome = now, o
+	return f.prove(p, now)
+}
+
+// RecordRelayed records how an attempt through a peer ended, and returns as RecordDirect does.
+func (f *Finder) RecordRelayed(addr, peer string, o Outcome, now time.Time) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.get(addr, now)
+	if o != Opened {
+		p.avoided[peer] = now.Add(downTime)
+		return false
+	}
+	p.relayedAt, p.downUntil = now, time.Time{}
+	delete(p.avoided, peer)
+	return f.prove(p, now)
+}
+
+// RecordDown records that no attempt of a plan opened a connection, although a peer answered. The
+// endpoint counts as down for a while, a shorter one if the daemon's own path is cut, since the peers
+// may be cut off as well without knowing it yet.
+func (f *Finder) RecordDown(addr string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.get(addr, now)
+	p.downUntil = now.Add(downTime)
+	if f.isCut(p, now) {
+		p.downUntil = now.Add(cutDownTime)
+	}
+}
+
+// prove marks a path as cut if a direct failure and a connection through a peer prove it. The mutex is
+// held.
+func (f *Finder) prove(p *path, now time.Time) (changed bool) {
+	if p.cut || p.failedAt.IsZero() || p.relayedAt.IsZero() || p.failedAt.Sub(p.relayedAt).Abs() > proofTime {
+		return false
+	}
+	p.cut, p.downUntil = true, time.Time{}
+	f.updateFirstCut()
+	if f.firstCutAt.IsZero() {
+		f.firstCutAt = now
+	}
+	return true
+}
+
+// updateFirstCut forgets the time of the first cut path if none is cut any more. The mutex is held.
+func (f *Finder) updateFirstCut() {
+	for _, p := range f.paths {
+		if p.cut {
+			return
+		}
+	}
+	f.firstCutAt = time.Time{}
+}
+
+// Usable reports whether an idle connection to an endpoint may be used again. Via is the peer that it
+// goes through, or empty.
+func (f *Finder) Usable(addr, via string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.paths[addr]
+	if via != "" {
+		return f.isCut(p, now)
+	}
+	switch {
+	case p != nil && p.cut:
+		return p.outcome != Silent
+	case f.cutOff(now):
+		return !f.silent()
+	default:
+		return true
+	}
+}
+
+// silent reports whether the paths that are cut are silent, so that open connections may be as well. The
+// mutex is held.
+func (f *Finder) silent() bool {
+	for _, p := range f.paths {
+		if p.cut && p.outcome == Silent {
+			return true
+		}
+	}
+	return false
+}
+
+// Probes returns the endpoints to which a direct connection should be tried now. It returns none
+// while no path is cut, and otherwise a few: those whose path is cut, and, until a connection is
+// opened, others, which show whether the daemon is cut off. The caller records the results.
+func (f *Finder) Probes(all []Endpoint, now time.Time) []Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.firstCutAt.IsZero() || now.Sub(f.probedAt) < Round {
+		return nil
+	}
+	f.probedAt = now
+	working := !f.openedAt.Before(f.firstCutAt) || now.Sub(f.firstCutAt) < confirmTime
+	limit := 1
+	if working {
+		limit = probesPerRound
+	}
+	var due []Endpoint
+	for _, e := range all {
+		if p := f.paths[e.Addr]; p == nil && f.openedAt.Before(f.firstCutAt) || p != nil && !now.Before(p.probeAt) {
+			due = append(due, e)
+		}
+	}
+	f.rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	due = due[:min(len(due), limit)]
+	for _, e := range due {
+		f.get(e.Addr, now)
+	}
+	return due
+}
+
+// Retain forgets the paths to all other addresses.
+func (f *Finder) Retain(known func(addr string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr := range f.paths {
+		if !known(addr) {
+			delete(f.paths, addr)
+		}
+	}
+	f.updateFirstCut()
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -230,7 +230,7 @@
 	f.logCapacity(x.service, e)
 	f.handleMisdirected(e, a.response)
 	if a.err != nil || a.notRun {
-		f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Err(a.err).Str("endpoint", e.Name).Int("status", a.response.Status).Bool("not_run", a.notRun).
+		f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Err(a.err).Str("endpoint", e.Name).Str("via", a.response.Via).Int("status", a.response.Status).Bool("not_run", a.notRun).
 			Msg("forwarder: attempt failed")
 	}
 }
@@ -309,7 +309,7 @@
 func (f *Forwarder) recordAnswered(x *exchange, e registrar.Endpoint, res *Response, n int) {
 	f.metrics.count("calls_answered")
 	f.metrics.observe("call_latency", f.clock.Now().Sub(x.arrived))
-	f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
+	f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Str("via", res.Via).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
 }
 
 // failCall ends a call for which there is no successful response. A genuine server
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,6 +79,7 @@
 	evacuationWatch evacuationWatch
 	startedAt       time.Time
 	codec           Codec
+	paths           *Paths // Nil unless SetPaths was called.
 	server          *fasthttp.Server
 
 	clientListener  net.Listener
@@ -145,6 +146,9 @@
 	f.spawn(func() { f.pollReports(f.ctx) })
 	f.spawn(func() { f.disconnects.run(f.ctx, f.clock) })
 	f.spawn(func() { f.peers.publishUpdates(f.ctx) })
+	if f.paths != nil {
+		f.spawn(func() { f.paths.probe(f.ctx) })
+	}
 	f.log.Info().Str("callers", f.cfg.Daemon.Clients).Str("failure_domain", f.cfg.Daemon.Domain).Msg("forwarder: started")
 	return nil
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -71,6 +71,8 @@
 	Evacuations     *evacuationsUpdate `msgpack:"evacuations,omitempty"`
 	EvacuationsAge  proofAge           `msgpack:"evacuations_age,omitempty"`
 	EvacuationsLost bool               `msgpack:"evacuations_lost,omitempty"`
+	// Tunnels is nil if the daemon opens no connections for others.
+	Tunnels *tunnelState `msgpack:"tunnels,omitempty"`
 }
 
 // proofAge is the age of a proof in milliseconds plus one; zero if there is no proof, or if the
@@ -134,6 +136,7 @@
 	compact                     bool // It decodes the compact form of updates.
 	// evacuationsLost is the same for the evacuations; true also if the peer does not follow them.
 	evacuationsLost bool
+	tunnels         *tunnelState // Nil if it opens no connections for others.
 }
 
 func newPeers(f *Forwarder) *peers {
@@ -467,6 +470,7 @@
 	o.manifestLost, o.endpointsLost = m.ManifestLost, m.EndpointsLost
 	o.compact = m.Wire >= compactWire
 	o.evacuationsLost = m.EvacuationsLost || m.Evacuations == nil
+	o.tunnels = m.Tunnels
 }
 
 // syncState returns the state of this daemon for a sync.
@@ -481,6 +485,7 @@
 	if m.Evacuations = p.f.evacuationsState(); m.Evacuations != nil {
 		m.EvacuationsAge, m.EvacuationsLost = proofAgeOf(p.f.evacuations, now), p.f.evacuations.Lost()
 	}
+	m.Tunnels = p.f.paths.state(now)
 	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
 }
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -73,7 +73,7 @@
 	f.spawn(f.closeClientConnections)
 	for {
 		now := f.clock.Now()
-		if !now.Before(deadline) || (now.Sub(startedAt) > balancerLag && f.inFlight.Load() == 0) {
+		if !now.Before(deadline) || (now.Sub(startedAt) > balancerLag && f.inFlight.Load() == 0 && f.paths.carried() == 0) {
 			break
 		}
 		if err := f.clock.Sleep(f.ctx, stopTick); err != nil {
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -118,6 +118,7 @@
 	Load          *balancer.Load // Nil if the endpoint reported none.
 	ContentLength int            // Length of the body in bytes; negative if unknown.
 	Framing       verifier.Framing
+	Via           string   // Peer through which the endpoint was reached; empty for a direct connection.
 	RequestLimit  *float64 // Requests per second that the endpoint accepts from all daemons together; nil if it names no limit.
 	Notice        Notice
 }
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -68,6 +68,7 @@
 	Length int // Of the body in bytes; negative if not known in advance.
 	// Framing tells how the end of the body is marked.
 	Framing verifier.Framing
+	Via     string // What the connection goes through, if it is not direct; else empty.
 }
 
 // Get returns the first value of a header field, or an empty string if there is
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -70,6 +70,7 @@
 	shutdown map[Identity]bool     // Endpoints marked by MarkShuttingDown, whether they have an entry or not.
 	usable   map[string][]Endpoint // Endpoints that may get new work, by service; rebuilt after each change.
 	serving  map[string][]Endpoint // The same with those of evacuated failure domains.
+	domains  map[string]string     // Failure domain of the endpoint at each address; rebuilt after each change.
 	revision int64
 	grace    time.Duration
 
@@ -115,6 +116,14 @@
 	return all
 }
 
+// DomainAt returns the failure domain of the endpoint at an address, and false if there is none.
+func (g *Registrar) DomainAt(addr string) (string, bool) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	domain, ok := g.domains[addr]
+	return domain, ok
+}
+
 // Known reports whether the endpoint is registered, or is kept although its entry is
 // missing.
 func (g *Registrar) Known(id Identity) bool {
@@ -367,8 +376,10 @@
 // rebuild groups the endpoints that are not shutting down by service. The mutex must be held.
 func (g *Registrar) rebuild() {
 	usable, serving := make(map[string][]Endpoint, len(g.usable)), make(map[string][]Endpoint, len(g.serving))
+	domains := make(map[string]string, len(g.records))
 	for _, r := range g.records {
 		e := &r.endpoint
+		domains[e.Addr] = e.Domain
 		if g.isShuttingDown(e) {
 			continue
 		}
@@ -377,5 +388,5 @@
 			usable[e.Service] = append(usable[e.Service], *e)
 		}
 	}
-	g.usable, g.serving = usable, serving
+	g.usable, g.serving, g.domains = usable, serving, domains
 }
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -24,6 +24,7 @@
 	readTimeout  time.Duration
 	headDeadline time.Time // Time at which the response header must have been read; zero for none.
 	written      int
+	answered     bool // Bytes have arrived since the request was sent.
 	idleSince    time.Time
 	unbind       func() bool // Set by bind; returns false if the context has ended.
 }
@@ -48,7 +49,9 @@
 	if err := c.raw.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return c.raw.Read(p)
+	n, err := c.raw.Read(p)
+	c.answered = c.answered || n > 0
+	return n, err
 }
 
 // Write writes p and counts the bytes that the operating system accepted.
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -51,6 +51,13 @@
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 	// Usable reports whether an idle connection to addr may be used for another request.
 	Usable(addr string, c net.Conn) bool
+	// RecordSilence records that a connection to addr brought nothing back after a request.
+	RecordSilence(addr string, c net.Conn)
+}
+
+// indirect is a connection that goes through a third party.
+type indirect interface {
+	Via() string
 }
 
 // tcp is the Network that connects directly.
@@ -64,6 +71,9 @@
 // Usable implements Network.
 func (*tcp) Usable(string, net.Conn) bool { return true }
 
+// RecordSilence implements Network.
+func (*tcp) RecordSilence(string, net.Conn) {}
+
 // Config configures a Dialer. Zero fields take the defaults.
 type Config struct {
 	Network Network // Connects directly by default.
@@ -133,7 +143,7 @@
 	if c.readTimeout == 0 {
 		c.readTimeout = d.cfg.ReadTimeout
 	}
-	c.headDeadline = time.Time{}
+	c.headDeadline, c.answered = time.Time{}, false
 	c.bind(ctx)
 	if err := d.send(c, req); err != nil {
 		c.close()
@@ -141,6 +151,9 @@
 	}
 	res, err := d.receive(ctx, c, req)
 	if err != nil {
+		if !c.answered && (ctx.Err() != nil || isTimeout(err)) {
+			d.cfg.Network.RecordSilence(c.addr, c.raw)
+		}
 		c.close()
 		return requester.Response{}, c.wrapFailure(ctx, err)
 	}
@@ -313,6 +326,9 @@
 // response converts a response whose header has been read.
 func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response, ownConnection bool) requester.Response {
 	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r)}
+	if v, ok := c.raw.(indirect); ok {
+		res.Via = v.Via()
+	}
 	for name, value := range r.Header.All() {
 		if !isConnectionHeader(string(name)) {
 			res.Header = append(res.Header, requester.Header{Name: string(name), Value: string(value)})
--- a/transport/framer/conn.go
+++ b/transport/framer/conn.go
@@ -83,6 +83,9 @@
 			c.deliver(e.ID, reply{body: e.Body})
 		case kindError:
 			c.deliver(e.ID, reply{err: errors.Wrap(ErrRemote, string(e.Body))})
+		case kindOpen:
+			c.node.removeRunning(c) // It gets no pings.
+			return c.serveTunnel(ctx, e)
 		case kindCall, kindOneWay:
 			g.Go(func() { c.serve(ctx, e) })
 		}
--- a/transport/framer/framer.go
+++ b/transport/framer/framer.go
@@ -50,6 +50,7 @@
 	kindOneWay
 	kindPing
 	kindPong
+	kindOpen // Turns the connection into a tunnel; Method is the target.
 )
 
 // envelope is the wire form of every frame after the handshake.
@@ -126,7 +127,7 @@
 	if e.Version != Version {
 		return envelope{}, ErrVersion
 	}
-	if e.Kind < kindCall || e.Kind > kindPong {
+	if e.Kind < kindCall || e.Kind > kindOpen {
 		return envelope{}, ErrFrame
 	}
 	return e, nil
