--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -97,6 +97,9 @@
 		}
 		if !f.mayContinue(ctx, x, lastAttempt, mayHaveRun, possibleRuns) {
 			reason = ReasonRefused
+			if errors.Is(lastAttempt.err, errNoRoom) {
+				reason = ReasonNoCapacity
+			}
 			break
 		}
 	}
@@ -136,6 +139,9 @@
 	if lastAttempt.err == nil && (x.limitDenied || len(f.permittedEndpoints(usable, f.clock.Now())) < len(usable)) {
 		return ReasonLimited
 	}
+	if errors.Is(lastAttempt.err, errNoRoom) {
+		return ReasonNoCapacity
+	}
 	if lastAttempt.err != nil || len(usable) > 0 {
 		return ReasonUnreachable
 	}
@@ -250,7 +256,8 @@
 
 // balancerResult returns the result of the attempt for the balancer.
 func (a *callAttempt) balancerResult(took time.Duration) balancer.Result {
-	r := balancer.Result{Load: a.response.Load, Latency: took, Unreachable: a.err != nil && a.notRun, Refused: a.err == nil && a.notRun}
+	noRoom := errors.Is(a.err, errNoRoom)
+	r := balancer.Result{Load: a.response.Load, Latency: took, Unreachable: a.err != nil && a.notRun && !noRoom, Refused: noRoom || a.err == nil && a.notRun}
 	r.Failed = !r.Unreachable && !r.Refused && (a.err != nil || a.response.Status >= fasthttp.StatusInternalServerError)
 	return r
 }
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -434,6 +434,7 @@
 	f.limits.Retain(f.registry.Known)
 	f.quotas.Retain(f.registry.Known)
 	f.warmer.Retain(f.registry.Known)
+	f.gates.Retain(f.registry.Known)
 }
 
 // setEngines passes the engines of a service to its placer.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/budgeter"
 	"monsoonspar.example/coordination/evacuator"
+	"monsoonspar.example/coordination/gatekeeper"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
@@ -58,6 +59,7 @@
 	members   *limiter.Members // The daemons that share the limits.
 	quotas    *limiter.Quotas
 	warmer    *warmer.Warmer
+	gates     *gatekeeper.Gatekeeper
 	deferrals limiter.Deferrals
 	shutdowns evacuator.Shutdowns // Of engines.
 	memory    *reserver.Reserver  // Memory for requests and responses.
@@ -101,10 +103,10 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), memory: newReserver(cfg.Daemon.MemoryMB),
+		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), gates: gatekeeper.New(), memory: newReserver(cfg.Daemon.MemoryMB),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
-	f.endpoints = countedClient{EndpointClient: endpoints, f: f}
+	f.endpoints = gatedClient{EndpointClient: countedClient{EndpointClient: endpoints, f: f}, f: f}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.quotas = limiter.NewQuotas(f.newRand())
 	f.peers = newPeers(f)
@@ -146,6 +148,7 @@
 	f.spawn(func() { f.pollReports(f.ctx) })
 	f.spawn(func() { f.disconnects.run(f.ctx, f.clock) })
 	f.spawn(func() { f.peers.publishUpdates(f.ctx) })
+	f.spawn(func() { f.reportHoldings(f.ctx) })
 	if f.paths != nil {
 		f.spawn(func() { f.paths.probe(f.ctx) })
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -8,6 +8,9 @@
 
 // observeNotice handles what an answer of an endpoint says besides the response.
 func (f *Forwarder) observeNotice(e registrar.Endpoint, n Notice) {
+	if n.Brittle != nil {
+		f.observeBrittle(e.Service, *n.Brittle, f.clock.Now(), "response")
+	}
 	if n.RetryAfter > 0 {
 		f.deferRequests(e, n.RetryAfter)
 	}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -44,6 +44,9 @@
 	methodQuota     = "quota"
 	methodLimits    = "limits"
 	methodEvidence  = "evidence"
+	methodPlace     = "place"
+	methodLeave     = "leave"
+	methodHoldings  = "holdings"
 )
 
 // errUnknownMethod means that a peer called a method that this version does not
@@ -73,6 +76,8 @@
 	EvacuationsLost bool               `msgpack:"evacuations_lost,omitempty"`
 	// Tunnels is nil if the daemon opens no connections for others.
 	Tunnels *tunnelState `msgpack:"tunnels,omitempty"`
+	// Brittle are the services whose endpoints are brittle.
+	Brittle []brittleState `msgpack:"brittle,omitempty"`
 }
 
 // proofAge is the age of a proof in milliseconds plus one; zero if there is no proof, or if the
@@ -275,6 +280,7 @@
 	}
 	p.mu.Unlock()
 	p.f.applyPeerEvacuations(m.Evacuations, m.Daemon.Name)
+	p.f.applyBrittle(m.Brittle)
 	if o != nil {
 		p.offerManifest(m.Daemon.Name, m.Manifest)
 	}
@@ -335,6 +341,7 @@
 	p.addDiscovered(remote.Daemon)
 	p.f.recordDaemonCount(remote.Daemons)
 	p.f.applyPeerEvacuations(remote.Evacuations, o.daemon.Name)
+	p.f.applyBrittle(remote.Brittle)
 	p.f.confirmEvacuations(&remote, asOf)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
@@ -485,7 +492,7 @@
 	if m.Evacuations = p.f.evacuationsState(); m.Evacuations != nil {
 		m.EvacuationsAge, m.EvacuationsLost = proofAgeOf(p.f.evacuations, now), p.f.evacuations.Lost()
 	}
-	m.Tunnels = p.f.paths.state(now)
+	m.Tunnels, m.Brittle = p.f.paths.state(now), p.f.brittleServices(now)
 	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
 }
@@ -549,6 +556,12 @@
 		return p.f.handleQuotaRequest(ctx, body)
 	case methodLimits:
 		return p.handleLimits(name, body)
+	case methodPlace:
+		return p.f.handlePlace(ctx, body)
+	case methodLeave:
+		return nil, p.f.handleLeave(body)
+	case methodHoldings:
+		return nil, p.f.handleHoldings(body)
 	case methodEvidence:
 		return p.handleEvidence(name, body)
 	case methodEndpoints:
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -127,6 +127,7 @@
 type Notice struct {
 	ShuttingDown bool          // The endpoint accepts no new work.
 	RetryAfter   time.Duration // Time for which the endpoint wants no request of this daemon; zero if it names none.
+	Brittle      *int          // Rejections for want of room within a second beyond which the endpoint ends; nil if it names none.
 }
 
 // readAll reads the body to its end, up to a limit in bytes, and closes it.
