--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -28,7 +28,7 @@
 	errTunnelTarget = errors.New("no endpoint has this address")
 	errTunnelsFull  = errors.New("the daemon carries as many connections as it can")
 	errTunnelsOff   = errors.New("the daemon opens no connections for others")
-	errPathCut      = errors.New("the path of the peer to the endpoint is cut")
+	errPathCut      = errors.New("the path to the endpoint is cut")
 )
 
 // Texts in which a peer tells why it did not open a connection; any other means that nothing is known of
@@ -379,9 +379,14 @@
 	if p.f == nil {
 		return
 	}
-	if _, ok := c.(*tunnel); ok {
-		return
+	if _, ok := c.(*tunnel); !ok {
+		p.check(addr)
 	}
+}
+
+// check opens a connection to find out whether the path to an address is cut, unless that was done
+// lately.
+func (p *Paths) check(addr string) {
 	now := p.f.clock.Now()
 	p.mu.Lock()
 	due := now.Sub(p.checked[addr]) >= silenceCheckPause
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -43,7 +43,7 @@
 }
 
 // pollReports polls the engines for their load until ctx ends. In the same loop it
-// expires endpoints and processes the queues of the placers.
+// expires endpoints, checks the paths of silent streams and processes the queues of the placers.
 func (f *Forwarder) pollReports(ctx context.Context) {
 	polls := map[registrar.Identity]*enginePoll{}
 	results := make(chan pollResult, 64)
@@ -53,6 +53,7 @@
 		f.handlePollResults(polls, results, now)
 		f.startPolls(ctx, polls, results, base, now)
 		f.handleEndpointChanges(f.registry.Expire(now))
+		f.checkSilentStreams(now)
 		f.checkWarmUps(now)
 		f.expireWarmUps(now)
 		f.processQueues(now)
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -323,3 +323,46 @@
 		})
 	}
 }
+
+// checkSilentStreams checks the paths of streams that have got nothing for unresponsiveTimeout on a direct
+// connection, and makes those go on whose path is cut. Their engines are reached through peers, and stop
+// the runs.
+func (f *Forwarder) checkSilentStreams(now time.Time) {
+	if f.paths == nil {
+		return
+	}
+	for _, s := range f.runningStreams() {
+		s.mu.Lock()
+		source := s.run
+		direct := source.response.Body != nil && source.response.Via == ""
+		silent := now.Sub(s.lastReadAt) > unresponsiveTimeout
+		s.mu.Unlock()
+		switch {
+		case !direct || !silent:
+		case f.paths.finder.Usable(source.engine.Addr, "", now):
+			f.paths.check(source.engine.Addr)
+		case !source.state.pathTried.Swap(true):
+			f.spawn(func() { s.leaveCutPath(source) })
+		}
+	}
+}
+
+// leaveCutPath migrates the run of a stream whose connection to its engine brings nothing, or lets
+// the stream go on in a new run.
+func (s *stream) leaveCutPath(source run) {
+	err := errNoCopy
+	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
+	if ok && s.hasEvents() {
+		ctx, cancel := context.WithTimeout(s.ctx, 2*migrationTimeout)
+		defer cancel()
+		err = s.startReplacement(source, errPathCut, func() (run, error) { return s.continueByMigration(ctx, source, target, errPathCut) })
+		if err != nil {
+			s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
+		}
+	}
+	if err == nil || errors.Is(err, errBeingResumed) {
+		return
+	}
+	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Msg("forwarder: generation waits for an engine whose path is cut")
+	s.leaveSilentEngine(source)
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -87,6 +87,7 @@
 	backupTried atomic.Bool  // The backup was tried because the engine was silent.
 	copyRefused atomic.Bool  // The backup has refused to continue from the copy.
 	left        atomic.Bool  // The stream goes on elsewhere, since the engine was silent.
+	pathTried   atomic.Bool  // The stream was to go on elsewhere, since the path to the engine was cut.
 	// resumeLost is set if a request to continue the run may have been executed, but brought
 	// no response. The generation may go on there.
 	resumeLost atomic.Bool
