--- a/transport/framer/tunnel_test.go
+++ b/transport/framer/tunnel_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"monsoonspar.example/transport/peeker"
@@ -188,3 +190,27 @@
 		}
 	})
 }
+
+// Guards against a user timeout, which decides when keep-alive probes give up, whatever their count.
+func TestTunnelsProbeWithoutUserTimeout(t *testing.T) {
+	c, far, _ := startTunnel(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
+	far.mu.Lock()
+	defer far.mu.Unlock()
+	ends := []net.Conn{c.Conn}
+	for o := range far.accepted {
+		ends = append(ends, o.raw)
+	}
+	for _, end := range ends {
+		raw, err := end.(syscall.Conn).SyscallConn()
+		assert.NilError(t, err)
+		values := map[int]int{}
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			for _, option := range []int{unix.TCP_USER_TIMEOUT, unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT} {
+				values[option], err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			}
+		}))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, values, map[int]int{unix.TCP_USER_TIMEOUT: 0, unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 4})
+	}
+	_ = c.Close()
+}
