--- a/coordination/pathfinder/pathfinder.go
+++ b/coordination/pathfinder/pathfinder.go
@@ -33,10 +33,14 @@
 
 // Limits of the decisions.
 const (
-	cutOffPaths    = 2  // Cut paths without any success from which a daemon may be cut off.
-	maxPeers       = 3  // Asked for one connection.
-	probesPerRound = 4  // While some path works; one otherwise. See Round.
-	crossingCost   = 16 // Tunnels that a peer in another failure domain must have fewer to be asked before those in the own one or the endpoint's.
+	cutOffPaths    = 2 // Cut paths without any success from which a daemon may be cut off.
+	maxPeers       = 3 // Asked for one connection.
+	probesPerRound = 4 // While some path works; one otherwise. See Round.
+
+	// Tunnels that a peer must have fewer to be asked before others, if
+	crossingCost = 16   // it is in another failure domain than the daemon and the endpoint,
+	failureCost  = 200  // it has failed lately, for any endpoint,
+	cutCost      = 1000 // or some of its own paths are cut.
 )
 
 // Round is the time between calls of Probes. A daemon that is cut off thus probes ten times a second, and
@@ -55,6 +59,7 @@
 	Addr    string
 	Domain  string
 	Tunnels int  // Connections that it carries for other daemons.
+	Cut     int  // Paths of its own that are cut.
 	CutOff  bool // It is cut off itself.
 }
 
@@ -88,9 +93,10 @@
 
 	mu         sync.Mutex
 	rand       *rand.Rand
-	paths      map[string]*path // By address; only those with failures.
-	openedAt   time.Time        // Of the last direct connection to any endpoint.
-	firstCutAt time.Time        // Of the paths that are cut; zero if none is.
+	paths      map[string]*path     // By address; only those with failures.
+	failed     map[string]time.Time // When each peer has failed to open a connection.
+	openedAt   time.Time            // Of the last direct connection to any endpoint.
+	firstCutAt time.Time            // Of the paths that are cut; zero if none is.
 	probedAt   time.Time
 }
 
@@ -107,7 +113,7 @@
 
 // New returns a Finder for which all paths work. It takes ownership of r.
 func New(cfg Config, r *rand.Rand) *Finder {
-	return &Finder{cfg: cfg, rand: r, paths: map[string]*path{}}
+	return &Finder{cfg: cfg, rand: r, paths: map[string]*path{}, failed: map[string]time.Time{}}
 }
 
 // Plan returns how to open a connection to e. The peers are those that are reachable and open
@@ -174,6 +180,12 @@
 		if o.Domain != f.cfg.Domain && o.Domain != e.Domain {
 			cost += crossingCost
 		}
+		if at, ok := f.failed[o.Name]; ok && now.Sub(at) < downTime {
+			cost += failureCost
+		}
+		if o.Cut > 0 {
+			cost += cutCost
+		}
 		all = append(all, candidate{o, cost})
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.Name, b.Name)) })
@@ -232,9 +244,10 @@
 	defer f.mu.Unlock()
 	p := f.get(addr, now)
 	if o != Opened {
-		p.avoided[peer] = now.Add(downTime)
+		p.avoided[peer], f.failed[peer] = now.Add(downTime), now
 		return false
 	}
+	delete(f.failed, peer)
 	p.relayedAt, p.downUntil = now, time.Time{}
 	delete(p.avoided, peer)
 	return f.prove(p, now)
--- a/coordination/pathfinder/pathfinder_test.go
+++ b/coordination/pathfinder/pathfinder_test.go
@@ -97,6 +97,12 @@
 		got := names(f.Plan(endpoint, []pathfinder.Peer{c, b, a}, startTime).Peers)
 		assert.Equal(t, got[:len(tt.want)], tt.want)
 	}
+	c := peerC
+	c.Cut = 1
+	assert.Equal(t, names(f.Plan(endpoint, []pathfinder.Peer{c, peerB}, startTime).Peers), "bc")
+	f.RecordRelayed("another", "b", pathfinder.Silent, startTime)
+	assert.Equal(t, names(f.Plan(endpoint, []pathfinder.Peer{peerB, peerC}, startTime).Peers), "cb")
+	assert.Equal(t, names(f.Plan(endpoint, []pathfinder.Peer{peerB, peerC}, startTime.Add(2*time.Second)).Peers), "bc")
 	a := peerA
 	a.CutOff = true
 	assert.Equal(t, names(f.Plan(endpoint, []pathfinder.Peer{a, peerB}, startTime).Peers), "b")
--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -41,6 +41,7 @@
 // tunnelState is the wire form of what a daemon says of the connections that it opens for others.
 type tunnelState struct {
 	Open     int  `msgpack:"open,omitempty"` // That it carries now.
+	Cut      int  `msgpack:"cut,omitempty"`  // Paths that are cut.
 	CutOff   bool `msgpack:"cut_off,omitempty"`
 	Stopping bool `msgpack:"stopping,omitempty"`
 }
@@ -86,8 +87,8 @@
 	if p == nil {
 		return nil
 	}
-	cutOff, _ := p.finder.CutOff(now)
-	return &tunnelState{Open: p.carried(), CutOff: cutOff, Stopping: p.f.stopping.Load()}
+	cutOff, n := p.finder.CutOff(now)
+	return &tunnelState{Open: p.carried(), Cut: n, CutOff: cutOff, Stopping: p.f.stopping.Load()}
 }
 
 // carried returns the number of connections that are open for others.
@@ -116,7 +117,7 @@
 	var all []pathfinder.Peer
 	for name, o := range ps.known {
 		if o.carries() {
-			all = append(all, pathfinder.Peer{Name: name, Addr: o.daemon.Addr, Domain: o.daemon.Domain, Tunnels: max(o.tunnels.Open, p.via[name]), CutOff: o.tunnels.CutOff})
+			all = append(all, pathfinder.Peer{Name: name, Addr: o.daemon.Addr, Domain: o.daemon.Domain, Tunnels: max(o.tunnels.Open, p.via[name]), Cut: o.tunnels.Cut, CutOff: o.tunnels.CutOff})
 		}
 	}
 	return all
@@ -514,7 +515,7 @@
 	if err != nil {
 		paths.removeCarried()
 		p.f.metrics.count("tunnels_refused")
-		return nil, nil, paths.openError(target, err)
+		return nil, nil, paths.openError(err)
 	}
 	p.f.metrics.count("tunnels_opened")
 	p.f.log.Debug().Str("peer", name).Str("addr", target).Msg("forwarder: opened a connection to an endpoint for a peer")
@@ -524,11 +525,13 @@
 	}, nil
 }
 
-// openError returns what the peer is told about a direct attempt that failed.
-func (p *Paths) openError(addr string, err error) error {
+// openError returns what the peer is told about a direct attempt that failed. While own paths are cut, it
+// says nothing of the endpoint.
+func (p *Paths) openError(err error) error {
 	o, known := outcomeOf(err)
+	_, cut := p.finder.CutOff(p.f.clock.Now())
 	switch {
-	case !known || !p.finder.Usable(addr, "", p.f.clock.Now()):
+	case !known || cut > 0:
 		return errPathCut
 	case o == pathfinder.Refused:
 		return errors.New(tunnelRefused)
