--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -74,6 +74,10 @@
 			now := f.clock.Now()
 			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\nmalformed_entries %d\n",
 				f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held(), f.store.MalformedEntries())
+			if f.paths != nil {
+				_, n := f.paths.finder.CutOff(now)
+				fmt.Fprintf(ctx, "paths_cut %d\ntunnels_carried %d\n", n, f.paths.carried())
+			}
 			if f.followsEvacuations() {
 				fmt.Fprintf(ctx, "evacuations_age_ms %d\nevacuated_domains %d\n", f.evacuations.ageMillis(now), len(f.registry.Evacuations().Domains))
 			}
--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -429,7 +429,7 @@
 	}
 	p.mu.Unlock()
 	if cut {
-		p.f.metrics.count("paths_cut")
+		p.f.metrics.count("path_cuts")
 	}
 	switch {
 	case first:
