--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -35,6 +35,7 @@
 // the endpoint.
 const (
 	tunnelRefused = "refused"
+	tunnelReset   = "reset"
 	tunnelSilent  = "silent"
 )
 
@@ -149,7 +150,11 @@
 	case len(plan.Peers) > 0:
 		return p.race(ctx, e, plan)
 	case plan.Direct:
-		return p.openDirect(ctx, addr)
+		c, err := p.openDirect(ctx, addr)
+		if errors.Is(err, syscall.ECONNREFUSED) && !p.reachesAnother(ctx, addr) {
+			return nil, errors.WithMessage(errPathCut, err.Error())
+		}
+		return c, err
 	default:
 		return nil, errNoPath
 	}
@@ -164,6 +169,33 @@
 	return c, err
 }
 
+// controlEndpoints is the number of other endpoints that are tried when one refuses a connection.
+const controlEndpoints = 2
+
+// reachesAnother reports whether this daemon reaches an endpoint other than that at addr, or there is no
+// other. If not, a refused connection says nothing of the endpoint: the path refuses it.
+func (p *Paths) reachesAnother(ctx context.Context, addr string) bool {
+	var others []string
+	for _, e := range p.f.registry.All() {
+		if e.Addr != addr {
+			others = append(others, e.Addr)
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	for range min(controlEndpoints, len(others)) {
+		i := int(p.f.random() * float64(len(others)))
+		if c, err := p.openDirect(ctx, others[i]); err == nil {
+			_ = c.Close() // It was opened to test the path.
+			return true
+		}
+		others[i] = others[len(others)-1]
+		others = others[:len(others)-1]
+	}
+	return false
+}
+
 // outcomeOf returns the outcome of a direct attempt. It reports false if the error says nothing of the
 // path.
 func outcomeOf(err error) (pathfinder.Outcome, bool) {
@@ -203,17 +235,19 @@
 	}
 	wait := time.NewTimer(plan.HeadStart)
 	defer wait.Stop()
-	var failure error
+	var direct, through error
 	for {
 		select {
 		case r := <-results:
 			pending--
-			if r.err == nil {
+			switch {
+			case r.err == nil:
 				p.discardLater(results, pending)
 				return r.conn, nil
-			}
-			if failure == nil || r.peer != "" && !errors.Is(r.err, errPathCut) {
-				failure = r.err
+			case r.peer == "":
+				direct = r.err
+			default:
+				through = r.err
 			}
 			if !asked {
 				asked = true
@@ -221,7 +255,7 @@
 				continue
 			}
 			if pending == 0 {
-				return nil, failure
+				return nil, unopened(direct, through)
 			}
 		case <-wait.C:
 			if !asked {
@@ -235,6 +269,16 @@
 	}
 }
 
+// unopened returns the error of a connection that neither a direct attempt nor a peer opened. What the
+// peer found out decides, since a path that is cut may refuse connections as an endpoint does that has
+// ended.
+func unopened(direct, through error) error {
+	if direct == nil {
+		return through
+	}
+	return errors.WithMessage(through, direct.Error())
+}
+
 // discardLater closes the connections of attempts that are not needed any more.
 func (p *Paths) discardLater(results <-chan opening, pending int) {
 	if pending == 0 {
@@ -251,7 +295,7 @@
 
 // openThrough opens a connection through the first of some peers that can.
 func (p *Paths) openThrough(ctx context.Context, e pathfinder.Endpoint, peers []pathfinder.Peer) opening {
-	result := opening{err: errNoPath}
+	result := opening{err: errNoPath, peer: peers[0].Name}
 	down := false
 	for _, o := range peers {
 		c, err := p.openTunnel(ctx, e.Addr, o)
@@ -274,19 +318,16 @@
 	return result
 }
 
-// tunnelError is the error of a connection that a peer did not open.
+// tunnelError is the error of a connection that a peer did not open, since the endpoint did not accept
+// it.
 type tunnelError struct {
 	error
 	outcome pathfinder.Outcome
+	cause   error // As the peer's system reported it; syscall.ECONNREFUSED if nothing listens.
 }
 
-// Unwrap returns what the endpoint's system answered to the peer, so that callers can test for it.
-func (e tunnelError) Unwrap() error {
-	if e.outcome == pathfinder.Refused {
-		return syscall.ECONNREFUSED
-	}
-	return e.error
-}
+// Unwrap returns the cause.
+func (e tunnelError) Unwrap() error { return e.cause }
 
 // tunnelOutcome returns the outcome of an attempt to open a tunnel.
 func tunnelOutcome(err error) pathfinder.Outcome {
@@ -323,9 +364,11 @@
 	}
 	switch remote.Text {
 	case tunnelRefused:
-		return tunnelError{error: err, outcome: pathfinder.Refused}
+		return tunnelError{error: err, outcome: pathfinder.Refused, cause: syscall.ECONNREFUSED}
+	case tunnelReset:
+		return tunnelError{error: err, outcome: pathfinder.Refused, cause: syscall.ECONNRESET}
 	case tunnelSilent:
-		return tunnelError{error: err, outcome: pathfinder.Silent}
+		return tunnelError{error: err, outcome: pathfinder.Silent, cause: err}
 	default:
 		return err
 	}
@@ -515,7 +558,7 @@
 	if err != nil {
 		paths.removeCarried()
 		p.f.metrics.count("tunnels_refused")
-		return nil, nil, paths.openError(err)
+		return nil, nil, paths.openError(ctx, target, err)
 	}
 	p.f.metrics.count("tunnels_opened")
 	p.f.log.Debug().Str("peer", name).Str("addr", target).Msg("forwarder: opened a connection to an endpoint for a peer")
@@ -525,16 +568,18 @@
 	}, nil
 }
 
-// openError returns what the peer is told about a direct attempt that failed. While own paths are cut, it
-// says nothing of the endpoint.
-func (p *Paths) openError(err error) error {
+// openError returns what the peer is told about a direct attempt that failed. While own paths are cut, or
+// other endpoints are not reached either, it says nothing of the endpoint.
+func (p *Paths) openError(ctx context.Context, addr string, err error) error {
 	o, known := outcomeOf(err)
 	_, cut := p.finder.CutOff(p.f.clock.Now())
 	switch {
-	case !known || cut > 0:
+	case !known || cut > 0 || !p.reachesAnother(ctx, addr):
 		return errPathCut
-	case o == pathfinder.Refused:
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return errors.New(tunnelRefused)
+	case o == pathfinder.Refused:
+		return errors.New(tunnelReset)
 	default:
 		return errors.New(tunnelSilent)
 	}
