--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
+	"monsoonspar.example/state/registrar"
 )
 
 // Causes for which the context of a request is canceled.
@@ -103,6 +105,21 @@
 	resumeAfter     int64                 // ID of the last event that the client has received; noEvent if it resumes no stream.
 	runs            atomic.Int64          // Engines that may run the request; those that go on from a copy of another run do not count.
 	deliveries      int                   // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
+
+	sentMu sync.Mutex
+	sentTo map[registrar.Identity]bool // Endpoints to which the request was sent.
+}
+
+// recordSend records that the request is being sent to an endpoint, and reports whether it was before.
+func (x *exchange) recordSend(id registrar.Identity) bool {
+	x.sentMu.Lock()
+	defer x.sentMu.Unlock()
+	before := x.sentTo[id]
+	if x.sentTo == nil {
+		x.sentTo = map[registrar.Identity]bool{}
+	}
+	x.sentTo[id] = true
+	return before
 }
 
 // SetCodec sets the codec of the client protocol. It must be called before Start.
