--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -301,7 +301,7 @@
 	if !res.Misdirected {
 		return
 	}
-	if _, changed := f.registry.MarkShuttingDown(e.Identity); changed {
+	if _, changed := f.registry.MarkReplaced(e.Identity); changed {
 		f.log.Warn().Str("endpoint", e.Name).Str("addr", e.Addr).Msg("forwarder: another endpoint listens on the address; endpoint gets no more requests")
 	}
 }
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -29,6 +29,13 @@
 	}
 }
 
+// applyLeaving records which endpoints a peer knows to be shutting down.
+func (f *Forwarder) applyLeaving(ids []registrar.Identity) {
+	for _, id := range ids {
+		f.handleShutdown(id, 0, "peer")
+	}
+}
+
 // handleShutdown handles a sign that an endpoint is shutting down, and evacuates it. The
 // notice is the time until it ends; zero if not known. It reports whether the shutdown was
 // not known before.
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -76,6 +76,9 @@
 	EvacuationsLost bool               `msgpack:"evacuations_lost,omitempty"`
 	// Tunnels is nil if the daemon opens no connections for others.
 	Tunnels *tunnelState `msgpack:"tunnels,omitempty"`
+	// Leaving are the endpoints that are shutting down although their entries don't say so. A daemon that
+	// has started since would not know.
+	Leaving []registrar.Identity `msgpack:"leaving,omitempty"`
 	// Brittle are the services whose endpoints are brittle.
 	Brittle []brittleState `msgpack:"brittle,omitempty"`
 }
@@ -281,6 +284,7 @@
 	p.mu.Unlock()
 	p.f.applyPeerEvacuations(m.Evacuations, m.Daemon.Name)
 	p.f.applyBrittle(m.Brittle)
+	p.f.applyLeaving(m.Leaving)
 	if o != nil {
 		p.offerManifest(m.Daemon.Name, m.Manifest)
 	}
@@ -342,6 +346,7 @@
 	p.f.recordDaemonCount(remote.Daemons)
 	p.f.applyPeerEvacuations(remote.Evacuations, o.daemon.Name)
 	p.f.applyBrittle(remote.Brittle)
+	p.f.applyLeaving(remote.Leaving)
 	p.f.confirmEvacuations(&remote, asOf)
 	local := p.syncState()
 	p.offerManifest(o.daemon.Name, remote.Manifest)
@@ -492,6 +497,7 @@
 	if m.Evacuations = p.f.evacuationsState(); m.Evacuations != nil {
 		m.EvacuationsAge, m.EvacuationsLost = proofAgeOf(p.f.evacuations, now), p.f.evacuations.Lost()
 	}
+	m.Leaving = p.f.registry.Marked()
 	m.Tunnels, m.Brittle = p.f.paths.state(now), p.f.brittleServices(now)
 	m.Manifest, m.Evidence = p.f.manifestVersion(), p.f.quarantine.Digest(now)
 	return m
--- a/state/registrar/registrar.go
+++ b/state/registrar/registrar.go
@@ -67,7 +67,7 @@
 	records  map[string]*record
 	removed  map[string]removal    // Last removal of each name.
 	held     map[string]heldEntry  // Entries that may be those of endpoints that have left, by name.
-	shutdown map[Identity]bool     // Endpoints marked by MarkShuttingDown, whether they have an entry or not.
+	shutdown map[Identity]bool     // Endpoints marked by MarkShuttingDown, whether they have an entry or not; true if by their own word.
 	usable   map[string][]Endpoint // Endpoints that may get new work, by service; rebuilt after each change.
 	serving  map[string][]Endpoint // The same with those of evacuated failure domains.
 	domains  map[string]string     // Failure domain of the endpoint at each address; rebuilt after each change.
@@ -124,6 +124,24 @@
 	return domain, ok
 }
 
+// Marked returns the endpoints that are known to be shutting down although their entries don't say so. It
+// leaves out those whose start is not known, as a later one may have the same name, and those that have not
+// said so themselves.
+func (g *Registrar) Marked() []Identity {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	var marked []Identity
+	for id, said := range g.shutdown {
+		if !said {
+			continue
+		}
+		if r := g.records[id.Name]; id.Started != 0 && r != nil && r.endpoint.Identity == id && !r.endpoint.Draining {
+			marked = append(marked, id)
+		}
+	}
+	return marked
+}
+
 // Known reports whether the endpoint is registered, or is kept although its entry is
 // missing.
 func (g *Registrar) Known(id Identity) bool {
@@ -266,15 +284,24 @@
 // and written again, or arrives only later. It returns the endpoint and whether this is
 // new: false if its entry is draining already, and for an endpoint that is unknown or
 // marked already.
-func (g *Registrar) MarkShuttingDown(id Identity) (Endpoint, bool) {
+func (g *Registrar) MarkShuttingDown(id Identity) (Endpoint, bool) { return g.mark(id, true) }
+
+// MarkReplaced is like MarkShuttingDown for an endpoint at whose address another one answers.
+func (g *Registrar) MarkReplaced(id Identity) (Endpoint, bool) { return g.mark(id, false) }
+
+func (g *Registrar) mark(id Identity, said bool) (Endpoint, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.records[id.Name]
 	known := r != nil && r.endpoint.Identity == id
-	if g.shutdown[id] || (!known && id.Started == 0) {
+	earlier, marked := g.shutdown[id]
+	if marked || (!known && id.Started == 0) {
+		if marked {
+			g.shutdown[id] = earlier || said
+		}
 		return Endpoint{}, false
 	}
-	g.shutdown[id] = true
+	g.shutdown[id] = said
 	if len(g.shutdown) > maxShutdowns {
 		g.pruneShutdowns()
 	}
@@ -287,7 +314,10 @@
 
 // isShuttingDown reports whether an endpoint shuts down according to its entry or to a
 // mark. The mutex must be held.
-func (g *Registrar) isShuttingDown(e *Endpoint) bool { return e.Draining || g.shutdown[e.Identity] }
+func (g *Registrar) isShuttingDown(e *Endpoint) bool {
+	_, marked := g.shutdown[e.Identity]
+	return e.Draining || marked
+}
 
 // maxShutdowns bounds the marks of MarkShuttingDown that are kept.
 const maxShutdowns = 4096
