--- a/forwarder/brittle.go
+++ b/forwarder/brittle.go
@@ -22,6 +22,10 @@
 // errNoRoom means that a brittle endpoint has no room for a request.
 var errNoRoom = errors.New("the endpoint has no room, and rejecting requests may end it")
 
+// isUnreachable reports whether err proves that a request was not sent, since the endpoint could not be
+// reached.
+func isUnreachable(err error) bool { return err != nil && provesNotRun(err) && !errors.Is(err, errNoRoom) }
+
 // placeTimeout limits the answer of a daemon that admits requests; a request waits during this time.
 const placeTimeout = 100 * time.Millisecond
 
@@ -166,6 +170,18 @@
 	return placeResponse{Admitted: d.Admitted, RetryAfterMs: d.RetryAfter.Milliseconds()}
 }
 
+// handlePlaces handles a call of a peer about places.
+func (f *Forwarder) handlePlaces(ctx context.Context, method string, body []byte) ([]byte, error) {
+	switch method {
+	case methodPlace:
+		return f.handlePlace(ctx, body)
+	case methodLeave:
+		return nil, f.handleLeave(body)
+	default:
+		return nil, f.handleHoldings(body)
+	}
+}
+
 // handlePlace handles the ask of a peer. If another daemon precedes this one, which the peer may fail
 // to reach, the ask is passed on to it.
 func (f *Forwarder) handlePlace(ctx context.Context, body []byte) ([]byte, error) {
--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -233,8 +233,8 @@
 	if asked {
 		ask()
 	}
-	wait := time.NewTimer(plan.HeadStart)
-	defer wait.Stop()
+	over, stop := p.headStart(ctx, plan.HeadStart)
+	defer stop()
 	var direct, through error
 	for {
 		select {
@@ -257,7 +257,8 @@
 			if pending == 0 {
 				return nil, unopened(direct, through)
 			}
-		case <-wait.C:
+		case <-over:
+			over = nil
 			if !asked {
 				asked = true
 				ask()
@@ -269,6 +270,19 @@
 	}
 }
 
+// headStart returns a channel that is closed after a time, unless the function that it returns is called
+// before.
+func (p *Paths) headStart(ctx context.Context, d time.Duration) (over <-chan struct{}, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ch := make(chan struct{})
+	p.f.spawn(func() {
+		if p.f.clock.Sleep(ctx, d) == nil {
+			close(ch)
+		}
+	})
+	return ch, cancel
+}
+
 // unopened returns the error of a connection that neither a direct attempt nor a peer opened. What the
 // peer found out decides, since a path that is cut may refuse connections as an endpoint does that has
 // ended.
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -562,12 +562,8 @@
 		return p.f.handleQuotaRequest(ctx, body)
 	case methodLimits:
 		return p.handleLimits(name, body)
-	case methodPlace:
-		return p.f.handlePlace(ctx, body)
-	case methodLeave:
-		return nil, p.f.handleLeave(body)
-	case methodHoldings:
-		return nil, p.f.handleHoldings(body)
+	case methodPlace, methodLeave, methodHoldings:
+		return p.f.handlePlaces(ctx, method, body)
 	case methodEvidence:
 		return p.handleEvidence(name, body)
 	case methodEndpoints:
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -271,7 +271,7 @@
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", res.Status).
 		Msg("forwarder: engine did not accept the request")
 	if refused {
-		s.jobPlacer.RecordRefusal(s.job.ID, notSent && !errors.Is(err, errNoRoom), s.f.clock.Now())
+		s.jobPlacer.RecordRefusal(s.job.ID, isUnreachable(err), s.f.clock.Now())
 	}
 	return false, refused, err
 }
