--- a/forwarder/brittle.go
+++ b/forwarder/brittle.go
@@ -24,7 +24,9 @@
 
 // isUnreachable reports whether err proves that a request was not sent, since the endpoint could not be
 // reached.
-func isUnreachable(err error) bool { return err != nil && provesNotRun(err) && !errors.Is(err, errNoRoom) }
+func isUnreachable(err error) bool {
+	return err != nil && provesNotRun(err) && !errors.Is(err, errNoRoom)
+}
 
 // placeTimeout limits the answer of a daemon that admits requests; a request waits during this time.
 const placeTimeout = 100 * time.Millisecond
