--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -18,7 +18,7 @@
 	maxTunnels        = 256
 	tunnelBytes       = 64 << 10               // Charged for each: buffers of both directions and of the sockets.
 	tunnelOpenTimeout = 400 * time.Millisecond // For one peer; it tries the endpoint for less.
-	silenceCheckPause = time.Second            // Between checks of a path on which a request got no answer.
+	silenceCheckPause = time.Second            // Between checks of a path on which a request got no answer, and since the last response on it.
 	pathIdleInterval  = time.Minute            // Of checks while no path is cut; a cut one ends the wait.
 )
 
@@ -64,6 +64,7 @@
 	via     map[string]int       // Open connections through each peer.
 	carries int                  // Connections opened for others.
 	checked map[string]time.Time // When the path to an address was checked last since a request got no answer.
+	heard   map[string]time.Time // When a direct connection to an address brought a response last.
 	cutAt   time.Time            // Since when any path is cut; zero if none is.
 	cutOff  bool                 // As logged last.
 }
@@ -71,7 +72,7 @@
 // NewPaths returns Paths that open direct connections with dial. Until they are passed to
 // Forwarder.SetPaths, all connections are direct.
 func NewPaths(dial DialFunc) *Paths {
-	return &Paths{dial: dial, wake: newWaker(), via: map[string]int{}, checked: map[string]time.Time{}, discard: func() {}}
+	return &Paths{dial: dial, wake: newWaker(), via: map[string]int{}, checked: map[string]time.Time{}, heard: map[string]time.Time{}, discard: func() {}}
 }
 
 // SetPaths makes the daemon open connections for its peers, and reach endpoints through them. The
@@ -92,6 +93,14 @@
 	return &tunnelState{Open: p.carried(), Cut: n, CutOff: cutOff, Stopping: p.f.stopping.Load()}
 }
 
+// handlePeer handles what a peer says of the connections that it opens for others. Idle ones through a
+// peer that stops are closed, so that it need not wait for them.
+func (p *Paths) handlePeer(s *tunnelState) {
+	if p != nil && s != nil && s.Stopping && s.Open > 0 {
+		p.discard()
+	}
+}
+
 // carried returns the number of connections that are open for others.
 func (p *Paths) carried() int {
 	if p == nil {
@@ -431,6 +440,16 @@
 	return p.finder.Usable(addr, via, p.f.clock.Now())
 }
 
+// RecordAnswer implements dialer.Network.
+func (p *Paths) RecordAnswer(addr string, c net.Conn) {
+	if _, ok := c.(*tunnel); ok || p.f == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[addr] = p.f.clock.Now()
+}
+
 // RecordSilence implements dialer.Network. A request that gets no answer says little of its endpoint,
 // and less of the path; a new connection tells.
 func (p *Paths) RecordSilence(addr string, c net.Conn) {
@@ -443,11 +462,11 @@
 }
 
 // check opens a connection to find out whether the path to an address is cut, unless that was done
-// lately.
+// lately, or a response has come on another connection.
 func (p *Paths) check(addr string) {
 	now := p.f.clock.Now()
 	p.mu.Lock()
-	due := now.Sub(p.checked[addr]) >= silenceCheckPause
+	due := now.Sub(p.checked[addr]) >= silenceCheckPause && now.Sub(p.heard[addr]) >= silenceCheckPause
 	if due {
 		p.checked[addr] = now
 	}
@@ -532,9 +551,11 @@
 	p.finder.Retain(func(addr string) bool { return known[addr] })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr := range p.checked {
-		if !known[addr] {
-			delete(p.checked, addr)
+	for _, times := range []map[string]time.Time{p.checked, p.heard} {
+		for addr := range times {
+			if !known[addr] {
+				delete(times, addr)
+			}
 		}
 	}
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -282,6 +282,7 @@
 		o.record(m)
 	}
 	p.mu.Unlock()
+	p.f.paths.handlePeer(m.Tunnels)
 	p.f.applyPeerEvacuations(m.Evacuations, m.Daemon.Name)
 	p.f.applyBrittle(m.Brittle)
 	p.f.applyLeaving(m.Leaving)
@@ -472,8 +473,9 @@
 // recordReply records what a peer says of itself in its reply to a sync.
 func (p *peers) recordReply(o *peer, m *syncMessage) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	o.record(m)
+	p.mu.Unlock()
+	p.f.paths.handlePeer(m.Tunnels)
 }
 
 // record records whether the store answers the calls of the peer, and which form of updates it
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -28,6 +28,10 @@
 // readBufferBytes limits the size of a response header.
 const readBufferBytes = 4 << 10
 
+// minSilence is the time without a byte after which a connection counts as silent; a client may give up
+// a request at any time before.
+const minSilence = 300 * time.Millisecond
+
 // maxStaleResponses is the number of responses to earlier requests that are
 // dropped before the connection is closed. A faulty server sends one.
 const maxStaleResponses = 4
@@ -51,7 +55,10 @@
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 	// Usable reports whether an idle connection to addr may be used for another request.
 	Usable(addr string, c net.Conn) bool
-	// RecordSilence records that a connection to addr brought nothing back after a request.
+	// RecordAnswer records that a connection to addr brought the header of a response.
+	RecordAnswer(addr string, c net.Conn)
+	// RecordSilence records that a connection to addr brought nothing back for a while after a
+	// request.
 	RecordSilence(addr string, c net.Conn)
 }
 
@@ -71,6 +78,9 @@
 // Usable implements Network.
 func (*tcp) Usable(string, net.Conn) bool { return true }
 
+// RecordAnswer implements Network.
+func (*tcp) RecordAnswer(string, net.Conn) {}
+
 // RecordSilence implements Network.
 func (*tcp) RecordSilence(string, net.Conn) {}
 
@@ -144,6 +154,7 @@
 		c.readTimeout = d.cfg.ReadTimeout
 	}
 	c.headDeadline, c.answered = time.Time{}, false
+	sentAt := d.clock.Now()
 	c.bind(ctx)
 	if err := d.send(c, req); err != nil {
 		c.close()
@@ -151,12 +162,13 @@
 	}
 	res, err := d.receive(ctx, c, req)
 	if err != nil {
-		if !c.answered && (ctx.Err() != nil || isTimeout(err)) {
+		if !c.answered && d.clock.Now().Sub(sentAt) >= minSilence {
 			d.cfg.Network.RecordSilence(c.addr, c.raw)
 		}
 		c.close()
 		return requester.Response{}, c.wrapFailure(ctx, err)
 	}
+	d.cfg.Network.RecordAnswer(c.addr, c.raw)
 	return res, nil
 }
 
--- a/transport/dialer/pool.go
+++ b/transport/dialer/pool.go
@@ -71,8 +71,12 @@
 	}
 }
 
-// put adds an idle connection for reuse by later requests.
+// put adds an idle connection for reuse by later requests, if it may be used for any.
 func (p *pool) put(c *conn, now time.Time) {
+	if !p.usable(c.addr, c.raw) {
+		_ = c.raw.Close()
+		return
+	}
 	c.idleSince = now
 	s := p.shard(c.addr)
 	s.push(c, p.maxIdlePerAddr)
