--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -125,9 +125,9 @@
 // SetCodec sets the codec of the client protocol. It must be called before Start.
 func (f *Forwarder) SetCodec(c Codec) { f.codec = c }
 
-// serveClients serves client connections until the listener is closed.
-func (f *Forwarder) serveClients() {
-	f.server = &fasthttp.Server{
+// newServer returns the server of client connections.
+func (f *Forwarder) newServer() *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler:               f.handle,
 		ErrorHandler:          f.refuseUnreadable,
 		ReadBufferSize:        maxHeaderBytes,
@@ -141,6 +141,10 @@
 		ReduceMemoryUsage:     true,
 		Logger:                discardLogger{},
 	}
+}
+
+// serveClients serves client connections until the listener is closed.
+func (f *Forwarder) serveClients() {
 	if err := f.server.Serve(clientListener{Listener: f.clientListener, f: f}); err != nil && f.ctx.Err() == nil && !f.stopping.Load() {
 		f.log.Error().Err(err).Msg("forwarder: client listener failed")
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -132,6 +132,7 @@
 		return errors.Wrap(err, "listen for clients")
 	}
 	f.peers.addSeeds(f.cfg.Daemon.Seeds)
+	f.server = f.newServer()
 	f.spawn(f.serveClients)
 	f.spawn(f.serveReady)
 	f.spawn(f.serveMetrics)
