--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -104,6 +104,7 @@
 	lost       map[int]bool      // Others whose calls the store does not answer.
 	muted      map[int]bool      // Others from which nothing arrives any more.
 	nextSync   map[int]time.Time // With each other daemon.
+	syncDue    time.Time         // The earliest of them.
 	seen       int64             // Version known from the last answer of the store.
 	longest    time.Duration     // Greatest age of its knowledge.
 	busyUntil  time.Time         // When the processor time that waits is done.
@@ -245,7 +246,9 @@
 		if f.now.Before(d.pauseUntil) {
 			return
 		}
-		if s := d.follower.Next(d.view(), f.now); s.Delay == 0 {
+		s := d.follower.Next(d.view(), f.now)
+		d.pauseUntil = f.now.Add(s.Delay) // As the daemon sleeps.
+		if s.Delay == 0 {
 			d.call = &call{step: s, started: f.now, read: d.seen == 0, lost: f.silent || d.cut}
 			f.calls++
 		}
@@ -287,6 +290,10 @@
 // sync exchanges versions with the peers whose turn it is.
 func (d *node) sync() {
 	f := d.fleet
+	if f.now.Before(d.syncDue) {
+		return
+	}
+	defer d.planSync()
 	for j, at := range d.nextSync {
 		if f.now.Before(at) {
 			continue
@@ -328,6 +335,16 @@
 	}
 }
 
+// planSync sets when the next sync begins or, if one is under way, goes on.
+func (d *node) planSync() {
+	d.syncDue = d.fleet.now.Add(syncInterval)
+	for _, at := range d.nextSync {
+		if at.Before(d.syncDue) {
+			d.syncDue = at
+		}
+	}
+}
+
 // fetch advances the fetch from a peer.
 func (d *node) fetch() {
 	f := d.fleet
