--- a/coordination/pathfinder/pathfinder.go
+++ b/coordination/pathfinder/pathfinder.go
@@ -180,7 +180,7 @@
 		if o.Domain != f.cfg.Domain && o.Domain != e.Domain {
 			cost += crossingCost
 		}
-		if at, ok := f.failed[o.Name]; ok && now.Sub(at) < downTime {
+		if f.failedLately(o.Name, now) {
 			cost += failureCost
 		}
 		if o.Cut > 0 {
@@ -196,6 +196,16 @@
 	return asked
 }
 
+// failedLately reports whether a peer has failed to open a connection within downTime. The mutex is held.
+func (f *Finder) failedLately(peer string, now time.Time) bool {
+	at, ok := f.failed[peer]
+	if ok && now.Sub(at) >= downTime {
+		delete(f.failed, peer)
+		return false
+	}
+	return ok
+}
+
 // mayCarry reports whether requests to an endpoint may pass through a peer. The daemon's own region
 // has them already, and the endpoint's gets them.
 func (f *Finder) mayCarry(peer, endpoint string) bool {
--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -569,11 +569,13 @@
 	if !changed {
 		return
 	}
-	if cutOff {
-		p.discard()
-		p.f.metrics.count("times_cut_off")
+	if !cutOff {
+		p.f.log.Info().Int("paths_cut", n).Msg("forwarder: no longer cut off from all endpoints")
+		return
 	}
-	p.f.log.Warn().Bool("cut_off", cutOff).Int("paths_cut", n).Msg("forwarder: this daemon is cut off from all endpoints, or not any more")
+	p.discard()
+	p.f.metrics.count("times_cut_off")
+	p.f.log.Warn().Int("paths_cut", n).Msg("forwarder: cut off from all endpoints")
 }
 
 // Open implements framer.Opener: it opens a connection to an endpoint for a peer, directly.
