--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -231,7 +231,8 @@
 // loadAt returns the load of the endpoint at now, in requests.
 func (s *endpointState) loadAt(now time.Time) float64 {
 	load := float64(s.inFlight)
-	if age := now.Sub(s.loadReportedAt); !s.loadReportedAt.IsZero() && age < 8*loadHalfLife {
+	// Another goroutine may have recorded a load after this one has read the clock.
+	if age := max(now.Sub(s.loadReportedAt), 0); !s.loadReportedAt.IsZero() && age < 8*loadHalfLife {
 		load = max(load, s.load.total()/float64(int64(1)<<(age/loadHalfLife)))
 	}
 	return load
--- a/coordination/balancer/balancer_test.go
+++ b/coordination/balancer/balancer_test.go
@@ -167,3 +167,14 @@
 	}
 	assert.Assert(t, got["0"] > 0, "%v", got)
 }
+
+// Guards against a panic, which ends the process, when a goroutine that has read the clock gets no processor
+// time until another one has recorded a load that is much newer.
+func TestPickWithTimeBeforeNewestLoad(t *testing.T) {
+	b, all := newBalancer(), endpoints(1)
+	e, ok := b.Pick(all, nil, start)
+	assert.Assert(t, ok)
+	b.Done(e.Identity, balancer.Result{Latency: time.Millisecond, Load: &balancer.Load{Running: 2, Slots: 4}}, start.Add(3*time.Second))
+	_, ok = b.Pick(all, nil, start)
+	assert.Assert(t, ok)
+}
