--- a/review/standins/case_slowreader.go
+++ b/review/standins/case_slowreader.go
@@ -40,7 +40,7 @@
 			return verdict{}, err
 		}
 	}
-	time.Sleep(4 * time.Second) // Both are in touch.
+	time.Sleep(5 * time.Second) // Both are in touch.
 	var readers sync.WaitGroup
 	results := make([]string, slowClients)
 	for i := range slowClients {
