--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -170,7 +170,7 @@
 	}
 	v := map[string]any{
 		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq": 2, "queued": 0, "running": len(rows),
-		name("kv_used"): 1000 * len(rows), name("kv_total"): 34298, "handles": 0, "born": w.born, "state": w.state, "runs": rows,
+		name("memory_used"): 1000 * len(rows), name("memory_total"): 34298, "handles": 0, "born": w.born, "state": w.state, "runs": rows,
 	}
 	w.mu.Unlock()
 	text, _ := json.Marshal(v)
