Review: case 1, request bodies exceed the memory of the process

Tried: clients that upload bodies of 4 MB, which the limits of the configuration permit, over slow links, with others that file small requests on kept connections. The stand-in of the platform kills the process when its anonymous memory exceeds memory_mb.

--- a/review/standins/daemon.go
+++ b/review/standins/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -96,8 +97,13 @@
 	return d
 }
 
+// defaultSignals makes the processes that are started from now on begin with the default action of
+// SIGHUP, also if this one was started with the signal ignored, as by nohup.
+var defaultSignals = sync.OnceFunc(func() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) })
+
 // start starts the process with the command of the deploy file.
 func (d *daemon) start() error {
+	defaultSignals()
 	cmd := exec.Command(filepath.Join(d.e.root, "target", "monsoonspar"), "forward")
 	cmd.Env = append(os.Environ(), "MONSOONSPAR_NODE_FILE="+d.settings)
 	log, err := os.OpenFile(filepath.Join(d.e.tmp, d.label+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -180,8 +186,8 @@
 
 func (d *daemon) running() bool { return !d.awaitExit(0) }
 
-// residentMB returns the resident memory of the process in MB.
-func (d *daemon) residentMB() float64 {
+// anonymousMB returns the anonymous memory of the process in MB, which leaves out pages of files.
+func (d *daemon) anonymousMB() float64 {
 	d.mu.Lock()
 	pid := d.cmd.Process.Pid
 	d.mu.Unlock()
@@ -190,7 +196,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
 			return kb / 1024
 		}
