--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// store is a stand-in of the platform's metadata store. It keeps all of its history.
+// store is a stand-in of the platform's metadata store. It keeps all of its history, unless history is set.
 type store struct {
 	addr string
 	rec  *record
@@ -22,6 +22,9 @@
 	objects  map[string]map[string]*object // By kind and name.
 	events   []event
 	changed  chan struct{} // Closed at the next change.
+	history  time.Duration // For which events are kept; zero for ever.
+	dropped  int64         // Revision of the last event that is not kept.
+	refusing bool          // The calls of daemons are refused.
 }
 
 type object struct {
@@ -41,6 +44,7 @@
 type event struct {
 	kind    string
 	at      int64
+	added   time.Time
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
 }
@@ -107,11 +111,27 @@
 }
 
 func (s *store) add(e event) {
+	e.added = time.Now()
 	s.events = append(s.events, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// dropHistory forgets events that are older than history. The mutex is held.
+func (s *store) dropHistory() {
+	for s.history > 0 && len(s.events) > 0 && time.Since(s.events[0].added) > s.history {
+		s.dropped = s.events[0].at
+		s.events = s.events[1:]
+	}
+}
+
+// setRefusing sets whether the calls of daemons are refused. The operator and the workers are served.
+func (s *store) setRefusing(refusing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = refusing
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
@@ -124,6 +144,14 @@
 		objectName = path[2]
 	}
 	w.Header().Set(name("era"), "0")
+	s.mu.Lock()
+	refusing := s.refusing
+	s.dropHistory()
+	s.mu.Unlock()
+	if refusing {
+		respond(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -176,8 +204,9 @@
 			}
 		}
 		revision, changed := s.revision, s.changed
+		gone := from > revision || from < s.dropped
 		s.mu.Unlock()
-		if from > revision {
+		if gone {
 			respond(w, http.StatusGone, map[string]any{})
 			return
 		}
