Review: case 2, generations that wait are dropped at a stop

Tried: a daemon gets SIGTERM while six generations wait at it for room at engines that the generations of another daemon fill.

The engine stand-in counts the prompt of a run in its report.

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -15,7 +15,7 @@
 
 // Figures of an engine.
 const (
-	eventGap     = 25 * time.Millisecond  // Between two events of a run.
+	eventGap     = 25 * time.Millisecond  // Between two events of a run, unless the case sets another.
 	prefillTime  = 120 * time.Millisecond // Until the first event of a new run.
 	resumeTime   = 30 * time.Millisecond  // The same of a run that goes on from a copy.
 	copyGap      = 200 * time.Millisecond // Between two parts of the copy at the backup.
@@ -24,7 +24,8 @@
 
 // fleet holds the engines of a service and what they have run.
 type fleet struct {
-	e *env
+	e   *env
+	gap time.Duration // Between two events of a run.
 
 	mu      sync.Mutex
 	engines map[string]*engineWorker // By address.
@@ -47,27 +48,26 @@
 	addr string
 	born int64
 
-	mu        sync.Mutex
-	state     string
-	leavesAt  time.Time
-	copies    map[string]int // Events of the copies that it holds, by the ID of the run or the handle.
-	runs      map[string]*genRun
-	lose      func(r *request) bool // Whether the answer to a request is lost.
-	moves     int                   // Calls that it has got to move a run.
-	conns     map[net.Conn]bool
-	listener  net.Listener
-	atReport  func()
-	silentFor func() time.Duration // For how long the engine sends nothing from now on.
+	mu       sync.Mutex
+	state    string
+	leavesAt time.Time
+	copies   map[string]int // Events of the copies that it holds, by the ID of the run or the handle.
+	runs     map[string]*genRun
+	lose     func(r *request) bool // Whether the answer to a request is lost.
+	moves    int                   // Calls that it has got to move a run.
+	conns    map[net.Conn]bool
+	listener net.Listener
 }
 
 // genRun is a run of a request on an engine.
 type genRun struct {
+	prompt int // Tokens.
 	events int
 	stop   bool // By a call to move it.
 }
 
 func newFleet(e *env) *fleet {
-	return &fleet{e: e, engines: map[string]*engineWorker{}, work: map[string][]*work{}}
+	return &fleet{e: e, gap: eventGap, engines: map[string]*engineWorker{}, work: map[string][]*work{}}
 }
 
 func (f *fleet) add(id, zone string) (*engineWorker, error) {
@@ -164,13 +164,15 @@
 
 func (w *engineWorker) report(c net.Conn) {
 	w.mu.Lock()
-	rows := []any{}
+	rows, used := []any{}, 0
 	for id, r := range w.runs {
-		rows = append(rows, []any{id, 1000 + r.events*tokensPerEvt, r.events, 1})
+		tokens := r.prompt + r.events*tokensPerEvt
+		rows = append(rows, []any{id, tokens, r.events, 1})
+		used += tokens
 	}
 	v := map[string]any{
 		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq": 2, "queued": 0, "running": len(rows),
-		name("memory_used"): 1000 * len(rows), name("memory_total"): 34298, "handles": 0, "born": w.born, "state": w.state, "runs": rows,
+		name("memory_used"): used, name("memory_total"): 34298, "handles": 0, "born": w.born, "state": w.state, "runs": rows,
 	}
 	w.mu.Unlock()
 	text, _ := json.Marshal(v)
@@ -245,7 +247,7 @@
 	} else {
 		time.Sleep(prefillTime)
 	}
-	run := &genRun{events: next - 1}
+	run := &genRun{prompt: promptOf(r), events: next - 1}
 	job := &work{engine: w.id, resumed: from != "", begun: time.Now()}
 	w.f.mu.Lock()
 	w.f.work[r.id] = append(w.f.work[r.id], job)
@@ -302,7 +304,7 @@
 		w.mu.Lock()
 		run.events = n
 		w.mu.Unlock()
-		time.Sleep(eventGap)
+		time.Sleep(w.f.gap)
 	}
 	if lost {
 		return false
@@ -311,6 +313,13 @@
 	return err == nil
 }
 
+// promptOf returns the number of tokens of the prompt of a request.
+func promptOf(r *request) int {
+	tokens, _, _ := strings.Cut(r.Header.Get(name("token_counts")), ",")
+	n, _ := strconv.Atoi(tokens)
+	return n
+}
+
 // eventsOf returns the number of events of a request.
 func eventsOf(r *request) int {
 	_, tokens, _ := strings.Cut(r.Header.Get(name("token_counts")), ",")
