--- a/review/standins/case_queue.go
+++ b/review/standins/case_queue.go
@@ -13,7 +13,7 @@
 
 func init() { cases["queue"] = queueCase }
 
-// Figures of the case. The latency target, the time budget and the grace are those of the sheet.
+// Figures of the case. The latency target, the deadline and the grace are those of the sheet.
 const (
 	queueEngines = 12
 	queueFillers = 150                     // Long generations of the other daemon, which fill the memory of the engines.
