forwarder: refuse generations that wait when the daemon stops

Cause: whether a generation outlasts a stopping daemon was asked once, before it was queued. The wait itself looked at verdicts and at the deadline only, and the end of the stop told nobody.

Change: the question is asked when a generation is queued, at each tick of the stop while it waits, and again before it is sent. All requests have a context that ends with errStopping shortly before the end of the stop: whoever waits for anything (a grant, a retry, a place, a path) gets 503 with a time to return if it was not passed on, and 502 otherwise. Every answer given while stopping closes its connection, also if the request came before the signal. A changed stop timeout applies to a stop that has begun.

--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -181,9 +181,11 @@
 
 // handle serves one client request.
 func (f *Forwarder) handle(ctx *fasthttp.RequestCtx) {
-	if f.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
+	defer func() {
+		if f.stopping.Load() { // The stop may have begun since the request arrived.
+			ctx.SetConnectionClose()
+		}
+	}()
 	now := f.clock.Now()
 	conn := clientConnOf(ctx)
 	conn.begin()
@@ -205,7 +207,7 @@
 	}
 	f.budget.RecordRequest(x.service, now)
 	f.inFlight.Add(1)
-	c, cancel := context.WithCancelCause(f.ctx)
+	c, cancel := context.WithCancelCause(f.requests)
 	c, stop := context.WithDeadlineCause(c, x.deadline, errTimeout)
 	f.disconnects.watch(ctx.Conn(), cancel)
 	release := func() {
@@ -317,6 +319,10 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errClientDisconnected):
 		return Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonClientDisconnected}, true
+	case errors.Is(cause, errStopping) && mayHaveRun:
+		return Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonStopping}, true
+	case errors.Is(cause, errStopping):
+		return stopRefusal, true
 	case mayHaveRun:
 		return Refusal{Status: fasthttp.StatusGatewayTimeout, Reason: ReasonTimeout}, true
 	default:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,8 @@
 	stopping       atomic.Bool               // Set when the stop begins; the daemon then reports that it is not ready.
 	listenerClosed atomic.Bool               // Set when the daemon stops accepting connections.
 	stopDeadline   atomic.Pointer[time.Time] // Time at which the stop ends; nil unless stopping.
+	requests       context.Context           // Of all requests; ends with errStopping before the end of a stop.
+	endRequests    context.CancelCauseFunc
 
 	servicesMu sync.Mutex
 	balancers  map[string]*balancer.Balancer
@@ -106,6 +108,7 @@
 		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), gates: gatekeeper.New(), memory: newReserver(cfg.Daemon.MemoryMB),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
+	f.requests, f.endRequests = context.WithCancelCause(ctx)
 	f.endpoints = gatedClient{EndpointClient: countedClient{EndpointClient: endpoints, f: f}, f: f}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.quotas = limiter.NewQuotas(f.newRand())
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -11,13 +11,20 @@
 
 // Limits of stopping a daemon.
 const (
-	balancerLag           = 3 * time.Second        // The load balancer probes every second and sends no connections after two failed probes.
-	stopMargin            = 400 * time.Millisecond // Time before SIGKILL that is reserved for logging.
-	stopTick              = 50 * time.Millisecond
-	stoppingRetryAfter    = 10 * time.Millisecond // Retry-After while stopping; a retry reaches another daemon at once.
-	maxOutlastProbability = 0.25                  // A stopping daemon refuses a generation that outlasts it with a higher probability.
+	balancerLag        = 3 * time.Second        // The load balancer probes every second and sends no connections after two failed probes.
+	stopMargin         = 400 * time.Millisecond // Time before SIGKILL that is reserved for logging.
+	lastAnswerTime     = 300 * time.Millisecond // Time before the end of the stop in which the requests that are left get their last answer.
+	stopTick           = 50 * time.Millisecond
+	stoppingRetryAfter = 10 * time.Millisecond // Retry-After while stopping; a retry reaches another daemon at once.
+
+	// A stopping daemon refuses what outlasts it with a higher probability. A refusal costs the client another
+	// connection; a request that is cut off is lost.
+	maxOutlastProbability = 0.25
 )
 
+// errStopping is the cause for which the contexts of the requests that are left at the end of a stop are canceled.
+var errStopping = errors.New("the daemon is stopping")
+
 // Limits of the requests of load balancers and of metric collectors.
 const (
 	probeReadTimeout = 10 * time.Second
@@ -64,18 +71,21 @@
 	case <-f.group.Failed():
 		return errPanic
 	}
-	f.stopping.Store(true)
 	startedAt := f.clock.Now()
+	f.setStopDeadline(startedAt)
+	f.stopping.Store(true)
 	f.log.Info().Int64("in_flight", f.inFlight.Load()).Msg("forwarder: stopping; readiness probes fail from now on")
 	f.removeDaemonEntry()
-	deadline := startedAt.Add(time.Duration(f.stopTimeout.Load()) - stopMargin)
-	f.stopDeadline.Store(&deadline)
 	f.spawn(f.closeClientConnections)
 	for {
-		now := f.clock.Now()
+		now, deadline := f.clock.Now(), f.setStopDeadline(startedAt)
 		if !now.Before(deadline) || (now.Sub(startedAt) > balancerLag && f.inFlight.Load() == 0 && f.paths.carried() == 0) {
 			break
 		}
+		if !now.Before(deadline.Add(-lastAnswerTime)) {
+			f.endRequests(errStopping)
+		}
+		f.quarantineWatch.notify() // Generations that wait for an engine may have to be refused.
 		if err := f.clock.Sleep(f.ctx, stopTick); err != nil {
 			return errors.Wrap(err, "stop")
 		}
@@ -84,6 +94,13 @@
 	return nil
 }
 
+// setStopDeadline sets the end of a stop that has started at a time, by the settings in force, and returns it.
+func (f *Forwarder) setStopDeadline(startedAt time.Time) time.Time {
+	deadline := startedAt.Add(time.Duration(f.stopTimeout.Load()) - stopMargin)
+	f.stopDeadline.Store(&deadline)
+	return deadline
+}
+
 // closeClientConnections stops accepting connections and closes idle ones after
 // balancerLag, when the load balancer sends no new connections any more.
 func (f *Forwarder) closeClientConnections() {
@@ -98,14 +115,27 @@
 	}
 }
 
+// stopRefusal is the refusal of a request that a stopping daemon has not passed on.
+var stopRefusal = Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonStopping, RetryAfter: stoppingRetryAfter}
+
+// timeToStop returns the time in which a request that is passed on now must have ended, and false unless the daemon
+// is stopping.
+func (f *Forwarder) timeToStop(now time.Time) (time.Duration, bool) {
+	deadline := f.stopDeadline.Load()
+	if deadline == nil {
+		return 0, false
+	}
+	return deadline.Add(-lastAnswerTime).Sub(now), true
+}
+
 // outlastsDaemon reports whether the daemon is stopping and a generation that starts
 // now is too likely to run for longer than the daemon.
 func (s *stream) outlastsDaemon(now time.Time) bool {
-	deadline := s.f.stopDeadline.Load()
-	if deadline == nil {
+	left, stopping := s.f.timeToStop(now)
+	if !stopping {
 		return false
 	}
-	return s.f.listenerClosed.Load() || s.jobPlacer.SurvivalProbability(s.job, s.job.OutputTokens, deadline.Sub(now)-s.x.route.LatencyTarget) > maxOutlastProbability
+	return s.f.listenerClosed.Load() || s.jobPlacer.SurvivalProbability(s.job, s.job.OutputTokens, left-s.x.route.LatencyTarget) > maxOutlastProbability
 }
 
 // Close stops the daemon at once and aborts all requests.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -219,9 +219,13 @@
 		if s.x.deliveries > 0 && !s.f.budget.TryRetry(s.x.service, 0, s.f.clock.Now()) {
 			return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonRetryBudget, RetryAfter: defaultRetryAfter}, nil
 		}
-		if refusal := s.f.refuseQuarantined(s.x); refusal != nil { // The placement took some time.
+		// The placement took some time.
+		if refusal := s.f.refuseQuarantined(s.x); refusal != nil {
 			return refusal, errQuarantined
 		}
+		if s.outlastsDaemon(s.f.clock.Now()) {
+			return &stopRefusal, errStopping
+		}
 		accepted, refused, err := s.attempt(pl)
 		if accepted {
 			return nil, nil
@@ -318,7 +322,7 @@
 		return placer.Placement{}, &Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Reason: ReasonExceedsEngineMemory}
 	}
 	if s.outlastsDaemon(now) {
-		return placer.Placement{}, &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: ReasonStopping, RetryAfter: stoppingRetryAfter}
+		return placer.Placement{}, &stopRefusal
 	}
 	if refusal := s.f.noEndpointRefusal(s.x); refusal != nil {
 		return placer.Placement{}, refusal
@@ -339,8 +343,8 @@
 	return s.awaitOutcome(ch)
 }
 
-// awaitOutcome waits until the job is placed or refused, a part of its prompt is quarantined, or all
-// engines that are allowed are evacuated.
+// awaitOutcome waits until the job is placed or refused, a part of its prompt is quarantined, all
+// engines that are allowed are evacuated, or the generation outlasts the daemon, which is stopping.
 func (s *stream) awaitOutcome(ch <-chan placer.Outcome) (placer.Placement, *Refusal) {
 	for {
 		verdicts := s.f.quarantineWatch.next()
@@ -352,6 +356,10 @@
 			s.withdraw()
 			return placer.Placement{}, refusal
 		}
+		if s.outlastsDaemon(s.f.clock.Now()) {
+			s.logUnplaced(s.withdraw())
+			return placer.Placement{}, &stopRefusal
+		}
 		select {
 		case o := <-ch:
 			s.f.metrics.observe("queue_wait", o.Waited)
@@ -661,6 +669,8 @@
 		reason = ReasonClientDisconnected
 	case errors.Is(cause, errTimeout):
 		reason = ReasonTimeout
+	case errors.Is(cause, errStopping):
+		reason = ReasonStopping
 	}
 	s.f.metrics.count("streams_" + string(reason))
 	s.f.addRequestFields(s.f.log.Warn(), s.x).Err(err).Str("reason", string(reason)).Str("endpoint", s.run.engine.Name).Int("events", s.sequencer.eventCount).
