forwarder: answer calls that can't end before the daemon does

Requests that were still being sent were cut off 3.1 s after SIGTERM, or at the end of the stop, and their callers learned nothing.

The stop counted requests in flight, which begin when they have been read whole and end before the answer is written.

Change: coordination/drainer.Durations learns how long calls take, by route, with the estimator of output lengths; a call whose deadline lies beyond the stop is refused if it outlasts it with a probability above 0.25, or 0.05 if it must not be repeated. The stop waits for connections on which a request is being read or an answer written, and refuses what is still being read 0.3 s before its end. A connection that is closed in the middle of a request lingers, so that the answer is not lost to a reset.

Result: the test passes; the late call gets 503 and has not run, the unfinished one 503, the one that ran 502.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -79,6 +79,11 @@
 			reason = ReasonRetryBudget
 			break
 		}
+		if !mayHaveRun && f.callOutlastsDaemon(x, f.clock.Now()) {
+			f.balancer(x.service).Cancel(e.Identity)
+			f.refuse(out, x, stopRefusal, lastAttempt.err)
+			return false
+		}
 		lastAttempt = f.attemptCall(ctx, x, e, possibleRuns+1 < x.route.Attempts)
 		exclude[e.Identity] = true
 		if lastAttempt.relay != nil {
@@ -177,6 +182,9 @@
 func (f *Forwarder) attemptCall(ctx context.Context, x *exchange, e registrar.Endpoint, mayRetry bool) callAttempt {
 	x.attempts.Add(1)
 	start := f.clock.Now()
+	if x.sentAt.IsZero() {
+		x.sentAt = start
+	}
 	attemptDeadline := x.deadline
 	if mayRetry && x.route.Kind == matcher.Safe {
 		attemptDeadline = start.Add(x.deadline.Sub(start) / attemptTimeDivisor)
@@ -315,6 +323,7 @@
 
 // recordAnswered records and logs that a call has been answered with a body of n bytes.
 func (f *Forwarder) recordAnswered(x *exchange, e registrar.Endpoint, res *Response, n int) {
+	f.recordDuration(x, true)
 	f.metrics.count("calls_answered")
 	f.metrics.observe("call_latency", f.clock.Now().Sub(x.arrived))
 	f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Str("via", res.Via).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
@@ -331,6 +340,9 @@
 		return
 	}
 	if r, ended := refusalForContext(ctx, mayHaveRun); ended {
+		if mayHaveRun {
+			f.recordDuration(x, false)
+		}
 		f.refuse(out, x, r, lastAttempt.err)
 		return
 	}
--- a/forwarder/clientconn.go
+++ b/forwarder/clientconn.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,10 +30,12 @@
 	f      *Forwarder
 	memory reservation
 
-	served       bool  // The handler has been called for the request that was read last.
-	received     int64 // Bytes read of the current request.
-	reserved     int64 // Bytes reserved for received.
-	memoryDenied bool  // There is no memory to read the current request.
+	phase        atomic.Int32 // One of connIdle, connReceiving and connServing.
+	refused      atomic.Bool  // The daemon stops before it has read the current request.
+	served       bool         // The handler has been called for the request that was read last.
+	received     int64        // Bytes read of the current request.
+	reserved     int64        // Bytes reserved for received.
+	memoryDenied bool         // There is no memory to read the current request.
 
 	current    *exchange // Current request; nil if it is not known yet.
 	sent       int64     // Bytes that the operating system has accepted.
@@ -57,7 +62,9 @@
 			l.f.log.Debug().Err(err).Msg("forwarder: send buffer not limited; connection is already closed")
 		}
 	}
-	return &clientConn{Conn: c, f: l.f, memory: reservation{reserver: l.f.memory}}, nil
+	conn := &clientConn{Conn: c, f: l.f, memory: reservation{reserver: l.f.memory}}
+	l.f.clients.add(conn)
+	return conn, nil
 }
 
 // clientConnOf returns the connection of a request.
@@ -81,12 +88,14 @@
 		c.endRequest() // The requests arrived together.
 	}
 	c.served = true
+	c.phase.Store(connServing)
 }
 
 // endRequest releases the memory of the last request, whose response has been written.
 func (c *clientConn) endRequest() {
 	c.memory.release()
 	c.served, c.received, c.reserved, c.current = false, 0, 0, nil
+	c.phase.Store(connIdle)
 }
 
 // Read implements net.Conn. It fails if there is no memory for the request.
@@ -95,6 +104,9 @@
 		c.endRequest()
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.phase.Store(connReceiving)
+	}
 	c.received += int64(n)
 	for c.received > c.reserved+freeRequestBytes {
 		if !c.memory.grow(requestReserveBytes) {
@@ -155,8 +167,71 @@
 		Msg("forwarder: client has stopped reading; connection closed")
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If the daemon stops before it has read a request, Close first waits for the client to
+// stop sending: the answer is lost if more arrives on a closed connection before the client has read it.
 func (c *clientConn) Close() error {
+	defer c.f.clients.remove(c)
 	c.memory.close()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.refused.Load() && tcp.CloseWrite() == nil && tcp.SetReadDeadline(c.f.clock.Now().Add(lingerTime)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxLingerBytes)) // Any error ends the wait.
+	}
 	return c.Conn.Close()
 }
+
+// Phases of a client connection.
+const (
+	connIdle      int32 = iota // No byte of a request has been read.
+	connReceiving              // A request is being read.
+	connServing                // A request was read, and its response has not been written whole.
+)
+
+// Limits of what is read of a request after its refusal.
+const (
+	lingerTime     = 200 * time.Millisecond // Less than lastAnswerTime.
+	maxLingerBytes = 1 << 20
+)
+
+// clientConns holds the open connections of clients. Use newClientConns to create one.
+type clientConns struct {
+	mu  sync.Mutex
+	all map[*clientConn]struct{}
+}
+
+func newClientConns() *clientConns { return &clientConns{all: map[*clientConn]struct{}{}} }
+
+func (cs *clientConns) add(c *clientConn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.all[c] = struct{}{}
+}
+
+func (cs *clientConns) remove(c *clientConn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	delete(cs.all, c)
+}
+
+// busy returns the number of connections with a request that is being read or served.
+func (cs *clientConns) busy() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	n := 0
+	for c := range cs.all {
+		if c.phase.Load() != connIdle {
+			n++
+		}
+	}
+	return n
+}
+
+// refuseUnread makes the requests that are being read fail, so that they are refused.
+func (cs *clientConns) refuseUnread() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.all {
+		if c.phase.Load() == connReceiving {
+			c.refused.Store(true)
+			_ = c.Conn.SetReadDeadline(c.f.clock.Now()) // The connection may have been closed.
+		}
+	}
+}
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -96,6 +96,7 @@
 	stalled         bool // The client has stopped reading the response.
 	http10          bool // The client can't read chunks.
 	arrived         time.Time
+	sentAt          time.Time // When a call was passed on first; zero if it was not.
 	deadline        time.Time
 	attempts        atomic.Int64          // Attempts, refused ones included.
 	limitDenied     bool                  // The limit of an endpoint has denied an attempt.
@@ -164,6 +165,9 @@
 	var netErr net.Error
 	c := clientConnOf(ctx)
 	switch {
+	case c != nil && c.refused.Load():
+		r = stopRefusal
+		f.metrics.count("requests_refused_" + string(r.Reason))
 	case c != nil && c.memoryDenied:
 		r = memoryRefusal
 		f.metrics.count("requests_refused_" + string(r.Reason))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/budgeter"
+	"monsoonspar.example/coordination/drainer"
 	"monsoonspar.example/coordination/evacuator"
 	"monsoonspar.example/coordination/gatekeeper"
 	"monsoonspar.example/coordination/limiter"
@@ -50,6 +51,8 @@
 	stopDeadline   atomic.Pointer[time.Time] // Time at which the stop ends; nil unless stopping.
 	requests       context.Context           // Of all requests; ends with errStopping before the end of a stop.
 	endRequests    context.CancelCauseFunc
+	durations      *drainer.Durations // Of calls.
+	clients        *clientConns
 
 	servicesMu sync.Mutex
 	balancers  map[string]*balancer.Balancer
@@ -105,7 +108,7 @@
 		balancers: map[string]*balancer.Balancer{}, placers: map[string]*servicePlacer{},
 		group: spawner.New(log, "forwarder"), streams: map[*stream]struct{}{}, disconnects: newDisconnectWatcher(),
 		quarantine: quarantiner.New(quarantiner.Config{Self: cfg.Daemon.Name}), quarantineWatch: newQuarantineWatch(),
-		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), gates: gatekeeper.New(), memory: newReserver(cfg.Daemon.MemoryMB),
+		pollWake: newWaker(), limits: limiter.New(r), warmer: warmer.New(), gates: gatekeeper.New(), durations: drainer.NewDurations(), clients: newClientConns(), memory: newReserver(cfg.Daemon.MemoryMB),
 		members: limiter.NewMembers(limiter.Daemon{Name: cfg.Daemon.Name, Addr: cfg.Daemon.Peers, Domain: cfg.Daemon.Domain}),
 	}
 	f.requests, f.endRequests = context.WithCancelCause(ctx)
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -72,8 +72,8 @@
 			f.metrics.write(ctx)
 			f.writeCapacities(ctx)
 			now := f.clock.Now()
-			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\nmalformed_entries %d\nrequests_in_flight %d\n",
-				f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held(), f.store.MalformedEntries(), f.inFlight.Load())
+			fmt.Fprintf(ctx, "manifest_age_ms %d\nendpoints_age_ms %d\nbytes_held %d\nmalformed_entries %d\nrequests_in_flight %d\nconnections_busy %d\n",
+				f.manifests.ageMillis(now), f.endpointEntries.ageMillis(now), f.memory.Held(), f.store.MalformedEntries(), f.inFlight.Load(), f.clients.busy())
 			if f.paths != nil {
 				_, n := f.paths.finder.CutOff(now)
 				fmt.Fprintf(ctx, "paths_cut %d\ntunnels_carried %d\n", n, f.paths.carried())
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"monsoonspar.example/state/matcher"
 )
 
 // Limits of stopping a daemon.
@@ -18,8 +20,9 @@
 	stoppingRetryAfter = 10 * time.Millisecond // Retry-After while stopping; a retry reaches another daemon at once.
 
 	// A stopping daemon refuses what outlasts it with a higher probability. A refusal costs the client another
-	// connection; a request that is cut off is lost.
-	maxOutlastProbability = 0.25
+	// connection; a request that is cut off is lost if it must not be repeated.
+	maxOutlastProbability       = 0.25
+	maxUnsafeOutlastProbability = 0.05
 )
 
 // errStopping is the cause for which the contexts of the requests that are left at the end of a stop are canceled.
@@ -79,18 +82,19 @@
 	f.spawn(f.closeClientConnections)
 	for {
 		now, deadline := f.clock.Now(), f.setStopDeadline(startedAt)
-		if !now.Before(deadline) || (now.Sub(startedAt) > balancerLag && f.inFlight.Load() == 0 && f.paths.carried() == 0) {
+		if !now.Before(deadline) || (now.Sub(startedAt) > balancerLag && f.clients.busy() == 0 && f.paths.carried() == 0) {
 			break
 		}
 		if !now.Before(deadline.Add(-lastAnswerTime)) {
 			f.endRequests(errStopping)
+			f.clients.refuseUnread()
 		}
 		f.quarantineWatch.notify() // Generations that wait for an engine may have to be refused.
 		if err := f.clock.Sleep(f.ctx, stopTick); err != nil {
 			return errors.Wrap(err, "stop")
 		}
 	}
-	f.log.Info().Int64("in_flight", f.inFlight.Load()).Dur("took_ms", f.clock.Now().Sub(startedAt)).Msg("forwarder: stopped")
+	f.log.Info().Int64("in_flight", f.inFlight.Load()).Int("connections_busy", f.clients.busy()).Dur("took_ms", f.clock.Now().Sub(startedAt)).Msg("forwarder: stopped")
 	return nil
 }
 
@@ -138,6 +142,29 @@
 	return s.f.listenerClosed.Load() || s.jobPlacer.SurvivalProbability(s.job, s.job.OutputTokens, left-s.x.route.LatencyTarget) > maxOutlastProbability
 }
 
+// callOutlastsDaemon reports whether the daemon is stopping and a call that is passed on now is too likely to take
+// longer than the daemon runs, by the times of earlier calls on its route.
+func (f *Forwarder) callOutlastsDaemon(x *exchange, now time.Time) bool {
+	left, stopping := f.timeToStop(now)
+	if !stopping {
+		return false
+	}
+	limit := maxUnsafeOutlastProbability
+	if x.route.Kind == matcher.Safe {
+		limit = maxOutlastProbability
+	}
+	return left <= 0 || x.deadline.Sub(now) > left && f.durations.Survival(x.service, x.route.Name, left) > limit
+}
+
+// recordDuration records how long a call that has been answered, or cut off at its deadline, took since it was passed
+// on.
+func (f *Forwarder) recordDuration(x *exchange, answered bool) {
+	if x.sentAt.IsZero() {
+		return
+	}
+	f.durations.Record(x.service, x.route.Name, f.clock.Now().Sub(x.sentAt), answered)
+}
+
 // Close stops the daemon at once and aborts all requests.
 func (f *Forwarder) Close() {
 	f.stopping.Store(true)
--- a/state/estimator/estimator.go
+++ b/state/estimator/estimator.go
@@ -1,4 +1,5 @@
-// Package estimator estimates the output lengths of generations.
+// Package estimator estimates the output lengths of generations, or other lengths
+// that vary over orders of magnitude, such as durations in milliseconds.
 //
 // An Estimator keeps an exponentially decaying histogram of output lengths for
 // each class of jobs: model, customer and kind. The prior of a class is the
