cmd: no signal ends a daemon before its last request

Cause: SIGHUP was received from the end of the start until the first signal that stops the daemon; before and after that it had its default effect. serve did not receive it at all. SIGQUIT aborted requests, and so did a write to a standard output whose reader had gone (SIGPIPE).

Change: package transport/signaler receives SIGHUP from the initialization of the program to the end of the process, for serve and forward; other commands give it its default effect back. SIGTERM, SIGINT and SIGQUIT stop the daemon; SIGPIPE is ignored. Settings are read once more a second after each SIGHUP, since it may come before the file is whole. denyAttempt takes a part of serveCall, for its size.

What remains: before the package is initialized, 0.84 ms after that of the runtime began, the default effect holds.

--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -6,9 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +19,7 @@
 	"monsoonspar.example/state/asserter"
 	"monsoonspar.example/state/timekeeper"
 	"monsoonspar.example/transport/dialer"
+	"monsoonspar.example/transport/signaler"
 )
 
 // forwardCmd runs a daemon on the operators' platform.
@@ -30,8 +29,10 @@
 
 // Help returns the text of forward --help.
 func (*forwardCmd) Help() string {
-	return `Runs a daemon that forwards requests to the workers of the platform, until SIGTERM
-or SIGINT. It then reports that it is not ready, and exits after its last request.`
+	return `Runs a daemon that forwards requests to the workers of the platform, until SIGTERM,
+SIGINT or SIGQUIT. It then reports that it is not ready, and exits after its last
+request. SIGHUP reads the settings again. Further signals have no effect; only SIGKILL
+and SIGABRT abort requests.`
 }
 
 // maxBufferedLogLines bounds the log lines buffered while the output is not read. It
@@ -78,16 +79,17 @@
 	f := forwarder.New(cfg, platform.NewStore(storeDialer, cfg.Store.Addr, log), platform.NewWorkers(d), clock, rnd, log)
 	f.SetCodec(platform.Codec{})
 	f.SetPaths(paths, d.DiscardUnusable)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	stopped, hangups := signaler.Listen(ctx)
 	if err := f.Start(); err != nil {
 		return err
 	}
+	serving, end := context.WithCancel(ctx) // Until the last request has ended, unlike stopped.
 	var group conc.WaitGroup
-	group.Go(func() { reloadOnHangup(ctx, file, f, log) })
+	r := &reloader{file: file, forwarder: f, log: log, clock: clock, inForce: cfg.Bounds}
+	group.Go(func() { r.run(serving, hangups) })
 	defer group.Wait()
-	defer stop()
-	return f.Run(ctx)
+	defer end()
+	return f.Run(stopped)
 }
 
 // dialEndpoint opens a connection to a worker.
@@ -106,24 +108,45 @@
 	return cfg, errors.Wrap(err, file)
 }
 
-// reloadOnHangup reloads the settings on each SIGHUP until ctx is done. If the file
-// is invalid, the previous settings remain in force.
-func reloadOnHangup(ctx context.Context, file string, f *forwarder.Forwarder, log zerolog.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// settingsSettleTime is the time after a SIGHUP at which the settings are read once more. The signal
+// may precede the end of the change of the file.
+const settingsSettleTime = time.Second
+
+// reloader reloads the settings of a daemon.
+type reloader struct {
+	file      string
+	forwarder *forwarder.Forwarder
+	log       zerolog.Logger
+	clock     timekeeper.Sleeper
+	inForce   forwarder.BoundSettings
+}
+
+// run reloads the settings on each SIGHUP until ctx ends.
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-hangups:
 		}
-		cfg, err := readForwarderSettings(file)
-		if err != nil {
-			log.Error().Err(err).Msg("forward: settings not reloaded; previous settings remain in force")
-			continue
+		r.reload()
+		if r.clock.Sleep(ctx, settingsSettleTime) != nil {
+			return
 		}
-		f.Reload(cfg)
+		r.reload()
+	}
+}
+
+// reload reads the settings. If the file is invalid, the previous settings remain in force.
+func (r *reloader) reload() {
+	cfg, err := readForwarderSettings(r.file)
+	if err != nil {
+		r.log.Error().Err(err).Msg("forward: settings not reloaded; previous settings remain in force")
+		return
+	}
+	if cfg.Bounds != r.inForce {
+		r.inForce = cfg.Bounds
+		r.forwarder.Reload(cfg)
 	}
 }
 
--- a/cmd/monsoonspar/main.go
+++ b/cmd/monsoonspar/main.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/state/parser"
+	"monsoonspar.example/transport/signaler"
 )
 
 // The exit codes.
@@ -93,6 +94,9 @@
 		fmt.Fprintln(c.Stderr, "Run monsoonspar --help for the commands.")
 		return exitUsage
 	}
+	if name := command.Selected().Name; name != "serve" && name != "forward" {
+		signaler.Release()
+	}
 	if err := command.Run(); err != nil {
 		fmt.Fprintln(c.Stderr, err)
 		return exitCode(err)
--- a/cmd/monsoonspar/serve.go
+++ b/cmd/monsoonspar/serve.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"monsoonspar.example/server"
 	"monsoonspar.example/state/asserter"
 	"monsoonspar.example/state/parser"
+	"monsoonspar.example/transport/signaler"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -21,9 +20,10 @@
 
 // Help returns the text of serve --help.
 func (*serveCmd) Help() string {
-	return `Runs a daemon until SIGTERM or SIGINT. The daemon then reports that it is not ready,
-continues to accept requests for the balancer's lag, waits for the last response
-and exits with code 0. Further signals have no effect; only SIGKILL aborts requests.`
+	return `Runs a daemon until SIGTERM, SIGINT or SIGQUIT. The daemon then reports that it is not
+ready, continues to accept requests for the balancer's lag, waits for the last response
+and exits with code 0. Further signals and SIGHUP have no effect; only SIGKILL and
+SIGABRT abort requests.`
 }
 
 // Run serves until a signal arrives and the last request has ended.
@@ -41,8 +41,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, _ = signaler.Listen(ctx)
 	if _, err := s.Start(); err != nil {
 		return err
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -74,16 +74,11 @@
 			reason = f.noEndpointReason(x, lastAttempt)
 			break
 		}
-		if x.deliveries > 0 && !f.budget.TryRetry(x.service, retryReserveFor(mayHaveRun), f.clock.Now()) {
+		if denied := f.denyAttempt(x, mayHaveRun); denied != "" {
 			f.balancer(x.service).Cancel(e.Identity)
-			reason = ReasonRetryBudget
+			reason = denied
 			break
 		}
-		if !mayHaveRun && f.callOutlastsDaemon(x, f.clock.Now()) {
-			f.balancer(x.service).Cancel(e.Identity)
-			f.refuse(out, x, stopRefusal, lastAttempt.err)
-			return false
-		}
 		lastAttempt = f.attemptCall(ctx, x, e, possibleRuns+1 < x.route.Attempts)
 		exclude[e.Identity] = true
 		if lastAttempt.relay != nil {
@@ -112,6 +107,18 @@
 	return false
 }
 
+// denyAttempt returns the reason for which a call must not be sent to an endpoint now, or an empty one.
+func (f *Forwarder) denyAttempt(x *exchange, mayHaveRun bool) Reason {
+	now := f.clock.Now()
+	switch {
+	case !mayHaveRun && f.callOutlastsDaemon(x, now):
+		return ReasonStopping
+	case x.deliveries > 0 && !f.budget.TryRetry(x.service, retryReserveFor(mayHaveRun), now):
+		return ReasonRetryBudget
+	}
+	return ""
+}
+
 // mayContinue reports whether a call may be sent to another endpoint after its last attempt.
 func (f *Forwarder) mayContinue(ctx context.Context, x *exchange, lastAttempt callAttempt, mayHaveRun bool, possibleRuns int) bool {
 	if ctx.Err() != nil || (mayHaveRun && x.route.Kind != matcher.Safe) || possibleRuns >= max(x.route.Attempts, 1) || x.attempts.Load() >= maxAttempts {
@@ -182,9 +189,7 @@
 func (f *Forwarder) attemptCall(ctx context.Context, x *exchange, e registrar.Endpoint, mayRetry bool) callAttempt {
 	x.attempts.Add(1)
 	start := f.clock.Now()
-	if x.sentAt.IsZero() {
-		x.sentAt = start
-	}
+	x.beginSend(start)
 	attemptDeadline := x.deadline
 	if mayRetry && x.route.Kind == matcher.Safe {
 		attemptDeadline = start.Add(x.deadline.Sub(start) / attemptTimeDivisor)
@@ -350,6 +355,10 @@
 		f.refuse(out, x, Refusal{Status: fasthttp.StatusBadGateway, Reason: ReasonOutcomeUnknown}, lastAttempt.err)
 		return
 	}
+	if reason == ReasonStopping {
+		f.refuse(out, x, stopRefusal, lastAttempt.err)
+		return
+	}
 	r := Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: reason, RetryAfter: unavailableRetryAfter}
 	now := f.clock.Now()
 	if reason == ReasonDomainEvacuated || reason == ReasonNoAllowedRegion {
--- a/forwarder/clientconn.go
+++ b/forwarder/clientconn.go
@@ -231,7 +231,7 @@
 	for c := range cs.all {
 		if c.phase.Load() == connReceiving {
 			c.refused.Store(true)
-			_ = c.Conn.SetReadDeadline(c.f.clock.Now()) // The connection may have been closed.
+			_ = c.SetReadDeadline(c.f.clock.Now()) // The connection may have been closed.
 		}
 	}
 }
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -123,6 +123,13 @@
 	return before
 }
 
+// beginSend records when the request is sent for the first time.
+func (x *exchange) beginSend(now time.Time) {
+	if x.sentAt.IsZero() {
+		x.sentAt = now
+	}
+}
+
 // SetCodec sets the codec of the client protocol. It must be called before Start.
 func (f *Forwarder) SetCodec(c Codec) { f.codec = c }
 
