forwarder: leave a run when the one that continues it is not answered

A stream whose engine had crashed waited for such an answer until its deadline.

Cause: the first run was left only when the second one had answered, however long that took, and nothing asked the second engine.

Change: an engine that has not answered a continuation after 100 ms, or whose connection broke off, is asked to stop the run and to copy it elsewhere (forwarder/answer.go). If it had the run, the generation goes on from that copy and the first run is left; if it says that it has none, the request is given up and the first run kept; otherwise the first run is left 200 ms after the request, half of what engines tolerate. A connection whose request is given up is reset, not closed: an engine notices that one event sooner, and never reads a request that it had not read. An engine that can't be asked (its answers to that are lost too) costs the stream, not a second run.

--- a/coordination/placer/migration.go
+++ b/coordination/placer/migration.go
@@ -21,15 +21,16 @@
 // source, since a migration to another one takes twice as long, and engines that
 // are not the target of another migration, since a link carries one after the
 // other. If the forecast peak is too high on all engines, it returns one where
-// the memory fits now, since the run would be lost otherwise.
-func (p *Placer) MigrationTarget(job Job, source registrar.Endpoint, now time.Time) (registrar.Endpoint, bool) {
+// the memory fits now, since the run would be lost otherwise. It never returns the source
+// or one of the others that are excluded.
+func (p *Placer) MigrationTarget(job Job, source registrar.Endpoint, now time.Time, exclude ...registrar.Identity) (registrar.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.moments(&job)
 	p.updateSpeeds(now)
 	var candidates []migrationCandidate
 	for id, e := range p.engines {
-		if id == source.Identity || !e.acceptsRuns(now) || now.Before(e.fullUntil) || !p.allows(&job, e) {
+		if id == source.Identity || slices.Contains(exclude, id) || !e.acceptsRuns(now) || now.Before(e.fullUntil) || !p.allows(&job, e) {
 			continue
 		}
 		if cost, ok := e.migrationCost(p, &m, source.Domain, now); ok {
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -136,7 +136,7 @@
 	if source.engine.Identity != id {
 		return true
 	}
-	err := s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown) })
+	err := s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown, true) })
 	if err == nil || errors.Is(err, errBeingResumed) {
 		return err == nil
 	}
@@ -176,7 +176,8 @@
 
 // startReplacement starts the run that replaces the source while the stream still
 // reads from the source. The source is interrupted only after the replacement has
-// started, so that the stream continues there if the start fails.
+// started, so that the stream continues there if the start fails, or when it takes too long; see
+// watchAnswer.
 func (s *stream) startReplacement(source run, cause error, start func() (run, error)) error {
 	replacement := make(chan run, 1)
 	s.mu.Lock()
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -84,7 +84,7 @@
 		return run{}, errRunEnded
 	}
 	source := s.run
-	r, err := s.continueFromBackup(source, cause)
+	r, err := s.continueFromBackup(source, cause, false)
 	if err == nil {
 		return r, nil
 	}
@@ -153,8 +153,9 @@
 }
 
 // continueFromBackup continues the generation on the backup engine, from the copy
-// of the KV cache there.
-func (s *stream) continueFromBackup(source run, cause error) (run, error) {
+// of the KV cache there. It leaves the source, if that may still be at work, soon after
+// the request was sent; see watchAnswer.
+func (s *stream) continueFromBackup(source run, cause error, besideSource bool) (run, error) {
 	backup := source.backup
 	if backup.Name == "" || !s.f.registry.Accepts(backup.Identity) {
 		return run{}, errNoCopy
@@ -165,7 +166,7 @@
 	if !s.f.acquireGrant(s.ctx, backup, limiter.Urgent) {
 		return run{}, errEndpointLimited
 	}
-	return s.continueOn(backup, s.f.endpoints.CopyName(backup, s.x.req.ID), source, wayBackup, cause)
+	return s.continueOn(backup, s.f.endpoints.CopyName(backup, s.x.req.ID), source, wayBackup, cause, besideSource)
 }
 
 // continueByMigration stops the run on its engine, copies the rest of its KV cache
@@ -191,7 +192,7 @@
 		}
 		s.f.acquireGrant(ctx, target, limiter.Sent) // The run is stopped, and would be lost.
 	}
-	return s.continueOn(target, s.f.endpoints.CopyName(source.engine, copied.Handle), source, wayMigration, cause)
+	return s.continueOn(target, s.f.endpoints.CopyName(source.engine, copied.Handle), source, wayMigration, cause, false)
 }
 
 // stopAndCopy makes the engine stop the run and copy its KV cache to the target.
@@ -214,8 +215,8 @@
 }
 
 // continueOn resumes the generation on the engine that holds the named copy, which must
-// have granted the request if it limits them.
-func (s *stream) continueOn(target registrar.Endpoint, copyName string, source run, way string, cause error) (run, error) {
+// have granted the request if it limits them. The source may still be at work if besideSource is set.
+func (s *stream) continueOn(target registrar.Endpoint, copyName string, source run, way string, cause error, besideSource bool) (run, error) {
 	startedAt := s.f.clock.Now()
 	s.mu.Lock()
 	age := s.ageOf(source, startedAt)
@@ -236,7 +237,14 @@
 		}
 	}
 	backup := s.jobPlacer.RecordMigration(s.currentJob(), target, startedAt)
-	r, err := s.send(target, backup, resumeFrom, nil)
+	var w *answerWatch
+	r, err := s.send(target, backup, resumeFrom, func(next run) { w = s.watchAnswer(next, source, cause, besideSource) })
+	unanswered := w.end(err)
+	if unanswered.copied.Handle != "" {
+		r.close()
+		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("way", way).Str("endpoint", target.Name).Msg("forwarder: run that continues a generation was stopped, since its engine did not answer")
+		return s.continueOn(unanswered.holder, s.f.endpoints.CopyName(target, unanswered.copied.Handle), source, wayMigration, cause, false)
+	}
 	if err == nil && r.response.Status == fasthttp.StatusOK && r.response.FromEndpoint {
 		s.f.metrics.count("resumes_" + way)
 		s.f.metrics.observe("resume_time", s.f.clock.Now().Sub(startedAt))
@@ -314,7 +322,7 @@
 			continue
 		}
 		f.spawn(func() {
-			err := s.startReplacement(source, errEngineUnresponsive, func() (run, error) { return s.continueFromBackup(source, errEngineUnresponsive) })
+			err := s.startReplacement(source, errEngineUnresponsive, func() (run, error) { return s.continueFromBackup(source, errEngineUnresponsive, true) })
 			if err != nil {
 				f.addRequestFields(f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
 					Msg("forwarder: generation waits for an engine that is silent")
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -29,9 +29,15 @@
 	unbind       func() bool // Set by bind; returns false if the context has ended.
 }
 
-// bind arranges for the connection to be closed when ctx ends.
+// bind arranges for the connection to be reset when ctx ends: a server that works on the request notices that
+// at its next write, and does not read a request that it has not read yet.
 func (c *conn) bind(ctx context.Context) {
-	c.unbind = context.AfterFunc(ctx, func() { _ = c.raw.Close() })
+	c.unbind = context.AfterFunc(ctx, func() {
+		if l, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
+			_ = l.SetLinger(0) // The connection is closed in any case.
+		}
+		_ = c.raw.Close()
+	})
 }
 
 func (c *conn) close() {
