--- a/standin/listener/faulty.go
+++ b/standin/listener/faulty.go
@@ -18,6 +18,10 @@
 	EndlessBody      = "body"     // The body has neither a length nor chunks.
 	EndlessLength    = "length"   // The body has a length of a terabyte.
 	EndlessComments  = "comments" // The body consists of the comments of a stream, in chunks.
+	EndlessFields    = "fields"   // The header has fields without end.
+	EndlessInterim   = "interim"  // Interim responses precede the response without end.
+	EndlessTrailer   = "trailer"  // The body ends, and its trailer does not.
+	EndlessEvent     = "event"    // The body is one event whose line does not end, in chunks.
 )
 
 // MaxEndlessBytes ends an endless response that the client does not end.
@@ -60,6 +64,14 @@
 		head, part = head+"Transfer-Encoding: chunked\r\n\r\n", "400\r\n"+part+"\r\n"
 	case EndlessLength:
 		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", 1<<40)
+	case EndlessFields:
+		part = "X-Endless: " + strings.Repeat("x", 1<<6) + "\r\n"
+	case EndlessInterim:
+		head, part = "", "HTTP/1.1 100 Continue\r\nX-Interim: x\r\n\r\n"
+	case EndlessTrailer:
+		head, part = head+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-Trailer: x\r\n"
+	case EndlessEvent:
+		head, part = head+"Transfer-Encoding: chunked\r\n\r\na\r\nid: 1\ndata\r\n", "400\r\n"+part+"\r\n"
 	case EndlessComments:
 		head, part = head+"Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("c\r\n: comment\r\n\n\r\n", 1<<6)
 	default:
