forwarder: an engine that pauses for a second or so keeps its runs

This may or may not be the cause.

Cause: an engine that did not answer two polls was left after 600 ms, though it accepted connections. A pause of a process looks like that: the system accepts for it.

Change: an engine that accepts connections and does not answer is left after 1.6 s; one that accepts none after 600 ms as before.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -15,9 +15,10 @@
 
 // Limits of continuing a generation with another run.
 const (
-	unresponsiveTimeout = 600 * time.Millisecond // A run of an engine that does not answer polls is replaced if it has sent nothing for this long.
-	migrationTimeout    = 900 * time.Millisecond // Limits how long a run is stopped for a migration; clients notice even much shorter pauses.
-	maxStreamAttempts   = 6                      // Attempts for one stream that reached an engine, refused ones included, after which it is not resumed again.
+	unresponsiveTimeout = 600 * time.Millisecond  // A run of an engine that accepts no connections is replaced if it has sent nothing for this long.
+	pausedTimeout       = 1600 * time.Millisecond // The same for an engine that accepts connections and does not answer. A sound one may pause for a second or so, and goes on with its runs.
+	migrationTimeout    = 900 * time.Millisecond  // Limits how long a run is stopped for a migration; clients notice even much shorter pauses.
+	maxStreamAttempts   = 6                       // Attempts for one stream that reached an engine, refused ones included, after which it is not resumed again.
 )
 
 // errNoCopy means that no copy of the run could be continued.
@@ -304,12 +305,17 @@
 
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
 // their backups, or in new runs where the route permits it, if it has sent them nothing for
-// unresponsiveTimeout. The others wait: an engine that is only silent for a while goes on with its runs.
-func (f *Forwarder) replaceUnresponsive(id registrar.Identity, now time.Time) {
+// unresponsiveTimeout, or for pausedTimeout if it is reached. The others wait: an engine that is
+// only silent for a while goes on with its runs, and both would work on the generation.
+func (f *Forwarder) replaceUnresponsive(id registrar.Identity, unreachable bool, now time.Time) {
+	timeout := pausedTimeout
+	if unreachable {
+		timeout = unresponsiveTimeout
+	}
 	for _, s := range f.runningStreams() {
 		s.mu.Lock()
 		source := s.run
-		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > unresponsiveTimeout
+		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > timeout
 		s.mu.Unlock()
 		if !silent {
 			continue
