--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -93,8 +93,9 @@
 	allowedRegions  []string // As returned by matcher.AllowedRegions.
 	manifestVersion int64
 	memory          *reservation
-	stalled         bool // The client has stopped reading the response.
-	http10          bool // The client can't read chunks.
+	responding      atomic.Bool // A part of the response may have been passed on to the client.
+	stalled         bool        // The client has stopped reading the response.
+	http10          bool        // The client can't read chunks.
 	arrived         time.Time
 	sentAt          time.Time // When a call was passed on first; zero if it was not.
 	deadline        time.Time
@@ -220,11 +221,17 @@
 	}
 	f.budget.RecordRequest(x.service, now)
 	f.inFlight.Add(1)
-	c, cancel := context.WithCancelCause(f.requests)
+	c, cancel := context.WithCancelCause(f.ctx)
+	lift := context.AfterFunc(f.requests, func() {
+		if !x.responding.Load() {
+			cancel(errStopping)
+		}
+	})
 	c, stop := context.WithDeadlineCause(c, x.deadline, errTimeout)
 	f.disconnects.watch(ctx.Conn(), cancel)
 	release := func() {
 		f.disconnects.unwatch(ctx.Conn())
+		lift()
 		stop()
 		cancel(nil)
 		f.inFlight.Add(-1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,7 +49,7 @@
 	stopping       atomic.Bool               // Set when the stop begins; the daemon then reports that it is not ready.
 	listenerClosed atomic.Bool               // Set when the daemon stops accepting connections.
 	stopDeadline   atomic.Pointer[time.Time] // Time at which the stop ends; nil unless stopping.
-	requests       context.Context           // Of all requests; ends with errStopping before the end of a stop.
+	requests       context.Context           // Of the requests whose response has not begun; ends before the end of a stop.
 	endRequests    context.CancelCauseFunc
 	durations      *drainer.Durations // Of calls.
 	clients        *clientConns
--- a/forwarder/passthrough.go
+++ b/forwarder/passthrough.go
@@ -121,6 +121,7 @@
 // start starts to read from the endpoint. It gets the time that the attempt took until now.
 func (r *relay) start(took time.Duration) {
 	r.took = took
+	r.x.responding.Store(true)
 	r.x.memory.charge(socketBytes)
 	r.f.metrics.count("responses_passed_on")
 	r.f.addRequestFields(r.f.log.Info(), r.x).Str("endpoint", r.endpoint.Name).Int("status", r.response.Status).Int("length", r.response.ContentLength).
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -133,6 +133,7 @@
 		_ = s.Close() // Returns no error.
 		return
 	}
+	x.responding.Store(true)
 	copyResponseHeader(out, &s.header)
 	length := s.header.ContentLength
 	if s.events {
