forwarder: one bound for all calls that outlast a stopping daemon

A refused call costs its client another connection; a safe one that is cut off costs it seconds and a retry. Both kinds are refused above a probability of 0.05 now (safe ones 0.25 before).

--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -7,8 +7,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-
-	"monsoonspar.example/state/matcher"
 )
 
 // Limits of stopping a daemon.
@@ -19,10 +17,10 @@
 	stopTick           = 50 * time.Millisecond
 	stoppingRetryAfter = 10 * time.Millisecond // Retry-After while stopping; a retry reaches another daemon at once.
 
-	// A stopping daemon refuses what outlasts it with a higher probability. A refusal costs the client another
-	// connection; a request that is cut off is lost if it must not be repeated.
-	maxOutlastProbability       = 0.25
-	maxUnsafeOutlastProbability = 0.05
+	// A stopping daemon refuses what outlasts it with a higher probability. A refusal costs the client of a call another
+	// connection; the client of a generation has to wait for a placement again.
+	maxOutlastProbability     = 0.25
+	maxCallOutlastProbability = 0.05
 )
 
 // errStopping is the cause for which the contexts of the requests that are left at the end of a stop are canceled.
@@ -149,11 +147,7 @@
 	if !stopping {
 		return false
 	}
-	limit := maxUnsafeOutlastProbability
-	if x.route.Kind == matcher.Safe {
-		limit = maxOutlastProbability
-	}
-	return left <= 0 || x.deadline.Sub(now) > left && f.durations.Survival(x.service, x.route.Name, left) > limit
+	return left <= 0 || x.deadline.Sub(now) > left && f.durations.Survival(x.service, x.route.Name, left) > maxCallOutlastProbability
 }
 
 // recordDuration records how long a call that has been answered, or cut off at its deadline, took since it was passed
