forwarder: an answer after the run was given up is not used

Found by reading: if an engine said that it had no run, its request was given up and its answer came at the same moment, the stream went on to a connection that had been reset, and the run before was left. Such an answer counts as none now, and the run before is kept.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -24,9 +24,10 @@
 
 // continuation is what became of a request that continues a run and was not answered in time.
 type continuation struct {
-	copied MigrationResult    // Copy of the run, which was stopped; without a handle if it was not.
-	holder registrar.Endpoint // Engine on which the generation can go on from the copy.
-	absent bool               // The engine has no such run. It may get the request yet.
+	copied  MigrationResult    // Copy of the run, which was stopped; without a handle if it was not.
+	holder  registrar.Endpoint // Engine on which the generation can go on from the copy.
+	absent  bool               // The engine had no such run when it was asked.
+	givenUp bool               // The connection of the request was reset.
 }
 
 // answerWatch watches a request that continues a run until it is answered.
@@ -39,6 +40,7 @@
 	cancel       context.CancelFunc
 	failed       waker         // Wakes run.
 	done         chan struct{} // Closed when run has ended.
+	left         sync.Once     // The source is left once.
 
 	mu       sync.Mutex
 	answered bool
@@ -103,19 +105,27 @@
 	switch {
 	case w.result.copied.Handle != "":
 		w.leaveSource()
-		w.next.interrupt(errUnanswered)
+		w.giveUp()
 	case w.result.absent && w.besideSource, w.s.mayRunAgain():
-		w.next.interrupt(errUnanswered)
+		w.giveUp()
 	case !provesNotRun(err):
 		w.leaveSource()
 	}
 }
 
+// giveUp resets the connection of the request, so that its engine does not run it later.
+func (w *answerWatch) giveUp() {
+	w.result.givenUp = true
+	w.next.interrupt(errUnanswered)
+}
+
 // leaveSource ends the run that is continued, if it may still be at work.
 func (w *answerWatch) leaveSource() {
 	if w.besideSource {
-		w.s.f.metrics.count("runs_left_unanswered")
-		w.source.interrupt(w.cause)
+		w.left.Do(func() {
+			w.s.f.metrics.count("runs_left_unanswered")
+			w.source.interrupt(w.cause)
+		})
 	}
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -246,6 +246,9 @@
 		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("way", way).Str("endpoint", target.Name).Msg("forwarder: run that continues a generation was stopped, since its engine did not answer")
 		return s.continueOn(unanswered.holder, s.f.endpoints.CopyName(target, unanswered.copied.Handle), source, wayMigration, cause, false)
 	}
+	if unanswered.givenUp && err == nil {
+		err = errUnanswered
+	}
 	if err == nil && r.response.Status == fasthttp.StatusOK && r.response.FromEndpoint {
 		s.f.metrics.count("resumes_" + way)
 		s.f.metrics.observe("resume_time", s.f.clock.Now().Sub(startedAt))
@@ -254,18 +257,23 @@
 		return r, nil
 	}
 	r.close()
-	if way == wayBackup && err == nil && r.response.NotExecuted {
-		source.state.copyRefused.Store(true)
-	}
-	if mayHaveRun := err != nil || !r.response.NotExecuted; mayHaveRun && !provesNotRun(err) {
-		source.state.resumeLost.Store(true)
-	}
+	source.state.recordFailedResume(way, err == nil && r.response.NotExecuted, err)
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
 		Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Msg("forwarder: generation could not be continued from the copy")
 	return run{}, errNoCopy
 }
 
+// recordFailedResume records a request to continue the run that its engine has refused, or that failed with err.
+func (s *runState) recordFailedResume(way string, refused bool, err error) {
+	switch {
+	case refused && way == wayBackup:
+		s.copyRefused.Store(true)
+	case !refused && !provesNotRun(err):
+		s.resumeLost.Store(true)
+	}
+}
+
 // runAge is how long a run has been observed.
 type runAge struct {
 	sent      time.Duration // Since its request was sent.
--- a/protocol/responder/responder_test.go
+++ b/protocol/responder/responder_test.go
@@ -183,7 +183,6 @@
 		assert.Equal(t, string(b.call.Body), c.body)
 		assert.Equal(t, b.call.ContentType, c.contentType)
 		assert.Equal(t, b.call.ContentEncoding, c.encoding)
-
 	}
 }
 
