e2e: no signal cuts a stream of serve

TestRollingRestartCutsNoStream sends SIGHUP to a daemon that serves, and SIGHUP, SIGINT, SIGQUIT and SIGPIPE beside the second SIGTERM to one that stops: serve takes its signals from transport/signaler too.

--- a/e2e/operation_test.go
+++ b/e2e/operation_test.go
@@ -39,12 +39,15 @@
 			}
 			return running == streams
 		})
+		d.signal(syscall.SIGHUP) // Has no effect.
 		d.signal(syscall.SIGTERM)
 		waitFor(t, "the daemon to report that it is not ready", func() bool {
 			status, _ := get("http://" + d.adminAddr + "/readyz")
 			return status != 200
 		})
-		d.signal(syscall.SIGTERM)
+		for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGQUIT, syscall.SIGPIPE} {
+			d.signal(sig)
+		}
 		group.Wait()
 		for i, result := range results {
 			assertComplete(t, result, fmt.Sprintf("s%dx%d", n, i))
