framer: the far end of a tunnel probes before the tunnel is in use

Cause: the far end told the near one that the tunnel was open before it set its own keep-alive. A path that was lost in between, or a process that was paused there, was noticed late; the test reads the settings as soon as the tunnel is open.

Change: the settings come before the answer. An older build at the other end sees no difference.

--- a/transport/framer/tunnel.go
+++ b/transport/framer/tunnel.go
@@ -209,15 +209,15 @@
 	if err != nil {
 		return c.write(envelope{Kind: kindError, ID: e.ID, Body: []byte(err.Error())})
 	}
+	if raw, ok := c.raw.(*net.TCPConn); ok {
+		_ = raw.SetKeepAliveConfig(tunnelKeepAlive) // Without it a lost path is noticed later.
+	}
 	if err := c.write(envelope{Kind: kindReply, ID: e.ID}); err != nil {
 		_ = target.Close() // It was not used.
 		end(0)
 		return err
 	}
 	_ = c.raw.SetDeadline(time.Time{})
-	if raw, ok := c.raw.(*net.TCPConn); ok {
-		_ = raw.SetKeepAliveConfig(tunnelKeepAlive) // Without it the tunnel is noticed later.
-	}
 	end(splice(ctx, c.raw, c.r, target))
 	return ErrClosed
 }
