forwarder: a stream on a cut path tries again to leave it

What callers saw: a stream whose daemon loses its paths to the engines stays silent until its deadline and ends unfinished, although peers reach its engine (TestRunningStreamGoesOnThroughPeer, listed as known red).

Cause: the stream was moved off a cut path once only. Right after a cut the failed polls have marked all engines unreachable, so that there was no target, and nothing was tried again when one answered through a peer.

Change: as long as nothing was sent to the engine, the stream tries again every 150 ms. A request that may have reached the engine is still not repeated.

The test stays listed.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -369,8 +369,12 @@
 	}
 }
 
+// cutPathPause is the time until a stream whose path is cut tries again to leave it.
+const cutPathPause = 150 * time.Millisecond
+
 // leaveCutPath migrates the run of a stream whose connection to its engine brings nothing, or lets
-// the stream go on in a new run.
+// the stream go on in a new run. It is tried again if nothing was sent: right after a cut all engines
+// count as unreachable, until one of them has answered through a peer.
 func (s *stream) leaveCutPath(source run) {
 	err := errNoCopy
 	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
@@ -385,6 +389,10 @@
 	if err == nil || errors.Is(err, errBeingResumed) {
 		return
 	}
+	if unsent := !ok || provesNotRun(err); unsent && !s.mayRunAgain() && s.f.clock.Sleep(s.ctx, cutPathPause) == nil {
+		source.state.pathTried.Store(false)
+		return
+	}
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Msg("forwarder: generation waits for an engine whose path is cut")
 	s.leaveSilentEngine(source)
 }
