--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -30,7 +30,7 @@
 }
 
 // bind arranges for the connection to be reset when ctx ends: a server that works on the request notices that
-// at its next write, and does not read a request that it has not read yet.
+// at its next write at the latest. The operating system may still hand it a request that it has not read yet.
 func (c *conn) bind(ctx context.Context) {
 	c.unbind = context.AfterFunc(ctx, func() {
 		if l, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
