server: the replies that are being read are bounded together

What callers would see: a faulty service that sends bytes without end to many calls at once makes serve run out of memory, and the requests of all other clients end with it.

Cause: each reply was bounded to 8 MiB, all of them together were not.

Change: beyond 64 KiB a reply takes a share of 4 MiB, beyond 512 KiB one of 8 MiB, and its service waits until then, at most until the deadline of the call.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -38,6 +39,7 @@
 	platformArgs  []string
 	relayPlatform bool // The first daemon reaches the platform through a relay.
 	balancerLag   time.Duration
+	daemonProgram string // The one of all tests by default.
 }
 
 // daemon is a daemon process of the system under test.
@@ -57,8 +59,10 @@
 	engines  []*process
 	service  *process
 	daemons  []*daemon
-	manifest string
-	caller   *caller.Caller
+
+	daemonProgram string
+	manifest      string
+	caller        *caller.Caller
 }
 
 // clusterSlots limits the number of clusters that run concurrently.
@@ -72,7 +76,7 @@
 	t.Parallel()
 	clusterSlots <- struct{}{}
 	t.Cleanup(func() { <-clusterSlots })
-	c := &cluster{t: t, platform: startProcess(t, "platform", standinProgram, append([]string{"platform"}, cfg.platformArgs...)...)}
+	c := &cluster{t: t, daemonProgram: cmp.Or(cfg.daemonProgram, daemonProgram), platform: startProcess(t, "platform", standinProgram, append([]string{"platform"}, cfg.platformArgs...)...)}
 	for i := range cfg.engines {
 		args := append([]string{"engine", "--model", model + "/2026-11"}, cfg.engineArgs...)
 		c.engines = append(c.engines, startProcess(t, fmt.Sprint("engine ", i), standinProgram, args...))
@@ -144,7 +148,7 @@
 // startDaemon starts or restarts a daemon.
 func (c *cluster) startDaemon(d *daemon) {
 	c.t.Helper()
-	d.process = startProcess(c.t, "daemon "+d.clientAddr, daemonProgram, "serve", d.settingsPath)
+	d.process = startProcess(c.t, "daemon "+d.clientAddr, c.daemonProgram, "serve", d.settingsPath)
 }
 
 // renderManifest returns a manifest with an output limit in thousands of tokens,
--- a/protocol/requester/body.go
+++ b/protocol/requester/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -26,7 +27,7 @@
 	text := make([]byte, 0, min(max(r.Length+1, minReadBytes), maxReadBytes))
 	for {
 		if len(text) == cap(text) {
-			text = append(text, 0)[:len(text)]
+			text = slices.Grow(text, min(len(text), limit+1-len(text)))
 		}
 		n, err := r.Body.Read(text[len(text):cap(text)])
 		text = text[:len(text)+n]
--- a/server/server.go
+++ b/server/server.go
@@ -81,6 +81,7 @@
 	permits      *permits
 	retries      *retrier.Retrier
 	routers      []*routerShard
+	replies      *replyMemory
 	nextRouter   atomic.Uint64
 	catalog      atomic.Pointer[catalog]
 	stopping     atomic.Bool // The readiness check fails; the daemon hands over its endpoints.
@@ -124,7 +125,7 @@
 		sealer:          sealer.New([]byte(cfg.Peers.SharedKey)),
 		retries:         retrier.New(retrier.Config{}),
 		lastPreemptions: map[string]int{}, lastBroadcasts: map[string]sentStatus{},
-		rand: newRandSource(), group: spawner.New(log, "server"),
+		rand: newRandSource(), group: spawner.New(log, "server"), replies: newReplyMemory(),
 	}
 	s.assemble(clock)
 	return s, nil
--- a/server/services.go
+++ b/server/services.go
@@ -15,9 +15,8 @@
 // errServiceRefused means that a plain service refused a call before running it.
 var errServiceRefused = errors.New("server: service refused before running")
 
-// Limits, status and header names of calls to plain services.
+// Status and header names of calls to plain services.
 const (
-	maxReplyBytes     = 8 << 20
 	statusUnavailable = 503
 	headerNotRun      = "Monsoonspar-Not-Run"
 	headerRequestID   = "Monsoonspar-Request-Id"
@@ -117,6 +116,7 @@
 	})
 	if err == nil {
 		var reply responder.Response
+		res.Body = s.replies.limit(ctx, res.Body, res.Length)
 		if reply, err = readReply(res); err == nil {
 			err = res.ConfirmEnd(ctx, s.doer, e.Addr)
 		}
