forwarder: a copy of a refusal under another name proves nothing

Callers saw 503 (no_endpoint) for an unsafe call that ran; with a third endpoint the call would have run twice.

Cause: the daemon sends a request again to the same endpoint on a connection of its own, since a copy of the first answer carries the same ID. It told endpoints apart by their identity, but kept connections belong to an address, which two entries share while one worker uses the address of another. The worker refuses the request under the old name, gets it under its own name on the same kept connection, and the copy of its 421 counts as refusal of the second send.

Sends are now recorded by address, as kept connections are. A request reads only a connection that no earlier send of it has used, so an answer with its ID belongs to this send.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -201,7 +201,7 @@
 	if err == nil {
 		res, err = f.endpoints.Send(c, x.req, Dispatch{
 			Endpoint: e, Customer: x.customer.Name, Remaining: attemptDeadline.Sub(start), Safe: x.route.Kind == matcher.Safe,
-			SentBefore: x.recordSend(e.Identity),
+			SentBefore: x.recordSend(e.Addr),
 		})
 	}
 	a := callAttempt{response: res, err: err, notRun: err != nil && provesNotRun(err)}
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -14,7 +14,6 @@
 	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
-	"monsoonspar.example/state/registrar"
 )
 
 // Causes for which the context of a request is canceled.
@@ -109,18 +108,19 @@
 	deliveries      int                   // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 
 	sentMu sync.Mutex
-	sentTo map[registrar.Identity]bool // Endpoints to which the request was sent.
+	sentTo map[string]bool // Addresses to which the request was sent.
 }
 
-// recordSend records that the request is being sent to an endpoint, and reports whether it was before.
-func (x *exchange) recordSend(id registrar.Identity) bool {
+// recordSend records that the request is being sent to an address, and reports whether it was before. Endpoints
+// that have the same address share its connections.
+func (x *exchange) recordSend(addr string) bool {
 	x.sentMu.Lock()
 	defer x.sentMu.Unlock()
-	before := x.sentTo[id]
+	before := x.sentTo[addr]
 	if x.sentTo == nil {
-		x.sentTo = map[registrar.Identity]bool{}
+		x.sentTo = map[string]bool{}
 	}
-	x.sentTo[id] = true
+	x.sentTo[addr] = true
 	return before
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -446,7 +446,7 @@
 		r.response, err = s.f.endpoints.Send(c, s.x.req, Dispatch{
 			Endpoint: to, Customer: s.x.customer.Name, Remaining: s.x.deadline.Sub(now),
 			Priority: enginePriority(from), BackupAddr: backup.Addr, Resume: from,
-			SentBefore: s.x.recordSend(to.Identity),
+			SentBefore: s.x.recordSend(to.Addr),
 		})
 	}
 	if err == nil {
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -98,7 +98,7 @@
 	BackupAddr string        // Address of the engine that keeps a copy of the KV cache, or empty.
 	Resume     Resume
 	Safe       bool // The request is safe to repeat.
-	// SentBefore tells that the request was sent to this endpoint before, which may repeat its answer.
+	// SentBefore tells that the request was sent to this address before, whose endpoint may repeat its answer.
 	SentBefore bool
 }
 
