server: answer repeats from their claims when they can't be sent

What callers saw: a request with an Idempotency-Key ran or was running, and its repeat got 503 no_endpoint (or busy, queue_full, deadline) with not_run and a time to come back. docs/API.md promises the stored answer, the stream or the outcome at any daemon.

Cause: an endpoint was picked, and for a generation a permit obtained, before the claim was looked at; a refusal there went to the caller as it was.

Change: a request that can't be sent starts its claimer with Lookup, which reads the claim and answers from it; only if there is none, or if it says not_run, the caller gets the refusal. If the claim can't be read the answer is platform_unavailable, as it is for requests that could be sent.

Why it works: a claim is created before each send, and no answer that speaks of the request is made any more without reading it.

--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -114,6 +114,7 @@
 
 	phase         phase
 	startedAt     time.Time
+	lookup        bool // The request can't be sent.
 	platformCalls int
 	claim         Claim  // The claim as this attempt writes it.
 	heldVersion   uint64 // Version of the claim while held.
@@ -125,7 +126,7 @@
 	recording outcomeRecord
 }
 
-// New returns a Claimer for req, which starts at the event Begin.
+// New returns a Claimer for req, which starts at the event Begin or Lookup.
 func New(cfg Settings, req Request, r *rand.Rand) *Claimer {
 	return &Claimer{
 		settings:   cfg,
@@ -171,7 +172,12 @@
 func (c *Claimer) Finished() bool { return c.phase == phaseDone }
 
 func (c *Claimer) onIdle(now time.Time, ev Event) []Action {
-	if _, ok := ev.(Begin); !ok {
+	switch ev.(type) {
+	case Begin:
+	case Lookup:
+		c.lookup = true
+		return c.read()
+	default:
 		return nil
 	}
 	c.startedAt = now
@@ -243,6 +249,10 @@
 		return c.handleExisting(now, res)
 	case c.existing.Claim.State == StatePending:
 		return c.awaitOutcome()
+	case c.lookup && res.Result == ResultNotFound:
+		return c.refuse(now, ReasonNotSendable, 0)
+	case c.lookup:
+		return c.refuse(now, ReasonPlatformUnavailable, c.retryAfter())
 	case res.Result == ResultNotFound && c.platformCalls < c.settings.MaxPlatformCalls:
 		return c.create()
 	default:
--- a/coordination/claimer/claimer_test.go
+++ b/coordination/claimer/claimer_test.go
@@ -16,7 +16,17 @@
 
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if err := runHistory(t, mechanisms{}); err != nil {
+		if err := runHistory(t, mechanisms{}, false); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a repeat that is told that its request was not run, since it could not be sent
+// and the claim of an earlier attempt was not looked at.
+func TestLookupHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := runHistory(t, mechanisms{}, true); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -37,7 +47,7 @@
 		{"a claim in doubt is settled", mechanisms{settleInDoubt: true}, "nothing ran, but a repeat got"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			seed, err := seeder.FirstFailure(func(t *rapid.T) error { return runHistory(t, tc.disabled) }, tc.want, 20000)
+			seed, err := seeder.FirstFailure(func(t *rapid.T) error { return runHistory(t, tc.disabled, false) }, tc.want, 20000)
 			assert.Assert(t, err != nil, "no history fails")
 			t.Logf("seed %d: %v", seed, err)
 		})
--- a/coordination/claimer/event.go
+++ b/coordination/claimer/event.go
@@ -21,6 +21,11 @@
 // Begin starts the processing of a request.
 type Begin struct{}
 
+// Lookup starts the processing of a request that can't be sent, for example because no
+// endpoint is ready. It is answered from the claim of an earlier attempt; without one
+// that may have run it is refused with ReasonNotSendable.
+type Lookup struct{}
+
 // CreateResult answers Create. Version is set for ResultOK.
 type CreateResult struct {
 	Result  Result
@@ -68,6 +73,7 @@
 type Tick struct{}
 
 func (Begin) event()        {}
+func (Lookup) event()       {}
 func (CreateResult) event() {}
 func (UpdateResult) event() {}
 func (ReadResult) event()   {}
@@ -127,6 +133,7 @@
 	ReasonKeyReused           Reason = "key_reused"           // The key belongs to another request.
 	ReasonTooLate             Reason = "too_late"             // The deadline for sending has passed.
 	ReasonContention          Reason = "contention"           // Other attempts keep changing the claim.
+	ReasonNotSendable         Reason = "not_sendable"         // The request came with Lookup, and no earlier attempt may have run.
 )
 
 // Refuse is the final response to the caller of a request that this attempt
--- a/coordination/claimer/history_test.go
+++ b/coordination/claimer/history_test.go
@@ -19,6 +19,7 @@
 	now       time.Time
 	rand      *rand.Rand
 	resumable bool // The endpoint retains the answer for resuming.
+	lookups   bool // Some attempts find no endpoint.
 	claim     *Claim
 	version   uint64
 	created   time.Time
@@ -67,6 +68,10 @@
 	}
 	a := &attempt{writer: writer, c: New(cfg, req, s.rand), alive: true}
 	s.attempts = append(s.attempts, a)
+	if s.lookups && s.pick("lookup", 2) == 0 {
+		s.deliver(a, Lookup{})
+		return
+	}
 	s.deliver(a, Begin{})
 }
 
@@ -85,6 +90,7 @@
 		case Refuse:
 			a.responses = append(a.responses, act)
 			s.checkNotRun(a, act.Outcome)
+			s.checkNotSendable(a, act.Reason)
 		case Done:
 		default:
 			a.pending = append(a.pending, act)
@@ -104,6 +110,12 @@
 	}
 }
 
+func (s *simulation) checkNotSendable(a *attempt, r Reason) {
+	if r == ReasonNotSendable && s.claim != nil && s.claim.State != StateNotRun {
+		s.fail("%s got no answer from the claim %+v", a.writer, *s.claim)
+	}
+}
+
 func (s *simulation) checkAnswer(a *attempt, act Answer) {
 	s.checkNotRun(a, act.Outcome)
 	if act.Outcome != OutcomeRan {
@@ -294,8 +306,9 @@
 }
 
 // runHistory simulates a random history and returns its first violation.
-func runHistory(t *rapid.T, disabled mechanisms) error {
+func runHistory(t *rapid.T, disabled mechanisms, lookups bool) error {
 	s := newSimulation(t, disabled)
+	s.lookups = lookups
 	s.startAttempt()
 	steps := 10 + seeder.DrawUniform(t, "steps", 120)
 	for range steps {
@@ -334,6 +347,7 @@
 			return
 		}
 	}
+	s.lookups = false
 	s.startAttempt()
 	last := s.attempts[len(s.attempts)-1]
 	for !last.c.Finished() {
--- a/coordination/claimer/meet.go
+++ b/coordination/claimer/meet.go
@@ -15,6 +15,9 @@
 	c.existing = res
 	switch found.State {
 	case StateNotRun:
+		if c.lookup {
+			return c.refuse(now, ReasonNotSendable, 0)
+		}
 		return c.takeOver(res.Version)
 	case StateRan:
 		return c.handleRan(found)
--- a/server/claims.go
+++ b/server/claims.go
@@ -100,17 +100,17 @@
 	refuse(r claimer.Refuse)
 }
 
-// runClaim carries out the actions of one claim until it needs no more events or
-// the daemon closes. It continues after the caller has its answer or has
+// runClaim carries out the actions of one claim, which begin starts, until it needs no
+// more events or the daemon closes. It continues after the caller has its answer or has
 // disconnected, so that the outcome is recorded.
-func (s *Server) runClaim(ctx context.Context, req claimer.Request, claimed claimedRequest) {
+func (s *Server) runClaim(ctx context.Context, req claimer.Request, begin claimer.Event, claimed claimedRequest) {
 	s.inFlight.unrecordedClaims.Add(1)
 	defer s.inFlight.unrecordedClaims.Add(-1)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(s.ctx, cancel)()
 	c := claimer.New(claimer.DefaultSettings(), req, s.newRand())
-	queue := c.Handle(s.clock.Now(), claimer.Begin{})
+	queue := c.Handle(s.clock.Now(), begin)
 	for len(queue) > 0 && ctx.Err() == nil {
 		a := queue[0]
 		queue = queue[1:]
@@ -208,6 +208,7 @@
 	call    responder.Call
 	done    chan callResult
 	retried bool
+	refusal error // Final answer of a call that can't be sent and that no earlier attempt may have run.
 }
 
 // callResult is the final answer to the caller.
@@ -218,21 +219,24 @@
 
 // claimCall runs a call with an idempotency key to a plain service under a claim.
 func (s *Server) claimCall(ctx context.Context, c responder.Call) (responder.Response, error) {
+	deadline, _ := ctx.Deadline()
+	claimed := &callClaim{s: s, call: c, done: make(chan callResult, 1)}
+	begin := claimer.Event(claimer.Begin{})
 	endpoint, ok := s.pickEndpoint(c, nil)
 	if !ok {
-		return responder.Response{}, &responder.RequestError{
-			Status: 503, Code: "no_endpoint", Message: "no endpoint of the service is ready", RetryAfter: time.Second,
+		begin = claimer.Lookup{}
+		claimed.refusal = &responder.RequestError{
+			Status: 503, Code: "no_endpoint", Message: "no endpoint of the service is ready",
+			Outcome: attempter.NotRun, RetryAfter: time.Second,
 		}
 	}
-	deadline, _ := ctx.Deadline()
-	claimed := &callClaim{s: s, call: c, done: make(chan callResult, 1)}
 	req := claimer.Request{
 		Customer: c.Customer.Name, Key: c.IdempotencyKey, Fingerprint: c.Fingerprint,
 		Writer: s.newID(), Holder: s.cfg.Daemon.Name,
 		Target: claimer.Target{Endpoint: endpoint, AttemptID: c.ID}, Deadline: deadline,
 	}
 	s.spawn(func() {
-		s.runClaim(ctx, req, claimed)
+		s.runClaim(ctx, req, begin, claimed)
 		claimed.deliver(responder.Response{}, internalError(errNoOutcome))
 	})
 	res := <-claimed.done
@@ -282,7 +286,13 @@
 }
 
 // refuse gives the caller the reason why the call was not run.
-func (c *callClaim) refuse(r claimer.Refuse) { c.deliver(responder.Response{}, claimRefusalError(r)) }
+func (c *callClaim) refuse(r claimer.Refuse) {
+	if r.Reason == claimer.ReasonNotSendable {
+		c.deliver(responder.Response{}, c.refusal)
+		return
+	}
+	c.deliver(responder.Response{}, claimRefusalError(r))
+}
 
 // deliver gives the caller its final answer. Only the first call has an effect.
 func (c *callClaim) deliver(reply responder.Response, err error) {
@@ -329,7 +339,7 @@
 		e.Status, e.Message = 409, "a request with this idempotency key is being run"
 	case claimer.ReasonKeyReused:
 		e.Status, e.Message = 422, "the idempotency key belongs to another request"
-	case claimer.ReasonPlatformUnavailable, claimer.ReasonTooLate, claimer.ReasonContention:
+	case claimer.ReasonPlatformUnavailable, claimer.ReasonTooLate, claimer.ReasonContention, claimer.ReasonNotSendable:
 	}
 	return e
 }
--- a/server/genclaims.go
+++ b/server/genclaims.go
@@ -24,6 +24,7 @@
 	retried    bool                    // A second attempt was prepared.
 	text       strings.Builder         // Text of the answer so far, up to about maxClaimTextBytes.
 	sendResult chan claimer.SendResult // Receives the outcome of the attempt that was sent.
+	refusal    error                   // Final answer if there is no permit and no earlier attempt may have run.
 }
 
 // claimGeneration starts a non-idempotent generation with an idempotency key under
@@ -35,19 +36,20 @@
 }
 
 // run obtains a permit and then runs the claim. The permit comes first because the
-// claim records the endpoint.
+// claim records the endpoint. A repeat is answered without one.
 func (c *generationClaim) run(id sequencer.AttemptID) {
 	g := c.g
-	p, err := g.acquirePermit(g.ctx, id)
-	if err != nil {
-		c.deliver(openResult{err: err})
-		return
-	}
-	c.permit = p
-	g.s.runClaim(g.ctx, claimer.Request{
+	req := claimer.Request{
 		Customer: g.req.Customer.Name, Key: g.req.IdempotencyKey, Fingerprint: g.req.Fingerprint,
-		Writer: string(id), Holder: g.s.cfg.Daemon.Name, Target: claimTarget(p), Deadline: g.deadline,
-	}, c)
+		Writer: string(id), Holder: g.s.cfg.Daemon.Name, Deadline: g.deadline,
+	}
+	begin := claimer.Event(claimer.Begin{})
+	if c.permit, c.refusal = g.acquirePermit(g.ctx, id); c.refusal != nil {
+		begin = claimer.Lookup{}
+	} else {
+		req.Target = claimTarget(c.permit)
+	}
+	g.s.runClaim(g.ctx, req, begin, c)
 	c.releaseUnusedPermit()
 	c.deliver(openResult{err: internalError(errNoOutcome)})
 }
@@ -157,6 +159,10 @@
 // refuse gives the caller the reason why its request was not run.
 func (c *generationClaim) refuse(r claimer.Refuse) {
 	c.releaseUnusedPermit()
+	if r.Reason == claimer.ReasonNotSendable {
+		c.deliver(openResult{err: c.refusal})
+		return
+	}
 	c.deliver(openResult{err: claimRefusalError(r)})
 }
 
