serve: a refusal on a reused connection proves nothing

What callers saw: calls of PUT, and generations that are not marked, ran and were reported as not_run.

Cause: requests that may be repeated share connections, and a refusal there may be a late copy of an earlier one. It counted as proof, and the endpoint did run the request.

Change: requester.Response tells whether earlier responses came on its connection. A refusal by such a response counts as a lost connection: a generation is looked for at its engine and goes on there if it runs, and the outcome of a request without another proof is unknown.

Why it works: on a connection that brought no response before, a refusal can only belong to the request that was sent on it. Callers of these requests may repeat them, so unknown costs them nothing but the word.

--- a/protocol/generator/generator.go
+++ b/protocol/generator/generator.go
@@ -173,7 +173,8 @@
 }
 
 // responseError returns the error for a response whose status is not 200, and
-// closes its body.
+// closes its body. A refusal that may belong to an earlier request on the connection
+// matches requester.ErrOutcomeUnknown as well.
 func responseError(res requester.Response) error {
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxLineBytes))
@@ -190,7 +191,19 @@
 	case res.Status != statusUnavailable:
 		return errors.Wrap(ErrUnexpectedStatus, strconv.Itoa(res.Status)+" "+e.Error.Message)
 	}
-	switch e.Error.Code {
+	refusal := refusalOf(e.Error.Code)
+	switch {
+	case refusal == nil:
+		return errors.Wrap(ErrUnexpectedStatus, "status 503 without a known error code")
+	case res.Reused:
+		return requester.FailureError{Kind: requester.ErrOutcomeUnknown, Cause: refusal}
+	}
+	return refusal
+}
+
+// refusalOf returns the refusal with an error code, or nil if there is none.
+func refusalOf(code string) error {
+	switch code {
 	case "leaving":
 		return ErrShuttingDown
 	case "not_loaded":
@@ -198,7 +211,7 @@
 	case "overloaded":
 		return ErrOverloaded
 	}
-	return errors.Wrap(ErrUnexpectedStatus, "status 503 without a known error code")
+	return nil
 }
 
 // FailureOf classifies an error of Start, Resume or Stream.Next as a failure of
@@ -207,7 +220,7 @@
 	switch {
 	case errors.Is(err, requester.ErrNotSent):
 		return attempter.NotSent
-	case errors.Is(err, ErrRefused):
+	case errors.Is(err, ErrRefused) && !errors.Is(err, requester.ErrOutcomeUnknown):
 		return attempter.Refused
 	case errors.Is(err, ErrStreamNotFound):
 		return attempter.StreamNotFound
--- a/protocol/generator/generator_test.go
+++ b/protocol/generator/generator_test.go
@@ -19,13 +19,14 @@
 	status int
 	body   string
 	err    error
+	reused bool
 }
 
 func (d fakeDoer) Do(context.Context, requester.Request) (requester.Response, error) {
 	if d.err != nil {
 		return requester.Response{}, d.err
 	}
-	return requester.Response{Status: d.status, Body: io.NopCloser(strings.NewReader(d.body))}, nil
+	return requester.Response{Status: d.status, Body: io.NopCloser(strings.NewReader(d.body)), Reused: d.reused}, nil
 }
 
 var testConfig = Config{TokenTimeout: func() time.Duration { return time.Second }, CallTimeout: time.Second}
@@ -67,6 +68,7 @@
 		{"not sent", fakeDoer{err: requester.ErrNotSent}, attempter.NotSent},
 		{"connection lost", fakeDoer{err: requester.ErrOutcomeUnknown}, attempter.ConnectionLost},
 		{"shutting down", fakeDoer{status: 503, body: `{"error":{"code":"leaving"}}`}, attempter.Refused},
+		{"refused on a shared connection", fakeDoer{status: 503, body: `{"error":{"code":"leaving"}}`, reused: true}, attempter.ConnectionLost},
 		{"503 without a code", fakeDoer{status: 503}, attempter.ConnectionLost},
 		{"unknown stream", fakeDoer{status: 404}, attempter.StreamNotFound},
 		{"error after running", fakeDoer{status: 500}, attempter.ConnectionLost},
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -69,6 +69,9 @@
 	// Framing tells how the end of the body is marked.
 	Framing verifier.Framing
 	Via     string // What the connection goes through, if it is not direct; else empty.
+	// Reused reports that earlier responses came on the connection. Unless a field tells
+	// which request a response belongs to, this one may be a late copy of an earlier one.
+	Reused bool
 }
 
 // Get returns the first value of a header field, or an empty string if there is
--- a/server/services.go
+++ b/server/services.go
@@ -12,7 +12,8 @@
 	"github.com/pkg/errors"
 )
 
-// errServiceRefused means that a plain service refused a call before running it.
+// errServiceRefused means that a plain service refused a call before running it. If
+// requester.ErrOutcomeUnknown matches too, the refusal may belong to an earlier call.
 var errServiceRefused = errors.New("server: service refused before running")
 
 // Status and header names of calls to plain services.
@@ -135,6 +136,9 @@
 func readReply(res requester.Response) (responder.Response, error) {
 	if res.Status == statusUnavailable && res.Get(headerNotRun) == "true" {
 		_ = res.Body.Close() // The header decides.
+		if res.Reused {
+			return responder.Response{}, requester.FailureError{Kind: requester.ErrOutcomeUnknown, Cause: errServiceRefused}
+		}
 		return responder.Response{}, errServiceRefused
 	}
 	body, err := res.ReadAll(maxReplyBytes)
@@ -149,7 +153,7 @@
 	switch {
 	case errors.Is(err, requester.ErrNotSent):
 		return attempter.NotSent
-	case errors.Is(err, errServiceRefused):
+	case errors.Is(err, errServiceRefused) && !errors.Is(err, requester.ErrOutcomeUnknown):
 		return attempter.Refused
 	}
 	return attempter.ConnectionLost
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -25,6 +25,7 @@
 	headDeadline time.Time // Time at which the response header must have been read; zero for none.
 	written      int
 	answered     bool // Bytes have arrived since the request was sent.
+	responses    int  // Responses whose headers have been read.
 	idleSince    time.Time
 	unbind       func() bool // Set by bind; returns false if the context has ended.
 }
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -272,6 +272,7 @@
 		if err != nil {
 			return requester.Response{}, err
 		}
+		c.responses++
 		if !isStaleResponse(r, req.EchoedHeader) {
 			c.headDeadline = time.Time{}
 			return d.response(ctx, c, r, req.OwnConnection), nil
@@ -338,7 +339,7 @@
 
 // response converts a response whose header has been read.
 func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response, ownConnection bool) requester.Response {
-	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r)}
+	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r), Reused: c.responses > 1}
 	if v, ok := c.raw.(indirect); ok {
 		res.Via = v.Via()
 	}
--- a/transport/dialer/dialer_test.go
+++ b/transport/dialer/dialer_test.go
@@ -151,6 +151,20 @@
 	assert.Equal(t, s.conns.Load(), int64(1))
 }
 
+// Guards against a response that counts as the only one of its connection: a late copy of an
+// earlier refusal would prove that the request did not run.
+func TestResponsesOnReusedConnectionsAreTold(t *testing.T) {
+	s := startServer(t, okResponse, okResponse, okResponse)
+	d := newDialer(t, dialer.Config{})
+	for n, own := range []bool{false, false, true} {
+		res, err := d.Do(t.Context(), requester.Request{Method: "GET", Path: "/", Addr: s.addr, OwnConnection: own})
+		assert.NilError(t, err)
+		_, err = res.ReadAll(100)
+		assert.NilError(t, err)
+		assert.Equal(t, res.Reused, n == 1, "%d", n)
+	}
+}
+
 // A request is not sent again if the server closes the connection after reading
 // it, whatever its method and whether or not the connection came from the pool.
 func TestNoHiddenRetry(t *testing.T) {
