serve: answer at-most-once requests that may have run with 504 only

What callers saw: a call or a generation that must run once, without a key, lost its connection, and the answer was 503 with Retry-After: 1 and the outcome unknown in the body. HTTP libraries come back after a 503 and after Retry-After, and the request runs again. The same request with a key got 504 outcome_unknown without Retry-After.

Cause: the status was chosen by the code of the error, the outcome by the attempter; nothing joined the two.

Evidence: TestUnknownOutcomeOfRequestThatRunsOnceInvitesNoRepeat, 503 and 1 s for both before this change.

Change: outcomeUnknownError is the one answer for a request that must run at most once and may have run.

Why it works: each answer with the outcome unknown of such a request is made by callError, giveUp, expire or the claim, which all call it.

--- a/server/claims.go
+++ b/server/claims.go
@@ -322,8 +322,7 @@
 		e.Status, e.Code, e.RetryAfter = 503, "not_served", time.Second
 		e.Message = "the request was not run"
 	default:
-		e.Status, e.Code = 504, "outcome_unknown"
-		e.Message = "the request may have run; it will not be run again under this key"
+		return outcomeUnknownError("the request may have run; it will not be run again under this key")
 	}
 	return e
 }
--- a/server/generation.go
+++ b/server/generation.go
@@ -331,9 +331,12 @@
 	g.abandon()
 	g.endClaim(claimer.OutcomeUnknown)
 	g.s.metrics.outcomes.Add(string(attempter.Unknown), 1)
+	const message = "the answer was not complete in time"
+	if g.req.NonIdempotent {
+		return outcomeUnknownError(message)
+	}
 	return &responder.RequestError{
-		Status: 504, Code: "deadline", Outcome: attempter.Unknown,
-		Message: "the answer was not complete in time", RetryAfter: time.Second,
+		Status: 504, Code: "deadline", Outcome: attempter.Unknown, Message: message, RetryAfter: time.Second,
 	}
 }
 
@@ -415,6 +418,9 @@
 func (g *generation) giveUp(o attempter.Outcome, message string) error {
 	g.attempts.AssertOutcome(o)
 	g.s.metrics.outcomes.Add(string(o), 1)
+	if g.req.NonIdempotent && o == attempter.Unknown {
+		return outcomeUnknownError(message)
+	}
 	return &responder.RequestError{
 		Status: 503, Code: "not_served", Outcome: o, Message: message, RetryAfter: time.Second,
 	}
--- a/server/services.go
+++ b/server/services.go
@@ -48,15 +48,13 @@
 // attempter gives up or the deadline passes.
 func (s *Server) callService(ctx context.Context, c responder.Call) (responder.Response, attempter.Outcome, error) {
 	deadline, _ := ctx.Deadline()
-	a := attempter.New(attempter.Config{
-		NonIdempotent: c.NonIdempotent || !isIdempotent(c.Method),
-		Deadline:      deadline, MaxAttempts: maxAttempts,
-	}, s)
+	nonIdempotent := c.NonIdempotent || !isIdempotent(c.Method)
+	a := attempter.New(attempter.Config{NonIdempotent: nonIdempotent, Deadline: deadline, MaxAttempts: maxAttempts}, s)
 	var failed []string
 	for {
 		endpoint, ok := s.pickEndpoint(c, failed)
 		if !ok {
-			return responder.Response{}, outcomeOf(a), callError(a, "no_endpoint", "no endpoint of the service is ready")
+			return responder.Response{}, outcomeOf(a), callError(a, nonIdempotent, "no_endpoint", "no endpoint of the service is ready")
 		}
 		a.RecordSend()
 		reply, err := s.sendCall(ctx, c, endpoint)
@@ -67,11 +65,11 @@
 		d := a.HandleFailure(s.clock.Now(), callFailure(err))
 		if d.Step == attempter.GiveUp {
 			a.AssertOutcome(d.Outcome)
-			return responder.Response{}, d.Outcome, callError(a, "not_served", "the service could not be reached")
+			return responder.Response{}, d.Outcome, callError(a, nonIdempotent, "not_served", "the service could not be reached")
 		}
 		s.metrics.retries.Add(1)
 		if s.clock.Sleep(ctx, d.Delay) != nil {
-			return responder.Response{}, outcomeOf(a), callError(a, "deadline", "the call did not end in time")
+			return responder.Response{}, outcomeOf(a), callError(a, nonIdempotent, "deadline", "the call did not end in time")
 		}
 	}
 }
@@ -161,11 +159,20 @@
 
 // callError returns the final answer for a call without a response from the
 // service.
-func callError(a *attempter.Attempter, code, message string) error {
+func callError(a *attempter.Attempter, nonIdempotent bool, code, message string) error {
 	o := outcomeOf(a)
+	if nonIdempotent && o == attempter.Unknown {
+		return outcomeUnknownError(message)
+	}
 	e := &responder.RequestError{Status: 503, Code: code, Message: message, Outcome: o, RetryAfter: time.Second}
 	if code == "deadline" {
 		e.Status = 504
 	}
 	return e
 }
+
+// outcomeUnknownError returns the final answer for a request that must run at most once and
+// may have run. Neither its status nor a Retry-After invites a caller to repeat it.
+func outcomeUnknownError(message string) *responder.RequestError {
+	return &responder.RequestError{Status: 504, Code: "outcome_unknown", Message: message, Outcome: attempter.Unknown}
+}
