forwarder: a run of a paused engine is kept as long as its client waits

Callers saw nothing; two engines worked on one generation. An engine that paused for longer than 1.6 s, or 0.6 s if it accepted no connection, went on beside the run that had been started from its copy.

Cause: two constants for sound engines that pause for a second or so. On a busy machine engines pause for longer, and a connection that is not accepted is no sign of an end in a large fleet: after 1.5 s without a report each daemon polls the engine itself, and some hundred daemons fill the queue of its listener.

Change: a stream waits for a silent engine while its client would still get an event of the other run and the copy is kept (3.5 s for copies that are kept for 5 s). Only an engine where nothing listens any more is left after 0.6 s.

A stream of an engine that has died without a word goes on later than before: within the patience of its client.

--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/reporter"
@@ -230,7 +233,7 @@
 			f.log.Warn().Err(r.err).Str("endpoint", r.endpoint.Name).Str("addr", r.endpoint.Addr).Msg("forwarder: dependency lost: engine does not answer polls for its report")
 		}
 		if p.failures >= maxFailedPolls {
-			f.replaceUnresponsive(r.endpoint.Identity, provesNotRun(r.err), now)
+			f.replaceUnresponsive(r.endpoint.Identity, errors.Is(r.err, syscall.ECONNREFUSED), now)
 		}
 		if pl := f.knownPlacer(r.endpoint.Service); pl != nil {
 			pl.MarkUnreachable(r.endpoint.Identity, now)
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -15,8 +15,9 @@
 
 // Limits of continuing a generation with another run.
 const (
-	unresponsiveTimeout = 600 * time.Millisecond  // A run of an engine that accepts no connections is replaced if it has sent nothing for this long.
-	pausedTimeout       = 1600 * time.Millisecond // The same for an engine that accepts connections and does not answer. A sound one may pause for a second or so, and goes on with its runs.
+	unresponsiveTimeout = 600 * time.Millisecond  // A run is replaced if it has sent nothing for this long and nothing listens at its engine.
+	pausedTimeout       = 1600 * time.Millisecond // The same, at least, for an engine that may be paused; see silenceLimit.
+	copyMargin          = 1500 * time.Millisecond // Time before a copy expires in which its holder is asked whether it runs, and gets the request.
 	migrationTimeout    = 900 * time.Millisecond  // Limits how long a run is stopped for a migration; clients notice even much shorter pauses.
 	maxStreamAttempts   = 6                       // Attempts for one stream that reached an engine, refused ones included, after which it is not resumed again.
 )
@@ -311,16 +312,27 @@
 	return d
 }
 
+// silenceLimit returns for how long a run may send nothing before it is replaced by one from its copy. An engine that
+// is paused goes on with its runs, and both would work on the generation. A connection that it does not accept tells no
+// more, since the daemons that poll a paused engine fill the queue of its listener. So the stream waits while its client would
+// still get an event of the other run, and the copy is kept.
+func (s *stream) silenceLimit() time.Duration {
+	limit := s.x.route.Patience - s.x.route.LatencyTarget - pollInterval - pollTimeout // A poll notices the silence.
+	if kept := s.jobPlacer.engine.CopyRetention; kept > 0 {
+		limit = min(limit, kept-copyMargin)
+	}
+	return max(limit, pausedTimeout)
+}
+
 // replaceUnresponsive continues the streams of an engine that does not answer polls from
 // their backups, or in new runs where the route permits it, if it has sent them nothing for
-// unresponsiveTimeout, or for pausedTimeout if it is reached. The others wait: an engine that is
-// only silent for a while goes on with its runs, and both would work on the generation.
-func (f *Forwarder) replaceUnresponsive(id registrar.Identity, unreachable bool, now time.Time) {
-	timeout := pausedTimeout
-	if unreachable {
-		timeout = unresponsiveTimeout
-	}
+// their silenceLimit, or for unresponsiveTimeout if nothing listens there any more. The others wait.
+func (f *Forwarder) replaceUnresponsive(id registrar.Identity, ended bool, now time.Time) {
 	for _, s := range f.runningStreams() {
+		timeout := unresponsiveTimeout
+		if !ended {
+			timeout = s.silenceLimit()
+		}
 		s.mu.Lock()
 		source := s.run
 		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > timeout
