e2e: soak with pauses checks repeats of requests that ran

A copy that follows an answer is not told not_run, but by a daemon that can't read the claim or takes no requests. Copies of a generation have the same body now; before, half of them had another key's fingerprint and were answered key_reused.

--- a/e2e/pausesoak_test.go
+++ b/e2e/pausesoak_test.go
@@ -33,7 +33,9 @@
 	id         string
 	keyed      bool
 	generation bool
+	streamed   bool
 	outcomes   []string
+	codes      []string // Of errors, by copy.
 }
 
 // pauseSoak sends requests that must run once to processes that stand still at random times.
@@ -143,14 +145,14 @@
 // runClient sends one request after another. It repeats those with a key that did not run.
 func (s *pauseSoak) runClient(client int, rnd *rand.Rand) {
 	for n := 0; s.ctx.Err() == nil; n++ {
-		f := filing{id: fmt.Sprintf("c%dn%d", client, n), keyed: rnd.IntN(2) == 0, generation: rnd.IntN(4) == 0}
+		f := filing{id: fmt.Sprintf("c%dn%d", client, n), keyed: rnd.IntN(2) == 0, generation: rnd.IntN(4) == 0, streamed: rnd.IntN(2) == 0}
 		copies := 1
 		if f.keyed {
 			copies = 1 + rnd.IntN(maxCopies)
 		}
 		for range copies {
-			outcome := s.send(f, rnd)
-			f.outcomes = append(f.outcomes, outcome)
+			outcome, code := s.send(f, rnd)
+			f.outcomes, f.codes = append(f.outcomes, outcome), append(f.codes, code)
 			if outcome == "ran" && rnd.IntN(2) == 0 {
 				break
 			}
@@ -161,12 +163,13 @@
 	}
 }
 
-// send sends one copy of a request to some daemon and returns its outcome. The client may give up early.
-func (s *pauseSoak) send(f filing, rnd *rand.Rand) string {
+// send sends one copy of a request to some daemon and returns its outcome and error code. The client
+// may give up early.
+func (s *pauseSoak) send(f filing, rnd *rand.Rand) (outcome, code string) {
 	call := s.filingCall(rnd.IntN(len(s.daemons)), f.id, "")
 	if f.generation {
 		call = s.generationCall(rnd.IntN(len(s.daemons)), f.id, 5)
-		call.Stream, call.NonIdempotent = rnd.IntN(2) == 0, true
+		call.Stream, call.NonIdempotent = f.streamed, true
 	}
 	if f.keyed {
 		call.IdempotencyKey = "key-" + f.id
@@ -177,11 +180,11 @@
 	result := s.caller.Do(ctx, call)
 	switch {
 	case result.Outcome == "" && result.Complete:
-		return "ran" // A stream has no header with its outcome.
+		return "ran", "" // A stream has no header with its outcome.
 	case result.Err != nil:
-		return ""
+		return "", ""
 	}
-	return result.Outcome
+	return result.Outcome, result.Code
 }
 
 // check compares the runs with what the clients were told, once nothing can run any more.
@@ -202,6 +205,7 @@
 		for _, o := range f.outcomes {
 			told[o]++
 		}
+		assert.Check(t, !f.refusedAfterRun(), "%s was told that it did not run after it ran: %q %q", f.id, f.outcomes, f.codes)
 		if f.generation {
 			generations++
 			if f.toldOnly("not_run") {
@@ -229,6 +233,23 @@
 	return true
 }
 
+// refusedAfterRun reports whether a copy was answered with not_run after an earlier one was answered
+// with ran. A daemon that can't read the claim, or that takes no more requests, speaks of that copy only.
+func (f filing) refusedAfterRun() bool {
+	ran := false
+	for i, o := range f.outcomes {
+		switch f.codes[i] {
+		case "platform_unavailable", "stopping", "not_ready":
+			continue
+		}
+		if o == "not_run" && ran {
+			return true
+		}
+		ran = ran || o == "ran"
+	}
+	return false
+}
+
 // processes returns the processes that are paused, the daemons last.
 func (s *pauseSoak) processes() []*process {
 	s.mu.Lock()
