--- a/transport/framer/tunnel_test.go
+++ b/transport/framer/tunnel_test.go
@@ -214,3 +214,33 @@
 	}
 	_ = c.Close()
 }
+
+// shortConn is a connection that accepts a number of bytes and then fails.
+type shortConn struct {
+	net.Conn
+	accepts int
+}
+
+func (c *shortConn) Write(p []byte) (int, error) {
+	n := min(len(p), c.accepts)
+	c.accepts -= n
+	if n < len(p) {
+		return n, syscall.ECONNRESET
+	}
+	return n, nil
+}
+
+// Guards against a request that counts as not sent although its first byte was written to a tunnel, whose peer may
+// pass it on, and against one that may have run since the header of its block was written.
+func TestTunnelCountsBytesForItsTarget(t *testing.T) {
+	p := make([]byte, maxBlockBytes+10)
+	for accepts, want := range map[int]int{
+		0: 0, blockHeaderBytes: 0, blockHeaderBytes + 1: 1, blockHeaderBytes + maxBlockBytes: maxBlockBytes,
+		2*blockHeaderBytes + maxBlockBytes: maxBlockBytes, 2*blockHeaderBytes + maxBlockBytes + 3: maxBlockBytes + 3,
+	} {
+		tunnel := &Tunnel{Conn: &shortConn{accepts: accepts}}
+		n, err := tunnel.Write(p)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+		assert.Equal(t, n, want, "%d bytes accepted", accepts)
+	}
+}
