forward: log and count times in which the daemon did not run

The loop that polls engines wakes up every 50 to 100 ms already. It now notices a wake-up that is more than 200 ms late, logs at most one line a second and counts daemon_pauses, daemon_paused_ms and daemon_pause. No logic changes.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"monsoonspar.example/coordination/quarantiner"
 	"monsoonspar.example/coordination/warmer"
 	"monsoonspar.example/state/matcher"
+	"monsoonspar.example/state/pausemeter"
 	"monsoonspar.example/state/registrar"
 	"monsoonspar.example/state/reserver"
 	"monsoonspar.example/state/spawner"
@@ -73,7 +74,8 @@
 	quarantine      *quarantiner.Quarantine
 	quarantineWatch *quarantineWatch
 
-	pollWake waker // Wakes pollReports.
+	pollWake waker            // Wakes pollReports.
+	pauses   pausemeter.Meter // Of the daemon.
 
 	streamsMu       sync.Mutex
 	streams         map[*stream]struct{}
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -43,13 +43,20 @@
 }
 
 // pollReports polls the engines for their load until ctx ends. In the same loop it
-// expires endpoints, checks the paths of silent streams and processes the queues of the placers.
+// expires endpoints, checks the paths of silent streams, processes the queues of the placers and notices pauses of the
+// daemon.
 func (f *Forwarder) pollReports(ctx context.Context) {
 	polls := map[registrar.Identity]*enginePoll{}
 	results := make(chan pollResult, 64)
 	base := f.clock.Now().Add(-time.Duration(f.random() * float64(pollInterval)))
-	for f.pollWake.wait(ctx, f.clock, f.pollDelay()) == nil {
+	f.recordWake(0, f.clock.Now())
+	for {
+		delay := f.pollDelay()
+		if f.pollWake.wait(ctx, f.clock, delay) != nil {
+			return
+		}
 		now := f.clock.Now()
+		f.recordWake(delay, now)
 		f.handlePollResults(polls, results, now)
 		f.startPolls(ctx, polls, results, base, now)
 		f.handleEndpointChanges(f.registry.Expire(now))
@@ -60,6 +67,18 @@
 	}
 }
 
+// recordWake records that a loop has woken up, which was to wait for delay.
+func (f *Forwarder) recordWake(delay time.Duration, now time.Time) {
+	if pause := f.pauses.Wake(delay, now); pause > 0 {
+		f.metrics.count("daemon_pauses")
+		f.metrics.add("daemon_paused_ms", int(pause.Milliseconds()))
+		f.metrics.observe("daemon_pause", pause)
+	}
+	if r, ok := f.pauses.Report(now); ok {
+		f.log.Warn().Dur("paused_ms", r.Sum).Dur("longest_ms", r.Longest).Int("pauses", r.Count).Dur("since_ms", now.Sub(r.Since)).Msg("forwarder: daemon did not run")
+	}
+}
+
 // pollDelay returns the time until the next round of pollReports, unless something ends the wait.
 func (f *Forwarder) pollDelay() time.Duration {
 	for _, p := range f.allPlacers() {
