explain: show pauses of daemons, and what speaks against a promise

An operator had to find by hand that a request which was refused as not run had an attempt without proof, that two runs of a generation were at work, and that its daemon stood still meanwhile. explain now prints such pauses between the lines of the request, and each doubt after its outcome.

TestExplainPromiseWithoutProof and TestExplainTwoRunsDuringPause show both, from lines made up for them.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -37,8 +37,8 @@
 	Fields  map[string]any // All other fields, except level.
 }
 
-// Read returns the lines in r about the request with the given ID, and those about requests that
-// resume a stream. It ignores text before the JSON object of a line, such as the prefix of a log collector, and
+// Read returns the lines in r about the request with the given ID, those about requests that
+// resume a stream, and those about pauses of daemons. It ignores text before the JSON object of a line, such as the prefix of a log collector, and
 // lines without a JSON object.
 func Read(r io.Reader, request string) ([]Line, error) {
 	var lines []Line
@@ -46,7 +46,7 @@
 	s.Buffer(nil, maxLineBytes)
 	for s.Scan() {
 		text := s.Bytes()
-		if !bytes.Contains(text, []byte(request)) && !bytes.Contains(text, []byte(fieldResumedAfter)) {
+		if !slices.ContainsFunc([]string{request, fieldResumedAfter, messagePause}, func(s string) bool { return bytes.Contains(text, []byte(s)) }) {
 			continue
 		}
 		start := bytes.IndexByte(text, '{')
@@ -54,7 +54,7 @@
 			continue
 		}
 		fields := map[string]any{}
-		if json.Unmarshal(text[start:], &fields) != nil || fields["request"] != request && fields[fieldResumedAfter] == nil {
+		if json.Unmarshal(text[start:], &fields) != nil || fields["request"] != request && fields[fieldResumedAfter] == nil && fields["message"] != messagePause {
 			continue
 		}
 		lines = append(lines, newLine(fields))
@@ -113,28 +113,30 @@
 	if len(lines) == 0 {
 		return errors.Wrap(ErrNoLines, request)
 	}
-	explainOne(w, request, lines)
+	explainOne(w, request, lines, all)
 	for _, id := range slices.Sorted(maps.Keys(resumed)) {
 		first := resumed[id][0]
 		fmt.Fprintf(w, "\nresumed after event %v at %s by ", first.Fields[fieldResumedAfter], first.Daemon)
-		explainOne(w, id, resumed[id])
+		explainOne(w, id, resumed[id], all)
 	}
 	return nil
 }
 
-// explainOne writes the lines about one request and its outcome.
-func explainOne(w io.Writer, request string, lines []Line) {
+// explainOne writes the lines about one request, with the pauses of its daemons, and its outcome.
+func explainOne(w io.Writer, request string, lines, all []Line) {
 	fmt.Fprintf(w, "request %s\n", request)
-	for _, l := range lines {
+	for _, l := range withPauses(lines, all) {
 		fmt.Fprintf(w, "%s %s %s%s\n", l.Time.Format("15:04:05.000"), l.Daemon, l.Message, formatFields(l.Fields))
 	}
 	last := lines[len(lines)-1]
 	reason := textOf(last.Fields["reason"])
 	if reason == "" {
 		fmt.Fprintln(w, "outcome: not in these logs; the daemon was terminated, or its log is missing")
+		writeDoubts(w, lines)
 		return
 	}
 	fmt.Fprintf(w, "outcome: %s: %s\n", reason, cmp.Or(reasonTexts[reason], "no further explanation"))
+	writeDoubts(w, lines)
 }
 
 // formatFields formats the fields that are not empty, sorted by name.
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -46,6 +46,36 @@
 	golden.Assert(t, b.String(), "resumed.golden")
 }
 
+// The second endpoint has responded with a refusal that it did not prove.
+func TestExplainPromiseWithoutProof(t *testing.T) {
+	lines, err := explainer.Read(strings.NewReader(`{"daemon":"d-1","request":"r1","endpoint":"i-1","proof":"refused_by_endpoint","not_run":true,"status":503,"time":"2026-12-04T12:40:00Z","message":"forwarder: attempt failed"}
+{"daemon":"d-1","request":"r1","endpoint":"i-2","proof":"none","written":312,"not_run":false,"time":"2026-12-04T12:40:01Z","message":"forwarder: attempt failed"}
+{"daemon":"d-1","request":"r1","proof":"none","sent":2,"status":503,"reason":"refused_by_endpoints","time":"2026-12-04T12:40:01Z","message":"forwarder: request refused"}
+`), "r1")
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	assert.NilError(t, explainer.Explain(&b, "r1", lines))
+	golden.Assert(t, b.String(), "unproven.golden")
+}
+
+// The daemon of a stream did not run while the stream had two runs. Another daemon, and the same one later, did not run
+// either.
+func TestExplainTwoRunsDuringPause(t *testing.T) {
+	lines, err := explainer.Read(strings.NewReader(`{"daemon":"d-1","paused_ms":400,"since_ms":500,"pauses":1,"time":"2026-12-04T12:39:58Z","message":"forwarder: daemon did not run"}
+{"daemon":"d-1","request":"r1","held_ms":1000,"endpoint":"i-1","time":"2026-12-04T12:40:00Z","message":"forwarder: generation placed"}
+{"daemon":"d-1","request":"r1","held_ms":2000,"first_run":"beside","from":"i-1","endpoint":"i-2","time":"2026-12-04T12:40:01Z","message":"forwarder: another run requested"}
+{"daemon":"d-1","request":"r1","held_ms":2810.5,"from":"i-1","endpoint":"i-2","beside_ms":810.5,"left":"first","by":"answer","time":"2026-12-04T12:40:01.810Z","message":"forwarder: two runs may have been at work"}
+{"daemon":"d-1","request":"r1","held_ms":2900,"reason":"served","time":"2026-12-04T12:40:01.900Z","message":"forwarder: stream answered"}
+{"daemon":"d-2","paused_ms":700,"since_ms":790,"pauses":1,"time":"2026-12-04T12:40:01.810Z","message":"forwarder: daemon did not run"}
+{"daemon":"d-1","paused_ms":700,"since_ms":1290,"pauses":2,"time":"2026-12-04T12:40:02.310Z","message":"forwarder: daemon did not run"}
+{"daemon":"d-1","paused_ms":700,"since_ms":790,"pauses":1,"time":"2026-12-04T12:40:09Z","message":"forwarder: daemon did not run"}
+`), "r1")
+	assert.NilError(t, err)
+	var b bytes.Buffer
+	assert.NilError(t, explainer.Explain(&b, "r1", lines))
+	golden.Assert(t, b.String(), "two-runs.golden")
+}
+
 func TestExplainUnknownRequest(t *testing.T) {
 	lines, err := explainer.Read(strings.NewReader("no json\n{\"request\":\"other\"}\n{bad r1}\n"), "r1")
 	assert.NilError(t, err)
