forward: log what promises and second runs rest on

An operator could not tell from the logs what a refusal with the promise 'not run' rested on, nor on what ground the first run of a generation was held to be over when another was requested, when it was left, and what an engine had said that was asked about a run.

Refusals with a promise have proof (not_attempted, not_sent, refused_by_endpoint, none) and sent, failed attempts proof, written and via. New lines: another run requested, two runs may have been at work, engine was asked about a run that it had not answered. Counters by proof, ground and event. No logic changes, and nothing on the wire.

--- a/forwarder/again.go
+++ b/forwarder/again.go
@@ -106,6 +106,7 @@
 	}
 	s.x.attempts.Add(1)
 	from := s.resumeWithoutCopy()
+	s.recordSecondRun(source, pl.Engine, from, wayAgain, cause, false)
 	r, err := s.send(pl.Engine, pl.Backup, from, nil)
 	if err != nil && provesNotRun(err) {
 		s.x.unsent.Add(1)
@@ -155,7 +156,7 @@
 // engine is silent. Otherwise the stream waits.
 func (s *stream) leaveSilentEngine(source run) {
 	if s.mayRunAgain() && !source.state.left.Swap(true) {
-		source.interrupt(errEngineUnresponsive)
+		s.leaveRun(source, errEngineUnresponsive, bySilence)
 	}
 }
 
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -97,34 +97,36 @@
 	defer stop()
 	f.spawn(func() {
 		if f.clock.Sleep(overlapped, overlapLimit-askDelay) == nil {
-			w.leaveSource()
+			w.leaveSource(byTimer)
 		}
 	})
 	err := <-asked
 	stop()
 	switch {
 	case w.result.copied.Handle != "":
-		w.leaveSource()
+		w.leaveSource(byAsked)
 		w.giveUp()
 	case w.result.absent && w.besideSource, w.s.mayRunAgain():
 		w.giveUp()
 	case !provesNotRun(err):
-		w.leaveSource()
+		w.leaveSource(byUnanswered)
 	}
+	w.logAsked(err)
 }
 
 // giveUp resets the connection of the request, so that its engine does not run it later.
 func (w *answerWatch) giveUp() {
 	w.result.givenUp = true
+	w.s.f.metrics.count("requests_given_up")
 	w.next.interrupt(errUnanswered)
 }
 
 // leaveSource ends the run that is continued, if it may still be at work.
-func (w *answerWatch) leaveSource() {
+func (w *answerWatch) leaveSource(by string) {
 	if w.besideSource {
 		w.left.Do(func() {
 			w.s.f.metrics.count("runs_left_unanswered")
-			w.source.interrupt(w.cause)
+			w.s.leaveRun(w.source, w.cause, by)
 		})
 	}
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -9,7 +9,6 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/limiter"
-	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
@@ -212,11 +211,13 @@
 	a.endUnless(lift())
 	if a.relay != nil {
 		x.deliveries++
+		x.proofs.record(proofNone)
 		a.relay.start(f.clock.Now().Sub(start))
 		return a
 	}
 	if cause := context.Cause(c); a.err != nil && errors.Is(cause, errAttemptTime) {
-		a.err = requester.FailureError{Kind: sendErrorKind(a.err), Cause: cause}
+		a.err = withCause(a.err, cause)
+		f.metrics.count("requests_given_up")
 	}
 	if a.err == nil && !a.notRun && x.route.Kind != matcher.Safe && promisesNotRun(res.Status) {
 		a.err = errUnprovenRefusal
@@ -249,10 +250,12 @@
 	f.balancer(x.service).Done(e.Identity, result, f.clock.Now())
 	f.logCapacity(x.service, e)
 	f.handleMisdirected(e, a.response)
-	if a.err != nil || a.notRun {
-		f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Err(a.err).Str("endpoint", e.Name).Str("via", a.response.Via).Int("status", a.response.Status).Bool("not_run", a.notRun).
-			Msg("forwarder: attempt failed")
+	if a.err == nil && !a.notRun {
+		x.proofs.record(proofNone)
+		return
 	}
+	f.recordProof(f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e), x, a.response.Via, a.notRun, a.err).Err(a.err).Str("endpoint", e.Name).Int("status", a.response.Status).Bool("not_run", a.notRun).
+		Msg("forwarder: attempt failed")
 }
 
 // recordEvidence records what an attempt says about whether the request crashes endpoints: it
@@ -331,7 +334,7 @@
 	f.recordDuration(x, true)
 	f.metrics.count("calls_answered")
 	f.metrics.observe("call_latency", f.clock.Now().Sub(x.arrived))
-	f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Str("via", res.Via).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
+	f.addPromise(f.addCapacity(f.addRequestFields(f.log.Info(), x), x.service, e), x, res.Status).Str("endpoint", e.Name).Int("status", res.Status).Stringer("framing", res.Framing).Str("via", res.Via).Int("bytes", n).Str("reason", string(ReasonServed)).Msg("forwarder: call answered")
 }
 
 // failCall ends a call for which there is no successful response. A genuine server
@@ -341,7 +344,7 @@
 		copyResponseHeader(out, &lastAttempt.response)
 		out.Response.SetBodyRaw(lastAttempt.body)
 		f.metrics.count("calls_failed_by_endpoint")
-		f.addRequestFields(f.log.Warn(), x).Int("status", lastAttempt.response.Status).Msg("forwarder: endpoint returned a server error; passed on to the client")
+		f.addPromise(f.addRequestFields(f.log.Warn(), x), x, lastAttempt.response.Status).Int("status", lastAttempt.response.Status).Msg("forwarder: endpoint returned a server error; passed on to the client")
 		return
 	}
 	if r, ended := refusalForContext(ctx, mayHaveRun); ended {
--- a/forwarder/clients.go
+++ b/forwarder/clients.go
@@ -106,6 +106,7 @@
 	trial           atomic.Bool           // The request is sent although it is quarantined, to try it again.
 	resumeAfter     int64                 // ID of the last event that the client has received; noEvent if it resumes no stream.
 	runs            atomic.Int64          // Engines that may run the request; those that go on from a copy of another run do not count.
+	proofs          attemptProofs         // Of the attempts that have ended.
 	deliveries      int                   // Attempts that may have reached an endpoint; each one after the first uses the retry budget.
 
 	sentMu sync.Mutex
@@ -188,7 +189,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		r = Refusal{Status: fasthttp.StatusRequestTimeout, Reason: ReasonMalformed}
 	}
-	f.log.Warn().Err(err).Str("reason", string(r.Reason)).Msg("forwarder: request could not be read as HTTP")
+	f.addPromise(f.log.Warn(), &exchange{}, r.Status).Err(err).Str("reason", string(r.Reason)).Msg("forwarder: request could not be read as HTTP")
 	f.codec.Refuse(ctx, r)
 	ctx.SetConnectionClose()
 }
@@ -287,7 +288,7 @@
 	if r.Status >= fasthttp.StatusInternalServerError && r.Reason != ReasonClientDisconnected {
 		level = zerolog.WarnLevel
 	}
-	f.addRequestFields(f.log.WithLevel(level), x).Err(cause).Int("status", r.Status).Str("reason", string(r.Reason)).
+	f.addPromise(f.addRequestFields(f.log.WithLevel(level), x), x, r.Status).Err(cause).Int("status", r.Status).Str("reason", string(r.Reason)).
 		Dur("retry_after_ms", r.RetryAfter).Msg("forwarder: request refused")
 }
 
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -207,7 +207,7 @@
 	}
 	replacement <- r
 	close(replacement)
-	source.interrupt(cause)
+	s.leaveRun(source, cause, byAnswer)
 	return nil
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -37,6 +37,7 @@
 // resume continues the generation after its run has broken off.
 func (s *stream) resume(cause error) error {
 	startedAt := s.f.clock.Now()
+	s.recordBroken(cause)
 	s.engineEnded = s.checkEngine(cause)
 	s.setResuming(true)
 	defer s.setResuming(false)
@@ -239,7 +240,10 @@
 	}
 	backup := s.jobPlacer.RecordMigration(s.currentJob(), target, startedAt)
 	var w *answerWatch
-	r, err := s.send(target, backup, resumeFrom, func(next run) { w = s.watchAnswer(next, source, cause, besideSource) })
+	r, err := s.send(target, backup, resumeFrom, func(next run) {
+		s.recordSecondRun(source, target, resumeFrom, way, cause, besideSource)
+		w = s.watchAnswer(next, source, cause, besideSource)
+	})
 	unanswered := w.end(err)
 	if unanswered.copied.Handle != "" {
 		r.close()
@@ -257,6 +261,7 @@
 		return r, nil
 	}
 	r.close()
+	s.endBeside(source, leftSecond, secondEnd(unanswered))
 	source.state.recordFailedResume(way, err == nil && r.response.NotExecuted, err)
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -91,6 +91,7 @@
 	// resumeLost is set if a request to continue the run may have been executed, but brought
 	// no response. The generation may go on there.
 	resumeLost atomic.Bool
+	handover   handover
 }
 
 func (s *runState) loadStop() verifier.Stop { return verifier.Stop(s.stop.Load()) }
@@ -269,11 +270,12 @@
 		}
 		s.events = isEventStream(&r.response)
 		s.setRun(r)
+		s.x.proofs.record(proofNone)
 		return true, false, nil
 	}
 	r.close()
 	s.f.handleMisdirected(pl.Engine, *res)
-	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", res.Status).
+	s.f.recordProof(s.f.addRequestFields(s.f.log.Info(), s.x), s.x, res.Via, refused, err).Err(err).Str("endpoint", pl.Engine.Name).Bool("not_run", refused).Int("status", res.Status).
 		Msg("forwarder: engine did not accept the request")
 	if refused {
 		s.jobPlacer.RecordRefusal(s.job.ID, isUnreachable(err), s.f.clock.Now())
@@ -454,7 +456,7 @@
 		return r, nil
 	}
 	if cause := context.Cause(c); cause != nil && s.ctx.Err() == nil {
-		err = requester.FailureError{Kind: sendErrorKind(err), Cause: cause}
+		err = withCause(err, cause)
 	}
 	return r, err
 }
@@ -687,6 +689,7 @@
 	s.closed = true
 	s.mu.Unlock()
 	s.run.close()
+	s.endBeside(s.run, leftFirst, byStreamEnd)
 	s.discardReplacement()
 	s.f.removeStream(s)
 	s.jobPlacer.RecordEnd(s.job, s.outputTokens(), s.complete, s.f.clock.Now())
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -90,8 +90,10 @@
 // FailureError is the error of a failed exchange. It matches its kind and its
 // cause.
 type FailureError struct {
-	Kind  error // ErrNotSent or ErrOutcomeUnknown.
-	Cause error
+	Kind    error // ErrNotSent or ErrOutcomeUnknown.
+	Cause   error
+	Written int    // Bytes of the request that the operating system, or what the connection goes through, has accepted.
+	Via     string // As in Response; empty if no connection was opened.
 }
 
 // Error returns the kind and the cause.
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -80,7 +80,15 @@
 	case isTimeout(err):
 		err = requester.ErrReadTimeout
 	}
-	return requester.FailureError{Kind: kind, Cause: shortError{err}}
+	return requester.FailureError{Kind: kind, Cause: shortError{err}, Written: c.written, Via: c.via()}
+}
+
+// via returns what the connection goes through, or an empty string if it is direct.
+func (c *conn) via() string {
+	if v, ok := c.raw.(indirect); ok {
+		return v.Via()
+	}
+	return ""
 }
 
 // maxErrorBytes limits the text of an error, which may quote what the server sent.
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -338,10 +338,7 @@
 
 // response converts a response whose header has been read.
 func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response, ownConnection bool) requester.Response {
-	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r)}
-	if v, ok := c.raw.(indirect); ok {
-		res.Via = v.Via()
-	}
+	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r), Via: c.via()}
 	for name, value := range r.Header.All() {
 		if !isConnectionHeader(string(name)) {
 			res.Header = append(res.Header, requester.Header{Name: string(name), Value: string(value)})
