responder: recognize or refuse every value of Non-Idempotent

What callers saw: a request with Non-Idempotent: True, or 1, was taken for one that may be repeated, without a word.

Cause: the field was compared with "true", and every other value was the same as none.

Change: the values that strconv.ParseBool knows, in any case; others get 400 non_idempotent_invalid.

Why it works: no value is ignored any more.

--- a/protocol/responder/completion.go
+++ b/protocol/responder/completion.go
@@ -114,7 +114,9 @@
 	if g.JobKind, err = jobKind(c); err != nil {
 		return Generation{}, err
 	}
-	g.NonIdempotent = c.Get(HeaderNonIdempotent) == "true"
+	if g.NonIdempotent, err = nonIdempotent(c); err != nil {
+		return Generation{}, err
+	}
 	return g, nil
 }
 
@@ -236,6 +238,19 @@
 	return key, nil
 }
 
+// nonIdempotent reports whether the caller marked the request to run at most once.
+func nonIdempotent(c *fiber.Ctx) (bool, error) {
+	value := c.Get(HeaderNonIdempotent)
+	if value == "" {
+		return false, nil
+	}
+	marked, err := strconv.ParseBool(strings.ToLower(value))
+	if err != nil {
+		return false, badRequest("non_idempotent_invalid", "%s must be true or false", HeaderNonIdempotent)
+	}
+	return marked, nil
+}
+
 // jobKind returns the kind of job that the caller sent, or the empty string.
 func jobKind(c *fiber.Ctx) (string, error) {
 	kind := c.Get(HeaderJobKind)
--- a/protocol/responder/responder_test.go
+++ b/protocol/responder/responder_test.go
@@ -206,6 +206,32 @@
 	}
 }
 
+// Guards against a request that is marked to run at most once and is repeated, since its mark was
+// not recognized.
+func TestMarkOfRequestIsRecognizedOrRefused(t *testing.T) {
+	for _, c := range []struct {
+		mark                 string
+		nonIdempotent, valid bool
+	}{
+		{"true", true, true},
+		{"True", true, true},
+		{"TRUE", true, true},
+		{"1", true, true},
+		{"false", false, true},
+		{"0", false, true},
+		{"", false, true},
+		{"yes", false, false},
+		{"true, true", false, false},
+	} {
+		for path, body := range map[string]string{"/services/app/x": "", "/v1/chat/completions": fmt.Sprintf(chatBody, false)} {
+			b := &fakeBackend{chunks: wordChunks(0, "x")}
+			got := sendRequest(t, b, http.MethodPost, path, body, map[string]string{HeaderNonIdempotent: c.mark})
+			assert.Check(t, strings.HasPrefix(got, "400\n") != c.valid, "%q: %s", c.mark, got)
+			assert.Check(t, (b.call.NonIdempotent || b.generation.NonIdempotent) == c.nonIdempotent, "%q %s", c.mark, path)
+		}
+	}
+}
+
 func TestPathCannotEscapeService(t *testing.T) {
 	b := &fakeBackend{}
 	got := sendRequest(t, b, http.MethodPost, "/services/app/%2e%2e/other/x", "", nil)
--- a/protocol/responder/service.go
+++ b/protocol/responder/service.go
@@ -98,7 +98,11 @@
 		return Call{}, err
 	}
 	call.Safe = isSafeMethod(call.Method)
-	call.NonIdempotent = c.Get(HeaderNonIdempotent) == "true" || (!call.Safe && isNonIdempotent(service, path))
+	marked, err := nonIdempotent(c)
+	if err != nil {
+		return Call{}, err
+	}
+	call.NonIdempotent = marked || (!call.Safe && isNonIdempotent(service, path))
 	return call, nil
 }
 
