--- a/e2e/refused_test.go
+++ b/e2e/refused_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
@@ -89,20 +90,27 @@
 // Guards against an answer that invites a second run of a request that may have run and must run
 // at most once: callers and libraries return after a 503 and after the time in Retry-After.
 func TestUnknownOutcomeOfRequestThatRunsOnceInvitesNoRepeat(t *testing.T) {
-	c := startCluster(t, clusterConfig{daemons: 1, engines: 1})
+	c := startCluster(t, clusterConfig{daemons: 1, engines: 2})
 	generation := c.generationCall(0, "g", 5)
 	generation.NonIdempotent = true
+	slow := generation
+	slow.Timeout = 1500 * time.Millisecond
 	for _, tc := range []struct {
 		name, fault string
-		process     *process
+		processes   []*process
 		call        caller.Call
 	}{
-		{"filing", `{"lose_answers":1}`, c.service, c.filingCall(0, "f", "")},
-		{"generation", `{"drop_calls":1}`, c.engines[0], generation},
+		{"filing", `{"lose_answers":1}`, []*process{c.service}, c.filingCall(0, "f", "")},
+		{"slow generation", `{"mute_after":2}`, c.engines, slow},
+		{"generation", `{"mute_after":0,"drop_calls":1}`, c.engines, generation},
 	} {
-		setFaults(t, tc.process, "listening", tc.fault)
+		for _, p := range tc.processes {
+			setFaults(t, p, "listening", tc.fault)
+		}
 		result := c.caller.Do(t.Context(), tc.call)
 		assert.Check(t, result.Outcome == "unknown", "%s: %s", tc.name, result.Text)
-		assert.Check(t, result.Status == 504 && result.RetryAfter == 0, "%s: status %d, to come back after %v: %s", tc.name, result.Status, result.RetryAfter, result.Text)
+		// The slow one has sent its status by then.
+		assert.Check(t, result.Status == 504 || tc.name == "slow generation" && result.ErrorEvent, "%s: status %d", tc.name, result.Status)
+		assert.Check(t, result.Code == "outcome_unknown" && result.RetryAfter == 0, "%s: status %d, to come back after %v: %s", tc.name, result.Status, result.RetryAfter, result.Text)
 	}
 }
