dialer: send no request that has ended while its connection was opened

A request whose time passed, or whose client left, while its connection was being opened was written all the same: the end of the context resets the connection from another goroutine, which raced with the write. The server worked for nobody, and callers got 504 for a request that need not have been sent; a daemon that does not run for a while hits this more often.

The context is looked at once more when the connection is there. A request that has ended counts as not sent, and the unused connection is kept. The race with a context that ends during the write is left, and counts as of unknown outcome as before.

--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -149,6 +149,10 @@
 	if err != nil {
 		return requester.Response{}, requester.FailureError{Kind: requester.ErrNotSent, Cause: err}
 	}
+	if ctx.Err() != nil { // The connection may have taken some time.
+		d.pool.put(c, d.clock.Now())
+		return requester.Response{}, requester.FailureError{Kind: requester.ErrNotSent, Cause: ctx.Err()}
+	}
 	c.readTimeout = req.ReadTimeout
 	if c.readTimeout == 0 {
 		c.readTimeout = d.cfg.ReadTimeout
--- a/transport/dialer/reset_test.go
+++ b/transport/dialer/reset_test.go
@@ -51,3 +51,39 @@
 		assert.NilError(t, ln.Close())
 	}
 }
+
+// lateNetwork opens connections that are ready only when the request has ended.
+type lateNetwork struct {
+	dialer.Network
+	cancel context.CancelFunc
+}
+
+func (n lateNetwork) Dial(_ context.Context, addr string) (net.Conn, error) {
+	c, err := net.Dial("tcp", addr)
+	n.cancel()
+	return c, err
+}
+
+// Usable implements dialer.Network.
+func (lateNetwork) Usable(string, net.Conn) bool { return true }
+
+// Guards against a request that is sent although it has ended while its connection was opened, as in a process that
+// was paused meanwhile: the server would work for nobody, and the outcome would be unknown.
+func TestRequestThatEndsDuringDialIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	for range 50 {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDialer(t, dialer.Config{Network: lateNetwork{cancel: cancel}})
+		_, err := d.Do(ctx, requester.Request{Method: "POST", Path: "/x", Addr: ln.Addr().String()})
+		assert.ErrorIs(t, err, requester.ErrNotSent)
+		assert.ErrorIs(t, err, context.Canceled)
+		d.Close()
+		c, err := ln.Accept()
+		assert.NilError(t, err)
+		n, _ := c.Read(make([]byte, 1)) // Fails in any case.
+		assert.Equal(t, n, 0)
+		assert.NilError(t, c.Close())
+	}
+}
