Fix two engines at work on a generation while their daemon does not run

The run that replaces another was started first; the one before was left when the answer came, or by a timer of the daemon 200 ms after the request. Nothing but the daemon itself kept that bound, and a daemon with a fifth of a processor may stand still for longer at any point. If the question to the second engine could not be sent, nothing kept it at all.

Now no request that continues a run is sent before the first run has ended:

- An engine that drains answers, so its runs migrate: it stops the run before another engine continues it.
Their backups are used when the engine has ended.
- The connection of a silent engine is reset before its backup gets the request; Abort returns when that is done, while the end of a context only starts it.
- If the target of a migration has no such run or can't be asked, the run returns to its engine with the same handle.
A handle can be used once, so the engines decide which request runs, and a late one is refused.
Retries and attempts are granted before the run is stopped.
- A run whose engine was asked to stop it, without an answer, counts as one that may be stopped.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -11,13 +11,10 @@
 	"monsoonspar.example/state/registrar"
 )
 
-// The answer to a request that continues a run may be lost, or come late, while its engine works on the
-// generation. A run must have ended soon after another engine has begun to work on its generation, whatever
-// becomes of the answer. So the engine is asked to stop the run, which tells whether there is one.
-const (
-	askDelay     = 100 * time.Millisecond // From the request to the question. Most engines answer within a third of it.
-	overlapLimit = 200 * time.Millisecond // For which a run may be at work beside the one that continues it. Engines tolerate 400 ms; an end takes some time to reach its engine.
-)
+// askDelay is the time from a request that continues a run to the question what became of it. Its answer may
+// be lost, or come late, while its engine works on the generation. So the engine is asked to stop the run, which
+// tells whether there is one, and to copy it to where the generation can go on.
+const askDelay = 100 * time.Millisecond
 
 // errUnanswered means that an engine has not answered a request that continues a run.
 var errUnanswered = errors.New("no answer to the request that continues the run")
@@ -34,13 +31,11 @@
 type answerWatch struct {
 	s            *stream
 	next, source run
-	cause        error
-	besideSource bool // The source may still be at work.
+	returnable   bool // The generation can go on at the source, unless the next run has begun.
 	ctx          context.Context
 	cancel       context.CancelFunc
 	failed       waker         // Wakes run.
 	done         chan struct{} // Closed when run has ended.
-	left         sync.Once     // The source is left once.
 
 	mu       sync.Mutex
 	answered bool
@@ -48,8 +43,8 @@
 }
 
 // watchAnswer starts to watch the request of the next run, which is about to be sent.
-func (s *stream) watchAnswer(next, source run, cause error, besideSource bool) *answerWatch {
-	w := &answerWatch{s: s, next: next, source: source, cause: cause, besideSource: besideSource, failed: newWaker(), done: make(chan struct{})}
+func (s *stream) watchAnswer(next, source run, returnable bool) *answerWatch {
+	w := &answerWatch{s: s, next: next, source: source, returnable: returnable, failed: newWaker(), done: make(chan struct{})}
 	w.ctx, w.cancel = context.WithCancel(s.ctx)
 	s.f.spawn(func() {
 		defer close(w.done)
@@ -82,34 +77,20 @@
 	return !w.answered
 }
 
-// run asks the engine of the next run to stop it. The source is left when the engine may work on the next run for
-// overlapLimit, and the next run is given up when it is known not to be at work.
+// run asks the engine of the next run to stop it. The next run is given up if it was stopped, or if the generation can go
+// on without it.
 func (w *answerWatch) run() {
-	f := w.s.f
-	f.metrics.count("continuations_unanswered")
-	asked := make(chan error, 1)
-	f.spawn(func() {
-		var err error
-		w.result, err = w.s.stopUnanswered(w.next.engine, w.source.engine)
-		asked <- err
-	})
-	overlapped, stop := context.WithCancel(w.ctx)
-	defer stop()
-	f.spawn(func() {
-		if f.clock.Sleep(overlapped, overlapLimit-askDelay) == nil {
-			w.leaveSource()
-		}
-	})
-	err := <-asked
-	stop()
-	switch {
-	case w.result.copied.Handle != "":
-		w.leaveSource()
-		w.giveUp()
-	case w.result.absent && w.besideSource, w.s.mayRunAgain():
+	w.s.f.metrics.count("continuations_unanswered")
+	state := w.next.state
+	before := state.loadStop()
+	state.suspectStop()
+	var err error
+	w.result, err = w.s.stopUnanswered(w.next.engine, w.source.engine)
+	if w.result.absent || provesNotRun(err) {
+		state.storeStop(before)
+	}
+	if w.result.copied.Handle != "" || w.result.absent && w.returnable || w.s.mayRunAgain() {
 		w.giveUp()
-	case !provesNotRun(err):
-		w.leaveSource()
 	}
 }
 
@@ -119,16 +100,6 @@
 	w.next.interrupt(errUnanswered)
 }
 
-// leaveSource ends the run that is continued, if it may still be at work.
-func (w *answerWatch) leaveSource() {
-	if w.besideSource {
-		w.left.Do(func() {
-			w.s.f.metrics.count("runs_left_unanswered")
-			w.source.interrupt(w.cause)
-		})
-	}
-}
-
 // stopUnanswered makes an engine stop the run of the generation, if it has one, and copy its KV cache to another engine.
 // The generation can go on at the engine itself if it can't at the other one. Without room elsewhere the copy goes to
 // the engine from which the run came, since a call that names no other engine stops nothing.
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -127,18 +127,17 @@
 	return s.eventCount > 0
 }
 
-// migrateOnce tries once to continue the run on another engine, from its backup or
-// by a migration. It reports whether there is nothing left to do.
+// migrateOnce tries once to continue the run on another engine. It reports whether there
+// is nothing left to do.
 func (s *stream) migrateOnce(id registrar.Identity, shutdownAt time.Time) bool {
 	s.mu.Lock()
-	source := s.run
+	source, replaced := s.run, s.resuming || s.replacement != nil
 	s.mu.Unlock()
 	if source.engine.Identity != id {
 		return true
 	}
-	err := s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueFromBackup(source, errEngineShuttingDown, true) })
-	if err == nil || errors.Is(err, errBeingResumed) {
-		return err == nil
+	if replaced {
+		return false
 	}
 	if source.state.resumeLost.Load() {
 		return true
@@ -154,30 +153,34 @@
 	startedAt := s.f.clock.Now()
 	c, cancel := context.WithTimeout(s.ctx, max(shutdownAt.Sub(startedAt), migrationTimeout)+migrationTimeout)
 	defer cancel()
-	err = errEndpointLimited
+	err := errEndpointLimited
 	if s.f.acquireGrant(c, source.engine, limiter.Urgent) {
 		err = s.f.mayStartWork(s.x, target)
 	}
 	if err == nil {
 		_, err = s.f.migrate(c, source.engine, s.x.req.ID, target.Addr, false)
 	}
+	returned := false
 	if err == nil {
-		err = s.startReplacement(source, errEngineShuttingDown, func() (run, error) { return s.continueByMigration(c, source, target, errEngineShuttingDown) })
+		err = s.startReplacement(source, errEngineShuttingDown, func() (run, error) {
+			r, err := s.continueByMigration(c, source, target, errEngineShuttingDown)
+			returned = err == nil && r.engine.Identity == id
+			return r, err
+		})
 	}
 	if err != nil {
 		s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
 	}
 	s.logMigration(source.engine, target, startedAt, err)
-	return err == nil || errors.Is(err, ErrRunNotFound)
+	return err == nil && !returned || errors.Is(err, ErrRunNotFound)
 }
 
 // errBeingResumed means that the stream is being resumed, or its run was replaced, already.
 var errBeingResumed = errors.New("the stream is being resumed")
 
 // startReplacement starts the run that replaces the source while the stream still
-// reads from the source. The source is interrupted only after the replacement has
-// started, so that the stream continues there if the start fails, or when it takes too long; see
-// watchAnswer.
+// reads from the source. The start ends the source before it sends a request that
+// continues it, so that two engines never work on the generation, whatever becomes of the daemon in between.
 func (s *stream) startReplacement(source run, cause error, start func() (run, error)) error {
 	replacement := make(chan run, 1)
 	s.mu.Lock()
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -85,7 +85,7 @@
 		return run{}, errRunEnded
 	}
 	source := s.run
-	r, err := s.continueFromBackup(source, cause, false)
+	r, err := s.continueFromBackup(source, cause)
 	if err == nil {
 		return r, nil
 	}
@@ -154,9 +154,8 @@
 }
 
 // continueFromBackup continues the generation on the backup engine, from the copy
-// of the KV cache there. It leaves the source, if that may still be at work, soon after
-// the request was sent; see watchAnswer.
-func (s *stream) continueFromBackup(source run, cause error, besideSource bool) (run, error) {
+// of the KV cache there.
+func (s *stream) continueFromBackup(source run, cause error) (run, error) {
 	backup := source.backup
 	if backup.Name == "" || !s.f.registry.Accepts(backup.Identity) {
 		return run{}, errNoCopy
@@ -167,7 +166,14 @@
 	if !s.f.acquireGrant(s.ctx, backup, limiter.Urgent) {
 		return run{}, errEndpointLimited
 	}
-	return s.continueOn(backup, s.f.endpoints.CopyName(backup, s.x.req.ID), source, wayBackup, cause, besideSource)
+	if !s.admitResume(wayBackup) {
+		return run{}, errNoCopy
+	}
+	if err := s.backupOf(source).Check(); err != nil { // The grant and the retry may have taken some time.
+		return run{}, err
+	}
+	source.abort(cause)
+	return s.continueOn(resumption{target: backup, copyName: s.f.endpoints.CopyName(backup, s.x.req.ID), source: source, way: wayBackup, cause: cause})
 }
 
 // continueByMigration stops the run on its engine, copies the rest of its KV cache
@@ -178,12 +184,16 @@
 	if source.state.resumeLost.Load() {
 		return run{}, resumer.ErrUsed
 	}
-	// Both requests must be granted before the run is stopped.
+	// All requests must be granted before the run is stopped.
 	if !s.f.acquireGrant(ctx, target, limiter.Urgent) || !s.f.acquireGrant(ctx, source.engine, limiter.Urgent) {
 		return run{}, errEndpointLimited
 	}
+	if !s.admitResume(wayMigration) {
+		return run{}, errNoCopy
+	}
 	copied, err := s.stopAndCopy(ctx, source, target)
 	if err != nil && copied.Handle == "" {
+		s.x.attempts.Add(-1)
 		return run{}, errors.Wrap(err, "move")
 	}
 	if err != nil {
@@ -193,7 +203,7 @@
 		}
 		s.f.acquireGrant(ctx, target, limiter.Sent) // The run is stopped, and would be lost.
 	}
-	return s.continueOn(target, s.f.endpoints.CopyName(source.engine, copied.Handle), source, wayMigration, cause, false)
+	return s.continueOn(resumption{target: target, copyName: s.f.endpoints.CopyName(source.engine, copied.Handle), source: source, way: wayMigration, cause: cause, returnable: true})
 }
 
 // stopAndCopy makes the engine stop the run and copy its KV cache to the target.
@@ -215,36 +225,52 @@
 	return copied, err
 }
 
-// continueOn resumes the generation on the engine that holds the named copy, which must
-// have granted the request if it limits them. The source may still be at work if besideSource is set.
-func (s *stream) continueOn(target registrar.Endpoint, copyName string, source run, way string, cause error, besideSource bool) (run, error) {
+// admitResume counts one more request that continues the generation. It reports false if the attempts or
+// the retry budget are used up.
+func (s *stream) admitResume(way string) bool {
+	exhausted := s.x.attempts.Load()-s.x.unsent.Load() > maxStreamAttempts
+	s.x.attempts.Add(1)
+	if !exhausted && s.f.acquireRetry(s.ctx, s.x) {
+		return true
+	}
+	s.f.addRequestFields(s.f.log.Warn(), s.x).Str("way", way).Msg("forwarder: generation not continued; retry budget or attempts used up")
+	return false
+}
+
+// resumption is a request that continues a run that has ended.
+type resumption struct {
+	target   registrar.Endpoint // Engine that holds the copy; it must have granted the request if it limits them.
+	copyName string
+	source   run // The run that is continued.
+	way      string
+	cause    error
+	// returnable is set if the engine of the source keeps the KV cache under the same name, which can be used once:
+	// if the target does not answer, the engines decide which of them continues the run.
+	returnable bool
+}
+
+// continueOn resumes the generation on the engine that holds the copy. The request must have been admitted.
+func (s *stream) continueOn(x resumption) (run, error) {
+	target, source, way, cause := x.target, x.source, x.way, x.cause
 	startedAt := s.f.clock.Now()
 	s.mu.Lock()
 	age := s.ageOf(source, startedAt)
-	resumeFrom := Resume{Copy: copyName, LastEvent: s.lastEvent}
-	exhausted := s.x.attempts.Load()-s.x.unsent.Load() > maxStreamAttempts
-	s.x.attempts.Add(1)
+	resumeFrom := Resume{Copy: x.copyName, LastEvent: s.lastEvent}
 	s.mu.Unlock()
 	if resumeFrom.LastEvent == "" {
 		resumeFrom.LastEvent = "0"
 	}
-	if exhausted || !s.f.acquireRetry(s.ctx, s.x) {
-		s.f.addRequestFields(s.f.log.Warn(), s.x).Str("way", way).Msg("forwarder: generation not continued; retry budget or attempts used up")
-		return run{}, errNoCopy
-	}
-	if way == wayBackup { // The grant and the retry may have taken some time.
-		if err := s.backupOf(source).Check(); err != nil {
-			return run{}, err
-		}
-	}
 	backup := s.jobPlacer.RecordMigration(s.currentJob(), target, startedAt)
 	var w *answerWatch
-	r, err := s.send(target, backup, resumeFrom, func(next run) { w = s.watchAnswer(next, source, cause, besideSource) })
+	r, err := s.send(target, backup, resumeFrom, func(next run) { w = s.watchAnswer(next, source, x.returnable) })
 	unanswered := w.end(err)
 	if unanswered.copied.Handle != "" {
 		r.close()
 		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("way", way).Str("endpoint", target.Name).Msg("forwarder: run that continues a generation was stopped, since its engine did not answer")
-		return s.continueOn(unanswered.holder, s.f.endpoints.CopyName(target, unanswered.copied.Handle), source, wayMigration, cause, false)
+		if !s.admitResume(wayMigration) {
+			return run{}, errNoCopy
+		}
+		return s.continueOn(resumption{target: unanswered.holder, copyName: s.f.endpoints.CopyName(target, unanswered.copied.Handle), source: source, way: wayMigration, cause: cause})
 	}
 	if unanswered.givenUp && err == nil {
 		err = errUnanswered
@@ -261,9 +287,25 @@
 	s.jobPlacer.RecordMigration(s.currentJob(), source.engine, startedAt)
 	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("way", way).Str("endpoint", target.Name).Int("status", r.response.Status).Bool("not_run", r.response.NotExecuted).
 		Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Msg("forwarder: generation could not be continued from the copy")
+	if x.returnable && target.Identity != source.engine.Identity && s.ctx.Err() == nil {
+		return s.returnToSource(x)
+	}
 	return run{}, errNoCopy
 }
 
+// returnToSource continues a run on the engine that was made to stop it, from the KV cache there. The engine refuses
+// the request if the target of x continues the run.
+func (s *stream) returnToSource(x resumption) (run, error) {
+	x.target, x.returnable = x.source.engine, false
+	if s.f.mayStartWork(s.x, x.target) != nil || !s.f.acquireRetry(s.ctx, s.x) {
+		return run{}, errNoCopy
+	}
+	s.x.attempts.Add(1)
+	s.f.metrics.count("runs_returned")
+	s.f.acquireGrant(s.ctx, x.target, limiter.Sent) // The run is stopped, and would be lost.
+	return s.continueOn(x)
+}
+
 // recordFailedResume records a request to continue the run that its engine has refused, or that failed with err.
 func (s *runState) recordFailedResume(way string, refused bool, err error) {
 	switch {
@@ -336,7 +378,7 @@
 			continue
 		}
 		f.spawn(func() {
-			err := s.startReplacement(source, errEngineUnresponsive, func() (run, error) { return s.continueFromBackup(source, errEngineUnresponsive, true) })
+			err := s.startReplacement(source, errEngineUnresponsive, func() (run, error) { return s.continueFromBackup(source, errEngineUnresponsive) })
 			if err != nil {
 				f.addRequestFields(f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
 					Msg("forwarder: generation waits for an engine that is silent")
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -506,6 +506,15 @@
 	r.interrupt(nil)
 }
 
+// abort resets the connection of a run that may still be at work, before another one continues it. The
+// body may be read by another goroutine.
+func (r *run) abort(cause error) {
+	if b, ok := r.response.Body.(interface{ Abort() }); ok {
+		b.Abort()
+	}
+	r.interrupt(cause)
+}
+
 // sendErrorKind returns requester.ErrNotSent if err proves that the request was not
 // sent, and requester.ErrOutcomeUnknown otherwise.
 func sendErrorKind(err error) error {
--- a/transport/dialer/body.go
+++ b/transport/dialer/body.go
@@ -56,3 +56,11 @@
 	b.dialer.pool.put(b.conn, b.dialer.clock.Now())
 	return nil
 }
+
+// Abort resets the connection, unless the response has been read to its end and closed. It may be called
+// while another goroutine reads or closes the body, and returns when the connection is reset.
+func (b *body) Abort() {
+	if b.conn.unbind() {
+		b.conn.reset()
+	}
+}
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -32,12 +32,15 @@
 // bind arranges for the connection to be reset when ctx ends: a server that works on the request notices that
 // at its next write at the latest. The operating system may still hand it a request that it has not read yet.
 func (c *conn) bind(ctx context.Context) {
-	c.unbind = context.AfterFunc(ctx, func() {
-		if l, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
-			_ = l.SetLinger(0) // The connection is closed in any case.
-		}
-		_ = c.raw.Close()
-	})
+	c.unbind = context.AfterFunc(ctx, c.reset)
+}
+
+// reset closes the connection with a reset.
+func (c *conn) reset() {
+	if l, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // The connection is closed in any case.
+	}
+	_ = c.raw.Close()
 }
 
 func (c *conn) close() {
