--- a/explainer/doubts.go
+++ b/explainer/doubts.go
@@ -7,11 +7,8 @@
 	"time"
 )
 
-// Messages of the lines that tell of a doubt.
-const (
-	messagePause  = "forwarder: daemon did not run"
-	messageBeside = "forwarder: two runs may have been at work"
-)
+// messagePause is the message of the lines about pauses of a daemon.
+const messagePause = "forwarder: daemon did not run"
 
 // withPauses returns the lines about a request and those about pauses, during the request, of the daemons that served
 // it, in order of time.
@@ -41,8 +38,7 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// writeDoubts writes what in the lines about a request speaks against the promise that it was not run, or that it
-// ran once.
+// writeDoubts writes what in the lines about a request speaks against the promise that it was not run.
 func writeDoubts(w io.Writer, lines []Line) {
 	last := lines[len(lines)-1]
 	if promisesNotRun(last.Fields["status"]) && textOf(last.Fields["reason"]) != "served" {
@@ -57,12 +53,6 @@
 			fmt.Fprintln(w, "doubt: refused with the promise that it was not run, but nothing proves it of an attempt")
 		}
 	}
-	for _, l := range lines {
-		if l.Message == messageBeside {
-			fmt.Fprintf(w, "doubt: two runs may have been at work for %.0f ms, at %v and at %v, until the %v one was left (%v)\n",
-				l.Fields["beside_ms"], l.Fields["from"], l.Fields["endpoint"], l.Fields["left"], l.Fields["by"])
-		}
-	}
 }
 
 // promisesNotRun reports whether a client takes the status as a promise that the request was not run.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -508,6 +508,15 @@
 	r.interrupt(nil)
 }
 
+// abort resets the connection of a run that may still be at work, before another one continues it. The
+// body may be read by another goroutine.
+func (r *run) abort(cause error) {
+	if b, ok := r.response.Body.(interface{ Abort() }); ok {
+		b.Abort()
+	}
+	r.interrupt(cause)
+}
+
 // sendErrorKind returns requester.ErrNotSent if err proves that the request was not
 // sent, and requester.ErrOutcomeUnknown otherwise.
 func sendErrorKind(err error) error {
@@ -689,7 +698,6 @@
 	s.closed = true
 	s.mu.Unlock()
 	s.run.close()
-	s.endBeside(s.run, leftFirst, byStreamEnd)
 	s.discardReplacement()
 	s.f.removeStream(s)
 	s.jobPlacer.RecordEnd(s.job, s.outputTokens(), s.complete, s.f.clock.Now())
