Fix a new run beside a request that waits in the socket of a paused engine

An engine that had not answered the request to continue a run from its backup was asked once whether it has the run. A process that was paused takes what its sockets hold in any order: it answered the question, the daemon reset the connection of the request and started a new run elsewhere, and the engine read the request from the reset connection and ran it.

Now another run is started only if the engine has denied the run twice, 200 ms apart: the second question was sent when the engine ran, so the request has left its socket. An engine that answers neither is asked until the stream ends; it may still hold the request. Requests that name a handle need no second question, since the handle decides.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -16,6 +16,10 @@
 // tells whether there is one, and to copy it to where the generation can go on.
 const askDelay = 100 * time.Millisecond
 
+// absenceTime is the time between two questions to an engine that both have to find no run before another one is started: the
+// first may have overtaken the request of the run, which a process that was paused takes from its socket when it goes on.
+const absenceTime = 200 * time.Millisecond
+
 // errUnanswered means that an engine has not answered a request that continues a run.
 var errUnanswered = errors.New("no answer to the request that continues the run")
 
@@ -78,9 +82,30 @@
 }
 
 // run asks the engine of the next run to stop it. The next run is given up if it was stopped, or if the generation can go
-// on without it.
+// on without it. If that takes another run, the engine is asked until it has had no such run for absenceTime.
 func (w *answerWatch) run() {
 	w.s.f.metrics.count("continuations_unanswered")
+	for absences := 0; ; {
+		err := w.ask()
+		switch {
+		case w.result.copied.Handle != "", w.result.absent && w.returnable, w.s.mayRunAgain() && w.result.absent && absences > 0:
+			w.giveUp()
+			return
+		case !w.s.mayRunAgain(), provesNotRun(err):
+			return
+		case w.result.absent:
+			absences++
+		default:
+			absences = 0
+		}
+		if w.s.f.clock.Sleep(w.ctx, absenceTime) != nil {
+			return
+		}
+	}
+}
+
+// ask asks the engine of the next run to stop it, and sets the result.
+func (w *answerWatch) ask() error {
 	state := w.next.state
 	before := state.loadStop()
 	state.suspectStop()
@@ -89,9 +114,7 @@
 	if w.result.absent || provesNotRun(err) {
 		state.storeStop(before)
 	}
-	if w.result.copied.Handle != "" || w.result.absent && w.returnable || w.s.mayRunAgain() {
-		w.giveUp()
-	}
+	return err
 }
 
 // giveUp resets the connection of the request, so that its engine does not run it later.
