--- a/forwarder/secondrun.go
+++ b/forwarder/secondrun.go
@@ -95,11 +95,11 @@
 	s.run.state.handover.recordOver(errors.Is(cause, requester.ErrReadTimeout), s.f.clock.Now())
 }
 
-// logAsked logs what an engine said that was asked about the next run.
-func (w *answerWatch) logAsked(err error) {
+// logAsked logs what an engine said the last time that it was asked about the next run.
+func (w *answerWatch) logAsked(err error, times int) {
 	f := w.s.f
 	asked := askedOf(w.result, err)
 	f.metrics.count("continuations_asked_" + asked)
-	f.addRequestFields(f.log.Info(), w.s.x).Err(err).Str("from", w.source.engine.Name).Str("endpoint", w.next.engine.Name).Str("asked", asked).
+	f.addRequestFields(f.log.Info(), w.s.x).Err(err).Str("from", w.source.engine.Name).Str("endpoint", w.next.engine.Name).Str("asked", asked).Int("times", times).
 		Dur("sent_ms", f.clock.Now().Sub(w.next.sentAt)).Bool("given_up", w.result.givenUp).Msg("forwarder: engine was asked about a run that it had not answered")
 }
