dialer: abort only the connection's own request

Callers would have got 502 for calls that run: a stream whose run had ended orderly, and whose connection had gone back to the pool, aborted that connection while the next request used it.

Cause: Abort took the binding of the connection, which is that of the request that uses it now. Change: a body keeps the binding of its own request, which stops once.

--- a/transport/dialer/body.go
+++ b/transport/dialer/body.go
@@ -15,7 +15,8 @@
 	ctx      context.Context
 	dialer   *Dialer
 	conn     *conn
-	stream   io.Reader // Nil for a response without a body.
+	unbind   func() bool // Of conn, for this request.
+	stream   io.Reader   // Nil for a response without a body.
 	reusable bool
 	atEOF    bool
 	closed   bool
@@ -49,7 +50,7 @@
 		return nil
 	}
 	b.closed = true
-	if !b.atEOF || !b.reusable || !b.conn.unbind() {
+	if !b.atEOF || !b.reusable || !b.unbind() {
 		b.conn.close()
 		return nil
 	}
@@ -60,7 +61,7 @@
 // Abort resets the connection, unless the response has been read to its end and closed. It may be called
 // while another goroutine reads or closes the body, and returns when the connection is reset.
 func (b *body) Abort() {
-	if b.conn.unbind() {
+	if b.unbind() {
 		b.conn.reset()
 	}
 }
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -353,6 +353,7 @@
 		ctx:      ctx,
 		dialer:   d,
 		conn:     c,
+		unbind:   c.unbind,
 		stream:   r.BodyStream(),
 		reusable: !r.ConnectionClose() && !ownConnection,
 		atEOF:    r.BodyStream() == nil,
