forwarder: a reset reaches engines of other failure domains before a run is continued

Callers saw nothing; a run of an engine in another failure domain, or of a brittle service, could go on beside the one that continues it.

Cause: the bodies of such responses are wrapped to count bytes and places, and the wrappers hid Abort. The end of the context resets the connection too, but from another goroutine, and the request to the backup did not wait for it.

Change: the wrappers pass Abort on. Evidence: TestAbortReachesWrappedBodies, three of three cases fail before, pass now.

--- a/forwarder/brittle.go
+++ b/forwarder/brittle.go
@@ -303,6 +303,9 @@
 	return b.ReadCloser.Close()
 }
 
+// Abort resets the connection of the body, which has to be closed all the same.
+func (b *placedBody) Abort() { abortBody(b.ReadCloser) }
+
 // gatedClient asks for a place before it sends a request to a brittle endpoint.
 type gatedClient struct {
 	EndpointClient
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -511,12 +511,17 @@
 // abort resets the connection of a run that may still be at work, before another one continues it. The
 // body may be read by another goroutine.
 func (r *run) abort(cause error) {
-	if b, ok := r.response.Body.(interface{ Abort() }); ok {
-		b.Abort()
-	}
+	abortBody(r.response.Body)
 	r.interrupt(cause)
 }
 
+// abortBody resets the connection of a body before it returns, if its transport can.
+func abortBody(b io.ReadCloser) {
+	if a, ok := b.(interface{ Abort() }); ok {
+		a.Abort()
+	}
+}
+
 // sendErrorKind returns requester.ErrNotSent if err proves that the request was not
 // sent, and requester.ErrOutcomeUnknown otherwise.
 func sendErrorKind(err error) error {
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"io"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,3 +20,29 @@
 		assert.Equal(t, unplacedCause(q), cause)
 	}
 }
+
+// abortable is a body that records whether its connection was reset.
+type abortable struct {
+	io.ReadCloser
+	aborted bool
+}
+
+// Abort records the call.
+func (a *abortable) Abort() { a.aborted = true }
+
+// Guards against a run of an engine in another failure domain, or of a brittle service, whose connection is still open when
+// the request that continues it is sent: a wrapper hid how it is reset.
+func TestAbortReachesWrappedBodies(t *testing.T) {
+	for name, wrap := range map[string]func(io.ReadCloser) io.ReadCloser{
+		"counted": func(b io.ReadCloser) io.ReadCloser { return countedBody{ReadCloser: b} },
+		"placed":  func(b io.ReadCloser) io.ReadCloser { return &placedBody{ReadCloser: b} },
+		"both":    func(b io.ReadCloser) io.ReadCloser { return &placedBody{ReadCloser: countedBody{ReadCloser: b}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &abortable{}
+			r := run{response: Response{Body: wrap(b)}, interrupt: func(error) {}}
+			r.abort(errEngineUnresponsive)
+			assert.Assert(t, b.aborted)
+		})
+	}
+}
--- a/forwarder/traffic.go
+++ b/forwarder/traffic.go
@@ -105,3 +105,6 @@
 	}
 	return n, err
 }
+
+// Abort resets the connection of the body.
+func (b countedBody) Abort() { abortBody(b.ReadCloser) }
