forwarder: denied continuations use up no attempts

Callers could lose a stream whose engine leaves: it tried to migrate every 25 ms while the retry budget was used up, and each denial counted as an attempt. After seven of them, 175 ms, no attempt was left when the budget was filled again.

Change: an attempt is counted when its request is sent.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -195,7 +195,6 @@
 	}
 	copied, err := s.stopAndCopy(ctx, source, target)
 	if err != nil && copied.Handle == "" {
-		s.x.attempts.Add(-1)
 		return run{}, errors.Wrap(err, "move")
 	}
 	if err != nil {
@@ -228,11 +227,10 @@
 	return copied, err
 }
 
-// admitResume counts one more request that continues the generation. It reports false if the attempts or
-// the retry budget are used up.
+// admitResume reports whether one more request may continue the generation: neither the attempts nor
+// the retry budget, from which it takes one, are used up.
 func (s *stream) admitResume(way string) bool {
 	exhausted := s.x.attempts.Load()-s.x.unsent.Load() > maxStreamAttempts
-	s.x.attempts.Add(1)
 	if !exhausted && s.f.acquireRetry(s.ctx, s.x) {
 		return true
 	}
@@ -256,6 +254,7 @@
 func (s *stream) continueOn(x resumption) (run, error) {
 	target, source, way, cause := x.target, x.source, x.way, x.cause
 	startedAt := s.f.clock.Now()
+	s.x.attempts.Add(1)
 	s.mu.Lock()
 	age := s.ageOf(source, startedAt)
 	resumeFrom := Resume{Copy: x.copyName, LastEvent: s.lastEvent}
@@ -306,7 +305,6 @@
 	if s.f.mayStartWork(s.x, x.target) != nil || !s.f.acquireRetry(s.ctx, s.x) {
 		return run{}, errNoCopy
 	}
-	s.x.attempts.Add(1)
 	s.f.metrics.count("runs_returned")
 	s.f.acquireGrant(s.ctx, x.target, limiter.Sent) // The run is stopped, and would be lost.
 	return s.continueOn(x)
