Fix two engines at work on a generation that is read through a paused peer

Two engines worked on one generation while a peer did not run that carried the connection to the first one (TWICE).

The run of a silent engine was replaced after its connection had been reset. Through a peer the reset reaches the peer's socket only; the peer passes it on when it runs, and until then takes what the engine sends.

Such a run is not replaced any more, neither from its backup nor by a new one: the stream waits for its engine, as one without a copy does. If the peer ends, the system closes its connections, and the stream goes on as after any broken connection.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -367,7 +367,7 @@
 		source := s.run
 		silent := source.engine.Identity == id && now.Sub(s.lastReadAt) > timeout
 		s.mu.Unlock()
-		if !silent {
+		if !silent || source.response.Via != "" { // A reset gets no further than the peer, which may be paused.
 			continue
 		}
 		if source.backup.Name == "" || s.backupOf(source).CheckRun() != nil {
