forwarder: an engine that answers nothing is asked for as long as its client waits

Change: the question ends after silenceLimit, and another run is started. Evidence: by reading; no test plays an engine that is gone there.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -82,7 +82,8 @@
 }
 
 // run asks the engine of the next run to stop it. The next run is given up if it was stopped, or if the generation can go
-// on without it. If that takes another run, the engine is asked until it has had no such run for absenceTime.
+// on without it. If that takes another run, the engine is asked until it has had no such run for absenceTime, or has
+// answered nothing for silenceLimit.
 func (w *answerWatch) run() {
 	w.s.f.metrics.count("continuations_unanswered")
 	absences := 0
@@ -95,6 +96,8 @@
 		case w.result.absent:
 			absences++
 			again = true
+		case w.s.f.clock.Now().Sub(w.next.sentAt) > w.s.silenceLimit():
+			w.giveUp()
 		default:
 			absences = 0
 			again = true
