Fix targets of tunnels that notice the end of a tunnel late

A daemon that reads through a peer resets a run by ending the tunnel. The peer then closed the connection to the engine in an orderly way, so the engine noticed at its second write only, while a direct connection is reset.

The peer resets the connection to the target now, when the near end has ended.

--- a/transport/framer/tunnel.go
+++ b/transport/framer/tunnel.go
@@ -231,7 +231,7 @@
 	var g conc.WaitGroup
 	g.Go(func() {
 		up = passUp(target, r)
-		_ = target.Close() // The near end has ended; a request that is in flight has no client.
+		abort(target) // The near end has ended; a request that is in flight has no client.
 	})
 	var orderly bool
 	down, orderly = passDown(raw, target)
--- a/transport/framer/tunnel_test.go
+++ b/transport/framer/tunnel_test.go
@@ -137,6 +137,19 @@
 	}
 }
 
+// Guards against a target that notices the end of a tunnel only at its second write, and works until then
+// (incident rettifiche-nord-large).
+func TestTunnelResetsTargetWithNearEnd(t *testing.T) {
+	targets := make(chan net.Conn, 1)
+	c, _, _ := startTunnel(t, func(c net.Conn) { targets <- c })
+	target := <-targets
+	defer func() { _ = target.Close() }()
+	assert.NilError(t, c.Close())
+	assert.NilError(t, target.SetReadDeadline(time.Now().Add(5*time.Second))) // Only bounds a test that hangs.
+	_, err := target.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // Guards against a deadline of the near end that loses bytes of the tunnel.
 func TestTunnelReadsOnAfterDeadline(t *testing.T) {
 	targets := make(chan net.Conn, 1)
