forwarder: a run that has returned to its engine waits before it migrates again

Callers could lose a stream whose engine leaves: where no other engine had room, its run was stopped and went on at its engine again every 25 ms, until its attempts were used up, and so was their part of the retry budget (found in review: seven requests to one engine).

Change: the next try comes after 250 ms. Evidence: TestRunReturnedForWantOfRoomIsAwaited and the tests of migrations pass; the number of requests is not asserted.

--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -14,7 +14,7 @@
 // Limits of evacuating an engine that is shutting down.
 const (
 	evacuationCheckInterval = 25 * time.Millisecond  // Interval for checking whether a run can migrate.
-	lateCheckInterval       = 250 * time.Millisecond // The same after the time at which the engine was expected to end.
+	lateCheckInterval       = 250 * time.Millisecond // The same after the time at which the engine was expected to end, and after a run that has returned to it.
 	maxTurnDelayFactor      = 3                      // Limits the wait for the runs ahead to a multiple of their planned time.
 	minSurvivalToMigrate    = 0.2                    // Probability of outlasting the engine above which a run migrates; a migration costs far less than a lost run.
 	minMigrationTime        = 250 * time.Millisecond // Time that the last migration from an engine takes at least.
@@ -172,6 +172,9 @@
 		s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
 	}
 	s.logMigration(source.engine, target, startedAt, err)
+	if returned {
+		_ = s.f.clock.Sleep(s.ctx, lateCheckInterval) // The caller looks at the context.
+	}
 	return err == nil && !returned || errors.Is(err, ErrRunNotFound)
 }
 
