forwarder: a run that its engine has admitted and not begun is not given up

Callers lost a stream whose engine leaves: the engine that was to continue it had admitted the request and used the handle, but had no run yet, when it was asked after 100 ms. The request was given up, and the engine before refused the handle.

Cause: since a denial sends the run back to its engine at once; a busy engine may take longer than 100 ms until it has the run.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -82,21 +82,26 @@
 }
 
 // run asks the engine of the next run to stop it. The next run is given up if it was stopped, or if the generation can go
-// on without it. If that takes another run, the engine is asked until it has had no such run for absenceTime, or has
-// answered nothing for silenceLimit.
+// on without it: at the source, when the engine has denied the run for unresponsiveTimeout, in which one that is busy has
+// admitted it; in another run, when it has denied it twice, or has answered nothing for silenceLimit.
 func (w *answerWatch) run() {
 	w.s.f.metrics.count("continuations_unanswered")
 	absences := 0
 	for asked := 1; ; asked++ {
 		err, again := w.ask(), false
+		waited := w.s.f.clock.Now().Sub(w.next.sentAt)
 		switch {
-		case w.result.copied.Handle != "", w.result.absent && w.returnable, w.s.mayRunAgain() && w.result.absent && absences > 0:
+		case w.result.copied.Handle != "", w.s.mayRunAgain() && w.result.absent && absences > 0:
 			w.giveUp()
+		case w.returnable && w.result.absent:
+			if again = waited <= unresponsiveTimeout; !again {
+				w.giveUp()
+			}
 		case !w.s.mayRunAgain(), provesNotRun(err):
 		case w.result.absent:
 			absences++
 			again = true
-		case w.s.f.clock.Now().Sub(w.next.sentAt) > w.s.silenceLimit():
+		case waited > w.s.silenceLimit():
 			w.giveUp()
 		default:
 			absences = 0
