--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -58,9 +58,9 @@
 	golden.Assert(t, b.String(), "unproven.golden")
 }
 
-// The daemon of a stream did not run while the stream had two runs. Another daemon, and the same one later, did not run
+// The daemon of a stream did not run while a second run continued it. Another daemon, and the same one later, did not run
 // either.
-func TestExplainTwoRunsDuringPause(t *testing.T) {
+func TestExplainSecondRunDuringPause(t *testing.T) {
 	lines, err := explainer.Read(strings.NewReader(`{"daemon":"d-1","paused_ms":400,"since_ms":500,"pauses":1,"time":"2026-12-04T12:39:58Z","message":"forwarder: daemon did not run"}
 {"daemon":"d-1","request":"r1","held_ms":1000,"endpoint":"i-1","time":"2026-12-04T12:40:00Z","message":"forwarder: generation placed"}
 {"daemon":"d-1","request":"r1","held_ms":2000,"first_run":"reset","first_over_ms":0.4,"from":"i-1","endpoint":"i-2","time":"2026-12-04T12:40:01Z","message":"forwarder: another run requested"}
