--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,7 +8,7 @@
     exit 2
   fi
 done
-timeout 118 "$root/target/standins2" limit "$root" "$here"
+timeout 118 "$root/target/standins2" moved "$root" "$here"
 status=$?
 [ $status -le 1 ] || status=2
 exit $status
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -52,6 +52,11 @@
 
 // get sends a request without a body on the channel and reads its answer.
 func (c *channel) get(path, id string, budget time.Duration) outcome {
+	return c.getWith(key, path, id, budget)
+}
+
+// getWith is like get with another key.
+func (c *channel) getWith(key, path, id string, budget time.Duration) outcome {
 	return c.do(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n\r\n", path, host, names["id"], id, names["deadline"], budget.Milliseconds(), key), budget)
 }
 
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -33,6 +33,7 @@
 	"descriptors": runDescriptors,
 	"amnesia":     runAmnesia,
 	"limit":       runLimit,
+	"moved":       runMoved,
 	"settings":    runSettings,
 }
 
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -70,6 +70,15 @@
 	return nil
 }
 
+// move makes the store answer at another address, with the same content, and no longer at the former one.
+func (s *store) move(g *sync.WaitGroup) error {
+	former := s.srv
+	if err := s.start(g); err != nil {
+		return err
+	}
+	return former.Close()
+}
+
 func (s *store) stop() { _ = s.srv.Close() }
 
 // put writes an object as the operator or a worker does.
