--- a/review/standins-2/descriptors.go
+++ b/review/standins-2/descriptors.go
@@ -16,6 +16,7 @@
 // The case of runDescriptors, with the figures of the deployment rettifiche-nord.
 const (
 	maxFiles      = 4100                   // Descriptors of a machine (max_fds).
+	leastFiles    = 4000                   // The case needs as many; a few less than maxFiles make no difference.
 	requestRate   = 49                     // Requests a second: those of the deployment.
 	holders       = 6                      // Processes that hold the channels of the requesters.
 	loadTime      = 96 * time.Second       // Within which the requests come.
@@ -100,6 +101,10 @@
 // requesters or more try. Two machines serve requesters that each use a channel of their own and leave it open, as long as
 // the machine does. The disruption is the loss of one of the machines for good.
 func runDescriptors(b *bench) (bool, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Max < leastFiles {
+		return false, fmt.Errorf("%w: %d descriptors are permitted here", errCouldNotRun, limit.Max)
+	}
 	b.putManifest()
 	if err := b.addWorkers(3, "app", func(w *worker) { w.work = 15 * time.Millisecond }); err != nil {
 		return false, err
