--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,4 +1,5 @@
-// Command review3 holds the stand-ins of the cases of the third review, and the cases.
+// Command review3 holds the stand-ins and the scripts of the second sitting on issue 57: cases 6, 7, 8 and 10 of the review, and
+// scripts without a folder.
 package main
 
 import (
