--- a/review/standins-3/case_overlap.go
+++ b/review/standins-3/case_overlap.go
@@ -29,6 +29,9 @@
 		return notRun
 	}
 	time.Sleep(4 * time.Second) // All machines are in touch.
+	if !s.runSound(engines) {
+		return notRun
+	}
 	r := request{
 		method: "POST", path: "/draft/1", id: newID(), key: "key", body: "draft", deadline: 39 * time.Second,
 		header: draftHeader,
--- a/review/standins-3/case_zero.go
+++ b/review/standins-3/case_zero.go
@@ -12,17 +12,22 @@
 	s.configure(draftConfig(39000, true))
 	f := &fleet{engines: map[string]*engine{}}
 	var total int
+	var engines []*engine
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
 		e := &engine{id: id, total: 60, fromZero: true, loseAnswer: s.trouble}
 		if err := startEngine(s, f, e); err != nil {
 			return notRun
 		}
+		engines = append(engines, e)
 		total = e.total
 	}
 	if !s.startDaemons(284, []string{"edge-a-1", "edge-b-1", "edge-c-1"}, []string{"zone-a", "zone-b", "zone-c"}) {
 		return notRun
 	}
 	time.Sleep(4 * time.Second) // All machines are in touch.
+	if !s.runSound(engines) {
+		return notRun
+	}
 	r := request{method: "POST", path: "/draft/1", id: newID(), key: "key", body: "draft", deadline: 39 * time.Second, header: draftHeader}
 	a := r.do(s.daemons[0].clients)
 	s.printf("answer to %s: %v", r.id, a)
--- a/review/standins-3/engine.go
+++ b/review/standins-3/engine.go
@@ -19,16 +19,24 @@
 	tokensPerEvent = 4
 )
 
+// The pages let a worker lose or spoil at most one of about 33 answers. An engine does it after soundRuns sound ones,
+// which are those of requests with soundPath.
+const (
+	soundPath   = "/draft/sound"
+	soundEvents = 50
+	soundRuns   = 36
+)
+
 // engine is a stand-in of a model worker.
 type engine struct {
 	s       *scene
 	id      string
 	total   int // Events of a complete run.
-	spoilAt int // Event in whose place the first run sends bytes that are no answer; zero for none.
+	spoilAt int // Event in whose place one run sends bytes that are no answer; zero for none.
 
 	idStep     int  // Difference of the IDs of two events; zero for one.
 	fromZero   bool // The ID of the first event is 0.
-	loseAnswer bool // The answer of the first run is lost: its channel is reset before the first byte, and the run goes on.
+	loseAnswer bool // The answer of one run is lost: its channel is reset before the first byte, and the run goes on.
 	// keepsRuns makes the engine go on with a run when the channel of the request closes, until the last event or
 	// until it is told to stop. Most workers drop the run.
 	keepsRuns  bool
@@ -41,6 +49,7 @@
 
 	mu      sync.Mutex
 	runs    map[string]*engineRun
+	sound   int // Runs of soundPath.
 	spoiled bool
 	lost    bool
 	state   string
@@ -180,7 +189,7 @@
 	rows := [][]any{}
 	used := 0
 	for _, r := range e.runs {
-		if !r.stopped && r.event < e.total {
+		if !r.stopped && !r.ended {
 			tokens := 1460 + r.event*tokensPerEvent
 			used += tokens
 			rows = append(rows, []any{r.id, tokens, r.event, 1})
@@ -270,6 +279,10 @@
 // run runs a request and streams its events.
 func (e *engine) run(c net.Conn, req *http.Request, id string) {
 	from, last := req.Header.Get(wire("{from}")), 0
+	total, sound := e.total, req.URL.Path == soundPath
+	if sound {
+		total = soundEvents
+	}
 	r := &engineRun{id: id, startAt: time.Now(), resumed: from != ""}
 	if from != "" {
 		e.mu.Lock()
@@ -297,10 +310,14 @@
 	e.s.printf("%s begins to work on %s after event %d, backup %q", e.id, id, last, backup)
 	e.mu.Lock()
 	e.runs[id] = r
-	spoil := e.spoilAt > 0 && from == "" && !e.spoiled
+	if sound {
+		e.sound++
+	}
+	spoil := e.spoilAt > 0 && from == "" && !sound && !e.spoiled && e.sound >= soundRuns
+	lose := e.loseAnswer && from == "" && !sound && e.sound >= soundRuns
 	e.mu.Unlock()
 	open := true
-	if e.loseAnswer && from == "" && e.loseOnce() {
+	if lose && e.loseOnce() {
 		e.s.printf("the answer of %s to %s is lost: the channel is reset; the run goes on", e.id, id)
 		time.Sleep(eventInterval)
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -317,7 +334,7 @@
 	for {
 		time.Sleep(eventInterval)
 		e.mu.Lock()
-		if r.stopped || r.event >= e.total {
+		if r.stopped || r.event >= total {
 			stopped := r.stopped
 			e.mu.Unlock()
 			if !stopped && open && !e.unframed {
--- a/review/standins-3/streams.go
+++ b/review/standins-3/streams.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -52,3 +54,41 @@
 	}
 	return cut, whole
 }
+
+// runSound sends requests with soundPath, one after another at each daemon, until each engine has answered soundRuns.
+func (s *scene) runSound(engines []*engine) bool {
+	const attempts = 400
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	var sent atomic.Int64
+	missing := func() bool {
+		for _, e := range engines {
+			e.mu.Lock()
+			n := e.sound
+			e.mu.Unlock()
+			if n < soundRuns {
+				return true
+			}
+		}
+		return false
+	}
+	for i := range 5 * len(s.daemons) {
+		group.Go(func() {
+			for missing() && sent.Add(1) <= attempts {
+				r := request{method: "POST", path: soundPath, id: newID(), key: "key", body: "draft", deadline: 39 * time.Second, header: draftHeader}
+				if a := r.do(s.daemons[i%len(s.daemons)].clients); a.status != 200 || a.err != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	var counts []int
+	for _, e := range engines {
+		e.mu.Lock()
+		counts = append(counts, e.sound)
+		e.mu.Unlock()
+	}
+	s.printf("sound answers of each engine: %v; %d requests failed", counts, failed.Load())
+	return failed.Load() == 0 && !missing()
+}
