Continue a run without events only after the ID before its first one

Cause: a run that continues another one is asked to go on after the ID of the last event. If none had been received the daemon asked for "after 0", which skips the first event where IDs begin with 0. "No event" and "the event 0" were one state there, and the sequencer took any ID for the first one.

A daemon now records with which ID the runs of each engine process begin. A run that has brought nothing is continued after the ID before that one and has to begin with it. Where the ID is not known, differs between runs or is 0, the run is neither stopped nor continued: the client gets 502, which is true. The same holds after an event without an ID, where the continued run was broken off at its first event before.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -24,10 +24,12 @@
 	eventCount   int    // Number of events with an ID that were passed on.
 	partial      []byte // Bytes of an incomplete event.
 	scanner      lineScanner
-	sourceEvents int  // Number of events with fields that the current source has sent.
-	commentBytes int  // Size of the blocks without fields since the last event.
-	resumed      bool // The current source continues an earlier one.
-	unnumbered   bool // An event without an ID was passed on after the last one that has an ID.
+	sourceEvents int   // Number of events with fields that the current source has sent.
+	commentBytes int   // Size of the blocks without fields since the last event.
+	resumed      bool  // The current source continues an earlier one.
+	unnumbered   bool  // An event without an ID was passed on after the last one that has an ID.
+	firstID      int64 // ID of the first event passed on, if an event with an ID was.
+	expected     int64 // ID that the next event must have, if none was passed on before; zero for any.
 }
 
 // noEvent stands for the ID of an event where there is none.
@@ -40,8 +42,10 @@
 }
 
 // resumeSource prepares for a new source that continues the stream. An incomplete
-// event of the previous source is dropped.
-func (s *eventSequencer) resumeSource() {
+// event of the previous source is dropped. The first event of a stream that has brought
+// none must have the ID first, unless that is zero.
+func (s *eventSequencer) resumeSource(first int64) {
+	s.expected = first
 	s.partial, s.scanner = s.partial[:0], lineScanner{}
 	s.sourceEvents, s.commentBytes = 0, 0
 	s.resumed = true
@@ -125,7 +129,13 @@
 	if s.resumed && s.hasLast && id != s.lastID+1 {
 		return false, errUnexpectedEvents
 	}
+	if !s.hasLast && s.expected != 0 && id != s.expected {
+		return false, errUnexpectedEvents
+	}
 	asserter.That(!s.hasLast || id > s.lastID, asserter.TokensInOrder, "event passed on out of order")
+	if s.eventCount == 0 {
+		s.firstID = id
+	}
 	s.lastID, s.hasLast, s.unnumbered = id, true, false
 	s.eventCount++
 	return false, nil
--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -44,7 +44,7 @@
 		complete := events(1, last)
 		at := strings.Index(complete, event(cut)) + r.IntN(len(event(cut)))
 		out := feedInPieces(t, s, r, complete[:at])
-		s.resumeSource()
+		s.resumeSource(0)
 		next := cut - r.IntN(min(cut, 5))
 		out += feedInPieces(t, s, r, events(next, last))
 		assert.Equal(t, out, complete, "seed %d", seed)
@@ -57,7 +57,7 @@
 	s := &eventSequencer{}
 	_, err := s.feed(nil, []byte(events(1, 3)))
 	assert.NilError(t, err)
-	s.resumeSource()
+	s.resumeSource(0)
 	_, err = s.feed(nil, []byte(event(5)))
 	assert.ErrorIs(t, err, errUnexpectedEvents)
 }
@@ -129,7 +129,7 @@
 		if len(out)+len(s.partial) != len(a) {
 			t.Fatalf("%d bytes passed and %d held of %d", len(out), len(s.partial), len(a))
 		}
-		s.resumeSource()
+		s.resumeSource(0)
 		// The bytes of the second source are arbitrary: only a panic is a failure.
 		_, _ = s.feed(nil, b)
 	})
@@ -142,8 +142,23 @@
 		var s eventSequencer
 		_, err := s.feed(nil, []byte(first))
 		assert.NilError(t, err)
-		s.resumeSource()
+		s.resumeSource(0)
 		out, err := s.feed(nil, []byte("data: b\n\nid: 2\ndata: c\n\n"))
 		assert.ErrorIs(t, err, errUnexpectedEvents, "%q", out)
 	}
 }
+
+// Guards against a stream that begins with a later event: its first run brought none, and the one that continues it goes
+// on after an event that was not received.
+func TestContinuedStreamBeginsWithItsFirstEvent(t *testing.T) {
+	for first, whole := range map[int]bool{1: true, 2: false, 0: false} {
+		var s eventSequencer
+		s.resumeSource(1)
+		out, err := s.feed(nil, []byte(event(first)))
+		if whole {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorIs(t, err, errUnexpectedEvents, "%q", out)
+	}
+}
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -435,6 +435,7 @@
 	f.quotas.Retain(f.registry.Known)
 	f.warmer.Retain(f.registry.Known)
 	f.gates.Retain(f.registry.Known)
+	f.numbering.Retain(f.registry.Known)
 }
 
 // setEngines passes the engines of a service to its placer.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/placer"
 	"monsoonspar.example/coordination/quarantiner"
+	"monsoonspar.example/coordination/resumer"
 	"monsoonspar.example/coordination/warmer"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/pausemeter"
@@ -70,6 +71,7 @@
 	shutdowns evacuator.Shutdowns // Of engines.
 	memory    *reserver.Reserver  // Memory for requests and responses.
 	endProbes endProbeLog
+	numbering resumer.Numbering // Of the events of engines.
 
 	quarantine      *quarantiner.Quarantine
 	quarantineWatch *quarantineWatch
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,10 @@
 // errNoCopy means that no copy of the run could be continued.
 var errNoCopy = errors.New("generation could not be continued from any copy of its KV cache")
 
+// errNoPosition means that an engine can't be told which events of a generation were received: the last one had no ID,
+// or there was none and it is not known how the engine numbers its first event.
+var errNoPosition = errors.New("no event ID after which the generation could be continued")
+
 // errRunEnded means that the run was not stopped but has ended by itself.
 var errRunEnded = errors.New("the run has ended")
 
@@ -47,7 +52,7 @@
 		return nil
 	}
 	if err == nil {
-		s.sequencer.resumeSource()
+		s.sequencer.resumeSource(r.from.first)
 		s.resumeCount++
 		s.events = s.events || isEventStream(&r.response) // The first response may have been lost.
 		s.setRun(r)
@@ -162,6 +167,9 @@
 	if backup.Name == "" || !s.f.registry.Accepts(backup.Identity) {
 		return run{}, errNoCopy
 	}
+	if _, err := s.positionAfter(source); err != nil {
+		return run{}, err
+	}
 	if err := s.backupOf(source).CheckRun(); err != nil {
 		return run{}, err
 	}
@@ -186,6 +194,9 @@
 	if source.state.resumeLost.Load() {
 		return run{}, resumer.ErrUsed
 	}
+	if _, err := s.positionAfter(source); err != nil { // It can't go on, so it is not stopped.
+		return run{}, err
+	}
 	// All requests must be granted before the run is stopped.
 	if !s.f.acquireGrant(ctx, target, limiter.Urgent) || !s.f.acquireGrant(ctx, source.engine, limiter.Urgent) {
 		return run{}, errEndpointLimited
@@ -238,6 +249,33 @@
 	return false
 }
 
+// position is where a run goes on that continues another one from a copy of its KV cache.
+type position struct {
+	lastEvent string // ID of the event after which it goes on.
+	first     int64  // ID of its first event if none was received before; else zero.
+}
+
+// positionAfter returns where a run goes on that continues the source. An engine can be asked to go on after an ID only,
+// so if no event was received, the ID that precedes the first one must be known. The ID 0 is not that ID where engines
+// number their events from 0.
+func (s *stream) positionAfter(source run) (position, error) {
+	s.mu.Lock()
+	lastEvent, unnumbered := s.lastEvent, s.unnumbered
+	s.mu.Unlock()
+	switch {
+	case unnumbered:
+		return position{}, errNoPosition
+	case lastEvent != "":
+		return position{lastEvent: lastEvent}, nil
+	}
+	first, ok := s.f.numbering.First(source.engine.Identity)
+	if !ok {
+		s.f.metrics.count("resumes_without_position")
+		return position{}, errNoPosition
+	}
+	return position{lastEvent: strconv.FormatInt(first-1, 10), first: first}, nil
+}
+
 // resumption is a request that continues a run that has ended.
 type resumption struct {
 	target   registrar.Endpoint // Engine that holds the copy; it must have granted the request if it limits them.
@@ -254,14 +292,15 @@
 func (s *stream) continueOn(x resumption) (run, error) {
 	target, source, way, cause := x.target, x.source, x.way, x.cause
 	startedAt := s.f.clock.Now()
+	at, err := s.positionAfter(source)
+	if err != nil {
+		return run{}, err
+	}
 	s.x.attempts.Add(1)
 	s.mu.Lock()
 	age := s.ageOf(source, startedAt)
-	resumeFrom := Resume{Copy: x.copyName, LastEvent: s.lastEvent}
 	s.mu.Unlock()
-	if resumeFrom.LastEvent == "" {
-		resumeFrom.LastEvent = "0"
-	}
+	resumeFrom := Resume{Copy: x.copyName, LastEvent: at.lastEvent}
 	backup := s.jobPlacer.RecordMigration(s.currentJob(), target, startedAt)
 	var w *answerWatch
 	r, err := s.send(target, backup, resumeFrom, func(next run) {
@@ -285,6 +324,7 @@
 		s.f.metrics.observe("resume_time", s.f.clock.Now().Sub(startedAt))
 		s.f.addRequestFields(s.f.log.Info(), s.x).AnErr("cause", cause).Str("way", way).Str("from", source.engine.Name).Str("endpoint", target.Name).Str("backup", backup.Name).
 			Str("last_event", resumeFrom.LastEvent).Dur("run_ms", age.sent).Dur("producing_ms", age.producing).Dur("took_ms", s.f.clock.Now().Sub(startedAt)).Msg("forwarder: generation continued by another run")
+		r.from = at
 		return r, nil
 	}
 	r.close()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -61,7 +61,8 @@
 	mu             sync.Mutex
 	run            run
 	eventCount     int                // Number of events received so far.
-	lastEvent      string             // ID of the last event that was received.
+	lastEvent      string             // ID of the last event that was received; empty if there was none, which differs from an event with the ID 0.
+	unnumbered     bool               // An event without an ID was received after the last one that has an ID.
 	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
 	progress       resumer.Progress   // Of the current run.
 	runSound       bool               // The current run has made progress.
@@ -78,6 +79,8 @@
 	interrupt context.CancelCauseFunc
 	response  Response
 	sentAt    time.Time
+	fromStart bool     // It was asked for all events.
+	from      position // Where it goes on, if it continues another run from a copy.
 	state     *runState
 }
 
@@ -438,7 +441,7 @@
 		backup = registrar.Endpoint{}
 	}
 	c, cancel := context.WithCancelCause(s.ctx)
-	r := run{engine: to, backup: backup, interrupt: cancel, sentAt: now, state: &runState{}}
+	r := run{engine: to, backup: backup, interrupt: cancel, sentAt: now, fromStart: from == Resume{}, state: &runState{}}
 	if register != nil {
 		register(r)
 	}
@@ -653,7 +656,7 @@
 	now := s.f.clock.Now()
 	s.mu.Lock()
 	gap := now.Sub(s.lastReadAt)
-	s.eventCount, s.lastEvent = s.sequencer.eventCount, s.sequencer.lastEvent()
+	s.eventCount, s.lastEvent, s.unnumbered = s.sequencer.eventCount, s.sequencer.lastEvent(), s.sequencer.unnumbered
 	s.lastReadAt = now
 	if s.sequencer.sourceEvents > sourceEvents {
 		s.progress.RecordEvents(now)
@@ -669,6 +672,7 @@
 		s.jobPlacer.RecordFirstEvent(s.job.ID, now)
 	}
 	if before == 0 && s.sequencer.eventCount > 0 {
+		s.recordNumbering()
 		s.firstEventDelay = now.Sub(s.x.arrived)
 		s.f.metrics.observe("first_event", s.firstEventDelay)
 	} else if before > 0 {
@@ -678,6 +682,13 @@
 	return nil
 }
 
+// recordNumbering records the ID of the first event of a run that was asked for all events.
+func (s *stream) recordNumbering() {
+	if s.run.fromStart && s.sequencer.sourceEvents == s.sequencer.eventCount {
+		s.f.numbering.Record(s.run.engine.Identity, s.sequencer.firstID)
+	}
+}
+
 // logCut logs that a stream ended before its generation was complete.
 func (s *stream) logCut(err error) {
 	reason := ReasonStreamCut
