Stop the run of an engine that is left before another one continues it

Cause: the connection of a run stood for the run. The backup was tried first, after the connection was reset; the engine was asked to stop the run only where there was no backup. A new run of a resumable route, the backup of a silent engine, and a stream that its client resumes at another daemon relied on the reset alone. The protocol lets an engine go on with a run whose connection has closed.

Now whatever leaves a run goes through endRun: it resets the connection and makes the engine stop the run with the request that also copies its KV cache. The next request is sent when the engine has said that it has stopped the run or has none, when nothing listens there, or after 0.25 s; an engine that does not answer is asked for 5 s, also after the end of the stream. It works because the engine itself says that the first run is over before the second one is requested, whatever broke the connection.

--- a/forwarder/again.go
+++ b/forwarder/again.go
@@ -16,10 +16,6 @@
 // has lost its daemon; the daemon itself does so within one response, when the run has broken off
 // and no copy of its KV cache can be continued. Each new run uses the retry budget.
 
-// againTimeout limits how long a stream whose run has broken off tries to migrate before it goes on
-// in a new run. An engine that can be asked to migrate a run answers sooner.
-const againTimeout = 250 * time.Millisecond
-
 // errNotRepeatable means that the request may not be run again: its route does not permit it, or
 // as many engines as the route permits may run it.
 var errNotRepeatable = errors.New("the route does not permit another run")
@@ -127,6 +123,9 @@
 	refused := err != nil && provesNotRun(err) || err == nil && res.NotExecuted
 	if !refused {
 		s.x.runs.Add(1)
+		if err != nil { // It may have begun.
+			s.endRun(r, err)
+		}
 	}
 	r.close()
 	s.f.handleMisdirected(pl.Engine, *res)
@@ -156,7 +155,7 @@
 // engine is silent. Otherwise the stream waits.
 func (s *stream) leaveSilentEngine(source run) {
 	if s.mayRunAgain() && !source.state.left.Swap(true) {
-		s.leaveRun(source, errEngineUnresponsive)
+		s.endRun(source, errEngineUnresponsive)
 	}
 }
 
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -76,8 +76,8 @@
 }
 
 // findRun returns the run that continues the generation: a replacement that is
-// being started, a run from the backup, a run that is migrated if the engine
-// still answers, or a new one where the route permits it.
+// being started, a run from the copy that its engine has made when it was asked to stop
+// it, a run from the backup, or a new one where the route permits it.
 func (s *stream) findRun(cause error) (run, error) {
 	if r, ok := s.awaitReplacement(); ok {
 		return r, nil
@@ -92,37 +92,40 @@
 		return run{}, errRunEnded
 	}
 	source := s.run
-	r, err := s.continueFromBackup(source, cause)
-	if err == nil {
-		return r, nil
+	if _, err := s.positionAfter(source); err != nil && !s.x.route.Repeatable() {
+		return run{}, err // No run can continue it.
+	}
+	end := s.endRun(source, cause)
+	if !source.state.left.Load() { // Its engine is known to be silent.
+		s.awaitRunEnd(end, stopTimeout)
 	}
-	s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
-		Msg("forwarder: generation not continued from its backup")
-	if r, err = s.migrateBroken(source, cause); err == nil {
+	if r, err := s.continueFromCopies(source, end, cause); err == nil {
 		return r, nil
 	}
+	if !s.mayRunAgain() && !end.isKnown() {
+		s.awaitRunEnd(end, migrationTimeout-stopTimeout)
+		if r, err := s.continueFromCopies(source, end, cause); err == nil {
+			return r, nil
+		}
+	}
 	return s.continueByNewRun(source, cause)
 }
 
-// migrateBroken continues a generation whose connection has broken off by a migration, if its engine
-// answers.
-func (s *stream) migrateBroken(source run, cause error) (run, error) {
-	timeout := migrationTimeout
-	if s.mayRunAgain() {
-		timeout = againTimeout
-	}
-	if source.state.left.Load() || !s.hasEvents() && s.x.route.Repeatable() {
-		return run{}, errNoCopy // The engine answers nothing, or has nothing that is worth a migration.
-	}
-	c, cancel := context.WithTimeout(s.ctx, timeout)
-	defer cancel()
-	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
-	if !ok {
-		return run{}, errNoCopy
+// continueFromCopies continues a generation whose run has broken off from the copy that its engine has made since when
+// it stopped the run, or from the backup.
+func (s *stream) continueFromCopies(source run, end *runEnd, cause error) (run, error) {
+	if end.isKnown() && end.copied.copied.Handle != "" {
+		r, err := s.continueStopped(source, end.copied, cause)
+		if err == nil {
+			return r, nil
+		}
+		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("to", end.copied.holder.Name).
+			Msg("forwarder: generation not continued from the copy of the run that was stopped")
 	}
-	r, err := s.continueByMigration(c, source, target, cause)
+	r, err := s.continueFromBackup(source, cause)
 	if err != nil {
-		s.jobPlacer.MigrationFailed(s.job.ID, false, s.f.clock.Now())
+		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("backup", source.backup.Name).
+			Msg("forwarder: generation not continued from its backup")
 	}
 	return r, err
 }
@@ -182,7 +185,7 @@
 	if err := s.backupOf(source).Check(); err != nil { // The grant and the retry may have taken some time.
 		return run{}, err
 	}
-	s.leaveRun(source, cause)
+	s.endRun(source, cause)
 	return s.continueOn(resumption{target: backup, copyName: s.f.endpoints.CopyName(backup, s.x.req.ID), source: source, way: wayBackup, cause: cause})
 }
 
--- a/forwarder/secondrun.go
+++ b/forwarder/secondrun.go
@@ -34,7 +34,7 @@
 		return askedStopped
 	case c.absent:
 		return askedNoSuchRun
-	case provesNotRun(err), errors.Is(err, errEndpointLimited):
+	case provesNotRun(err), errors.Is(err, errEndpointLimited), errors.Is(err, errEndpointDeferred), errors.Is(err, errNoOtherEngine), errors.Is(err, errEngineRemoved):
 		return askedNotSent
 	case errors.Is(err, requester.ErrOutcomeUnknown):
 		return askedNothing
@@ -76,6 +76,9 @@
 	s.f.metrics.count("second_runs_" + ground)
 	log := s.f.addRequestFields(s.f.log.Info(), s.x).AnErr("cause", cause).Str("way", way).Str("first_run", ground).Str("from", source.engine.Name).Str("endpoint", to.Name).
 		Str("last_event", from.LastEvent)
+	if e := source.state.end.Load(); e != nil && e.isKnown() {
+		log.Str("asked", e.asked)
+	}
 	if !overAt.IsZero() {
 		log.Dur("first_over_ms", s.f.clock.Now().Sub(overAt))
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -95,6 +95,9 @@
 	// no response. The generation may go on there.
 	resumeLost atomic.Bool
 	handover   handover
+	producing  atomic.Bool            // It has brought an event.
+	copyTried  atomic.Bool            // A request has named the copy that was made when the run was stopped.
+	end        atomic.Pointer[runEnd] // Nil unless its engine was asked to stop it.
 }
 
 func (s *runState) loadStop() verifier.Stop { return verifier.Stop(s.stop.Load()) }
@@ -590,10 +593,12 @@
 	case s.ctx.Err() != nil:
 		return context.Cause(s.ctx)
 	}
-	s.run.close()
 	if !s.events {
+		s.run.close()
 		return err
 	}
+	abortBody(s.run.response.Body) // The run may go on.
+	s.run.close()
 	return s.resume(err)
 }
 
@@ -660,6 +665,7 @@
 	s.lastReadAt = now
 	if s.sequencer.sourceEvents > sourceEvents {
 		s.progress.RecordEvents(now)
+		s.run.state.producing.Store(true)
 	}
 	becameSound := !s.runSound && s.progress.Producing() >= soundAfter
 	s.runSound = s.runSound || becameSound
@@ -713,6 +719,10 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
+	if !s.complete && s.x.route.Repeatable() && s.f.ctx.Err() == nil {
+		source := s.run
+		s.f.spawn(func() { s.endAbandonedRun(source) })
+	}
 	s.run.close()
 	s.discardReplacement()
 	s.f.removeStream(s)
