Read responses by the grammar of RFC 9112 and refuse all others

Cause: responses were read by a library that repairs what it gets: it takes status 000 for 200, any version for HTTP/1.1, passes on a blank inside a name, drops one before the colon, joins folded lines, and reads trailers and chunk lines with the same rules. Seals, limits, loads, marks and refusals were taken from what it made of the bytes.

protocol/decoder reads status lines, fields, framing, interim responses, chunks and trailers as the RFC defines them, in the one place where bytes become a response (transport/dialer, of both products). Anything else resets the connection, leaves the outcome unknown and proves nothing: an unsafe request gets 502 and no second send, a safe one goes elsewhere within its attempts, a generation is stopped first. A refusal whose body is malformed is none, in serve too; the same in calls that move runs, and in those to the store. Errors and malformed_responses_FORM name the rule that was broken.

--- a/forwarder/again.go
+++ b/forwarder/again.go
@@ -120,17 +120,23 @@
 		log.Msg("forwarder: generation continued by another run")
 		return r, nil
 	}
-	refused := err != nil && provesNotRun(err) || err == nil && res.NotExecuted
-	if !refused {
+	log.Int("status", res.Status).Bool("not_run", s.dropUnaccepted(r, err)).Msg("forwarder: engine did not accept the run that continues a generation")
+	return run{}, errRefusedByEngine
+}
+
+// dropUnaccepted closes a run that its engine did not accept, or that failed with err. It reports whether the run is
+// certain not to have begun. Otherwise it counts, and its engine is made to stop it.
+func (s *stream) dropUnaccepted(r run, err error) (notRun bool) {
+	notRun = err != nil && provesNotRun(err) || err == nil && r.response.NotExecuted
+	if !notRun {
 		s.x.runs.Add(1)
-		if err != nil { // It may have begun.
-			s.endRun(r, err)
-		}
+	}
+	if !notRun && err != nil { // An engine that has answered does not run it any more.
+		s.endRun(r, err)
 	}
 	r.close()
-	s.f.handleMisdirected(pl.Engine, *res)
-	log.Int("status", res.Status).Bool("not_run", refused).Msg("forwarder: engine did not accept the run that continues a generation")
-	return run{}, errRefusedByEngine
+	s.f.handleMisdirected(r.engine, r.response)
+	return notRun
 }
 
 // resumeWithoutCopy returns how a new run goes on after the events that the client has received.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -9,6 +9,7 @@
 
 	"monsoonspar.example/coordination/balancer"
 	"monsoonspar.example/coordination/limiter"
+	"monsoonspar.example/protocol/decoder"
 	"monsoonspar.example/state/matcher"
 	"monsoonspar.example/state/registrar"
 )
@@ -285,13 +286,8 @@
 func (f *Forwarder) readResponse(ctx context.Context, x *exchange, e registrar.Endpoint, res Response, mayRetry bool, cancel context.CancelCauseFunc) callAttempt {
 	a := callAttempt{response: res, notRun: res.NotExecuted || res.Misdirected}
 	if a.notRun {
-		f.spawn(func() {
-			if f.clock.Sleep(ctx, refusalReadTime) == nil {
-				cancel(nil)
-			}
-		})
-		// The header decides. The body is read so that the connection can be used again.
-		_, _ = res.readAll(maxRefusalBytes)
+		a.err = f.readRefusal(ctx, &res, cancel)
+		a.response, a.notRun = res, a.err == nil
 		return a
 	}
 	var whole bool
@@ -311,6 +307,25 @@
 	return a
 }
 
+// readRefusal reads the body of a refusal, which is dropped, so that its connection can be used again. The header decides,
+// unless the body is malformed: the whole is no response then, and readRefusal removes what the header says. It may call
+// cancel, which closes the connection.
+func (f *Forwarder) readRefusal(ctx context.Context, res *Response, cancel context.CancelCauseFunc) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	f.spawn(func() {
+		if f.clock.Sleep(ctx, refusalReadTime) == nil {
+			cancel(nil)
+		}
+	})
+	if _, err := res.readAll(maxRefusalBytes); errors.Is(err, decoder.ErrMalformed) {
+		f.countMalformed(err)
+		*res = Response{Status: res.Status, Body: res.Body, Via: res.Via}
+		return err
+	}
+	return nil
+}
+
 // handleMisdirected takes an endpoint out of service if another one now listens on
 // its address.
 func (f *Forwarder) handleMisdirected(e registrar.Endpoint, res Response) {
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -126,10 +126,7 @@
 		}
 		return false, errUnexpectedEvents
 	}
-	if s.resumed && s.hasLast && id != s.lastID+1 {
-		return false, errUnexpectedEvents
-	}
-	if !s.hasLast && s.expected != 0 && id != s.expected {
+	if !s.mayFollow(id) {
 		return false, errUnexpectedEvents
 	}
 	asserter.That(!s.hasLast || id > s.lastID, asserter.TokensInOrder, "event passed on out of order")
@@ -141,6 +138,15 @@
 	return false, nil
 }
 
+// mayFollow reports whether no event is missing before the one with an ID, as far as that can be told: the current source
+// continues an earlier one.
+func (s *eventSequencer) mayFollow(id int64) bool {
+	if s.hasLast {
+		return !s.resumed || id == s.lastID+1
+	}
+	return s.expected == 0 || id == s.expected
+}
+
 // countBlock counts a complete block. It returns an error if the source sends too many
 // blocks that hold only comments and blank lines.
 func (s *eventSequencer) countBlock(block []byte) error {
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -53,6 +53,7 @@
 	}
 	d.failures++
 	d.f.metrics.count("store_failures")
+	d.f.countMalformed(err)
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, ErrUnavailable) {
 		d.f.metrics.count("store_calls_unanswered")
 	}
--- a/forwarder/passthrough.go
+++ b/forwarder/passthrough.go
@@ -108,6 +108,7 @@
 		}
 		if err != nil {
 			_ = res.Body.Close() // The response is lost.
+			f.countMalformed(err)
 			return nil, false, errors.Wrap(err, "read response")
 		}
 	}
@@ -136,6 +137,7 @@
 		err = r.f.confirmEnd(r.ctx, r.endpoint, r.response)
 	}
 	_ = r.response.Body.Close() // Nothing more is read.
+	r.f.countMalformed(err)
 	a := callAttempt{response: r.response, err: err}
 	if err != nil && r.ctx.Err() != nil {
 		a.err = context.Cause(r.ctx)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -263,8 +263,8 @@
 		s.x.deliveries++
 	}
 	res := &r.response
-	if err == nil && !res.NotExecuted && promisesNotRun(res.Status) {
-		err = errUnprovenRefusal
+	if err == nil {
+		err = s.verifyRefusal(&r)
 	}
 	refused = notSent || err == nil && res.NotExecuted
 	if !refused {
@@ -289,6 +289,17 @@
 	return false, refused, err
 }
 
+// verifyRefusal returns an error if the response of an engine refuses the request without a proof that it was not executed.
+func (s *stream) verifyRefusal(r *run) error {
+	switch {
+	case r.response.NotExecuted:
+		return s.f.readRefusal(s.ctx, &r.response, r.interrupt)
+	case promisesNotRun(r.response.Status):
+		return errUnprovenRefusal
+	}
+	return nil
+}
+
 // recoverUnknownOutcome handles a request that was sent and got no response. The
 // engine may have executed it, so it is not sent again; only a copy of its run may
 // be continued.
@@ -597,6 +608,7 @@
 		s.run.close()
 		return err
 	}
+	s.f.countMalformed(err)
 	abortBody(s.run.response.Body) // The run may go on.
 	s.run.close()
 	return s.resume(err)
--- a/forwarder/traffic.go
+++ b/forwarder/traffic.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"time"
 
+	"monsoonspar.example/protocol/decoder"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -59,9 +61,38 @@
 	f *Forwarder
 }
 
+// Report implements EndpointClient.
+func (c countedClient) Report(ctx context.Context, e registrar.Endpoint) (EngineReport, error) {
+	r, err := c.EndpointClient.Report(ctx, e)
+	c.f.countMalformed(err)
+	return r, err
+}
+
+// WarmUp implements EndpointClient.
+func (c countedClient) WarmUp(ctx context.Context, e registrar.Endpoint, healthPath string) (time.Duration, error) {
+	d, err := c.EndpointClient.WarmUp(ctx, e, healthPath)
+	c.f.countMalformed(err)
+	return d, err
+}
+
+// Migrate implements EndpointClient.
+func (c countedClient) Migrate(ctx context.Context, from registrar.Endpoint, id, to string, stopRun bool) (MigrationResult, error) {
+	r, err := c.EndpointClient.Migrate(ctx, from, id, to, stopRun)
+	c.f.countMalformed(err)
+	return r, err
+}
+
+// countMalformed counts err if it is that of a malformed response, by the rule that the response breaks.
+func (f *Forwarder) countMalformed(err error) {
+	if form := decoder.FormOf(err); form != "" {
+		f.metrics.count("malformed_responses_" + string(form))
+	}
+}
+
 // Send implements EndpointClient.
 func (c countedClient) Send(ctx context.Context, r *Request, d Dispatch) (Response, error) {
 	res, err := c.EndpointClient.Send(ctx, r, d)
+	c.f.countMalformed(err)
 	if d.Endpoint.Domain == c.f.cfg.Daemon.Domain {
 		return res, err
 	}
--- a/protocol/storer/call.go
+++ b/protocol/storer/call.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/coordination/retrier"
+	"monsoonspar.example/protocol/decoder"
 	"monsoonspar.example/protocol/requester"
 )
 
@@ -126,7 +127,10 @@
 	if res.Status >= 200 && res.Status < 300 {
 		return nil
 	}
-	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	if errors.Is(err, decoder.ErrMalformed) { // The status of what is no response says nothing.
+		return CallError{Kind: ErrOutcomeUnknown, Detail: err.Error()}
+	}
 	status := decodeStatus(text)
 	failure := CallError{Kind: statusKind(res.Status, status.Reason), Detail: status.Message}
 	if seconds, err := strconv.Atoi(res.Get("Retry-After")); err == nil && seconds > 0 {
--- a/protocol/storer/storer_test.go
+++ b/protocol/storer/storer_test.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"monsoonspar.example/protocol/decoder"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/protocol/storer"
 	"monsoonspar.example/state/timekeeper"
@@ -32,6 +34,7 @@
 	body   string
 	header []requester.Header
 	err    error
+	cut    error // Of a read of the body, in place of its end.
 }
 
 // script is a Doer that returns its replies in order.
@@ -50,8 +53,11 @@
 	if r.err != nil {
 		return requester.Response{}, r.err
 	}
-	body := io.NopCloser(strings.NewReader(r.body))
-	return requester.Response{Status: r.status, Header: r.header, Body: body}, nil
+	var body io.Reader = strings.NewReader(r.body)
+	if r.cut != nil {
+		body = io.MultiReader(body, iotest.ErrReader(r.cut))
+	}
+	return requester.Response{Status: r.status, Header: r.header, Body: io.NopCloser(body)}, nil
 }
 
 func newClient(replies ...reply) (*storer.Client, *script) {
@@ -104,6 +110,7 @@
 		{"malformed response, no writer", withoutWriter, []reply{{status: 201, body: "{"}}, storer.ErrOutcomeUnknown},
 		{"server error", withoutWriter, []reply{{status: 500}}, storer.ErrOutcomeUnknown},
 		{"refused", withoutWriter, []reply{{status: 403}}, storer.ErrRejected},
+		{"refused in a malformed response", withoutWriter, []reply{{status: 409, body: exists.body, cut: decoder.MalformedError{Form: decoder.FormChunkSize}}}, storer.ErrOutcomeUnknown},
 		{"rate limited", withoutWriter, []reply{{status: 429, header: outage.header}}, storer.ErrRateLimited},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/server/generation.go
+++ b/server/generation.go
@@ -250,6 +250,7 @@
 		return responder.Chunk{}, g.expire()
 	}
 	if err != nil {
+		g.s.metrics.countMalformed(err)
 		return responder.Chunk{}, g.handleStreamFailure(generator.FailureOf(err), err)
 	}
 	if ev.KeepAlive {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"monsoonspar.example/protocol/decoder"
 )
 
 // Range of the histograms, in microseconds.
@@ -74,6 +76,7 @@
 	queueWait        *histogram
 	outcomes         *expvar.Map
 	refusals         *expvar.Map
+	malformed        *expvar.Map // Responses of endpoints, by the rule that they break.
 	preemptions      expvar.Int
 	resumes          expvar.Int
 	retries          expvar.Int
@@ -87,7 +90,7 @@
 		vars:  new(expvar.Map).Init(),
 		stall: newHistogram(), tokenGap: newHistogram(),
 		firstToken: newHistogram(), queueWait: newHistogram(),
-		outcomes: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(),
+		outcomes: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), malformed: new(expvar.Map).Init(),
 	}
 	m.vars.Set("stall_time", m.stall)
 	m.vars.Set("token_gap", m.tokenGap)
@@ -95,6 +98,7 @@
 	m.vars.Set("queue_wait", m.queueWait)
 	m.vars.Set("outcomes", m.outcomes)
 	m.vars.Set("refusals", m.refusals)
+	m.vars.Set("malformed_responses", m.malformed)
 	m.vars.Set("preemptions", &m.preemptions)
 	m.vars.Set("resumes", &m.resumes)
 	m.vars.Set("retries", &m.retries)
@@ -103,5 +107,12 @@
 	return m
 }
 
+// countMalformed counts err if it is that of a malformed response.
+func (m *metrics) countMalformed(err error) {
+	if form := decoder.FormOf(err); form != "" {
+		m.malformed.Add(string(form), 1)
+	}
+}
+
 // gauge publishes a value that is read on demand.
 func (m *metrics) gauge(name string, read func() any) { m.vars.Set(name, expvar.Func(read)) }
--- a/server/services.go
+++ b/server/services.go
@@ -6,6 +6,7 @@
 
 	"monsoonspar.example/coordination/attempter"
 	"monsoonspar.example/coordination/router"
+	"monsoonspar.example/protocol/decoder"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/protocol/responder"
 
@@ -124,16 +125,23 @@
 			return reply, nil
 		}
 	}
+	s.metrics.countMalformed(err)
 	s.log.Info().Err(err).Str("request", c.ID).Str("endpoint", endpoint).Msg("service: attempt failed")
 	now := s.clock.Now()
 	s.eachRouter(func(r *router.Router) { r.ReportFailure(endpoint, now) })
 	return responder.Response{}, err
 }
 
+// maxRefusalBytes is the size up to which the body of a refusal is read, which is dropped.
+const maxRefusalBytes = 64 << 10
+
 // readReply reads the complete response of a service.
 func readReply(res requester.Response) (responder.Response, error) {
 	if res.Status == statusUnavailable && res.Get(headerNotRun) == "true" {
-		_ = res.Body.Close() // The header decides.
+		// The header decides, unless the body is malformed: the whole is no reply then, and proves nothing.
+		if _, err := res.ReadAll(maxRefusalBytes); errors.Is(err, decoder.ErrMalformed) {
+			return responder.Response{}, err
+		}
 		if res.Reused {
 			return responder.Response{}, requester.FailureError{Kind: requester.ErrOutcomeUnknown, Cause: errServiceRefused}
 		}
--- a/server/start.go
+++ b/server/start.go
@@ -86,6 +86,7 @@
 // the failure of the endpoint and releases the permit in the background.
 func (g *generation) handleSendFailure(ctx context.Context, p *permit, err error) (*generator.Stream, attempter.Decision) {
 	g.s.log.Info().Err(err).Str("request", g.req.ID).Str("endpoint", p.endpoint.Name).Msg("generation: attempt failed")
+	g.s.metrics.countMalformed(err)
 	cause := err
 	d := g.attempts.HandleFailure(g.s.clock.Now(), generator.FailureOf(err))
 	for d.Step == attempter.Resume {
--- a/transport/dialer/body.go
+++ b/transport/dialer/body.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"monsoonspar.example/protocol/decoder"
 )
 
 // body is the body of a streamed response. Closing it after io.EOF returns the
@@ -40,6 +42,9 @@
 		return n, io.EOF
 	}
 	b.reusable = false
+	if errors.Is(err, decoder.ErrMalformed) {
+		b.Abort() // The server may work on, and notices a reset sooner.
+	}
 	return n, b.conn.wrapFailure(b.ctx, err)
 }
 
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -1,10 +1,11 @@
 // Package dialer sends HTTP requests over pooled connections. For a request that
 // fails it reports whether the server may have received it.
 //
-// It encodes and decodes with fasthttp but has its own connection pool, since
-// the client of that library neither reports whether a request was written nor
-// has a read timeout between the chunks of a streamed response. A request is
-// sent at most once; this package does not retry.
+// It encodes requests with fasthttp, but reads responses with package decoder,
+// which repairs nothing, and has its own connection pool, since the client of
+// that library neither reports whether a request was written nor has a read
+// timeout between the chunks of a streamed response. A request is sent at most
+// once; this package does not retry.
 package dialer
 
 import (
@@ -19,13 +20,14 @@
 	"github.com/valyala/fasthttp"
 
 	"monsoonspar.example/coordination/verifier"
+	"monsoonspar.example/protocol/decoder"
 	"monsoonspar.example/protocol/requester"
 	"monsoonspar.example/state/defaulter"
 	"monsoonspar.example/state/timekeeper"
 	"monsoonspar.example/transport/peeker"
 )
 
-// readBufferBytes limits the size of a response header.
+// readBufferBytes is the size of the read buffer; a line of a response has to fit.
 const readBufferBytes = 4 << 10
 
 // minSilence is the time without a byte after which a connection counts as silent; a client may give up
@@ -169,6 +171,9 @@
 		if !c.answered && d.clock.Now().Sub(sentAt) >= minSilence {
 			d.cfg.Network.RecordSilence(c.addr, c.raw)
 		}
+		if errors.Is(err, decoder.ErrMalformed) {
+			c.reset() // The server may work on, and notices a reset sooner.
+		}
 		c.close()
 		return requester.Response{}, c.wrapFailure(ctx, err)
 	}
@@ -272,20 +277,17 @@
 	c.headDeadline = d.clock.Now().Add(headTimeoutFactor * c.readTimeout)
 	stale := verifier.Body{Limit: maxStaleBytes}
 	for range maxStaleResponses + 1 {
-		r, err := readHeader(c, req)
+		head, err := decoder.ReadHead(c.r, req.Method)
 		if err != nil {
 			return requester.Response{}, err
 		}
 		c.responses++
-		if !isStaleResponse(r, req.EchoedHeader) {
+		if !isStaleResponse(head, req.EchoedHeader) {
 			c.headDeadline = time.Time{}
-			return d.response(ctx, c, r, req.OwnConnection), nil
+			return d.response(ctx, c, head, req.OwnConnection), nil
 		}
 		d.staleResponses.Add(1)
-		if r.BodyStream() == nil {
-			continue
-		}
-		if err := discardStale(r, &stale); err != nil {
+		if err := discardStale(c.r, head, &stale); err != nil {
 			return requester.Response{}, errors.Wrap(err, "read response to an earlier request")
 		}
 	}
@@ -294,69 +296,51 @@
 
 // discardStale reads the body of a response to an earlier request. It fails at once if no
 // response can follow it or if it exceeds the limit of total.
-func discardStale(r *fasthttp.Response, total *verifier.Body) error {
-	if framingOf(r) == verifier.ByConnection {
+func discardStale(r *bufio.Reader, head decoder.Head, total *verifier.Body) error {
+	body := head.Body(r)
+	switch {
+	case head.Framing == verifier.ByConnection:
 		return errNoResponseFollows
+	case body == nil:
+		return nil
 	}
-	if err := total.Declare(total.Size + max(r.Header.ContentLength(), 0)); err != nil {
+	if err := total.Declare(total.Size + max(head.Length, 0)); err != nil {
 		return err
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(r.BodyStream(), int64(total.Limit-total.Size)+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, int64(total.Limit-total.Size)+1))
 	if err != nil {
 		return err
 	}
 	return total.Add(int(n))
 }
 
-// readHeader reads a response up to its body.
-func readHeader(c *conn, req requester.Request) (*fasthttp.Response, error) {
-	r := &fasthttp.Response{StreamBody: true}
-	r.SkipBody = req.Method == fasthttp.MethodHead
-	r.Header.SetNoDefaultContentType(true)
-	return r, r.ReadLimitBody(c.r, 0)
-}
-
-// isStaleResponse reports whether r belongs to an earlier request: its echoed
+// isStaleResponse reports whether a response belongs to an earlier request: its echoed
 // header field differs from that of the request.
-func isStaleResponse(r *fasthttp.Response, echo requester.Header) bool {
+func isStaleResponse(head decoder.Head, echo requester.Header) bool {
 	if echo.Name == "" {
 		return false
 	}
-	got := r.Header.Peek(echo.Name)
-	return len(got) > 0 && string(got) != echo.Value
+	got := requester.Response{Header: head.Fields}.Get(echo.Name)
+	return got != "" && got != echo.Value
 }
 
-// framingOf returns the framing of a response whose header has been read.
-func framingOf(r *fasthttp.Response) verifier.Framing {
-	switch {
-	case r.BodyStream() == nil || r.Header.ContentLength() >= 0:
-		return verifier.ByLength
-	case r.Header.ContentLength() == chunkedLength:
-		return verifier.ByChunks
-	default:
-		return verifier.ByConnection
-	}
-}
-
-// chunkedLength is the content length that fasthttp reports for a chunked body.
-const chunkedLength = -1
-
 // response converts a response whose header has been read.
-func (d *Dialer) response(ctx context.Context, c *conn, r *fasthttp.Response, ownConnection bool) requester.Response {
-	res := requester.Response{Status: r.StatusCode(), Length: max(r.Header.ContentLength(), -1), Framing: framingOf(r), Via: c.via(), Reused: c.responses > 1}
-	for name, value := range r.Header.All() {
-		if !isConnectionHeader(string(name)) {
-			res.Header = append(res.Header, requester.Header{Name: string(name), Value: string(value)})
+func (d *Dialer) response(ctx context.Context, c *conn, head decoder.Head, ownConnection bool) requester.Response {
+	res := requester.Response{Status: head.Status, Length: head.Length, Framing: head.Framing, Via: c.via(), Reused: c.responses > 1}
+	for _, f := range head.Fields {
+		if !isConnectionHeader(f.Name) {
+			res.Header = append(res.Header, f)
 		}
 	}
+	stream := head.Body(c.r)
 	res.Body = &body{
 		ctx:      ctx,
 		dialer:   d,
 		conn:     c,
 		unbind:   c.unbind,
-		stream:   r.BodyStream(),
-		reusable: !r.ConnectionClose() && !ownConnection,
-		atEOF:    r.BodyStream() == nil,
+		stream:   stream,
+		reusable: !head.Close && !ownConnection,
+		atEOF:    stream == nil,
 	}
 	return res
 }
