Bound the time in which serve reads the body of a refusal

serve reads the body of a refusal since the strict reading of responses, as forward does, because a malformed body makes the whole no response. A service whose body did not end would have held up its call until the deadline. The body gets 50 ms now; after that the connection ends and the header decides, as before. Shown by TestRefusalWithoutEndIsReadForMoment and TestMalformedReplyIsNoReply.

--- a/server/malformed_test.go
+++ b/server/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -61,9 +62,11 @@
 		t.Run(name, func(t *testing.T) {
 			d := dialer.New(dialer.Config{}, timekeeper.System{})
 			defer d.Close()
-			res, err := d.Do(t.Context(), requester.Request{Method: "POST", Path: "/", Addr: serveRaw(t, text), NonIdempotent: true, OwnConnection: true})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			res, err := d.Do(ctx, requester.Request{Method: "POST", Path: "/", Addr: serveRaw(t, text), NonIdempotent: true, OwnConnection: true})
 			if err == nil {
-				_, err = readReply(res)
+				_, err = readReply(ctx, cancel, res)
 			}
 			assert.Assert(t, err != nil)
 			assert.Equal(t, callFailure(err), attempter.ConnectionLost, "%v", err)
@@ -84,3 +87,16 @@
 		})
 	}
 }
+
+// Guards against a refusal that holds up its call since its body does not end.
+func TestRefusalWithoutEndIsReadForMoment(t *testing.T) {
+	d := dialer.New(dialer.Config{}, timekeeper.System{})
+	defer d.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	addr := serveRaw(t, "HTTP/1.1 503 Service Unavailable\r\n"+headerNotRun+": true\r\nContent-Length: 4\r\n\r\nbod")
+	res, err := d.Do(ctx, requester.Request{Method: "POST", Path: "/", Addr: addr, OwnConnection: true})
+	assert.NilError(t, err)
+	_, err = readReply(ctx, cancel, res)
+	assert.Equal(t, callFailure(err), attempter.Refused, "%v", err)
+}
--- a/server/services.go
+++ b/server/services.go
@@ -109,6 +109,8 @@
 		header = append(header, requester.Header{Name: "Content-Encoding", Value: c.ContentEncoding})
 	}
 	nonIdempotent := c.NonIdempotent || !isIdempotent(c.Method)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	res, err := s.doer.Do(ctx, requester.Request{
 		Method: c.Method, Addr: e.Addr, Path: c.Path, Header: header, Body: c.Body,
 		// A late refusal of an earlier call must not prove that this one did not run.
@@ -117,7 +119,7 @@
 	if err == nil {
 		var reply responder.Response
 		res.Body = s.replies.limit(ctx, res.Body, res.Length)
-		if reply, err = readReply(res); err == nil {
+		if reply, err = readReply(ctx, cancel, res); err == nil {
 			err = res.ConfirmEnd(ctx, s.doer, e.Addr)
 		}
 		if err == nil {
@@ -132,13 +134,20 @@
 	return responder.Response{}, err
 }
 
-// maxRefusalBytes is the size up to which the body of a refusal is read, which is dropped.
-const maxRefusalBytes = 64 << 10
+// Limits of the body of a refusal, which is dropped.
+const (
+	maxRefusalBytes = 64 << 10
+	refusalReadTime = 50 * time.Millisecond
+)
 
-// readReply reads the complete response of a service.
-func readReply(res requester.Response) (responder.Response, error) {
+// readReply reads the complete response of a service. It may call cancel, which ends ctx, to close the connection of a
+// refusal whose body does not end.
+func readReply(ctx context.Context, cancel context.CancelFunc, res requester.Response) (responder.Response, error) {
 	if res.Status == statusUnavailable && res.Get(headerNotRun) == "true" {
 		// The header decides, unless the body is malformed: the whole is no reply then, and proves nothing.
+		limit, stop := context.WithTimeout(ctx, refusalReadTime)
+		defer stop()
+		defer context.AfterFunc(limit, cancel)()
 		if _, err := res.ReadAll(maxRefusalBytes); errors.Is(err, decoder.ErrMalformed) {
 			return responder.Response{}, err
 		}
