Ask the engine of a stopped run again, and release memory reserved for its copy

A run that a move had stopped and that could not be continued was not asked about again when its stream ended, so that the KV cache which its engine keeps was lost to it; it is asked as before. The memory that is reserved where the copy of a run is to go is released after the first request that brings no copy, not after the last one up to 5 s later, when it might be that of another migration.

--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -96,7 +96,7 @@
 		return run{}, err // No run can continue it.
 	}
 	end := s.endRun(source, cause)
-	if !source.state.left.Load() { // Its engine is known to be silent.
+	if !source.state.left.Load() { // Else its engine is known to be silent.
 		s.awaitRunEnd(end, stopTimeout)
 	}
 	if r, err := s.continueFromCopies(source, end, cause); err == nil {
--- a/forwarder/runend.go
+++ b/forwarder/runend.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/coordination/limiter"
-	"monsoonspar.example/coordination/verifier"
 	"monsoonspar.example/state/registrar"
 )
 
@@ -56,11 +55,6 @@
 	if !source.state.end.CompareAndSwap(nil, e) {
 		return source.state.end.Load()
 	}
-	if source.state.loadStop() == verifier.Stopped {
-		e.asked = askedStopped
-		close(e.done)
-		return e
-	}
 	s.f.spawn(func() { s.stopLeftRun(source, e) })
 	return e
 }
@@ -91,6 +85,10 @@
 		if errors.Is(err, ErrRunNotFound) {
 			absences++
 		}
+		if reserved && e.copied.copied.Handle == "" {
+			s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
+			reserved = false
+		}
 		if s.endsRun(source, e, err, absences) {
 			s.f.metrics.count("runs_ended_" + e.asked)
 			s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).Str("endpoint", source.engine.Name).Str("to", target.Name).Str("asked", e.asked).Int("times", tries).
@@ -106,9 +104,6 @@
 		}
 		pause = min(stopPauseRatio*pause, maxStopPause)
 	}
-	if reserved && e.copied.copied.Handle == "" {
-		s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
-	}
 }
 
 // endsRun reports whether there is no use in asking the engine of a run again.
