--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -114,12 +114,12 @@
 // continueFromCopies continues a generation whose run has broken off from the copy that its engine has made since when
 // it stopped the run, or from the backup.
 func (s *stream) continueFromCopies(source run, end *runEnd, cause error) (run, error) {
-	if end.isKnown() && end.copied.copied.Handle != "" {
-		r, err := s.continueStopped(source, end.copied, cause)
+	if end.isKnown() && end.stopped.copied.Handle != "" {
+		r, err := s.continueStopped(source, end.stopped, cause)
 		if err == nil {
 			return r, nil
 		}
-		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("to", end.copied.holder.Name).
+		s.f.addRequestFields(s.f.log.Info(), s.x).Err(err).AnErr("cause", cause).Str("endpoint", source.engine.Name).Str("to", end.stopped.holder.Name).
 			Msg("forwarder: generation not continued from the copy of the run that was stopped")
 	}
 	r, err := s.continueFromBackup(source, cause)
--- a/forwarder/runend.go
+++ b/forwarder/runend.go
@@ -33,8 +33,8 @@
 type runEnd struct {
 	done chan struct{} // Closed when the engine is not asked any more.
 	// The others are set before done is closed.
-	copied continuation
-	asked  string // What the engine has answered.
+	stopped continuation // The copy of the run, if the engine has stopped it.
+	asked   string       // What the engine has answered.
 }
 
 // isKnown reports whether the engine is not asked any more.
@@ -79,13 +79,13 @@
 	absences, pause := 0, stopRetryPause
 	for tries := 1; ; tries++ {
 		if err == nil {
-			e.copied, err = s.askToStop(ctx, source, target)
+			e.stopped, err = s.askToStop(ctx, source, target)
 		}
-		e.asked = askedOf(e.copied, err)
+		e.asked = askedOf(e.stopped, err)
 		if errors.Is(err, ErrRunNotFound) {
 			absences++
 		}
-		if reserved && e.copied.copied.Handle == "" {
+		if reserved && e.stopped.copied.Handle == "" {
 			s.jobPlacer.MigrationFailed(s.job.ID, errors.Is(err, ErrInsufficientMemory), s.f.clock.Now())
 			reserved = false
 		}
@@ -109,7 +109,7 @@
 // endsRun reports whether there is no use in asking the engine of a run again.
 func (s *stream) endsRun(source run, e *runEnd, err error, absences int) bool {
 	switch {
-	case e.copied.copied.Handle != "", errors.Is(err, syscall.ECONNREFUSED):
+	case e.stopped.copied.Handle != "", errors.Is(err, syscall.ECONNREFUSED):
 		return true
 	case errors.Is(err, errNoOtherEngine), errors.Is(err, errEngineRemoved), errors.Is(err, errEndpointDeferred):
 		return true
