Give an engine that is still asked to stop a run no other run of the generation

A stream broke off that could have gone on (found by reading at its end): its first run broke off, the answers to the requests that stop it were lost, and the generation came back to that engine by a move within the 5 s in which it is asked. The request names the generation only, so the next one stopped the new run. An unframed stream whose run is stopped so might even have passed for complete.

Engines that have not answered are now no target of moves and of copies of stopped runs, are not used as a backup to go on from, and get no new run. It works because no run that the daemon wants can be at an engine which it asks to stop one.

--- a/forwarder/again.go
+++ b/forwarder/again.go
@@ -60,6 +60,9 @@
 	}
 	exclude := map[registrar.Identity]bool{source.engine.Identity: true}
 	for s.mayRunAgain() {
+		for _, id := range s.unanswered() {
+			exclude[id] = true
+		}
 		r, err := s.runAgain(source, cause, exclude)
 		if err == nil || !errors.Is(err, errRefusedByEngine) {
 			return r, err
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -140,7 +140,7 @@
 // The generation can go on at the engine itself if it can't at the other one. Without room elsewhere the copy goes to
 // the engine from which the run came, since a call that names no other engine stops nothing.
 func (s *stream) stopUnanswered(e, source registrar.Endpoint) (continuation, error) {
-	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), e, s.f.clock.Now(), source.Identity)
+	target, ok := s.migrationTarget(e, source.Identity)
 	if !ok {
 		target = source
 	}
--- a/forwarder/migration.go
+++ b/forwarder/migration.go
@@ -145,7 +145,7 @@
 	if s.f.isDeferred(source.engine, s.f.clock.Now()) { // It wants no request to migrate either.
 		return false
 	}
-	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
+	target, ok := s.migrationTarget(source.engine)
 	if !ok {
 		s.f.addRequestFields(s.f.log.Info(), s.x).Str("endpoint", source.engine.Name).Msg("forwarder: no engine has enough free memory for a run that must migrate")
 		return false
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -167,7 +168,7 @@
 // of the KV cache there.
 func (s *stream) continueFromBackup(source run, cause error) (run, error) {
 	backup := source.backup
-	if backup.Name == "" || !s.f.registry.Accepts(backup.Identity) {
+	if backup.Name == "" || !s.f.registry.Accepts(backup.Identity) || slices.Contains(s.unanswered(), backup.Identity) {
 		return run{}, errNoCopy
 	}
 	if _, err := s.positionAfter(source); err != nil {
@@ -477,7 +478,7 @@
 // count as unreachable, until one of them has answered through a peer.
 func (s *stream) leaveCutPath(source run) {
 	err := errNoCopy
-	target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now())
+	target, ok := s.migrationTarget(source.engine)
 	if ok && s.hasEvents() {
 		ctx, cancel := context.WithTimeout(s.ctx, 2*migrationTimeout)
 		defer cancel()
--- a/forwarder/runend.go
+++ b/forwarder/runend.go
@@ -55,10 +55,36 @@
 	if !source.state.end.CompareAndSwap(nil, e) {
 		return source.state.end.Load()
 	}
+	s.mu.Lock()
+	if s.ends == nil {
+		s.ends = map[registrar.Identity]*runEnd{}
+	}
+	s.ends[source.engine.Identity] = e
+	s.mu.Unlock()
 	s.f.spawn(func() { s.stopLeftRun(source, e) })
 	return e
 }
 
+// unanswered returns the engines that are still asked to stop a run of the generation. They get no other run of it, which
+// the request would stop too: it names the generation only.
+func (s *stream) unanswered() []registrar.Identity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var engines []registrar.Identity
+	for id, e := range s.ends {
+		if !e.isKnown() {
+			engines = append(engines, id)
+		}
+	}
+	return engines
+}
+
+// migrationTarget returns an engine with room for the generation other than the source, those that are excluded, and those
+// that have not answered.
+func (s *stream) migrationTarget(source registrar.Endpoint, exclude ...registrar.Identity) (registrar.Endpoint, bool) {
+	return s.jobPlacer.MigrationTarget(s.currentJob(), source, s.f.clock.Now(), append(exclude, s.unanswered()...)...)
+}
+
 // awaitRunEnd waits until the engine of a run has answered, for at most timeout.
 func (s *stream) awaitRunEnd(e *runEnd, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
@@ -125,7 +151,7 @@
 	closed := s.closed
 	s.mu.Unlock()
 	if !closed { // The placer does not know the job any more after that.
-		if target, ok := s.jobPlacer.MigrationTarget(s.currentJob(), source.engine, s.f.clock.Now()); ok {
+		if target, ok := s.migrationTarget(source.engine); ok {
 			return target, true, nil
 		}
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -60,15 +60,16 @@
 
 	mu             sync.Mutex
 	run            run
-	eventCount     int                // Number of events received so far.
-	lastEvent      string             // ID of the last event that was received; empty if there was none, which differs from an event with the ID 0.
-	unnumbered     bool               // An event without an ID was received after the last one that has an ID.
-	lastReadAt     time.Time          // Time at which the engine last sent any bytes.
-	progress       resumer.Progress   // Of the current run.
-	runSound       bool               // The current run has made progress.
-	evacuatingFrom registrar.Identity // Engine that the run is being evacuated from; zero if none.
-	replacement    chan run           // Receives the run that continues the generation; nil unless one is being started.
-	resuming       bool               // The stream is being resumed after its run has broken off.
+	eventCount     int                            // Number of events received so far.
+	lastEvent      string                         // ID of the last event that was received; empty if there was none, which differs from an event with the ID 0.
+	unnumbered     bool                           // An event without an ID was received after the last one that has an ID.
+	lastReadAt     time.Time                      // Time at which the engine last sent any bytes.
+	progress       resumer.Progress               // Of the current run.
+	runSound       bool                           // The current run has made progress.
+	evacuatingFrom registrar.Identity             // Engine that the run is being evacuated from; zero if none.
+	replacement    chan run                       // Receives the run that continues the generation; nil unless one is being started.
+	resuming       bool                           // The stream is being resumed after its run has broken off.
+	ends           map[registrar.Identity]*runEnd // Of the last run at each engine that was asked to stop one.
 	closed         bool
 }
 
