follower: bound the time until a change is known whoever loses the store

Callers at daemons that had the store were refused with 404, or served by an older version, for longer than apply_ms after the operators' change was accepted.

Cause: four daemons watch the store for all. A daemon that is none of them asked the store itself 2.5 s after its last proof that its version was current, and 20 ms later for each peer: 3.8 s at 68 daemons, beyond apply_ms before the call had begun. The watchers' own way to say that they have lost the store takes two failed polls and a sync each, and the next in line may have lost it too. Besides, of two peers one syncs and the other leaves it out, and only the reply proves anything: the other one could go without a proof for seconds.

Change: the age at which a daemon asks the store is 1.4 s at any size, and a daemon whose proof is older than 0.6 s syncs with the watchers in any case.

All pairs of losses with "the paths of all watchers to the store" hold at 9 and 60 daemons, evacuations too.

The simulation now leaves out syncs as the daemon does.

--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -23,19 +23,22 @@
 	ShortWatchers = 2 // Either may be lost with its answer.
 )
 
-// Config holds the times that depend on how soon changes must be known.
+// Config holds the times that depend on how soon changes must be known. None of them depends on the number of
+// daemons, since the time limit for changes does not.
 type Config struct {
 	ShortPoll  time.Duration // An answer that is lost is noticed after this time and AnswerTimeout.
-	StaleAfter time.Duration // Age of the latest proof after which a daemon asks the store itself: two syncs with peers, and the poll behind them.
+	RenewAfter time.Duration // Age of the latest proof after which a daemon asks its peers for one.
+	AskAfter   time.Duration // Age of the latest proof after which a daemon asks the store itself. It bounds the time until a change is known if all watchers lose the store.
+	StaleAfter time.Duration // Age of the latest proof after which other daemons should not rely on this one.
 }
 
 // Usual is for changes that every daemon must know within 2 s.
-var Usual = Config{ShortPoll: ShortPoll, StaleAfter: staleAfter}
+var Usual = Config{ShortPoll: ShortPoll, RenewAfter: 600 * time.Millisecond, AskAfter: 1400 * time.Millisecond, StaleAfter: staleAfter}
 
 // Slow is for changes that every daemon must know within 5 s. It makes less than half as many calls.
 // The bound after the loss of the answers to all pending calls and of one more message: 2.3 s until
 // the poll is given up, 0.35 s for the next call, 1.7 s for the next sync with a peer.
-var Slow = Config{ShortPoll: 2 * time.Second, StaleAfter: 3500 * time.Millisecond}
+var Slow = Config{ShortPoll: 2 * time.Second, RenewAfter: 2 * time.Second, AskAfter: 3500 * time.Millisecond, StaleAfter: 3500 * time.Millisecond}
 
 // Time limits of the calls to the store.
 const (
@@ -54,7 +57,6 @@
 	lostAfter      = 2                       // Failed calls in a row after which other daemons take this one's place.
 	roleInterval   = 100 * time.Millisecond  // Between checks of whether to watch.
 	staleAfter     = 2500 * time.Millisecond // As in Config, of Usual.
-	stalePerPeer   = 20 * time.Millisecond   // Added for each peer, to spread the daemons that are stale at the same time.
 	maxBehind      = 500 * time.Millisecond  // A fetch from a peer that is given up, and the next one.
 	overtakenAfter = 300 * time.Millisecond  // By which a poll may report a change later than a peer.
 )
@@ -122,8 +124,7 @@
 
 // current reports whether the daemon may rely on its peers. The mutex is held.
 func (f *Follower) current(v View, now time.Time) bool {
-	limit := f.cfg.StaleAfter + time.Duration(v.Peers)*stalePerPeer
-	return v.Known && v.Behind <= maxBehind && !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= limit
+	return v.Known && v.Behind <= maxBehind && !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= f.cfg.AskAfter
 }
 
 // answerTimeout returns the time limit of a read. The mutex is held.
@@ -235,6 +236,13 @@
 	return max(now.Sub(f.confirmedAt), 0), !f.confirmedAt.IsZero()
 }
 
+// NeedsProof reports whether the daemon should sync with its peers although they sync with it: only
+// the reply to a sync of its own is known to be recent.
+func (f *Follower) NeedsProof(now time.Time) bool {
+	age, ok := f.Age(now)
+	return !ok || age > f.cfg.RenewAfter
+}
+
 // Lost reports whether the store does not answer this daemon.
 func (f *Follower) Lost() bool {
 	f.mu.Lock()
--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -24,8 +24,9 @@
 	fetchTime    = 12 * time.Millisecond
 	syncInterval = time.Second
 	syncTimeout  = 600 * time.Millisecond
-	applyTime    = 2 * time.Second // From the change to the last daemon.
-	refusedFor   = 2 * time.Second // That a refusal of the store names.
+	heardLately  = 800 * time.Millisecond // Since a peer synced with a daemon; it then leaves out its own sync.
+	applyTime    = 2 * time.Second        // From the change to the last daemon.
+	refusedFor   = 2 * time.Second        // That a refusal of the store names.
 )
 
 // fleet is a simulated deployment.
@@ -104,6 +105,7 @@
 	lost       map[int]bool      // Others whose calls the store does not answer.
 	muted      map[int]bool      // Others from which nothing arrives any more.
 	nextSync   map[int]time.Time // With each other daemon.
+	heardAt    map[int]time.Time // When each other daemon synced with this one.
 	syncDue    time.Time         // The earliest of them.
 	seen       int64             // Version known from the last answer of the store.
 	longest    time.Duration     // Greatest age of its knowledge.
@@ -145,7 +147,7 @@
 func (f *fleet) add(i, n int, seed uint64) *node {
 	d := &node{
 		i: i, fleet: f, follower: follower.NewWith(f.cfg, rand.New(rand.NewPCG(seed, uint64(i+10)))), fetcher: fetcher.New(rand.New(rand.NewPCG(seed, uint64(i+1000)))),
-		evacuated: registrar.New(0), reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{}, syncEnds: map[int]time.Time{},
+		evacuated: registrar.New(0), reachable: map[int]bool{}, lost: map[int]bool{}, muted: map[int]bool{}, nextSync: map[int]time.Time{}, heardAt: map[int]time.Time{}, syncEnds: map[int]time.Time{},
 	}
 	for j := range n {
 		if j != i {
@@ -299,7 +301,13 @@
 			continue
 		}
 		o := f.daemons[j]
-		if _, ok := d.syncEnds[j]; !ok && !o.frozen {
+		_, begun := d.syncEnds[j]
+		renews := d.follower.NeedsProof(f.now) && d.watches(j)
+		if !begun && d.reachable[j] && f.now.Sub(d.heardAt[j]) < heardLately && !renews {
+			d.nextSync[j] = f.now.Add(f.syncPause())
+			continue
+		}
+		if !begun && !o.frozen {
 			d.syncEnds[j] = o.work(messageCPU)
 		}
 		if !o.frozen && f.now.Before(d.syncEnds[j]) && f.now.Before(at.Add(syncTimeout)) {
@@ -322,12 +330,17 @@
 		}
 		delete(d.syncEnds, j)
 		d.reachable[j], d.lost[j] = true, o.follower.Lost()
-		d.nextSync[j] = f.now.Add(syncInterval)
+		d.nextSync[j] = f.now.Add(f.syncPause())
+		o.heardAt[d.i] = f.now
+		if o.reachable[d.i] {
+			o.lost[d.i] = d.follower.Lost()
+		}
 		if f.direct {
 			d.receive(o.evacuated.Evacuations())
 			o.receive(d.evacuated.Evacuations())
 		} else {
 			d.fetcher.Offer(fmt.Sprint(j), o.version, len(f.daemons)-1, f.now)
+			o.fetcher.Offer(fmt.Sprint(d.i), d.version, len(f.daemons)-1, f.now)
 		}
 		if age, ok := o.follower.Age(f.now); ok && o.version == d.version {
 			d.follower.Confirm(f.now.Add(-age - hopTime))
@@ -335,6 +348,22 @@
 	}
 }
 
+// syncPause returns the time between two syncs with a daemon.
+func (f *fleet) syncPause() time.Duration {
+	return time.Duration((0.9 + 0.2*f.rand.Float64()) * float64(syncInterval))
+}
+
+// watches reports whether another daemon watches the store, as far as this one knows.
+func (d *node) watches(j int) bool {
+	preceding := 0
+	for i, ok := range d.reachable {
+		if ok && i < j && !d.lost[i] {
+			preceding++
+		}
+	}
+	return !d.lost[j] && preceding < follower.Watchers
+}
+
 // planSync sets when the next sync begins or, if one is under way, goes on.
 func (d *node) planSync() {
 	d.syncDue = d.fleet.now.Add(syncInterval)
@@ -394,12 +423,15 @@
 
 // change writes a new version and returns how long the slowest daemon that runs takes to put it
 // in force.
-func (f *fleet) change() time.Duration {
+func (f *fleet) change() time.Duration { return f.changeAt(everyNode) }
+
+// changeAt is like change for the daemons that are selected.
+func (f *fleet) changeAt(selected func(*node) bool) time.Duration {
 	f.version++
 	acked := f.now
 	for f.now.Sub(acked) < 10*applyTime {
 		f.step()
-		if !slices.ContainsFunc(f.daemons, func(d *node) bool { return !d.frozen && d.version < f.version }) {
+		if !slices.ContainsFunc(f.daemons, func(d *node) bool { return !d.frozen && selected(d) && d.version < f.version }) {
 			break
 		}
 	}
@@ -435,6 +467,14 @@
 			d.call.lost = true
 		}
 	}},
+	{"the paths of all watchers to the store", func(f *fleet) {
+		for _, d := range f.daemons[:follower.Watchers] {
+			d.cut = true
+			if d.call != nil {
+				d.call.lost = true
+			}
+		}
+	}},
 	{"a connection from a watcher", func(f *fleet) {
 		for _, d := range f.daemons[follower.Watchers:] {
 			d.muted[f.rand.IntN(follower.Watchers)] = true
@@ -461,9 +501,7 @@
 					f := newFleet(size.daemons, seed)
 					f.run(4*time.Second + time.Duration(f.rand.IntN(3000))*time.Millisecond)
 					a.lose(f)
-					if a.name != "nothing" {
-						b.lose(f)
-					}
+					b.lose(f)
 					f.run(time.Duration(f.rand.IntN(int(follower.ShortPoll))))
 					slowest = max(slowest, f.change())
 				}
@@ -531,3 +569,29 @@
 	t.Logf("%v", slowest)
 	assert.Check(t, slowest <= applyTime, "%v", slowest)
 }
+
+// Guards against daemons that rely on the few that watch after all of these have lost the store, with
+// most of the fleet: the age at which a daemon asks the store itself grew with the number of its peers.
+func TestChangeIsInForceInTimeWhereMostDaemonsLoseTheStore(t *testing.T) {
+	for _, tt := range []struct {
+		daemons, cut int
+		seeds        uint64
+		limit        time.Duration
+	}{{9, 4, 20, applyTime}, {9, 8, 20, applyTime}, {60, 4, 4, largeApplyTime}, {60, 56, 4, largeApplyTime}, {128, 100, 1, largeApplyTime}} {
+		slowest := time.Duration(0)
+		for seed := range tt.seeds {
+			f := newFleet(tt.daemons, seed)
+			f.run(4*time.Second + time.Duration(f.rand.IntN(3000))*time.Millisecond)
+			for _, d := range f.daemons[:tt.cut] {
+				d.cut = true
+				if d.call != nil {
+					d.call.lost = true
+				}
+			}
+			f.run(time.Duration(f.rand.IntN(int(200 * time.Millisecond))))
+			slowest = max(slowest, f.changeAt(func(d *node) bool { return !d.cut }))
+		}
+		t.Logf("%d of %d daemons lose the store: %v", tt.cut, tt.daemons, slowest)
+		assert.Check(t, slowest <= tt.limit, "%d of %d daemons lose the store: %v", tt.cut, tt.daemons, slowest)
+	}
+}
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -214,7 +214,7 @@
 	f.manifests = &subscription{
 		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_manifest"}, poll: m.poll, called: newWaker(),
 		view: func(now time.Time) follower.View {
-			v := f.peers.watcherView(func(o *peer) bool { return o.manifestLost })
+			v := f.peers.watcherView((*peer).losesManifest)
 			v.Known, v.Behind = f.table.Load() != nil, f.peers.manifests.Behind(f.manifestVersion(), now)
 			return v
 		},
@@ -223,7 +223,7 @@
 	f.endpointEntries = &subscription{
 		Follower: follower.New(f.newRand()), f: f, health: &dependency{f: f, name: "store_endpoints"}, poll: w.poll, called: newWaker(),
 		view: func(time.Time) follower.View {
-			v := f.peers.watcherView(func(o *peer) bool { return o.endpointsLost })
+			v := f.peers.watcherView((*peer).losesEndpoints)
 			v.Known = f.registry.Revision() > 0
 			return v
 		},
@@ -231,10 +231,12 @@
 	w.health = f.endpointEntries.health
 }
 
-// watcherView returns what a Follower has to know of the peers. Those with lower hashes of
-// their names come first as watchers.
+// rankOf returns the rank of a daemon as a watcher. It spreads the watchers over the failure domains.
+func rankOf(d Daemon) uint64 { return xxhash.Sum64String(d.Name) }
+
+// watcherView returns what a Follower has to know of the peers. Those with lower ranks come first as
+// watchers.
 func (p *peers) watcherView(lost func(*peer) bool) follower.View {
-	own := xxhash.Sum64String(p.f.cfg.Daemon.Name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var v follower.View
@@ -243,7 +245,7 @@
 			continue
 		}
 		v.Peers++
-		if xxhash.Sum64String(o.daemon.Name) < own {
+		if o.rank < p.rank {
 			v.Preceding++
 			if lost(o) {
 				v.Lost++
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsoonspar.example/coordination/fetcher"
+	"monsoonspar.example/coordination/follower"
 	"monsoonspar.example/coordination/limiter"
 	"monsoonspar.example/coordination/reporter"
 	"monsoonspar.example/state/matcher"
@@ -114,7 +115,8 @@
 	f    *Forwarder
 	node *framer.Node
 
-	wake waker // Wakes publishUpdates.
+	wake waker  // Wakes publishUpdates.
+	rank uint64 // Of this daemon.
 
 	mu      sync.Mutex
 	known   map[string]*peer // By name.
@@ -134,6 +136,7 @@
 // peer is one other daemon.
 type peer struct {
 	daemon Daemon
+	rank   uint64 // Daemons of lower ranks come first as watchers.
 	queue  chan batch
 	cancel context.CancelFunc
 	alive  bool // The last call succeeded.
@@ -148,7 +151,7 @@
 }
 
 func newPeers(f *Forwarder) *peers {
-	p := &peers{f: f, wake: newWaker(), known: map[string]*peer{}, manifests: fetcher.New(f.newRand())}
+	p := &peers{f: f, wake: newWaker(), rank: rankOf(f.cfg.Daemon.daemon()), known: map[string]*peer{}, manifests: fetcher.New(f.newRand())}
 	p.node = framer.NewNode(framer.Config{Name: f.cfg.Daemon.Name, Key: []byte(f.cfg.Daemon.PeersKey)}, p)
 	return p
 }
@@ -189,7 +192,7 @@
 // add adds a peer and starts its goroutine. The mutex is held.
 func (p *peers) add(d Daemon) {
 	ctx, cancel := context.WithCancel(p.f.ctx)
-	o := &peer{daemon: d, queue: make(chan batch, updateQueueLength), cancel: cancel}
+	o := &peer{daemon: d, rank: rankOf(d), queue: make(chan batch, updateQueueLength), cancel: cancel}
 	p.known[d.Name] = o
 	p.f.spawn(func() { p.runPeer(ctx, o) })
 }
@@ -248,7 +251,7 @@
 func (p *peers) runPeer(ctx context.Context, o *peer) {
 	for ctx.Err() == nil {
 		err := error(nil)
-		if !p.heardLately(o) {
+		if !p.heardLately(o) || p.mayRenewProof(o) {
 			err = p.syncWith(ctx, o)
 			p.setAlive(o, err)
 		}
@@ -271,6 +274,44 @@
 	return o.alive && p.f.clock.Now().Sub(o.heardAt) < time.Duration((1-2*syncJitter)*float64(syncInterval))
 }
 
+// mayRenewProof reports whether the reply of a peer to a sync may renew proofs of this daemon that get old.
+// Those of other daemons than the watchers are rarely younger.
+func (p *peers) mayRenewProof(o *peer) bool {
+	now := p.f.clock.Now()
+	manifest, endpoints := p.f.manifests.NeedsProof(now), p.f.endpointEntries.NeedsProof(now)
+	if !manifest && !endpoints {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return manifest && p.watches(o, (*peer).losesManifest) || endpoints && p.watches(o, (*peer).losesEndpoints)
+}
+
+// watches reports whether a peer is one of the daemons that watch the store, as far as this daemon knows. The
+// mutex is held.
+func (p *peers) watches(o *peer, lost func(*peer) bool) bool {
+	if lost(o) {
+		return false
+	}
+	preceding := 0
+	if p.rank < o.rank {
+		preceding++
+	}
+	for _, other := range p.known {
+		if other.rank < o.rank && other.reachable() && !lost(other) {
+			preceding++
+		}
+	}
+	return preceding < follower.Watchers
+}
+
+// losesManifest reports whether the store does not answer the calls of the peer for the manifest. The mutex of
+// the peers is held.
+func (o *peer) losesManifest() bool { return o.manifestLost }
+
+// losesEndpoints is like losesManifest for the endpoints.
+func (o *peer) losesEndpoints() bool { return o.endpointsLost }
+
 // recordSync records that a peer has synced with this daemon.
 func (p *peers) recordSync(m *syncMessage) {
 	p.addDiscovered(m.Daemon)
