follower: a poll that is answered early proves nothing about the time after it

A daemon took an answer without a change as proof that its manifest or endpoints were current for the whole duration of the poll, up to 20 s ahead, and told its peers so. The store also answers early when another object of the kind changes, as entries of other writers do. For the rest of that time the daemon did not notice that it heard nothing, which is what the age of its knowledge is for.

The proof now ends at the duration of the poll only if the answer came after it, and else begins with the call.

--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -153,12 +153,12 @@
 
 // Answered records the answer to the call that is pending, and whether it had a change. It
 // reports whether earlier calls had failed.
-func (f *Follower) Answered(changed bool) bool {
+func (f *Follower) Answered(changed bool, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at := f.startedAt
-	if !changed { // Of a poll that ran its time.
-		at = at.Add(f.wait)
+	if end := at.Add(f.wait); !changed && !now.Before(end) {
+		at = end // The store has waited for a change until then. One that answers sooner may have had a change of another object to report.
 	}
 	f.confirm(at)
 	regained := f.failures > 0
--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -273,7 +273,7 @@
 		if f.now.Before(d.answerAt) && age < limit {
 			return
 		}
-		d.follower.Answered(c.read || changed)
+		d.follower.Answered(c.read || changed, f.now)
 		d.seen = f.version
 		d.install(f.version, true)
 		if c.step.Batched {
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -124,7 +124,7 @@
 	s.f.metrics.count("store_calls")
 	switch {
 	case err == nil:
-		s.Answered(changed)
+		s.Answered(changed, s.f.clock.Now())
 		s.health.recordSuccess()
 	case errors.Is(context.Cause(c), errGivenUp):
 		s.GivenUp()
