forwarder: read the manifest after a watch that failed

Cause: a watch answers with all versions since its revision. Beyond 16 MiB the daemon drops the answer as too large and asked again from the same revision; the answer only grew. Any answer of a watch that can't be read had this end. The watch of the endpoints reads the list after a failure, that of the manifest did not.

A failed watch is followed by a read, which has the newest version only.

Not changed: evacuations, whose changes are names; a list would hide those that have begun and ended.

--- a/coordination/follower/simulation_test.go
+++ b/coordination/follower/simulation_test.go
@@ -281,6 +281,9 @@
 		}
 	case age >= limit:
 		d.follower.Failed(d.view(), 0, f.now)
+		if !f.direct {
+			d.seen = 0 // The value is read next; sets are still watched.
+		}
 	case d.follower.GiveUp(d.view(), f.now):
 		d.follower.GivenUp()
 	default:
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -282,6 +282,7 @@
 		w.revision = 0
 		return true, nil
 	case err != nil:
+		w.revision = 0 // The answer has all versions since the revision; a read has the newest only.
 		return false, err
 	}
 	w.revision = revision
