forward: follow changes of the settings file without a signal

A daemon read its settings again after SIGHUP only, while the platform may change the file without one.

The file is read once a second and applied when its text has changed; that also covers a signal which precedes the end of the change. A failure is logged once.

`serve` has no settings that change: its configuration is in the object store.

--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,8 +33,8 @@
 func (*forwardCmd) Help() string {
 	return `Runs a daemon that forwards requests to the workers of the platform, until SIGTERM,
 SIGINT or SIGQUIT. It then reports that it is not ready, and exits after its last
-request. SIGHUP reads the settings again. Further signals have no effect; only SIGKILL
-and SIGABRT abort requests.`
+request. The settings are read again when the file changes, at once on SIGHUP. Further
+signals have no effect; only SIGKILL and SIGABRT abort requests.`
 }
 
 // maxBufferedLogLines bounds the log lines buffered while the output is not read. It
@@ -86,7 +88,8 @@
 	serving, end := context.WithCancel(ctx) // Until the last request has ended, unlike stopped.
 	var group conc.WaitGroup
 	r := &reloader{file: file, forwarder: f, log: log, clock: clock, inForce: cfg.Bounds}
-	group.Go(func() { r.run(serving, hangups) })
+	group.Go(func() { r.handleSignals(serving, hangups) })
+	group.Go(func() { r.poll(serving) })
 	defer group.Wait()
 	defer end()
 	return f.Run(stopped)
@@ -108,9 +111,9 @@
 	return cfg, errors.Wrap(err, file)
 }
 
-// settingsSettleTime is the time after a SIGHUP at which the settings are read once more. The signal
-// may precede the end of the change of the file.
-const settingsSettleTime = time.Second
+// settingsInterval is the time between two reads of the settings, which may change without a signal.
+// It also covers a SIGHUP that precedes the end of the change of the file.
+const settingsInterval = time.Second
 
 // reloader reloads the settings of a daemon.
 type reloader struct {
@@ -118,11 +121,15 @@
 	forwarder *forwarder.Forwarder
 	log       zerolog.Logger
 	clock     timekeeper.Sleeper
-	inForce   forwarder.BoundSettings
+
+	mu      sync.Mutex
+	text    []byte // Of the file when it was read last.
+	failure string // Of the last read; empty if it succeeded.
+	inForce forwarder.BoundSettings
 }
 
-// run reloads the settings on each SIGHUP until ctx ends.
-func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
+// handleSignals reloads the settings on each SIGHUP until ctx ends.
+func (r *reloader) handleSignals(ctx context.Context, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -130,26 +137,50 @@
 		case <-hangups:
 		}
 		r.reload()
-		if r.clock.Sleep(ctx, settingsSettleTime) != nil {
-			return
-		}
+	}
+}
+
+// poll reloads the settings whenever they have changed, until ctx ends.
+func (r *reloader) poll(ctx context.Context) {
+	for r.clock.Sleep(ctx, settingsInterval) == nil {
 		r.reload()
 	}
 }
 
 // reload reads the settings. If the file is invalid, the previous settings remain in force.
 func (r *reloader) reload() {
-	cfg, err := readForwarderSettings(r.file)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text, err := os.ReadFile(r.file)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	if bytes.Equal(text, r.text) {
+		return
+	}
+	r.text = text
+	cfg, err := forwarder.ParseSettings(text)
 	if err != nil {
-		r.log.Error().Err(err).Msg("forward: settings not reloaded; previous settings remain in force")
+		r.fail(errors.Wrap(err, r.file))
 		return
 	}
+	r.failure = ""
 	if cfg.Bounds != r.inForce {
 		r.inForce = cfg.Bounds
 		r.forwarder.Reload(cfg)
 	}
 }
 
+// fail logs a failure to read the settings, once for each.
+func (r *reloader) fail(err error) {
+	if r.failure == err.Error() {
+		return
+	}
+	r.failure = err.Error()
+	r.log.Error().Err(err).Msg("forward: settings not reloaded; previous settings remain in force")
+}
+
 // receiveBufferBytes bounds what the kernel holds for a response that the daemon does not read, since
 // its client is slow. It permits 64 MB/s at a round trip of 1 ms.
 const receiveBufferBytes = 64 << 10
