forward: follow the store to another address

Cause: of the settings only the bounds were applied while a daemon ran; the client of the store kept its first address, and polls of 20 s stayed pending there.

Reload now moves the store: later calls go to the new address, pending ones are given up, and the manifest, the endpoints and the evacuations are read anew, since a watch needs a revision of the place where it is made.

Open: the key of the connections between daemons is rendered from the address of the store and needs a restart, so daemons that start later and those that run can't talk.

--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -87,7 +87,7 @@
 	}
 	serving, end := context.WithCancel(ctx) // Until the last request has ended, unlike stopped.
 	var group conc.WaitGroup
-	r := &reloader{file: file, forwarder: f, log: log, clock: clock, inForce: cfg.Bounds}
+	r := &reloader{file: file, forwarder: f, log: log, clock: clock, inForce: reloadable{cfg.Bounds, cfg.Store}}
 	group.Go(func() { r.handleSignals(serving, hangups) })
 	group.Go(func() { r.poll(serving) })
 	defer group.Wait()
@@ -125,7 +125,13 @@
 	mu      sync.Mutex
 	text    []byte // Of the file when it was read last.
 	failure string // Of the last read; empty if it succeeded.
-	inForce forwarder.BoundSettings
+	inForce reloadable
+}
+
+// reloadable are the settings that may change while the daemon runs.
+type reloadable struct {
+	bounds forwarder.BoundSettings
+	store  forwarder.StoreSettings
 }
 
 // handleSignals reloads the settings on each SIGHUP until ctx ends.
@@ -166,8 +172,8 @@
 		return
 	}
 	r.failure = ""
-	if cfg.Bounds != r.inForce {
-		r.inForce = cfg.Bounds
+	if next := (reloadable{cfg.Bounds, cfg.Store}); next != r.inForce {
+		r.inForce = next
 		r.forwarder.Reload(cfg)
 	}
 }
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -40,6 +40,7 @@
 // evacuationWatch is the state of the watch of evacuations.
 type evacuationWatch struct {
 	f           *Forwarder
+	moves       int64           // Of the store when the revision was read.
 	revision    int64           // Zero if the complete list has to be read before the next watch.
 	domains     map[string]bool // Evacuated as of revision.
 	kindMissing bool            // The store had no such kind of object at the last call.
@@ -66,6 +67,9 @@
 
 // poll reads the list of evacuations, or waits for changes of it, and applies the result.
 func (w *evacuationWatch) poll(ctx context.Context, step follower.Step) (bool, error) {
+	if moves := w.f.storeAt.moves.Load(); moves != w.moves {
+		w.moves, w.revision = moves, 0
+	}
 	if w.revision == 0 {
 		pause := time.Duration(0)
 		if w.kindMissing { // The store reports no changes then.
--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -255,14 +256,42 @@
 	return v
 }
 
+// storeLocation is the address of the store.
+type storeLocation struct {
+	mu    sync.Mutex
+	addr  string
+	moves atomic.Int64 // How often the address has changed.
+}
+
+// moveStore makes the calls to the store go to addr. Those that are pending at the former address are given
+// up, since it may not answer them any more, and the next ones read everything.
+func (f *Forwarder) moveStore(addr string) {
+	f.storeAt.mu.Lock()
+	defer f.storeAt.mu.Unlock()
+	if f.storeAt.addr == addr {
+		return
+	}
+	f.storeAt.addr = addr
+	f.store.SetAddr(addr)
+	f.storeAt.moves.Add(1) // After the address, so that whoever sees it calls the new one.
+	f.log.Info().Str("addr", addr).Msg("forwarder: the store has another address")
+	for _, s := range []*subscription{f.manifests, f.endpointEntries, f.evacuations} {
+		s.giveUp()
+	}
+}
+
 // manifestWatch is the state of the watch of the manifest.
 type manifestWatch struct {
 	f        *Forwarder
+	moves    int64 // Of the store when the revision was read.
 	revision int64 // Zero if the manifest has to be read before the next watch.
 }
 
 // poll reads the manifest, or waits for a change of it.
 func (w *manifestWatch) poll(ctx context.Context, step follower.Step) (bool, error) {
+	if moves := w.f.storeAt.moves.Load(); moves != w.moves {
+		w.moves, w.revision = moves, 0
+	}
 	if w.revision == 0 {
 		c, cancel := context.WithTimeout(ctx, w.f.manifests.ReadTimeout())
 		defer cancel()
@@ -326,12 +355,16 @@
 type endpointWatch struct {
 	f         *Forwarder
 	health    *dependency
-	needsList bool // The complete list has to be read before the next watch.
+	needsList bool  // The complete list has to be read before the next watch.
+	moves     int64 // Of the store when the list was read.
 	revision  int64
 }
 
 // poll reads the list of endpoints, or waits for changes of it, and applies the result.
 func (w *endpointWatch) poll(ctx context.Context, step follower.Step) (bool, error) {
+	if moves := w.f.storeAt.moves.Load(); moves != w.moves {
+		w.moves, w.needsList = moves, true
+	}
 	if w.needsList {
 		return true, w.listEndpoints(ctx)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -88,6 +88,7 @@
 	endpointEntries *subscription // Keeps registry current.
 	evacuations     *subscription // Keeps the evacuations of registry current; does nothing unless evacuations may occur.
 	evacuationWatch evacuationWatch
+	storeAt         storeLocation
 	startedAt       time.Time
 	codec           Codec
 	paths           *Paths // Nil unless SetPaths was called.
@@ -118,6 +119,7 @@
 	f.requests, f.endRequests = context.WithCancelCause(ctx)
 	f.endpoints = gatedClient{EndpointClient: countedClient{EndpointClient: endpoints, f: f}, f: f}
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
+	f.storeAt.addr = cfg.Store.Addr
 	f.quotas = limiter.NewQuotas(f.newRand())
 	f.peers = newPeers(f)
 	f.newSubscriptions()
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -55,9 +55,10 @@
 	}
 }
 
-// Reload applies the settings that may change while the daemon runs: the retry
-// budget and the stop timeout. Names and addresses need a restart.
+// Reload applies the settings that may change while the daemon runs: the retry budget, the stop timeout and
+// the address of the store. Names and the other addresses need a restart.
 func (f *Forwarder) Reload(cfg Settings) {
+	f.moveStore(cfg.Store.Addr)
 	f.budget.SetLimits(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack)
 	f.stopTimeout.Store(int64(cfg.Bounds.StopTime))
 	f.log.Info().Float64("retry_ratio", cfg.Bounds.RetryRatio).Float64("retry_slack", cfg.Bounds.RetrySlack).
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -226,6 +226,8 @@
 	DeleteDaemon(ctx context.Context, name string) error
 	// MalformedEntries returns the number of entries that could not be used so far.
 	MalformedEntries() int64
+	// SetAddr sets the address of later calls.
+	SetAddr(addr string)
 }
 
 // Daemon is the entry of a daemon in the store.
