--- a/cmd/monsoonspar/forward.go
+++ b/cmd/monsoonspar/forward.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -87,7 +88,7 @@
 	}
 	serving, end := context.WithCancel(ctx) // Until the last request has ended, unlike stopped.
 	var group conc.WaitGroup
-	r := &reloader{file: file, forwarder: f, log: log, clock: clock, inForce: reloadable{cfg.Bounds, cfg.Store}}
+	r := &reloader{file: file, forwarder: f, log: log, clock: clock, inForce: cfg}
 	group.Go(func() { r.handleSignals(serving, hangups) })
 	group.Go(func() { r.poll(serving) })
 	defer group.Wait()
@@ -125,13 +126,7 @@
 	mu      sync.Mutex
 	text    []byte // Of the file when it was read last.
 	failure string // Of the last read; empty if it succeeded.
-	inForce reloadable
-}
-
-// reloadable are the settings that may change while the daemon runs.
-type reloadable struct {
-	bounds forwarder.BoundSettings
-	store  forwarder.StoreSettings
+	inForce forwarder.Settings
 }
 
 // handleSignals reloads the settings on each SIGHUP until ctx ends.
@@ -172,9 +167,19 @@
 		return
 	}
 	r.failure = ""
-	if next := (reloadable{cfg.Bounds, cfg.Store}); next != r.inForce {
-		r.inForce = next
-		r.forwarder.Reload(cfg)
+	r.apply(cfg)
+}
+
+// apply puts the settings in force that may change while the daemon runs, and logs that others have changed.
+func (r *reloader) apply(cfg forwarder.Settings) {
+	next := r.inForce
+	next.Bounds, next.Store = cfg.Bounds, cfg.Store
+	if next.Bounds != r.inForce.Bounds || next.Store != r.inForce.Store {
+		r.forwarder.Reload(next)
+	}
+	r.inForce = next
+	if !reflect.DeepEqual(cfg, next) {
+		r.log.Warn().Msg("forward: settings have changed that need a restart")
 	}
 }
 
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -275,7 +275,8 @@
 }
 
 // mayRenewProof reports whether the reply of a peer to a sync may renew proofs of this daemon that get old.
-// Those of other daemons than the watchers are rarely younger.
+// Those of other daemons than the watchers are rarely younger. The evacuations have the same watchers, so that
+// their proofs come with the others.
 func (p *peers) mayRenewProof(o *peer) bool {
 	now := p.f.clock.Now()
 	manifest, endpoints := p.f.manifests.NeedsProof(now), p.f.endpointEntries.NeedsProof(now)
