--- a/review/standins-11/daemon.go
+++ b/review/standins-11/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,13 +25,21 @@
 	done                                          chan struct{}
 }
 
+// Ports for daemons. They are below those that the system gives to connections, which could take one before its daemon starts.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// freeAddr returns a loopback address on which nothing listens.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // command returns the command of the role "daemon" in the deploy file.
