--- a/review/standins-11/case_batches.go
+++ b/review/standins-11/case_batches.go
@@ -92,19 +92,15 @@
 
 // draft sends a generation to one of the daemons, with the parts of its prompt.
 func (s *scene) draft(n int, parts string) (answer, string) {
-	id := newID()
-	return ask(s.daemons[n%len(s.daemons)].clients, draftRequest(id, parts, 240), 39*time.Second), id
-}
-
-// draftRequest returns the bytes of a request for a generation.
-func draftRequest(id, parts string, output int) string {
 	tokens := 0
 	for _, p := range strings.Split(parts, ",") {
 		var k int
 		_, _ = fmt.Sscanf(p[strings.Index(p, ":")+1:], "%d", &k)
 		tokens += k
 	}
-	return request("POST", "/draft/2f", id, 39000, "prompt of "+id, "X-Model: m", fmt.Sprintf("%s: %d,%d", names.Tokens, tokens, output), names.Prompt+": "+parts)
+	id := newID()
+	text := request("POST", "/draft/2f", id, 39000, "prompt of "+id, "X-Model: m", fmt.Sprintf("%s: %d,240", names.Tokens, tokens), names.Prompt+": "+parts)
+	return ask(s.daemons[n%len(s.daemons)].clients, text, 39*time.Second), id
 }
 
 // judge checks: "More than three requests with a part that crashes workers, new ones or repeats, reach workers, sent by
--- a/review/standins-11/engine.go
+++ b/review/standins-11/engine.go
@@ -44,7 +44,6 @@
 	copies *kvCopies
 	poison string // ID of the part of prompts that crashes engines; empty for none.
 	events int    // Of each run.
-	step   int    // Difference of the IDs of two events; 1 if zero.
 
 	mu      sync.Mutex
 	started int
@@ -116,28 +115,6 @@
 	})
 }
 
-// leave makes the engine report that it is draining, serve for a time after the store has accepted that, and then exit.
-func (e *engine) leave(serves time.Duration) {
-	e.worker.mu.Lock()
-	e.worker.state = "draining"
-	e.worker.mu.Unlock()
-	e.worker.register(0)
-	e.es.s.rec.add("engine %s is draining", e.name)
-	group.Go(func() {
-		time.Sleep(serves)
-		e.worker.mu.Lock()
-		e.worker.stopped = true
-		conns := len(e.worker.conns)
-		for c := range e.worker.conns {
-			_ = c.Close()
-		}
-		e.worker.mu.Unlock()
-		_ = e.listener.Close()
-		e.store.delete("servers", e.name)
-		e.es.s.rec.add("engine %s has left, %d connections", e.name, conns)
-	})
-}
-
 func (e *engine) answer(_ *worker, c net.Conn, r *http.Request, body []byte) bool {
 	switch {
 	case r.URL.Path == "/report":
@@ -227,7 +204,7 @@
 	first := 1
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		n, _ := strconv.Atoi(last)
-		first = n/max(e.es.step, 1) + 1
+		first = n + 1
 	}
 	g := &run{id: id, tokens: tokens, events: first - 1, stop: make(chan struct{}), conn: c}
 	now := time.Now()
@@ -269,7 +246,7 @@
 		return false
 	}
 	for n := first; n <= e.es.events; n++ {
-		text := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n*max(e.es.step, 1), n, id)
+		text := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
 			return false
 		}
--- a/review/standins-11/worker.go
+++ b/review/standins-11/worker.go
@@ -35,6 +35,7 @@
 	conns    map[net.Conn]bool
 	running  int
 	stopped  bool
+	admits   func(c net.Conn) bool // Whether a new connection passes the path to the worker; nil for all.
 }
 
 func startWorker(st *store, name, service, zone string, answer func(*worker, net.Conn, *http.Request, []byte) bool) (*worker, error) {
@@ -75,11 +76,29 @@
 		if err != nil {
 			return
 		}
-		w.mu.Lock()
-		w.conns[c] = true
-		w.mu.Unlock()
-		group.Go(func() { w.serve(c) })
+		group.Go(func() {
+			w.mu.Lock()
+			w.conns[c] = true
+			admits := w.admits
+			w.mu.Unlock()
+			if admits != nil && !admits(c) {
+				w.reset(c)
+				return
+			}
+			w.serve(c)
+		})
+	}
+}
+
+// reset resets a connection.
+func (w *worker) reset(c net.Conn) {
+	w.mu.Lock()
+	delete(w.conns, c)
+	w.mu.Unlock()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.Close()
 }
 
 func (w *worker) serve(c net.Conn) {
