--- a/review/standins-11/case_cutoff.go
+++ b/review/standins-11/case_cutoff.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -37,7 +38,7 @@
 		return err
 	}
 	time.Sleep(contactTime)
-	c := &cut{s: s, machines: map[*daemon]bool{}}
+	c := &cut{s: s, machines: map[*daemon]bool{}, over: make(chan struct{})}
 	for _, d := range s.daemons[:cutMachines] {
 		c.machines[d] = true
 	}
@@ -73,6 +74,7 @@
 type cut struct {
 	s        *scene
 	machines map[*daemon]bool
+	over     chan struct{} // Closed when the cut ends.
 
 	mu    sync.Mutex
 	tries []try
@@ -92,7 +94,15 @@
 	var open []net.Conn
 	for _, w := range workers {
 		w.mu.Lock()
-		w.admits = func(conn net.Conn) bool { return !c.isCut(conn, sockets()) }
+		w.admits = func(conn net.Conn) bool {
+			if !c.isCut(conn, sockets()) {
+				return true
+			}
+			if os.Getenv("HANG") == "1" { // A variant: new channels bring nothing until the cut ends.
+				<-c.over
+			}
+			return false
+		}
 		for conn := range w.conns {
 			open = append(open, conn)
 		}
@@ -107,6 +117,7 @@
 }
 
 func (c *cut) end(workers []*worker) {
+	close(c.over)
 	for _, w := range workers {
 		w.mu.Lock()
 		w.admits = nil
--- a/review/standins-11/worker.go
+++ b/review/standins-11/worker.go
@@ -35,7 +35,7 @@
 	conns    map[net.Conn]bool
 	running  int
 	stopped  bool
-	admits   func(c net.Conn) bool // Whether a new connection passes the path to the worker; nil for all.
+	admits   func(c net.Conn) bool // Whether a new connection passes the path to the worker, else it is reset; nil for all.
 }
 
 func startWorker(st *store, name, service, zone string, answer func(*worker, net.Conn, *http.Request, []byte) bool) (*worker, error) {
