--- a/review/standins-11/case_cutoff.go
+++ b/review/standins-11/case_cutoff.go
@@ -18,8 +18,8 @@
 	unsafeShare = 5  // Of seven.
 )
 
-// cutoff partitions three of seven machines from all workers: their channels to workers are reset, also new ones, right after
-// they have been set up. The machines reach the store, the requesters and each other.
+// cutoff partitions three of seven machines from all workers: their connections to workers are reset, also new ones, right after
+// they have been set up. The machines reach the store, the clients and each other.
 func cutoff(s *scene) error {
 	s.store.put("config", "main", manifest)
 	zones := []string{"milano-a", "torino-b", "verona-c"}
@@ -98,7 +98,7 @@
 			if !c.isCut(conn, sockets()) {
 				return true
 			}
-			if os.Getenv("HANG") == "1" { // A variant: new channels bring nothing until the cut ends.
+			if os.Getenv("HANG") == "1" { // A variant: new connections bring nothing until the cut ends.
 				<-c.over
 			}
 			return false
--- a/review/standins-11/case_descriptors.go
+++ b/review/standins-11/case_descriptors.go
@@ -17,7 +17,7 @@
 	contactTime    = 3 * time.Second
 )
 
-// descriptors has requesters that open a channel for each request and leave it to the system to close those that are
+// descriptors has clients that open a connection for each request and leave it to the system to close those that are
 // idle for longer than idle_timeout_ms. All machines but one are lost.
 func descriptors(s *scene) error {
 	s.store.put("config", "main", manifest)
@@ -45,17 +45,17 @@
 		time.Sleep(contactTime)
 	}
 	open, answered, failed := load(s, left, 88*time.Second)
-	s.rec.say("%d requests answered, %d not, %d channels open at their requesters", answered, failed, len(open))
+	s.rec.say("%d requests answered, %d not, %d connections open at their clients", answered, failed, len(open))
 	for _, c := range open {
 		_ = c.Close()
 	}
-	s.rec.say("all requesters have closed their channels")
+	s.rec.say("all clients have closed their connections")
 	time.Sleep(contactTime + time.Second)
 	return probe(s, left)
 }
 
-// load sends the usual traffic of the fleet for a time, each request on a channel of its own that stays open. It returns the
-// channels that are open at the end.
+// load sends the usual traffic of the fleet for a time, each request on a connection of its own that stays open. It returns the
+// connections that are open at the end.
 func load(s *scene, daemons []*daemon, length time.Duration) (open []*client, answered, failed int) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -100,7 +100,7 @@
 	return open, answered, failed
 }
 
-// probe has ten requesters try new channels at each machine for longer than contact_ms. It returns errBroken if, at one, of
+// probe has ten clients try new connections at each machine for longer than contact_ms. It returns errBroken if, at one, of
 // the requests that are unanswered at the timeout of their route more than half have no answer half a second later.
 func probe(s *scene, daemons []*daemon) error {
 	const routeTimeout, late = 600 * time.Millisecond, 500 * time.Millisecond
@@ -140,7 +140,7 @@
 		s.rec.say("%s: ready %v before, %v after; running %v; of 40 requests %d served, %d unanswered at the route's timeout, %d of these 0.5 s later",
 			d.name, ready, after, d.running(), served, overdue, unanswered)
 		if overdue >= 7 && 2*unanswered > overdue {
-			broken = fmt.Sprintf("%s answers nothing on new channels", d.name)
+			broken = fmt.Sprintf("%s answers nothing on new connections", d.name)
 			if ready && after {
 				broken += ", and says that it is ready"
 			}
--- a/review/standins-11/daemon.go
+++ b/review/standins-11/daemon.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// isReady asks the daemon as the platform's load balancer does, on a channel that it keeps.
+// isReady asks the daemon as the platform's load balancer does, on a connection that it keeps.
 func (d *daemon) isReady() bool {
 	res, err := d.prober.Get("http://" + d.ready + "/ready")
 	if err != nil {
--- a/review/standins-11/engine.go
+++ b/review/standins-11/engine.go
@@ -230,7 +230,7 @@
 		e.mu.Unlock()
 	}()
 	gone := make(chan struct{})
-	group.Go(func() { // Engines drop a run when its channel closes. The caller sends nothing else before the end of the answer.
+	group.Go(func() { // Engines drop a run when its connection closes. The caller sends nothing else before the end of the answer.
 		var one [1]byte
 		_, _ = c.Read(one[:])
 		close(gone)
