--- a/coordination/pathfinder/pathfinder_test.go
+++ b/coordination/pathfinder/pathfinder_test.go
@@ -210,6 +210,86 @@
 	assert.Equal(t, probes(time.Minute, pathfinder.Opened), 0)
 }
 
+// Guards against a path that counts as sound since connections open on it, although they break: nothing was asked of peers.
+func TestPathThatBreaksConnectionsIsCut(t *testing.T) {
+	now := startTime
+	f := newFinder()
+	peers := []pathfinder.Peer{peerA}
+	assert.Assert(t, !f.RecordDirect("e", pathfinder.Broken, now))
+	assert.Assert(t, !f.RecordRelayed("e", "a", pathfinder.Opened, now), "a connection through a peer may break as well")
+	assert.Assert(t, f.Plan(endpoint, peers, now).Direct)
+	assert.Assert(t, f.RecordRelayedAnswer("e", now))
+	assert.DeepEqual(t, f.Plan(endpoint, peers, now), pathfinder.Plan{Peers: peers})
+	assert.Assert(t, !f.Usable("e", "", now), "open connections may lose requests as well")
+	assert.Assert(t, f.Usable("e", "a", now))
+	assert.Assert(t, f.Breaks("e", now) && f.NeedAnswers(now))
+
+	now = now.Add(time.Minute)
+	assert.Assert(t, !f.RecordDirect("e", pathfinder.Opened, now), "a connection that opens shows nothing")
+	assert.Assert(t, !f.Plan(endpoint, peers, now).Direct)
+	assert.Assert(t, !f.RecordAnswer("e", startTime), "a connection that is older than the cut lives on")
+	assert.Assert(t, f.RecordAnswer("e", now))
+	assert.Assert(t, f.Plan(endpoint, peers, now).Direct)
+	assert.Assert(t, !f.Breaks("e", now) && !f.NeedAnswers(now))
+}
+
+// Guards against requests that are sent where their connection breaks, with an unknown outcome, although that is known.
+func TestNoRequestIsSentWhereConnectionsBreak(t *testing.T) {
+	f := newFinder()
+	f.RecordDirect("e", pathfinder.Broken, startTime)
+	f.RecordDown("e", startTime)
+	assert.DeepEqual(t, f.Plan(endpoint, []pathfinder.Peer{peerA}, startTime), pathfinder.Plan{})
+	assert.Equal(t, names(f.Peers(endpoint, []pathfinder.Peer{peerA}, startTime)), "a", "a check asks peers all the same")
+	now := startTime.Add(2 * time.Second)
+	assert.DeepEqual(t, f.Plan(endpoint, []pathfinder.Peer{peerA}, now), pathfinder.Plan{})
+	assert.DeepEqual(t, f.Probes([]pathfinder.Endpoint{endpoint}, now), []pathfinder.Endpoint{endpoint})
+	f.RecordAnswer("e", now)
+	assert.Assert(t, f.Plan(endpoint, []pathfinder.Peer{peerA}, now).Direct)
+	assert.Assert(t, !f.Probing())
+	f.RecordDirect("e", pathfinder.Broken, now)
+	f.RecordRelayedAnswer("e", now)
+	f.RecordRelayed("e", "a", pathfinder.Broken, now)
+	assert.DeepEqual(t, f.Plan(endpoint, []pathfinder.Peer{peerA}, now), pathfinder.Plan{Peers: []pathfinder.Peer{}})
+}
+
+// Guards against a daemon that does not notice that it is cut off since connections open, and against one that counts as cut
+// off for ever.
+func TestDaemonWhosePathsBreakConnectionsIsCutOff(t *testing.T) {
+	f := newFinder()
+	now := startTime
+	var all []pathfinder.Endpoint
+	for i := range 20 {
+		all = append(all, pathfinder.Endpoint{Addr: fmt.Sprint(i)})
+		f.RecordAnswer(all[i].Addr, now.Add(-time.Second))
+	}
+	for _, e := range all[:2] {
+		f.RecordDirect(e.Addr, pathfinder.Broken, now)
+		f.RecordRelayedAnswer(e.Addr, now)
+	}
+	probe := func(d time.Duration, sound bool) (n int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(pathfinder.Round) {
+			for _, e := range f.Probes(all, now) {
+				n++
+				f.RecordDirect(e.Addr, pathfinder.Opened, now)
+				if sound {
+					f.RecordAnswer(e.Addr, now.Add(time.Millisecond))
+				} else {
+					f.RecordDirect(e.Addr, pathfinder.Broken, now)
+				}
+			}
+		}
+		return n
+	}
+	n := probe(5*time.Second, false)
+	cutOff, _ := f.CutOff(now)
+	assert.Assert(t, cutOff)
+	assert.DeepEqual(t, f.Plan(pathfinder.Endpoint{Addr: "other"}, nil, now), pathfinder.Plan{Peers: []pathfinder.Peer{}})
+	assert.Assert(t, n <= 70, "%d probes in 5 s", n)
+	probe(3*time.Second, true)
+	cutOff, paths := f.CutOff(now)
+	assert.Assert(t, !cutOff && paths == 0, "%t, %d", cutOff, paths)
+}
+
 func ExampleFinder() {
 	f := pathfinder.New(pathfinder.Config{Domain: "z0"}, rand.New(rand.NewPCG(1, 1)))
 	now := time.Unix(1000, 0)
--- a/forwarder/brittle.go
+++ b/forwarder/brittle.go
@@ -331,6 +331,22 @@
 	return res, nil
 }
 
+// Probe implements EndpointClient.
+func (c gatedClient) Probe(ctx context.Context, e registrar.Endpoint, healthPath string) (Notice, error) {
+	if healthPath == "" { // Load reports need no slot.
+		return c.EndpointClient.Probe(ctx, e, healthPath)
+	}
+	p, err := c.f.enter(ctx, &Dispatch{Endpoint: e})
+	if err != nil {
+		return Notice{}, requester.FailureError{Kind: requester.ErrNotSent, Cause: err}
+	}
+	n, err := c.EndpointClient.Probe(ctx, e, healthPath)
+	if p != nil {
+		p.leave(false)
+	}
+	return n, err
+}
+
 // WarmUp implements EndpointClient. Health requests wait for a slot like others.
 func (c gatedClient) WarmUp(ctx context.Context, e registrar.Endpoint, healthPath string) (time.Duration, error) {
 	p, err := c.f.enter(ctx, &Dispatch{Endpoint: e})
--- a/forwarder/paths.go
+++ b/forwarder/paths.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"monsoonspar.example/coordination/pathfinder"
+	"monsoonspar.example/state/registrar"
 	"monsoonspar.example/transport/framer"
 )
 
@@ -18,7 +19,6 @@
 	maxTunnels        = 256
 	tunnelBytes       = 64 << 10               // Charged for each: buffers of both directions and of the sockets.
 	tunnelOpenTimeout = 400 * time.Millisecond // For one peer; it tries the endpoint for less.
-	silenceCheckPause = time.Second            // Between checks of a path on which a request got no answer, and since the last response on it.
 	pathIdleInterval  = time.Minute            // Of checks while no path is cut; a cut one ends the wait.
 )
 
@@ -63,7 +63,7 @@
 	mu      sync.Mutex
 	via     map[string]int       // Open connections through each peer.
 	carries int                  // Connections opened for others.
-	checked map[string]time.Time // When the path to an address was checked last since a request got no answer.
+	checked map[string]time.Time // When the path to an address was checked last.
 	heard   map[string]time.Time // When a direct connection to an address brought a response last.
 	cutAt   time.Time            // Since when any path is cut; zero if none is.
 	cutOff  bool                 // As logged last.
@@ -154,6 +154,9 @@
 	if !ok { // One that has left.
 		return p.dial(ctx, addr)
 	}
+	if w, ok := ctx.Value(wayKey{}).(way); ok {
+		return w.open(ctx, p, e)
+	}
 	plan := p.finder.Plan(e, p.peers(), p.f.clock.Now())
 	switch {
 	case len(plan.Peers) > 0:
@@ -328,7 +331,9 @@
 			p.handleChange(e.Addr, true)
 		}
 		if err == nil {
-			p.f.metrics.count("tunnels_used")
+			if _, check := ctx.Value(wayKey{}).(way); !check {
+				p.f.metrics.count("tunnels_used")
+			}
 			return opening{conn: c, peer: o.Name}
 		}
 		down = down || outcome != pathfinder.Lost
@@ -421,7 +426,7 @@
 }
 
 // Usable implements dialer.Network.
-func (p *Paths) Usable(addr string, c net.Conn) bool {
+func (p *Paths) Usable(addr string, c net.Conn, answered bool) bool {
 	if p.f == nil {
 		return true
 	}
@@ -437,50 +442,11 @@
 			return false
 		}
 	}
-	return p.finder.Usable(addr, via, p.f.clock.Now())
-}
-
-// RecordAnswer implements dialer.Network.
-func (p *Paths) RecordAnswer(addr string, c net.Conn) {
-	if _, ok := c.(*tunnel); ok || p.f == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.heard[addr] = p.f.clock.Now()
-}
-
-// RecordSilence implements dialer.Network. A request that gets no answer says little of its endpoint,
-// and less of the path; a new connection tells.
-func (p *Paths) RecordSilence(addr string, c net.Conn) {
-	if p.f == nil {
-		return
-	}
-	if _, ok := c.(*tunnel); !ok {
-		p.check(addr)
-	}
-}
-
-// check opens a connection to find out whether the path to an address is cut, unless that was done
-// lately, or a response has come on another connection.
-func (p *Paths) check(addr string) {
 	now := p.f.clock.Now()
-	p.mu.Lock()
-	due := now.Sub(p.checked[addr]) >= silenceCheckPause && now.Sub(p.heard[addr]) >= silenceCheckPause
-	if due {
-		p.checked[addr] = now
-	}
-	p.mu.Unlock()
-	if !due {
-		return
+	if via == "" && !answered && p.finder.Breaks(addr, now) {
+		return false
 	}
-	p.f.spawn(func() {
-		ctx, cancel := context.WithTimeout(p.f.ctx, 2*tunnelOpenTimeout)
-		defer cancel()
-		if c, err := p.Dial(ctx, addr); err == nil {
-			_ = c.Close() // It was opened to test the path.
-		}
-	})
+	return p.finder.Usable(addr, via, now)
 }
 
 // recordDirect records the outcome of a direct attempt.
@@ -522,38 +488,50 @@
 	interval := pathIdleInterval
 	for p.wake.wait(ctx, p.f.clock, interval) == nil {
 		now := p.f.clock.Now()
-		known := map[string]bool{}
+		known := map[string]registrar.Endpoint{}
 		var all []pathfinder.Endpoint
 		for _, e := range p.f.registry.All() {
-			known[e.Addr] = true
+			known[e.Addr] = e
 			all = append(all, pathfinder.Endpoint{Addr: e.Addr, Domain: e.Domain})
 		}
 		p.retain(known)
+		needAnswers := p.finder.NeedAnswers(now)
 		for _, e := range p.finder.Probes(all, now) {
 			p.f.metrics.count("path_probes")
 			p.f.spawn(func() {
-				if c, err := p.openDirect(ctx, e.Addr); err == nil {
-					_ = c.Close() // It was opened to test the path.
+				switch {
+				case p.finder.Unreached(e.Addr):
+					p.compare(known[e.Addr])
+				case needAnswers:
+					_ = p.probeEndpoint(ctx, known[e.Addr], way{}) // Its outcome is recorded.
+				default:
+					if c, err := p.openDirect(ctx, e.Addr); err == nil {
+						_ = c.Close() // It was opened to test the path.
+					}
 				}
 			})
 		}
 		cutOff, n := p.finder.CutOff(now)
 		p.logCutOff(cutOff, n)
 		interval = pathfinder.Round
-		if n == 0 {
+		if !p.finder.Probing() {
 			interval = pathIdleInterval
 		}
 	}
 }
 
 // retain forgets what is known of all other addresses.
-func (p *Paths) retain(known map[string]bool) {
-	p.finder.Retain(func(addr string) bool { return known[addr] })
+func (p *Paths) retain(known map[string]registrar.Endpoint) {
+	isKnown := func(addr string) bool {
+		_, ok := known[addr]
+		return ok
+	}
+	p.finder.Retain(isKnown)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, times := range []map[string]time.Time{p.checked, p.heard} {
 		for addr := range times {
-			if !known[addr] {
+			if !isKnown(addr) {
 				delete(times, addr)
 			}
 		}
@@ -591,11 +569,11 @@
 		p.f.metrics.count("tunnels_refused")
 		return nil, nil, errTunnelsFull
 	}
-	c, err := paths.openDirect(ctx, target)
+	c, err := paths.openForPeer(ctx, target)
 	if err != nil {
 		paths.removeCarried()
 		p.f.metrics.count("tunnels_refused")
-		return nil, nil, paths.openError(ctx, target, err)
+		return nil, nil, err
 	}
 	p.f.metrics.count("tunnels_opened")
 	p.f.log.Debug().Str("peer", name).Str("addr", target).Msg("forwarder: opened a connection to an endpoint for a peer")
@@ -605,6 +583,20 @@
 	}, nil
 }
 
+// openForPeer opens a connection to an endpoint for a peer. The error tells the peer why it did not.
+func (p *Paths) openForPeer(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := p.openDirect(ctx, addr)
+	if err != nil {
+		return nil, p.openError(ctx, addr, err)
+	}
+	now := p.f.clock.Now()
+	if p.finder.Breaks(addr, now) {
+		_ = c.Close() // It was not used.
+		return nil, errPathCut
+	}
+	return &carriedConn{Conn: c, paths: p, addr: addr, openedAt: now}, nil
+}
+
 // openError returns what the peer is told about a direct attempt that failed. While own paths are cut, or
 // other endpoints are not reached either, it says nothing of the endpoint.
 func (p *Paths) openError(ctx context.Context, addr string, err error) error {
--- a/forwarder/resume.go
+++ b/forwarder/resume.go
@@ -463,7 +463,7 @@
 		switch {
 		case !direct || !silent:
 		case f.paths.finder.Usable(source.engine.Addr, "", now):
-			f.paths.check(source.engine.Addr)
+			f.paths.check(source.engine.Addr, false)
 		case !source.state.pathTried.Swap(true):
 			f.spawn(func() { s.leaveCutPath(source) })
 		}
--- a/forwarder/traffic.go
+++ b/forwarder/traffic.go
@@ -68,6 +68,13 @@
 	return r, err
 }
 
+// Probe implements EndpointClient.
+func (c countedClient) Probe(ctx context.Context, e registrar.Endpoint, healthPath string) (Notice, error) {
+	n, err := c.EndpointClient.Probe(ctx, e, healthPath)
+	c.f.countMalformed(err)
+	return n, err
+}
+
 // WarmUp implements EndpointClient.
 func (c countedClient) WarmUp(ctx context.Context, e registrar.Endpoint, healthPath string) (time.Duration, error) {
 	d, err := c.EndpointClient.WarmUp(ctx, e, healthPath)
--- a/forwarder/types.go
+++ b/forwarder/types.go
@@ -169,6 +169,9 @@
 	Send(ctx context.Context, r *Request, d Dispatch) (Response, error)
 	// Report requests the load report of an engine.
 	Report(ctx context.Context, e registrar.Endpoint) (EngineReport, error)
+	// Probe requests any response of an endpoint on a new connection: that of the health check, or the load report if
+	// healthPath is empty. Only a response that can't be read is an error, which matches those of Send.
+	Probe(ctx context.Context, e registrar.Endpoint, healthPath string) (Notice, error)
 	// WarmUp asks an endpoint how long it stays cold.
 	WarmUp(ctx context.Context, e registrar.Endpoint, healthPath string) (time.Duration, error)
 	// Migrate copies the KV cache of a run to the engine at address to. If
--- a/protocol/requester/requester.go
+++ b/protocol/requester/requester.go
@@ -53,6 +53,9 @@
 	// ReadTimeout is the longest time to wait for the next bytes of the response,
 	// including its header. Zero means the default of the transport.
 	ReadTimeout time.Duration
+	// Prompt tells that the server usually responds soon. The transport then counts a connection without a response as
+	// silent while it still waits, not only when the request has failed.
+	Prompt bool
 	// EchoedHeader is a header field that the server copies from the request to the
 	// response. A response with another value belongs to an earlier request on
 	// the connection and is dropped. The zero value disables the check.
--- a/transport/dialer/conn.go
+++ b/transport/dialer/conn.go
@@ -23,6 +23,9 @@
 	r            *bufio.Reader
 	readTimeout  time.Duration
 	headDeadline time.Time // Time at which the response header must have been read; zero for none.
+	silentAt     time.Time // Time at which the connection counts as silent if nothing has arrived; zero if it does not.
+	silent       func()    // Called then.
+	openedAt     time.Time
 	written      int
 	answered     bool // Bytes have arrived since the request was sent.
 	responses    int  // Responses whose headers have been read.
@@ -50,12 +53,29 @@
 	_ = c.raw.Close()
 }
 
-// Read reads with a deadline of readTimeout from now, but not after headDeadline.
+// Read reads with a deadline of readTimeout from now, but not after headDeadline. It calls silent if nothing has arrived
+// before silentAt.
 func (c *conn) Read(p []byte) (int, error) {
 	deadline := c.clock.Now().Add(c.readTimeout)
 	if !c.headDeadline.IsZero() && deadline.After(c.headDeadline) {
 		deadline = c.headDeadline
 	}
+	if !c.silentAt.IsZero() {
+		if deadline.After(c.silentAt) {
+			n, err := c.readUntil(p, c.silentAt)
+			if n > 0 || !isTimeout(err) {
+				c.silentAt = time.Time{}
+				return n, err
+			}
+			c.silent()
+		}
+		c.silentAt = time.Time{}
+	}
+	return c.readUntil(p, deadline)
+}
+
+// readUntil reads with a deadline.
+func (c *conn) readUntil(p []byte, deadline time.Time) (int, error) {
 	if err := c.raw.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -55,13 +55,18 @@
 type Network interface {
 	// Dial opens a connection to addr.
 	Dial(ctx context.Context, addr string) (net.Conn, error)
-	// Usable reports whether an idle connection to addr may be used for another request.
-	Usable(addr string, c net.Conn) bool
-	// RecordAnswer records that a connection to addr brought the header of a response.
-	RecordAnswer(addr string, c net.Conn)
+	// Usable reports whether an idle connection to addr may be used for another request, and answered
+	// whether it has brought a response before.
+	Usable(addr string, c net.Conn, answered bool) bool
+	// RecordAnswer records that a connection to addr brought the header of a response, and when
+	// the connection was opened.
+	RecordAnswer(addr string, c net.Conn, openedAt time.Time)
 	// RecordSilence records that a connection to addr brought nothing back for a while after a
 	// request.
 	RecordSilence(addr string, c net.Conn)
+	// RecordBreak records that a connection to addr was reset or closed before it brought anything
+	// back for a request.
+	RecordBreak(addr string, c net.Conn)
 }
 
 // indirect is a connection that goes through a third party.
@@ -78,14 +83,17 @@
 }
 
 // Usable implements Network.
-func (*tcp) Usable(string, net.Conn) bool { return true }
+func (*tcp) Usable(string, net.Conn, bool) bool { return true }
 
 // RecordAnswer implements Network.
-func (*tcp) RecordAnswer(string, net.Conn) {}
+func (*tcp) RecordAnswer(string, net.Conn, time.Time) {}
 
 // RecordSilence implements Network.
 func (*tcp) RecordSilence(string, net.Conn) {}
 
+// RecordBreak implements Network.
+func (*tcp) RecordBreak(string, net.Conn) {}
+
 // Config configures a Dialer. Zero fields take the defaults.
 type Config struct {
 	Network Network // Connects directly by default.
@@ -161,26 +169,40 @@
 	}
 	c.headDeadline, c.answered = time.Time{}, false
 	sentAt := d.clock.Now()
+	c.silentAt = time.Time{}
+	if req.Prompt {
+		c.silentAt = sentAt.Add(minSilence)
+	}
 	c.bind(ctx)
 	if err := d.send(c, req); err != nil {
+		d.recordFailure(ctx, c, err, sentAt)
 		c.close()
 		return requester.Response{}, c.wrapFailure(ctx, err)
 	}
 	res, err := d.receive(ctx, c, req)
 	if err != nil {
-		if !c.answered && d.clock.Now().Sub(sentAt) >= minSilence {
-			d.cfg.Network.RecordSilence(c.addr, c.raw)
-		}
+		d.recordFailure(ctx, c, err, sentAt)
 		if errors.Is(err, decoder.ErrMalformed) {
 			c.reset() // The server may work on, and notices a reset sooner.
 		}
 		c.close()
 		return requester.Response{}, c.wrapFailure(ctx, err)
 	}
-	d.cfg.Network.RecordAnswer(c.addr, c.raw)
+	d.cfg.Network.RecordAnswer(c.addr, c.raw, c.openedAt)
 	return res, nil
 }
 
+// recordFailure tells the Network what the failure of a request that was sent at a time shows of its connection.
+func (d *Dialer) recordFailure(ctx context.Context, c *conn, err error, sentAt time.Time) {
+	switch {
+	case c.answered:
+	case ctx.Err() == nil && !isTimeout(err):
+		d.cfg.Network.RecordBreak(c.addr, c.raw)
+	case d.clock.Now().Sub(sentAt) >= minSilence:
+		d.cfg.Network.RecordSilence(c.addr, c.raw)
+	}
+}
+
 // connect takes an idle connection from the pool or opens a new one.
 func (d *Dialer) connect(ctx context.Context, req requester.Request) (*conn, error) {
 	if ctx.Err() != nil {
@@ -210,7 +232,8 @@
 			return nil, err
 		}
 	}
-	c := &conn{raw: raw, addr: addr, clock: d.clock}
+	c := &conn{raw: raw, addr: addr, clock: d.clock, openedAt: d.clock.Now()}
+	c.silent = func() { d.cfg.Network.RecordSilence(addr, raw) }
 	c.r = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/transport/dialer/pool.go
+++ b/transport/dialer/pool.go
@@ -18,7 +18,7 @@
 type pool struct {
 	maxIdlePerAddr int
 	maxAge         time.Duration
-	usable         func(addr string, c net.Conn) bool
+	usable         func(addr string, c net.Conn, answered bool) bool
 	shards         [shardCount]shard
 }
 
@@ -46,7 +46,7 @@
 			s.push(c, p.maxIdlePerAddr)
 			return nil
 		}
-		if p.usable(addr, c.raw) && c.usable() {
+		if p.usable(addr, c.raw, c.responses > 0) && c.usable() {
 			return c
 		}
 		_ = c.raw.Close()
@@ -60,7 +60,7 @@
 		s.mu.Lock()
 		for addr, conns := range s.idle {
 			s.idle[addr] = slices.DeleteFunc(conns, func(c *conn) bool {
-				if p.usable(addr, c.raw) {
+				if p.usable(addr, c.raw, c.responses > 0) {
 					return false
 				}
 				_ = c.raw.Close()
@@ -73,7 +73,7 @@
 
 // put adds an idle connection for reuse by later requests, if it may be used for any.
 func (p *pool) put(c *conn, now time.Time) {
-	if !p.usable(c.addr, c.raw) {
+	if !p.usable(c.addr, c.raw, c.responses > 0) {
 		_ = c.raw.Close()
 		return
 	}
--- a/transport/dialer/reset_test.go
+++ b/transport/dialer/reset_test.go
@@ -65,7 +65,7 @@
 }
 
 // Usable implements dialer.Network.
-func (lateNetwork) Usable(string, net.Conn) bool { return true }
+func (lateNetwork) Usable(string, net.Conn, bool) bool { return true }
 
 // Guards against a request that is sent although it has ended while its connection was opened, as in a process that
 // was paused meanwhile: the server would work for nobody, and the outcome would be unknown.
