--- a/forwarder/follow.go
+++ b/forwarder/follow.go
@@ -348,7 +348,7 @@
 	if source != sourceStore {
 		f.manifests.Overtake(f.clock.Now())
 	}
-	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Msg("forwarder: manifest in force")
+	f.log.Info().Int64("manifest", m.Version).Str("source", source).Int("routes", len(m.Routes)).Int("customers", len(m.Customers)).Bool("needs_keys", m.NeedsKeys()).Msg("forwarder: manifest in force")
 }
 
 // endpointWatch is the state of the watch of the endpoints.
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -482,10 +482,10 @@
 	if err := p.call(c, o.daemon.Addr, methodManifest, p.syncState(), &m); err != nil {
 		return err
 	}
-	if m.Format < matcher.ManifestFormat && len(p.f.cfg.Regions) > 0 {
+	if m.MayLackRegions() && len(p.f.cfg.Regions) > 0 || m.MayLackKeys() {
 		return errManifestFormat // This daemon asks the store itself soon.
 	}
-	p.f.installManifest(&m, "peer "+name)
+	p.f.installManifest(m.FromPeer(), "peer "+name)
 	return nil
 }
 
@@ -505,7 +505,7 @@
 	if e := p.encoded.Load(); e != nil && e.table == t {
 		return e.body, nil
 	}
-	body, err := msgpack.Marshal(t.Manifest)
+	body, err := msgpack.Marshal(t.Manifest.ForPeers())
 	if err == nil {
 		p.encoded.Store(&encodedManifest{table: t, body: body})
 	}
--- a/forwarder/region.go
+++ b/forwarder/region.go
@@ -13,7 +13,7 @@
 	// errRegionNotAllowed means that an endpoint is in a region that a request excludes.
 	errRegionNotAllowed = errors.New("the region of the endpoint is not allowed for the request")
 	// errManifestFormat means that a peer of an earlier version may have dropped fields of a manifest.
-	errManifestFormat = errors.New("the manifest of the peer may lack its allowed regions")
+	errManifestFormat = errors.New("the peer may have dropped fields of the manifest")
 )
 
 // isAllowed reports whether the allowed regions of a request permit an endpoint.
--- a/state/matcher/manifest.go
+++ b/state/matcher/manifest.go
@@ -39,8 +39,14 @@
 	Customers []Customer
 	Limits    Limits
 	Format    int `msgpack:",omitempty"` // ManifestFormat of the daemon that decoded the manifest first; zero for earlier versions.
+	// KeysRequired tells that the operators declared a list of customers, which may be empty. Requests need the key of a
+	// customer then, unless their route is public.
+	KeysRequired bool `msgpack:",omitempty"`
 }
 
+// NeedsKeys reports whether requests need the key of a customer, unless their route is public.
+func (m *Manifest) NeedsKeys() bool { return m.KeysRequired || len(m.Customers) > 0 }
+
 // Route routes the requests for a host and a path prefix to services.
 type Route struct {
 	Name           string
--- a/state/matcher/matcher.go
+++ b/state/matcher/matcher.go
@@ -58,12 +58,13 @@
 }
 
 // Customer returns the customer that key belongs to. For any other key it returns
-// an empty Customer if the route is public or the manifest has no customers.
+// an empty Customer if the route is public or the manifest needs no keys. An empty list of customers
+// needs them as any other does: nobody has one then.
 func (t *Table) Customer(r *Route, key string) (*Customer, error) {
 	if c := t.keys[key]; c != nil && key != "" {
 		return c, nil
 	}
-	if r.Public || len(t.Manifest.Customers) == 0 {
+	if r.Public || !t.Manifest.NeedsKeys() {
 		return &Customer{}, nil
 	}
 	return nil, ErrUnknownKey
--- a/state/matcher/regions.go
+++ b/state/matcher/regions.go
@@ -2,10 +2,6 @@
 
 import "slices"
 
-// ManifestFormat is the format of manifests that this version decodes. A daemon of an earlier version
-// drops fields that it does not know, and passes the manifest on without them.
-const ManifestFormat = 1 // With allowed regions.
-
 // Regions maps failure domains to the names of their regions.
 type Regions map[string]string
 
