--- a/coordination/quarantiner/evidence.go
+++ b/coordination/quarantiner/evidence.go
@@ -46,6 +46,12 @@
 	return ok && !t.Add(q.cfg.ProgressRetention).Before(at)
 }
 
+// progressed reports whether a part is known to have made progress at any time, at any daemon. The mutex is held.
+func (q *Quarantine) progressed(p Subject) bool {
+	_, ok := q.published[p]
+	return ok
+}
+
 // addCrash adds a report of a crash or a retraction, and returns what was new of it. The
 // mutex is held.
 func (q *Quarantine) addCrash(in Crash, now time.Time) (Crash, bool) {
@@ -178,22 +184,25 @@
 
 // infer explains the crashes. The mutex is held.
 func (q *Quarantine) infer() *inference {
-	in := &inference{cfg: q.cfg, sound: q.sound, named: q.named, trial: func(p Subject) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
+	in := &inference{cfg: q.cfg, sound: q.sound, progressed: q.progressed, named: q.named, trial: func(p Subject) (Trial, bool) { t, ok := q.trials[p]; return t, ok }}
 	in.run(q.sorted())
 	return in
 }
 
 // refute looks for suspected parts that made progress at this daemon. It reports whether the
-// verdict depends on one of them, whose progress then is part of the evidence. The mutex is held.
+// verdict depends on one of them, whose progress then is part of the evidence. Progress that is too old to
+// prove a part sound matters only if the part is blamed: others that explain as much are more likely then. The mutex is held.
 func (q *Quarantine) refute(in *inference, now time.Time) bool {
 	urgent := false
 	for p, l := range in.live {
 		at, ok := q.progress.last(p)
-		if !ok || at.Add(q.cfg.ProgressRetention).Before(l.first) || !at.After(q.published[p]) {
+		if !ok || !at.After(q.published[p]) {
 			continue
 		}
 		if in.blamed[p] == nil && !in.tied[p] {
-			q.prepareAnswer(p, at, now)
+			if !at.Add(q.cfg.ProgressRetention).Before(l.first) {
+				q.prepareAnswer(p, at, now)
+			}
 			continue
 		}
 		urgent = q.addProgress(Progress{Subject: p, At: at.Round(0)}, &q.outbox.own, now) || urgent
--- a/coordination/quarantiner/fleet_test.go
+++ b/coordination/quarantiner/fleet_test.go
@@ -637,6 +637,29 @@
 		})
 		f.run(badTime)
 	}},
+	// The progress of the customer's template is two minutes old when a document crashes engines, and stands behind it in the prompt.
+	{name: "bad document before a template that made progress long ago", sends: allowedSends, inject: func(f *fleet, s size) {
+		f.addBad(1)
+		instructions, template := PartOf("first", "idle"), PartOf("template", "idle")
+		documents := 0
+		sound := func() {
+			documents++
+			f.request([]Subject{instructions, PartOf("document", fmt.Sprint("idle ", documents)), template}, 0)
+		}
+		for range 25 {
+			sound()
+			f.run(200 * time.Millisecond)
+		}
+		f.run(2 * time.Minute)
+		f.startBad(s.badRate, func() []Subject { return []Subject{instructions, 1, template} })
+		f.run(badTime / 2)
+		sent := f.soundSent
+		for range 30 {
+			sound()
+			f.run(200 * time.Millisecond)
+		}
+		f.served = f.soundSent-sent >= 30
+	}, served: true},
 	{name: "engines killed at random", inject: func(f *fleet, s size) {
 		f.schedule(func() float64 { return killRate(s) }, func() { f.kill(f.engines[f.rand.IntN(s.engines)]) })
 		f.run(badTime)
--- a/coordination/quarantiner/inference.go
+++ b/coordination/quarantiner/inference.go
@@ -15,7 +15,7 @@
 	depth     int
 	crashes   []*crash             // With the part, sorted by time.
 	founding  int                  // Number of crashes for which the part was blamed first.
-	contested bool                 // A deeper part explains all founding crashes but one.
+	contested bool                 // A part that precedes it explains all founding crashes but one.
 	context   []*crash             // Unexplained ones since the first, if the verdict depends on them; held as long as the blame.
 	engines   []registrar.Identity // Of crashes.
 	round     int                  // Trials since the part was blamed.
@@ -37,17 +37,19 @@
 // inference explains the crashes that a daemon knows. It goes through them in the order of
 // their times, so that it doesn't matter in which order they became known.
 type inference struct {
-	cfg    Config
-	sound  func(p Subject, at time.Time) bool // Whether a part is proven sound for a crash at that time.
-	named  map[Subject]int                    // Number of crashes of which a part is a suspect.
-	trial  func(p Subject) (Trial, bool)
-	blamed map[Subject]*blame
-	open   []*crash              // Crashes without an explanation.
-	occurs map[Subject][]*crash  // Open crashes that a part may have caused.
-	depth  map[Subject]int       // Greatest one seen.
-	live   map[Subject]suspicion // Parts that may have caused several crashes.
-	causes map[*crash][]*blame   // Explanations of a crash.
-	tied   map[Subject]bool      // Requests that explain the same crashes as another one, so that none was blamed.
+	cfg   Config
+	sound func(p Subject, at time.Time) bool // Whether a part is proven sound for a crash at that time.
+	// progressed reports whether a part has ever made progress, which is evidence only between parts that explain the same crashes.
+	progressed func(p Subject) bool
+	named      map[Subject]int // Number of crashes of which a part is a suspect.
+	trial      func(p Subject) (Trial, bool)
+	blamed     map[Subject]*blame
+	open       []*crash              // Crashes without an explanation.
+	occurs     map[Subject][]*crash  // Open crashes that a part may have caused.
+	depth      map[Subject]int       // Greatest one seen.
+	live       map[Subject]suspicion // Parts that may have caused several crashes.
+	causes     map[*crash][]*blame   // Explanations of a crash.
+	tied       map[Subject]bool      // Requests that explain the same crashes as another one, so that none was blamed.
 }
 
 // run explains crashes, which are sorted by time.
@@ -185,27 +187,53 @@
 		if !ok {
 			continue
 		}
-		if p.IsRequest() && n >= most {
-			tied = n == most && best.IsRequest()
+		order := cmp.Compare(n, most)
+		if order == 0 {
+			order = f.compareNovelty(p, best)
 		}
-		better := cmp.Or(cmp.Compare(n, most), cmp.Compare(f.depth[p], f.depth[best]), cmp.Compare(p, best))
-		if most == 0 || better > 0 {
+		if p.IsRequest() && order >= 0 {
+			tied = order == 0 && best.IsRequest()
+		}
+		if n > most || n == most && f.precedes(p, best) {
 			best, most = p, n
 		}
 	}
 	// While all endpoints of a service are down, a request that ran beside the bad one everywhere
 	// can't prove itself. Another crash tells them apart.
 	if tied && best.IsRequest() && most < f.cfg.ManyCrashes {
-		for _, p := range parts {
-			if n, ok := f.coverage(p, now); ok && n == most && p.IsRequest() {
-				f.tied[p] = true
-			}
-		}
+		f.markTied(parts, most, now)
 		return 0, false
 	}
 	return best, most > 0
 }
 
+// markTied marks the requests among the parts that explain a number of crashes.
+func (f *inference) markTied(parts []Subject, crashes int, now time.Time) {
+	for _, p := range parts {
+		if n, ok := f.coverage(p, now); ok && n == crashes && p.IsRequest() {
+			f.tied[p] = true
+		}
+	}
+}
+
+// compareNovelty compares two parts that explain the same crashes. One that never made progress is the more likely cause: what
+// worked before seldom begins to crash engines together with something new.
+func (f *inference) compareNovelty(p, o Subject) int {
+	switch a, b := f.progressed(p), f.progressed(o); {
+	case a == b:
+		return 0
+	case b:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// precedes reports whether a part would be blamed rather than another one that explains the same crashes.
+func (f *inference) precedes(p, o Subject) bool {
+	return cmp.Or(f.compareNovelty(p, o), cmp.Compare(f.depth[p], f.depth[o]), cmp.Compare(p, o)) > 0
+}
+
 // coverage returns the number of open crashes that a part may have caused, and whether it
 // can be blamed.
 func (f *inference) coverage(p Subject, now time.Time) (int, bool) {
@@ -240,8 +268,8 @@
 	return n, f.suffices(n, incidents, share) && (n >= f.cfg.ManyCrashes || !f.unrelated(p, f.open[since:]))
 }
 
-// contested reports whether a deeper part explains all open crashes that a part may have caused, but
-// one. The daemon whose run had the deeper part may not have reported that one yet.
+// contested reports whether a part that precedes p explains all open crashes that p may have caused, but one. The daemon
+// whose run had the former may not have reported that one yet.
 func (f *inference) contested(p Subject) bool {
 	list := f.occurs[p]
 	if len(list) < f.cfg.ManyCrashes { // The block begins later anyway.
@@ -249,7 +277,7 @@
 	}
 	return slices.ContainsFunc(slices.Concat(list[0].suspects, list[1].suspects), func(s Suspect) bool {
 		o := s.Subject
-		return !o.IsRequest() && f.depth[o] > f.depth[p] && len(f.occurs[o]) == len(list)-1 &&
+		return !o.IsRequest() && f.precedes(o, p) && len(f.occurs[o]) == len(list)-1 &&
 			!slices.ContainsFunc(f.occurs[o], func(c *crash) bool { return !c.names(p) })
 	})
 }
--- a/coordination/quarantiner/progress.go
+++ b/coordination/quarantiner/progress.go
@@ -5,62 +5,91 @@
 	"time"
 )
 
-// The table holds tableShards*tableSets*tableWays parts.
+// Sizes of a progressTable. It holds shards*sets*ways subjects of each kind.
 const (
-	tableShards = 64
-	tableSets   = 32
-	tableWays   = 4
+	tableShards    = 64
+	tableSets      = 32
+	repeatedSets   = 8
+	tableWays      = 4
+	setsInAllKinds = tableSets + repeatedSets
 )
 
-// progressTable holds when parts last made progress at this daemon. It is of a fixed size;
-// the parts whose progress is oldest give way. It is safe for concurrent use.
+// progressTable holds when subjects last made progress at this daemon. It is of a fixed size;
+// those whose progress is oldest give way. Most subjects are of one request only. The others, parts with which
+// several requests made progress, have a room of their own, so that they are known for longer. It is safe for concurrent use.
 type progressTable struct {
 	shards [tableShards]tableShard
 }
 
 type tableShard struct {
 	mu   sync.Mutex
-	sets [tableSets][tableWays]tableEntry
+	sets [setsInAllKinds]tableSet // Those of all subjects, then those of repeated ones.
 }
 
+type tableSet [tableWays]tableEntry
+
 type tableEntry struct {
-	part Subject
-	at   int64 // Unix nanoseconds; zero if the entry is free.
+	subject Subject
+	at      int64   // Unix nanoseconds; zero if the entry is free.
+	request Subject // That made the progress.
 }
 
-func (t *progressTable) set(p Subject) (*tableShard, *[tableWays]tableEntry) {
-	s := &t.shards[uint64(p)%tableShards]
-	return s, &s.sets[uint64(p)/tableShards%tableSets]
+// find returns the shard of a subject, its set, and its set of repeated subjects.
+func (t *progressTable) find(p Subject) (s *tableShard, all, repeated *tableSet) {
+	s = &t.shards[uint64(p)%tableShards]
+	h := uint64(p) / tableShards
+	return s, &s.sets[h%tableSets], &s.sets[tableSets+h%repeatedSets]
 }
 
-// record records progress of a part.
-func (t *progressTable) record(p Subject, now time.Time) {
-	s, set := t.set(p)
-	at := now.UnixNano()
+// record records progress of a subject in a request, which is zero if it is not known.
+func (t *progressTable) record(p, request Subject, now time.Time) {
+	s, all, repeated := t.find(p)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := all.put(tableEntry{subject: p, at: now.UnixNano(), request: request})
+	if !p.IsRequest() && request != 0 && (before != 0 && before != request || repeated.has(p)) {
+		repeated.put(tableEntry{subject: p, at: now.UnixNano()})
+	}
+}
+
+// put adds an entry, or updates that of the same subject. It returns the request of the entry before.
+func (set *tableSet) put(e tableEntry) (before Subject) {
 	oldest := 0
 	for i := range set {
-		if set[i].part == p && set[i].at != 0 {
-			set[i].at = max(set[i].at, at)
-			return
+		if set[i].subject == e.subject && set[i].at != 0 {
+			before = set[i].request
+			e.at = max(set[i].at, e.at)
+			set[i] = e
+			return before
 		}
 		if set[i].at < set[oldest].at {
 			oldest = i
 		}
 	}
-	set[oldest] = tableEntry{part: p, at: at}
+	set[oldest] = e
+	return 0
+}
+
+// last returns when a subject last made progress, in Unix nanoseconds; zero if that is not known.
+func (set *tableSet) last(p Subject) int64 {
+	for i := range set {
+		if set[i].subject == p && set[i].at != 0 {
+			return set[i].at
+		}
+	}
+	return 0
 }
 
-// last returns when a part last made progress. It returns false if that is not known.
+// has reports whether the set holds a subject.
+func (set *tableSet) has(p Subject) bool { return set.last(p) != 0 }
+
+// last returns when a subject last made progress. It returns false if that is not known.
 func (t *progressTable) last(p Subject) (time.Time, bool) {
-	s, set := t.set(p)
+	s, all, repeated := t.find(p)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range set {
-		if set[i].part == p && set[i].at != 0 {
-			return time.Unix(0, set[i].at), true
-		}
+	if at := max(all.last(p), repeated.last(p)); at != 0 {
+		return time.Unix(0, at), true
 	}
 	return time.Time{}, false
 }
--- a/coordination/quarantiner/quarantine.go
+++ b/coordination/quarantiner/quarantine.go
@@ -169,11 +169,15 @@
 }
 
 // RecordProgress records that a run at this daemon made progress: it has completed or has
-// sent events for a while. The subjects are the request and the parts of its prompt without the
-// last.
+// sent events for a while. The subjects are the parts of its prompt without the last, and then the
+// request.
 func (q *Quarantine) RecordProgress(parts []Subject, now time.Time) {
+	var request Subject
+	if n := len(parts); n > 0 && parts[n-1].IsRequest() {
+		request = parts[n-1]
+	}
 	for _, p := range parts {
-		q.progress.record(p, now)
+		q.progress.record(p, request, now)
 	}
 	f := q.current(now)
 	if f == nil {
