--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -318,28 +319,30 @@
 // Guards against a part of many sound requests that is blamed for the crashes of another one, since its progress is a minute old
 // and it stands behind that one in each prompt. The block would keep any new progress away.
 func TestPartWithProgressIsNotBlamedForNewOne(t *testing.T) {
-	const instructions, document, question = 1, 2, 3
-	for _, crashes := range []int{3, 4, 6} {
-		a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
-		a.RecordProgress([]Subject{instructions, 10, question}, at(0))
-		b.RecordProgress([]Subject{instructions, 11}, at(0))
-		idle := 2 * time.Minute
-		now := at(idle)
-		for i := range crashes {
-			now = at(idle + time.Duration(i)*700*time.Millisecond)
-			b.RecordCrash(engine(i), prompt(instructions, document, question), now)
-			deliver(b, now, a)
-			deliver(a, now, b)
-			now = now.Add(400 * time.Millisecond) // Answers are late.
-			deliver(a, now, b)
-		}
-		now = now.Add(time.Second)
-		for _, q := range []*Quarantine{a, b} {
-			assert.DeepEqual(t, blamed(q, now), []Subject{document})
-			_, blocked := q.Check([]Subject{instructions, 12, question}, now)
-			assert.Assert(t, !blocked)
+	const instructions, document, question, footer = 1, 2, 3, 4
+	for _, behind := range [][]Subject{{question}, {question, footer}} {
+		for _, crashes := range []int{3, 4, 6} {
+			a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+			a.RecordProgress(slices.Concat([]Subject{instructions, 10}, behind), at(0))
+			b.RecordProgress([]Subject{instructions, 11}, at(0))
+			idle := 2 * time.Minute
+			now := at(idle)
+			for i := range crashes {
+				now = at(idle + time.Duration(i)*700*time.Millisecond)
+				b.RecordCrash(engine(i), prompt(slices.Concat([]Subject{instructions, document}, behind)...), now)
+				deliver(b, now, a)
+				deliver(a, now, b)
+				now = now.Add(400 * time.Millisecond) // Answers are late.
+				deliver(a, now, b)
+			}
+			now = now.Add(time.Second)
+			for _, q := range []*Quarantine{a, b} {
+				assert.DeepEqual(t, blamed(q, now), []Subject{document})
+				_, blocked := q.Check(slices.Concat([]Subject{instructions, 12}, behind), now)
+				assert.Assert(t, !blocked)
+			}
+			assert.Equal(t, a.Digest(now), b.Digest(now))
 		}
-		assert.Equal(t, a.Digest(now), b.Digest(now))
 	}
 }
 
